--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,8 @@
+//! The pomelotide command line.
+
+use pomelotide_cli::{cli, run};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    run(&cli::parse()).into()
+}
--- /dev/null
+++ b/cli/src/note_files.rs
@@ -0,0 +1,42 @@
+//! Release notes in files.
+
+use crate::exit::Exit;
+use pomelotide_core::{EntryName, Note};
+use pomelotide_wire::{parse_note, show_entries};
+use std::fs;
+
+/// Reads and checks a note; shows what is wrong.
+pub(crate) fn read_note(file: &str) -> Result<(String, Note), Exit> {
+    let text = fs::read_to_string(file).map_err(|error| {
+        eprintln!("{file}: {error}");
+        Exit::Usage
+    })?;
+    let note = parse_note(file, &text).map_err(|problems| {
+        eprintln!("{problems}");
+        Exit::Usage
+    })?;
+    Ok((text, note))
+}
+
+/// Returns what a note would change in a configuration, as lines that begin with `+` or `-`.
+pub(crate) fn diff(in_force: &str, note: &Note) -> String {
+    let mut lines = Vec::new();
+    let goes: Vec<EntryName> = note.changed.iter().map(|entry| entry.name()).collect();
+    for name in goes.iter().chain(&note.withdrawn) {
+        lines.extend(
+            section(in_force, name)
+                .iter()
+                .map(|line| format!("- {line}")),
+        );
+    }
+    let comes = show_entries("added", note.added.iter().chain(&note.changed));
+    let comes = comes.lines().filter(|line| !line.is_empty());
+    lines.extend(comes.map(|line| format!("+ {line}")));
+    lines.join("\n")
+}
+
+fn section<'a>(in_force: &'a str, name: &EntryName) -> Vec<&'a str> {
+    let head = format!("[added {name}]");
+    let from = in_force.lines().skip_while(|line| *line != head);
+    from.take_while(|line| !line.is_empty()).collect()
+}
--- /dev/null
+++ b/cli/src/output.rs
@@ -0,0 +1,66 @@
+//! Showing results.
+
+use crate::cli::OutputForm;
+use pomelotide_wire::{ApiAnswer, ApiStatus};
+
+/// Shows an answer.
+pub(crate) fn show_answer(form: OutputForm, answer: &ApiAnswer) {
+    match form {
+        OutputForm::Json => println!("{}", serde_json::to_string(answer).unwrap_or_default()),
+        OutputForm::Text => println!("{}", answer_text(answer)),
+    }
+}
+
+fn answer_text(answer: &ApiAnswer) -> String {
+    match answer {
+        ApiAnswer::Failed => "failed at the backend server".into(),
+        ApiAnswer::NotRun {
+            reason,
+            retry_after_ms: None,
+        } => format!("not run: {reason}"),
+        ApiAnswer::NotRun {
+            reason,
+            retry_after_ms: Some(after_ms),
+        } => {
+            format!("not run: {reason}; come back in {after_ms} ms")
+        }
+        ApiAnswer::OutcomeUnknown => "outcome unknown; ask again with the same id".into(),
+        ApiAnswer::Accepted { job } => job.clone(),
+        ApiAnswer::Job {
+            state,
+            done: Some(done),
+        } => format!("{state}, {done} tasks done"),
+        ApiAnswer::Job { state, done: None } => state.clone(),
+        ApiAnswer::NoSuchJob => "no such job".into(),
+        ApiAnswer::InForce { revision } => format!("in force everywhere as revision {revision}"),
+        ApiAnswer::Rejected { faults } => format!("rejected:\n  {}", faults.join("\n  ")),
+        ApiAnswer::Malformed(fault) => format!("{}: {}", fault.field, fault.error),
+    }
+}
+
+/// Shows a daemon's summary of itself.
+pub(crate) fn show_status(form: OutputForm, status: &ApiStatus) {
+    if form == OutputForm::Json {
+        println!("{}", serde_json::to_string(status).unwrap_or_default());
+        return;
+    }
+    let keeper = status.keeper.as_deref().unwrap_or("none");
+    let rows = [
+        ("daemon", status.daemon.clone()),
+        ("domain", status.domain.clone()),
+        ("keeper", keeper.into()),
+        ("revision", status.revision.to_string()),
+        ("keys honoured", status.fresh.to_string()),
+        (
+            "workers",
+            format!("{} of {} take work", status.workers_ready, status.workers),
+        ),
+        ("tasks running", status.tasks_running.to_string()),
+        ("waiting", status.waiting.to_string()),
+        ("open calls", status.open_calls.to_string()),
+        ("draining", status.draining.to_string()),
+    ];
+    for (name, value) in rows {
+        println!("{name:<14} {value}");
+    }
+}
--- /dev/null
+++ b/core/src/consts.rs
@@ -0,0 +1,96 @@
+//! Named constants with their units.
+
+use crate::Millis;
+
+/// How long a confirmed configuration honours keys at the daemon that confirmed it.
+pub const CONFIG_HOLD_MS: Millis = Millis(4_900);
+/// How long a change waits until every older confirmation has ended (hold plus 4% clock drift).
+pub const CONFIG_WAIT_MS: Millis = Millis(5_100);
+/// The span between two reads of the configuration's head.
+pub const CONFIG_POLL_MS: Millis = Millis(1_000);
+/// The span between two reads of the host list.
+pub const HOST_POLL_MS: Millis = Millis(1_000);
+/// The span between two writes of a daemon's own membership row.
+pub const MEMBER_WRITE_MS: Millis = Millis(10_000);
+/// The span between two reads of the membership rows.
+pub const MEMBER_POLL_MS: Millis = Millis(5_000);
+/// The span between two heartbeats to a peer of the same failure domain.
+pub const HEARTBEAT_MS: Millis = Millis(400);
+/// The span between two heartbeats of keepers in different failure domains.
+pub const FAR_HEARTBEAT_MS: Millis = Millis(1_000);
+/// The silence after which a peer counts as gone.
+pub const PEER_SILENCE_MS: Millis = Millis(1_500);
+/// The span between two lease renewals at a worker without open requests.
+pub const RENEW_MS: Millis = Millis(20_000);
+/// The span between two renewals at a worker that owes an answer.
+pub const BUSY_RENEW_MS: Millis = Millis(500);
+/// The silence of a worker that owes an answer, after which its connection is opened anew.
+pub const LINK_SILENCE_MS: Millis = Millis(1_500);
+/// The span between two attempts to open a connection to a worker.
+pub const RECONNECT_MS: Millis = Millis(500);
+/// How long a worker goes on with a task after the last renewal.
+pub const TASK_LEASE_MS: Millis = Millis(60_000);
+/// How long a keeper waits until a silent worker has stopped its tasks (lease plus 4% drift).
+pub const TASK_LAPSE_MS: Millis = Millis(62_400);
+/// The time after which a refused caller is asked to come back.
+pub const RETRY_AFTER_MS: Millis = Millis(1_000);
+/// How long the answer to a request is kept for a retry with the same id.
+pub const ANSWER_KEEP_MS: Millis = Millis(60_000);
+/// The span after which a call that was passed on without an answer is passed on again.
+pub const RESEND_MS: Millis = Millis(2_000);
+/// How much longer than the keeper the first daemon waits for an answer.
+pub const ANSWER_GRACE_MS: Millis = Millis(300);
+/// How long a caller waits until a job is on record, a cancellation or a note is done.
+pub const CONTROL_DEADLINE_MS: Millis = Millis(12_000);
+/// The longest accepted deadline of a request.
+pub const MAX_DEADLINE_MS: Millis = Millis(300_000);
+/// The span between two looks over workers, calls and waiting requests.
+pub const SCAN_MS: Millis = Millis(100);
+/// The wait of a fenced keeper before it may try again.
+pub const FENCED_REST_MS: Millis = Millis(5_000);
+/// The silence of the table after which a daemon says that it does not reach it.
+pub const TABLE_SILENT_MS: Millis = Millis(2_000);
+/// How long a peer that went silent still has to vouch for the table's silence.
+pub const PEER_MEMORY_MS: Millis = Millis(60_000);
+/// The span between two transactions of one keeper.
+pub const COMMIT_MS: Millis = Millis(40);
+/// The wait before a failed table operation is tried again.
+pub const TABLE_RETRY_MS: Millis = Millis(300);
+/// The notes that a daemon keeps for peers that lack them.
+pub const RECENT_NOTES: usize = 256;
+/// The notes that one message carries at most.
+pub const NOTES_A_MESSAGE: usize = 64;
+/// The part of all workers that may rest in quarantine at once, in percent.
+pub const QUARANTINE_PERCENT: usize = 10;
+/// How long a non-idempotent request's row stays in the table.
+pub const INTENT_TTL_MS: Millis = Millis(86_400_000);
+/// The span after which an unanswered table operation counts as lost.
+pub const TABLE_SILENCE_MS: Millis = Millis(3_000);
+/// The rows that one transaction carries at most.
+pub const COMMIT_ROWS: usize = 256;
+/// The rows that may wait for a commit before new work is refused.
+pub const COMMIT_BACKLOG: usize = 4_096;
+/// The rows that one read of the table returns at most.
+pub const READ_ROWS: u32 = 512;
+/// The requests and tasks that one queue and team may have waiting.
+pub const MAX_WAITING: usize = 50_000;
+/// The most requests of one queue that wait for each free slot of the domain.
+pub const WAITING_PER_SLOT: usize = 16;
+/// The attempts after which a failing task fails its job.
+pub const MAX_ATTEMPTS: u32 = 4;
+/// The retries granted for each hundred requests.
+pub const RETRY_PERCENT: u64 = 10;
+/// The retries that a fresh budget holds.
+pub const RETRY_BURST: u64 = 20;
+/// The failures in a row after which a worker is quarantined.
+pub const QUARANTINE_FAILURES: u32 = 5;
+/// How long a quarantined worker rests before a probe.
+pub const QUARANTINE_MS: Millis = Millis(30_000);
+/// The wait after which a gang holds capacity back from batch work.
+pub const GANG_PATIENCE_MS: Millis = Millis(15_000);
+/// The queued units that are tried behind a head that does not fit.
+pub const BACKFILL_DEPTH: usize = 4;
+/// The largest request or task payload in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 262_144;
+/// The most tasks of one job.
+pub const MAX_JOB_TASKS: u32 = 10_000;
--- /dev/null
+++ b/core/src/fleet.rs
@@ -0,0 +1,228 @@
+//! The failure domain's workers and what runs on them.
+
+use crate::{
+    Class, Host, Link, Millis, RackName, Resources, Running, TaskId, TeamName, WorkerId,
+    WorkerState,
+};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap}, //
+};
+
+/// The place of a worker in a [`Fleet`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WorkerIx(usize);
+
+/// The failure domain's workers with the sums that decisions need.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    workers: Vec<WorkerState>,
+    places: HashMap<WorkerId, WorkerIx>,
+    usage: BTreeMap<TeamName, Resources>,
+    total: Resources,
+    largest: Resources,
+    unclaimed: Resources,
+    unclaimed_count: usize,
+}
+
+impl Fleet {
+    /// Returns the place of a worker.
+    pub fn find(&self, worker: &WorkerId) -> Option<WorkerIx> {
+        self.places.get(worker).copied()
+    }
+
+    /// Returns the state of a worker.
+    pub fn get(&self, ix: WorkerIx) -> &WorkerState {
+        &self.workers[ix.0]
+    }
+
+    /// Returns the state of a worker for changes that touch none of the fleet's sums.
+    pub fn get_mut(&mut self, ix: WorkerIx) -> &mut WorkerState {
+        &mut self.workers[ix.0]
+    }
+
+    /// Returns the places of all workers.
+    pub fn places(&self) -> impl Iterator<Item = WorkerIx> {
+        (0..self.workers.len()).map(WorkerIx)
+    }
+
+    /// Returns the states of all workers.
+    pub fn iter(&self) -> impl Iterator<Item = &WorkerState> {
+        self.workers.iter()
+    }
+
+    /// Takes over a reading of the host list; returns the workers that left it.
+    pub fn relist(&mut self, hosts: Vec<Host>) -> Vec<WorkerIx> {
+        let was_listed: Vec<bool> = self.workers.iter().map(|worker| worker.listed).collect();
+        for worker in &mut self.workers {
+            worker.listed = false;
+        }
+        for host in hosts {
+            self.list(host);
+        }
+        self.recount();
+        let left = |ix: &WorkerIx| was_listed.get(ix.0) == Some(&true) && !self.get(*ix).listed;
+        self.places().filter(left).collect()
+    }
+
+    fn list(&mut self, host: Host) {
+        match self.find(&host.worker) {
+            Some(ix) => {
+                let known = self.get_mut(ix);
+                known.listed = true;
+                known.host = host;
+            }
+            None => {
+                self.places
+                    .insert(host.worker.clone(), WorkerIx(self.workers.len()));
+                self.workers.push(WorkerState::new(host));
+            }
+        }
+    }
+
+    /// Computes the fleet's sums anew.
+    pub fn recount(&mut self) {
+        let mut total = Resources::default();
+        let mut largest = [0; crate::resources::KINDS];
+        let mut unclaimed = Resources::default();
+        let mut unclaimed_count = 0;
+        for worker in self.workers.iter().filter(|worker| worker.listed) {
+            let capacity = worker.host.capacity;
+            total = total.plus(capacity);
+            for (most, amount) in largest.iter_mut().zip(capacity.parts()) {
+                *most = amount.max(*most);
+            }
+            if !worker.claimed {
+                unclaimed = unclaimed.plus(capacity);
+                unclaimed_count += 1;
+            }
+        }
+        self.total = total;
+        self.largest = Resources::from_parts(largest);
+        self.unclaimed = unclaimed;
+        self.unclaimed_count = unclaimed_count;
+    }
+
+    /// Returns what all listed workers have together.
+    pub const fn total(&self) -> Resources {
+        self.total
+    }
+
+    /// Returns the most of each kind that any listed worker has.
+    pub const fn largest(&self) -> Resources {
+        self.largest
+    }
+
+    /// Returns what the listed workers have on which an older keeper may still start tasks.
+    pub const fn unclaimed(&self) -> Resources {
+        self.unclaimed
+    }
+
+    /// Returns the number of listed workers that accepted no claim of this term.
+    pub const fn unclaimed_count(&self) -> usize {
+        self.unclaimed_count
+    }
+
+    /// Returns what a team has running.
+    pub fn usage(&self, team: &TeamName) -> Resources {
+        self.usage.get(team).copied().unwrap_or_default()
+    }
+
+    /// Returns what is free on all workers that take work.
+    pub fn free(&self, now_ms: Millis) -> Resources {
+        let open = self
+            .workers
+            .iter()
+            .filter(|worker| worker.takes_work(now_ms));
+        open.fold(Resources::default(), |sum, worker| sum.plus(worker.free()))
+    }
+
+    /// Counts a task on a worker.
+    pub fn add(&mut self, ix: WorkerIx, task: TaskId, running: Running) {
+        let usage = self.usage.entry(running.team.clone()).or_default();
+        *usage = usage.plus(running.need);
+        self.workers[ix.0].add(task, running);
+    }
+
+    /// Stops counting a task on a worker.
+    pub fn remove(&mut self, ix: WorkerIx, task: &TaskId) -> Option<Running> {
+        let running = self.workers[ix.0].remove(task)?;
+        if let Some(usage) = self.usage.get_mut(&running.team) {
+            *usage = usage.minus(running.need);
+        }
+        Some(running)
+    }
+
+    /// Says whether a worker takes a task now.
+    pub fn fits_at(&self, ix: WorkerIx, need: &Resources, now_ms: Millis) -> bool {
+        let worker = &self.workers[ix.0];
+        need.fits(&worker.free()) && worker.takes_work(now_ms)
+    }
+
+    /// Chooses a worker for a task by the policy of its class.
+    pub fn choose(
+        &self,
+        class: Class,
+        need: &Resources,
+        avoid: Option<&WorkerId>,
+        now_ms: Millis,
+    ) -> Option<WorkerIx> {
+        let open = self.places().filter(|ix| self.fits_at(*ix, need, now_ms));
+        let avoided = |ix: &WorkerIx| avoid == Some(&self.get(*ix).host.worker);
+        match class {
+            Class::Small => open.min_by_key(|ix| (avoided(ix), self.busy_slots(*ix), *ix)),
+            Class::Batch | Class::Gang => {
+                open.min_by_key(|ix| (avoided(ix), Reverse(self.fullness_ppm(*ix)), *ix))
+            }
+            Class::Service => {
+                let racks = self.rack_loads();
+                open.min_by_key(|ix| {
+                    (
+                        avoided(ix),
+                        racks[&self.get(*ix).host.rack],
+                        self.fullness_ppm(*ix),
+                        *ix,
+                    )
+                })
+            }
+        }
+    }
+
+    fn busy_slots(&self, ix: WorkerIx) -> u64 {
+        self.get(ix).used.slots
+    }
+
+    fn fullness_ppm(&self, ix: WorkerIx) -> u64 {
+        let worker = self.get(ix);
+        worker.used.dominant_share_ppm(&worker.host.capacity)
+    }
+
+    fn rack_loads(&self) -> BTreeMap<&RackName, usize> {
+        let mut loads = BTreeMap::new();
+        for worker in &self.workers {
+            *loads.entry(&worker.host.rack).or_default() += worker.tasks.len();
+        }
+        loads
+    }
+
+    /// Forgets every claim, at the start of a term.
+    pub fn begin_term(&mut self) {
+        for worker in &mut self.workers {
+            worker.claimed = false;
+            worker.link = Link::Down {
+                retry_ms: Millis(0),
+            };
+        }
+        self.recount();
+    }
+
+    /// Forgets every task, after the workers went to another keeper.
+    pub fn clear_tasks(&mut self) {
+        for worker in &mut self.workers {
+            worker.tasks.clear();
+            worker.used = Resources::default();
+            worker.owed = 0;
+        }
+        self.usage.clear();
+    }
+}
--- /dev/null
+++ b/core/src/freshness.rs
@@ -0,0 +1,51 @@
+//! How long the configuration at hand may be acted on for keyed work.
+
+use crate::{consts::CONFIG_HOLD_MS, DomainName, Millis};
+use std::collections::BTreeMap;
+
+/// Evidence about the configuration, each piece with the time on this daemon's clock before which
+/// it certainly held.
+#[derive(Debug, Default)]
+pub struct Freshness {
+    confirmed_ms: Option<Millis>,
+    silent_ms: BTreeMap<DomainName, Millis>,
+}
+
+impl Freshness {
+    /// Notes that the configuration at hand was the latest one at `at_ms`.
+    pub fn confirm(&mut self, at_ms: Millis) {
+        self.confirmed_ms = self.confirmed_ms.max(Some(at_ms));
+    }
+
+    /// Notes that no daemon of a failure domain had reached the table by `at_ms`.
+    pub fn silent(&mut self, domain: &DomainName, at_ms: Millis) {
+        let known = self.silent_ms.entry(domain.clone()).or_default();
+        *known = at_ms.max(*known);
+    }
+
+    /// Returns the age of the latest confirmation.
+    pub fn age_ms(&self, now_ms: Millis) -> Option<Millis> {
+        self.confirmed_ms.map(|at_ms| now_ms.since(at_ms))
+    }
+
+    /// Says whether keys may be honoured.
+    pub fn is_fresh(&self, now_ms: Millis) -> bool {
+        let lately = |at_ms: Millis| now_ms.since(at_ms) <= CONFIG_HOLD_MS;
+        self.confirmed_ms.is_some_and(lately)
+    }
+
+    /// Prolongs a confirmation that still holds, where the table is silent in every failure
+    /// domain, so that no change can have been accepted anywhere since.
+    ///
+    /// A confirmation that has lapsed stays lapsed: a change may have been accepted meanwhile by a
+    /// daemon that is no longer heard.
+    pub fn prolong<'a>(&mut self, now_ms: Millis, domains: impl Iterator<Item = &'a DomainName>) {
+        if !self.is_fresh(now_ms) {
+            return;
+        }
+        let silent_ms = |domain| self.silent_ms.get(domain).copied();
+        let oldest_ms = domains.map(silent_ms).collect::<Option<Vec<_>>>();
+        let oldest_ms = oldest_ms.and_then(|all| all.into_iter().min());
+        self.confirmed_ms = self.confirmed_ms.max(oldest_ms);
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,75 @@
+//! The decisions of the pomelotide cluster scheduler.
+//!
+//! [`Core`] is a reducer: it takes one [`Event`] at a time with the time at which it happened, and
+//! returns [`Effect`]s as data. It does no I/O, reads no clock and draws no random numbers, so that
+//! the same code runs in the daemon, in tests in virtual time and under benchmarks, and a recorded
+//! trace of events replays to the same effects.
+
+mod answer;
+mod class;
+mod config;
+pub mod consts;
+mod effect;
+mod entry;
+mod event;
+mod fleet;
+mod freshness;
+mod ids;
+mod job;
+mod limits;
+mod millis;
+mod note;
+mod payload;
+mod peer;
+mod queues;
+mod reducer;
+mod request;
+pub mod resources;
+mod retry_budget;
+mod settings;
+mod status;
+mod table;
+mod task_name;
+mod task_set;
+mod told;
+mod unit;
+mod worker;
+mod worker_state;
+
+pub use crate::{
+    answer::{Answer, Refusal},
+    class::{Class, ClassError},
+    config::{Config, QueueView},
+    effect::Effect,
+    entry::{Entry, EntryName},
+    event::Event,
+    fleet::{Fleet, WorkerIx},
+    freshness::Freshness,
+    ids::*,
+    job::{JobRow, JobSpec, JobState},
+    limits::Limits,
+    millis::{Millis, MillisError},
+    note::{FaultKind, Note, NoteFault, NoteVerdict},
+    payload::Payload,
+    peer::{
+        AdmittedJob, AdmittedRequest, Heartbeat, Origin, PeerMessage, RunningRequest,
+        WaitingRequest,
+    },
+    queues::Queues,
+    reducer::Core,
+    request::Request,
+    resources::Resources,
+    retry_budget::RetryBudget,
+    settings::CoreSettings,
+    status::Status,
+    table::{
+        Check, HeadRow, Insert, IntentRow, IntentState, KeeperRow, Key, MemberRow, Query, Row,
+        TableReply, Txn,
+    },
+    task_name::TaskName,
+    task_set::TaskSet,
+    told::Told,
+    unit::{Unit, UnitKind},
+    worker::{Claim, Host, TaskEnd, TaskEnded, TaskHeld, TaskStart, WorkerCommand, WorkerReport},
+    worker_state::{Link, Running, WorkerState},
+};
--- /dev/null
+++ b/core/src/limits.rs
@@ -0,0 +1,79 @@
+//! A failure domain's parts of the fleet-wide upper limits.
+
+use crate::{consts::CONFIG_WAIT_MS, Config, DomainName, Millis, Resources, TeamName};
+use std::collections::BTreeMap;
+
+/// What one team may have running in this failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    spendable: Resources,
+    larger: Option<(Millis, Resources)>,
+}
+
+/// The allotments that this daemon may spend.
+///
+/// A smaller allotment counts at once. A larger one counts only when every daemon that may still
+/// act on the older configuration has stopped doing so, so that the sum over the failure domains
+/// never exceeds the limit.
+#[derive(Debug, Default)]
+pub struct Limits {
+    teams: BTreeMap<TeamName, Held>,
+}
+
+impl Limits {
+    /// Takes over the allotments of a new configuration.
+    pub fn update(&mut self, config: &Config, domain: &DomainName, now_ms: Millis) {
+        let mut teams = std::mem::take(&mut self.teams);
+        for team in config.teams() {
+            let target = config.allotment(team, domain);
+            let held = teams
+                .remove(team)
+                .unwrap_or_default()
+                .retargeted(target, now_ms);
+            self.teams.insert(team.clone(), held);
+        }
+    }
+
+    /// Lets larger allotments count whose wait is over; says whether any did.
+    pub fn advance(&mut self, now_ms: Millis) -> bool {
+        let mut grew = false;
+        for held in self.teams.values_mut() {
+            let due = held.larger.filter(|(at_ms, _)| *at_ms <= now_ms);
+            if let Some((_, amount)) = due {
+                held.spendable = amount;
+                held.larger = None;
+                grew = true;
+            }
+        }
+        grew
+    }
+
+    /// Returns what a team may have running here.
+    pub fn spendable(&self, team: &TeamName) -> Resources {
+        self.teams
+            .get(team)
+            .map(|held| held.spendable)
+            .unwrap_or_default()
+    }
+
+    /// Returns what a team may have running here once pending increases count.
+    pub fn target(&self, team: &TeamName) -> Resources {
+        let Some(held) = self.teams.get(team) else {
+            return Resources::default();
+        };
+        held.larger.map_or(held.spendable, |(_, amount)| amount)
+    }
+}
+
+impl Held {
+    fn retargeted(mut self, target: Resources, now_ms: Millis) -> Self {
+        let known = self.larger.map_or(self.spendable, |(_, amount)| amount);
+        if target == known {
+            return self;
+        }
+        self.spendable = self.spendable.min(target);
+        let grows = self.spendable != target;
+        self.larger = grows.then_some((now_ms + CONFIG_WAIT_MS, target));
+        self
+    }
+}
--- /dev/null
+++ b/core/src/reducer/commits.rs
@@ -0,0 +1,314 @@
+//! Group commit: one transaction at a time carries all rows that wait.
+
+use super::{Core, Op};
+use crate::{
+    consts, Check, Insert, IntentRow, IntentState, JobId, KeeperRow, Key, Millis, Query, RequestId,
+    Row, TableReply, Txn,
+};
+use std::collections::{BTreeSet, VecDeque};
+
+/// A row that waits to be written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum CommitItem {
+    /// A request is about to run.
+    Intent(RequestId),
+    /// A recorded request was refused and may be asked again.
+    Withdraw(RequestId),
+    /// A job is accepted.
+    NewJob(JobId),
+    /// A job's record changed.
+    JobState(JobId),
+    /// A lost task of a job is about to run again; the row proves that this keeper still is one.
+    Rerun(JobId, u32),
+}
+
+/// The rows that wait, and the transaction under way.
+#[derive(Debug, Default)]
+pub(super) struct Commits {
+    items: VecDeque<CommitItem>,
+    changed_jobs: BTreeSet<JobId>,
+    flight: Option<Flight>,
+    last_ms: Millis,
+    failed_ms: Option<Millis>,
+    nonces: u64,
+}
+
+#[derive(Debug)]
+struct Flight {
+    items: Vec<CommitItem>,
+    txn: Txn,
+    state: FlightState,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FlightState {
+    Sent,
+    /// The answer is missing; the same transaction is sent again.
+    Again {
+        at_ms: Millis,
+    },
+    /// It took effect; the rows are read back to see which inserts did.
+    ReadBack,
+}
+
+impl Core {
+    pub(super) fn next_nonce(&mut self) -> u64 {
+        self.commits.nonces += 1;
+        self.commits.nonces
+    }
+
+    /// Says whether new rows are accepted now.
+    pub(super) fn commits_open(&self) -> bool {
+        !self.table_failing() && self.commits.items.len() < consts::COMMIT_BACKLOG
+    }
+
+    /// Says whether every row is written.
+    pub(super) fn commits_settled(&self) -> bool {
+        self.commits.items.is_empty() && self.commits.flight.is_none()
+    }
+
+    pub(super) fn commits_failing(&self) -> bool {
+        self.table_failing() || self.keeper_row().is_none()
+    }
+
+    pub(super) fn commits_failed(&mut self) {
+        self.commits.failed_ms = Some(self.now_ms);
+    }
+
+    /// Says whether a write failed and no table operation has succeeded since.
+    fn table_failing(&self) -> bool {
+        self.commits
+            .failed_ms
+            .is_some_and(|at_ms| self.table_ok_ms <= at_ms)
+    }
+
+    pub(super) fn reset_commits(&mut self) {
+        let nonces = self.commits.nonces;
+        self.commits = Commits {
+            nonces,
+            ..Commits::default()
+        };
+    }
+
+    /// Has a row written by the next transaction.
+    pub(super) fn commit(&mut self, item: CommitItem) {
+        if let CommitItem::JobState(job) = &item {
+            if !self.commits.changed_jobs.insert(job.clone()) {
+                return;
+            }
+        }
+        self.commits.items.push_back(item);
+    }
+
+    pub(super) fn tick_commits(&mut self) {
+        let now_ms = self.now_ms;
+        match self.commits.flight.as_ref().map(|flight| flight.state) {
+            Some(FlightState::Again { at_ms }) if at_ms <= now_ms => self.send_flight(),
+            Some(_) => {}
+            None if self.commits.items.is_empty() => {}
+            None if now_ms.since(self.commits.last_ms) < consts::COMMIT_MS => {}
+            None => self.begin_flight(),
+        }
+    }
+
+    fn begin_flight(&mut self) {
+        let Some(row) = self.keeper_row() else {
+            return;
+        };
+        let count = self.commits.items.len().min(consts::COMMIT_ROWS);
+        let items: Vec<CommitItem> = self.commits.items.drain(..count).collect();
+        let mut txn = self.keeper_txn(row);
+        for item in &items {
+            self.add_item(&mut txn, item);
+        }
+        self.commits.last_ms = self.now_ms;
+        self.commits.flight = Some(Flight {
+            items,
+            txn,
+            state: FlightState::Sent,
+        });
+        self.send_flight();
+    }
+
+    fn keeper_txn(&self, row: KeeperRow) -> Txn {
+        let key = Key::Keeper(self.settings.domain.clone());
+        let next = KeeperRow {
+            seq: row.seq + 1,
+            ..row.clone()
+        };
+        Txn {
+            checks: vec![Check {
+                key: key.clone(),
+                row: Some(Row::Keeper(row)),
+            }],
+            puts: vec![(key, Row::Keeper(next))],
+            ..Txn::default()
+        }
+    }
+
+    fn add_item(&mut self, txn: &mut Txn, item: &CommitItem) {
+        match item {
+            CommitItem::Intent(id) => {
+                if let Some(row) = self.own_intent(id) {
+                    txn.inserts.push(Insert {
+                        key: Key::Intent(id.clone()),
+                        row,
+                        with: None,
+                    });
+                }
+            }
+            CommitItem::Withdraw(id) => {
+                let refused = self
+                    .requests
+                    .get(id)
+                    .is_some_and(|state| state.is_refused());
+                if let Some(row) = self.own_intent(id).filter(|_| refused) {
+                    txn.deletes.push((Key::Intent(id.clone()), Some(row)));
+                }
+            }
+            CommitItem::NewJob(job) => txn.inserts.extend(self.new_job_insert(job)),
+            CommitItem::JobState(job) => {
+                self.commits.changed_jobs.remove(job);
+                self.add_job(txn, job);
+            }
+            CommitItem::Rerun(..) => {}
+        }
+    }
+
+    fn own_intent(&self, id: &RequestId) -> Option<Row> {
+        let nonce = self.requests.get(id)?.nonce;
+        Some(Row::Intent(self.intent_row(nonce, IntentState::MayRun)))
+    }
+
+    fn send_flight(&mut self) {
+        let Some(flight) = &mut self.commits.flight else {
+            return;
+        };
+        flight.state = FlightState::Sent;
+        let txn = flight.txn.clone();
+        self.write(Op::Commit, txn);
+    }
+
+    pub(super) fn commit_answered(&mut self, reply: TableReply) {
+        match reply {
+            TableReply::Committed { existed } => self.flight_landed(&existed),
+            TableReply::Conflict { found, .. } => self.flight_conflicted(found),
+            TableReply::Refused => self.flight_refused(),
+            TableReply::Lost | TableReply::Rows(_) => self.flight_lost(),
+        }
+    }
+
+    fn flight_lost(&mut self) {
+        self.commits_failed();
+        let at_ms = self.now_ms + consts::TABLE_RETRY_MS;
+        if let Some(flight) = &mut self.commits.flight {
+            flight.state = FlightState::Again { at_ms };
+        }
+    }
+
+    /// Sorts out a conflict on the keeper's row: either this very transaction took effect before
+    /// and its answer was lost, or another daemon is keeper.
+    fn flight_conflicted(&mut self, found: Option<Box<Row>>) {
+        let Some(flight) = &mut self.commits.flight else {
+            return;
+        };
+        let own = flight.txn.puts.first().map(|(_, row)| row);
+        if found.is_none() || found.as_deref() != own {
+            let term = match found.as_deref() {
+                Some(Row::Keeper(row)) => row.term,
+                _ => crate::Term(0),
+            };
+            return self.fenced_by(term);
+        }
+        flight.state = FlightState::ReadBack;
+        let keys = flight
+            .txn
+            .inserts
+            .iter()
+            .map(|insert| insert.key.clone())
+            .collect();
+        self.read(Op::ReadBack, Query::Many(keys));
+    }
+
+    pub(super) fn commit_read_back(&mut self, reply: TableReply) {
+        let Some(flight) = &self.commits.flight else {
+            return;
+        };
+        if flight.state != FlightState::ReadBack {
+            return;
+        }
+        match reply {
+            TableReply::Rows(rows) => self.flight_landed(&rows),
+            _ => self.flight_lost(),
+        }
+    }
+
+    fn flight_refused(&mut self) {
+        self.commits_failed();
+        let Some(flight) = self.commits.flight.take() else {
+            return;
+        };
+        let mut kept = VecDeque::new();
+        for item in flight.items {
+            match item {
+                CommitItem::Intent(id) => self.intent_refused(&id),
+                CommitItem::NewJob(job) => self.new_job_refused(&job),
+                other => kept.push_back(other),
+            }
+        }
+        kept.append(&mut self.commits.items);
+        self.commits.items = kept;
+        self.commits.last_ms = self.now_ms + consts::TABLE_RETRY_MS;
+    }
+
+    fn flight_landed(&mut self, existed: &[(Key, Row)]) {
+        self.commits.failed_ms = None;
+        self.keeper_row_advanced();
+        let Some(flight) = self.commits.flight.take() else {
+            return;
+        };
+        for item in flight.items {
+            self.item_landed(item, existed);
+        }
+    }
+
+    fn item_landed(&mut self, item: CommitItem, existed: &[(Key, Row)]) {
+        match item {
+            CommitItem::Intent(id) => {
+                let nonce = self.requests.get(&id).map(|state| state.nonce);
+                match foreign_intent(existed, &id, self.me(), nonce) {
+                    Some(row) => self.intent_existed(&id, &row),
+                    None => self.intent_recorded(&id),
+                }
+            }
+            CommitItem::NewJob(job) => {
+                let (request, nonce) = match self.new_job_request(&job) {
+                    Some(found) => found,
+                    None => return,
+                };
+                match foreign_intent(existed, &request, self.me(), Some(nonce)) {
+                    Some(row) => self.new_job_existed(&job, &row),
+                    None => self.new_job_recorded(&job),
+                }
+            }
+            CommitItem::JobState(job) => self.job_state_recorded(&job),
+            CommitItem::Rerun(job, index) => self.rerun_allowed(&job, index),
+            CommitItem::Withdraw(_) => {}
+        }
+    }
+}
+
+/// Finds the row that another attempt had written for a request.
+fn foreign_intent(
+    existed: &[(Key, Row)],
+    id: &RequestId,
+    me: &crate::DaemonId,
+    nonce: Option<u64>,
+) -> Option<IntentRow> {
+    let found = existed.iter().find_map(|(key, row)| match (key, row) {
+        (Key::Intent(of), Row::Intent(row)) if of == id => Some(row),
+        _ => None,
+    })?;
+    let own = found.writer == *me && Some(found.nonce) == nonce;
+    (!own).then(|| found.clone())
+}
--- /dev/null
+++ b/core/src/reducer/config_feed.rs
@@ -0,0 +1,126 @@
+//! Following the configuration: reading the table, and relaying to peers that can't.
+
+use super::{Core, Op};
+use crate::{
+    consts, DaemonId, Heartbeat, Key, Millis, Note, PeerMessage, Query, Revision, Row, TableReply,
+    Told,
+};
+use std::collections::VecDeque;
+
+/// The state of following the configuration.
+#[derive(Debug, Default)]
+pub(super) struct Feed {
+    next_poll_ms: Millis,
+    polling: bool,
+    head: Revision,
+    recent: VecDeque<Note>,
+}
+
+impl Core {
+    pub(super) fn tick_feed(&mut self) {
+        if self.feed.next_poll_ms <= self.now_ms {
+            self.poll_config();
+        }
+    }
+
+    pub(super) fn poll_config(&mut self) {
+        if self.feed.polling {
+            return;
+        }
+        self.feed.polling = true;
+        self.feed.next_poll_ms = self.now_ms + consts::CONFIG_POLL_MS;
+        self.read(
+            Op::PollHead {
+                sent_ms: self.now_ms,
+            },
+            Query::One(Key::ConfigHead),
+        );
+    }
+
+    pub(super) fn head_read(&mut self, sent_ms: Millis, reply: TableReply) {
+        self.feed.polling = false;
+        let TableReply::Rows(rows) = reply else {
+            return;
+        };
+        let head = rows.into_iter().find_map(|(_, row)| match row {
+            Row::Head(head) => Some(head.revision),
+            _ => None,
+        });
+        let head = head.unwrap_or_default();
+        self.feed.head = head.max(self.feed.head);
+        if head > self.config.revision() {
+            self.feed.polling = true;
+            let query = Query::DeltasAfter(self.config.revision());
+            self.read(Op::PollDeltas { sent_ms }, query);
+        } else if head == self.config.revision() {
+            self.config_confirmed(sent_ms);
+        }
+    }
+
+    pub(super) fn deltas_read(&mut self, sent_ms: Millis, reply: TableReply) {
+        self.feed.polling = false;
+        let TableReply::Rows(rows) = reply else {
+            return;
+        };
+        for (key, row) in rows {
+            if let (Key::Delta(revision), Row::Delta(note)) = (key, row) {
+                self.apply_note(revision, note);
+            }
+        }
+        if self.config.revision() >= self.feed.head {
+            self.config_confirmed(sent_ms);
+        } else {
+            self.feed.next_poll_ms = self.now_ms;
+        }
+    }
+
+    fn config_confirmed(&mut self, sent_ms: Millis) {
+        self.freshness.confirm(sent_ms);
+        self.propose_next();
+    }
+
+    /// Applies a note if it is the one that follows; an older or later one changes nothing.
+    pub(super) fn apply_note(&mut self, revision: Revision, note: Note) {
+        if revision != self.config.revision().next() {
+            return;
+        }
+        self.config.apply(&note);
+        self.limits
+            .update(&self.config, &self.settings.domain, self.now_ms);
+        self.feed.recent.push_back(note);
+        if self.feed.recent.len() > consts::RECENT_NOTES {
+            self.feed.recent.pop_front();
+        }
+        self.tell(Told::ConfigApplied { revision });
+        self.schedule_all();
+    }
+
+    /// Sends a peer the notes that it lacks, where it can't read them itself.
+    pub(super) fn relay_notes(&mut self, peer: &DaemonId, heartbeat: &Heartbeat) {
+        let cut = heartbeat
+            .fresh_age_ms
+            .is_none_or(|age| age > consts::TABLE_SILENT_MS);
+        let lacks = self
+            .config
+            .revision()
+            .0
+            .saturating_sub(heartbeat.revision.0) as usize;
+        let kept = self.feed.recent.len();
+        if !cut || lacks == 0 || lacks > kept {
+            return;
+        }
+        let notes = self.feed.recent.iter().skip(kept - lacks);
+        let notes = notes.take(consts::NOTES_A_MESSAGE).cloned().collect();
+        let message = PeerMessage::Notes {
+            first: heartbeat.revision.next(),
+            notes,
+        };
+        self.send_peer(peer, message);
+    }
+
+    pub(super) fn notes_relayed(&mut self, first: Revision, notes: Vec<Note>) {
+        for (revision, note) in (first.0..).zip(notes) {
+            self.apply_note(Revision(revision), note);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/reducer/notes.rs
@@ -0,0 +1,161 @@
+//! Release notes that operators propose at this daemon.
+
+use super::{Core, Op};
+use crate::{
+    consts, Answer, CallId, Check, HeadRow, Key, Millis, Note, NoteVerdict, Refusal, Revision, Row,
+    TableReply, Txn,
+};
+use std::collections::VecDeque;
+
+/// The notes under way.
+#[derive(Debug, Default)]
+pub(super) struct Notes {
+    backlog: VecDeque<Proposal>,
+    writing: Option<Proposal>,
+    settling: Vec<Settling>,
+}
+
+#[derive(Debug)]
+struct Proposal {
+    call: CallId,
+    note: Note,
+    deadline_ms: Millis,
+    may_be_written: bool,
+}
+
+/// An accepted note that waits until no daemon acts on an older revision.
+#[derive(Debug)]
+struct Settling {
+    call: CallId,
+    revision: Revision,
+    in_force_ms: Millis,
+}
+
+impl Core {
+    pub(super) fn note_arrived(&mut self, call: CallId, note: Note) {
+        let deadline_ms = self.now_ms + consts::CONTROL_DEADLINE_MS;
+        let proposal = Proposal {
+            call,
+            note,
+            deadline_ms,
+            may_be_written: false,
+        };
+        self.notes.backlog.push_back(proposal);
+        self.poll_config();
+    }
+
+    /// Writes the next proposal; called whenever the configuration at hand is the latest one.
+    pub(super) fn propose_next(&mut self) {
+        while self.notes.writing.is_none() {
+            let Some(proposal) = self.notes.backlog.pop_front() else {
+                return;
+            };
+            self.propose(proposal);
+        }
+    }
+
+    fn propose(&mut self, proposal: Proposal) {
+        if let Some(revision) = self.config.accepted_in(&proposal.note.id) {
+            self.settle(proposal.call, revision);
+            return;
+        }
+        let faults = self.config.check(&proposal.note);
+        if !faults.is_empty() {
+            self.answer_note(proposal.call, NoteVerdict::Rejected(faults));
+            return;
+        }
+        let txn = self.note_txn(&proposal.note);
+        self.notes.writing = Some(proposal);
+        self.write(Op::WriteNote, txn);
+    }
+
+    fn note_txn(&self, note: &Note) -> Txn {
+        let revision = self.config.revision().next();
+        let head = |revision, note| Row::Head(HeadRow { revision, note });
+        let known = self
+            .config
+            .last_note()
+            .map(|id| head(self.config.revision(), id.clone()));
+        Txn {
+            checks: vec![Check {
+                key: Key::ConfigHead,
+                row: known,
+            }],
+            puts: vec![
+                (Key::ConfigHead, head(revision, note.id.clone())),
+                (Key::Delta(revision), Row::Delta(note.clone())),
+            ],
+            ..Txn::default()
+        }
+    }
+
+    pub(super) fn note_written(&mut self, reply: TableReply) {
+        let Some(mut proposal) = self.notes.writing.take() else {
+            return;
+        };
+        match reply {
+            TableReply::Committed { .. } => {
+                let revision = self.config.revision().next();
+                if self.config.accepted_in(&proposal.note.id).is_none() {
+                    self.apply_note(revision, proposal.note.clone());
+                }
+                self.notes.backlog.push_front(proposal);
+                self.propose_next();
+            }
+            TableReply::Lost => {
+                proposal.may_be_written = true;
+                self.notes.backlog.push_front(proposal);
+            }
+            _ => {
+                self.notes.backlog.push_front(proposal);
+                self.poll_config();
+            }
+        }
+    }
+
+    fn settle(&mut self, call: CallId, revision: Revision) {
+        let in_force_ms = self.now_ms + consts::CONFIG_WAIT_MS;
+        self.notes.settling.push(Settling {
+            call,
+            revision,
+            in_force_ms,
+        });
+    }
+
+    pub(super) fn scan_notes(&mut self) {
+        let now_ms = self.now_ms;
+        let settled = |settling: &mut Settling| settling.in_force_ms <= now_ms;
+        let done: Vec<Settling> = self.notes.settling.extract_if(.., settled).collect();
+        for settling in done {
+            self.answer_note(settling.call, NoteVerdict::InForce(settling.revision));
+        }
+        self.expire_proposals();
+    }
+
+    fn expire_proposals(&mut self) {
+        let now_ms = self.now_ms;
+        let (late, kept) = std::mem::take(&mut self.notes.backlog)
+            .into_iter()
+            .partition(|proposal: &Proposal| proposal.deadline_ms <= now_ms);
+        self.notes.backlog = kept;
+        let late: VecDeque<Proposal> = late;
+        for proposal in late {
+            if proposal.may_be_written {
+                self.answer_note(proposal.call, NoteVerdict::Unknown);
+            } else {
+                let answer = Answer::refused(Refusal::TableDown, consts::RETRY_AFTER_MS);
+                self.answer(proposal.call, answer);
+            }
+        }
+    }
+
+    fn answer_note(&mut self, call: CallId, verdict: NoteVerdict) {
+        self.answer(call, Answer::Note(verdict));
+    }
+
+    /// Says whether any operator waits for a note.
+    pub(super) fn notes_pending(&self) -> bool {
+        let notes = &self.notes;
+        !notes.backlog.is_empty() || notes.writing.is_some() || !notes.settling.is_empty()
+    }
+}
--- /dev/null
+++ b/core/src/reducer/requests.rs
@@ -0,0 +1,494 @@
+//! Requests at the keeper: recorded where needed, run, retried, answered once.
+
+use super::{commits::CommitItem, orphans::Orphan, Core};
+use crate::{
+    consts, AdmittedRequest, Answer, Class, DaemonId, DomainName, IntentRow, IntentState, Link,
+    Millis, Origin, PeerMessage, Refusal, RequestId, TaskEnd, TaskEnded, TaskId, Told, Unit,
+    UnitKind, WorkerCommand, WorkerId, WorkerIx,
+};
+use std::collections::BTreeSet;
+
+/// What is known of a task that its worker no longer has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LossKind {
+    /// The worker never got it and never will.
+    NeverStarted,
+    /// It may have run, and runs no more.
+    Ended,
+}
+
+/// A request at the keeper.
+#[derive(Debug)]
+pub(super) struct RequestState {
+    pub(super) admitted: AdmittedRequest,
+    pub(super) nonce: u64,
+    pub(super) origins: BTreeSet<Origin>,
+    pub(super) deadline_ms: Millis,
+    pub(super) since_ms: Millis,
+    pub(super) stage: Stage,
+    pub(super) attempts: u32,
+}
+
+/// How far a request has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// Its row is being written.
+    Recording,
+    /// An earlier keeper announced it; its workers are asked what became of it.
+    Seeking,
+    /// It waits for a worker.
+    Waiting,
+    /// A worker has it.
+    Running(TaskId, Option<WorkerId>),
+    /// It was answered.
+    Answered(Answer, Millis),
+}
+
+/// What to do with a request that came in.
+enum Entry {
+    Attach,
+    Repeat(Answer),
+    Refuse(Refusal),
+    PassOn(DaemonId),
+    Record,
+    Queue,
+}
+
+impl Core {
+    /// Takes in a request for this keeper's workers.
+    pub(super) fn run_asked(&mut self, admitted: AdmittedRequest) {
+        if !self.is_keeper() {
+            return;
+        }
+        let origin = admitted.origin.clone();
+        match self.entry_of(&admitted) {
+            Entry::Attach => {
+                if let Some(state) = self.requests.get_mut(&admitted.request.id) {
+                    state.origins.insert(origin);
+                }
+            }
+            Entry::Repeat(answer) => self.answer_origin(&origin, answer),
+            Entry::Refuse(reason) => self.refuse_request(&admitted, reason),
+            Entry::PassOn(keeper) => {
+                let passed_on = AdmittedRequest {
+                    passed_on: true,
+                    ..admitted
+                };
+                self.send_peer(&keeper, PeerMessage::Run(Box::new(passed_on)));
+            }
+            Entry::Record => self.open_request(admitted, Stage::Recording),
+            Entry::Queue => self.open_request(admitted, Stage::Waiting),
+        }
+    }
+
+    fn entry_of(&self, admitted: &AdmittedRequest) -> Entry {
+        let request = &admitted.request;
+        if let Some(state) = self.requests.get(&request.id) {
+            return match &state.stage {
+                _ if !state.is_same(admitted) => Entry::Refuse(Refusal::IdReused),
+                Stage::Answered(answer, _) => Entry::Repeat(answer.clone()),
+                _ => Entry::Attach,
+            };
+        }
+        let Some(view) = self.config.queue(&request.queue) else {
+            return Entry::Refuse(Refusal::UnknownQueue);
+        };
+        let limit = self
+            .config
+            .team(&admitted.team)
+            .map(|(_, limit)| limit)
+            .unwrap_or_default();
+        if !view.need.fits(&limit) {
+            return Entry::Refuse(Refusal::OverLimit);
+        }
+        if self.fleet.total() != crate::Resources::default()
+            && !view.need.fits(&self.fleet.largest())
+        {
+            return Entry::Refuse(Refusal::NeverFits);
+        }
+        if self.is_crowded() {
+            return self.elsewhere(admitted);
+        }
+        match (request.idempotent, self.commits_open()) {
+            (true, _) => Entry::Queue,
+            (false, true) => Entry::Record,
+            (false, false) => Entry::Refuse(Refusal::TableDown),
+        }
+    }
+
+    fn is_crowded(&self) -> bool {
+        let slots = self.fleet.total().slots as usize;
+        self.queues.len(Class::Small) >= (slots * consts::WAITING_PER_SLOT).max(1)
+    }
+
+    fn elsewhere(&self, admitted: &AdmittedRequest) -> Entry {
+        let crowded = Entry::Refuse(Refusal::Overloaded);
+        if admitted.passed_on {
+            return crowded;
+        }
+        let roomy = self.roomiest_keeper();
+        roomy.map_or(crowded, Entry::PassOn)
+    }
+
+    /// Returns the keeper of another failure domain with the most free slots.
+    fn roomiest_keeper(&self) -> Option<DaemonId> {
+        let domains: BTreeSet<&DomainName> = self.config.domains().collect();
+        let far = domains
+            .into_iter()
+            .filter(|domain| **domain != self.settings.domain);
+        let keepers = far.filter_map(|domain| self.keeper_of(domain));
+        let rooms = keepers.filter_map(|(id, _)| {
+            let peer = self.members.peers.get(id)?;
+            (peer.waiting == 0 && peer.free.slots > 0).then_some((peer.free.slots, id))
+        });
+        rooms.max().map(|(_, id)| id.clone())
+    }
+
+    fn refuse_request(&mut self, admitted: &AdmittedRequest, reason: Refusal) {
+        self.tell(Told::RequestRefused {
+            request: admitted.request.id.clone(),
+            reason,
+        });
+        let answer = Answer::refused(reason, consts::RETRY_AFTER_MS);
+        self.answer_origin(&admitted.origin, answer);
+    }
+
+    pub(super) fn open_request(&mut self, admitted: AdmittedRequest, stage: Stage) {
+        self.budget.earn();
+        let id = admitted.request.id.clone();
+        let recording = stage == Stage::Recording;
+        let nonce = self.next_nonce();
+        let state = RequestState {
+            origins: BTreeSet::from([admitted.origin.clone()]),
+            deadline_ms: self.now_ms + admitted.request.deadline_ms,
+            since_ms: self.now_ms,
+            nonce,
+            stage,
+            attempts: 0,
+            admitted,
+        };
+        self.requests.insert(id.clone(), state);
+        if recording {
+            self.commit(CommitItem::Intent(id));
+        } else {
+            self.queue_request(&id, None);
+        }
+    }
+
+    fn queue_request(&mut self, id: &RequestId, avoid: Option<WorkerId>) {
+        let Some(state) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Some(view) = self.config.queue(&state.admitted.request.queue) else {
+            return self.finish_request(id, Answer::refused(Refusal::UnknownQueue, Millis(0)));
+        };
+        state.stage = Stage::Waiting;
+        let unit = Unit {
+            kind: UnitKind::Request(id.clone()),
+            team: state.admitted.team.clone(),
+            class: Class::Small,
+            need: view.need,
+            since_ms: state.since_ms,
+            avoid,
+        };
+        self.enqueue(unit);
+    }
+
+    /// Returns the row that announces a request before it may run.
+    pub(super) fn intent_row(&self, nonce: u64, state: IntentState) -> IntentRow {
+        let writer = self.me().clone();
+        IntentRow {
+            state,
+            writer,
+            nonce,
+            ttl_ms: consts::INTENT_TTL_MS,
+        }
+    }
+
+    /// Goes on with a request whose row is written.
+    pub(super) fn intent_recorded(&mut self, id: &RequestId) {
+        if self
+            .requests
+            .get(id)
+            .is_some_and(|state| state.stage == Stage::Recording)
+        {
+            self.queue_request(id, None);
+        }
+    }
+
+    /// Settles a request that was announced before, by this daemon or another.
+    pub(super) fn intent_existed(&mut self, id: &RequestId, row: &IntentRow) {
+        let Some(state) = self.requests.get(id) else {
+            return;
+        };
+        if state.stage != Stage::Recording {
+            return;
+        }
+        if let IntentState::Job(_) = row.state {
+            return self.finish_request(id, Answer::refused(Refusal::IdReused, Millis(0)));
+        }
+        let writer = self.members.peers.get(&row.writer);
+        let asks = writer.is_some_and(|peer| peer.is_heard(self.now_ms) && peer.keeper.is_some());
+        if asks && !state.admitted.passed_on {
+            return self.ask_writer(id, &row.writer.clone());
+        }
+        if let Some(state) = self.requests.get_mut(id) {
+            state.stage = Stage::Seeking;
+        }
+        self.seek(id);
+    }
+
+    /// Lets the keeper that announced a request answer its retry.
+    fn ask_writer(&mut self, id: &RequestId, writer: &DaemonId) {
+        let Some(state) = self.requests.remove(id) else {
+            return;
+        };
+        for origin in state.origins {
+            let admitted = state.admitted.clone();
+            let passed_on = AdmittedRequest {
+                origin,
+                passed_on: true,
+                ..admitted
+            };
+            self.send_peer(writer, PeerMessage::Run(Box::new(passed_on)));
+        }
+    }
+
+    /// Refuses a request whose row was certainly not written.
+    pub(super) fn intent_refused(&mut self, id: &RequestId) {
+        if self
+            .requests
+            .get(id)
+            .is_some_and(|state| state.stage == Stage::Recording)
+        {
+            let answer = Answer::refused(Refusal::TableDown, consts::RETRY_AFTER_MS);
+            self.finish_request(id, answer);
+        }
+    }
+
+    /// Says whether a waiting request should still run.
+    pub(super) fn wants_request(&self, id: &RequestId) -> bool {
+        let Some(state) = self.requests.get(id) else {
+            return false;
+        };
+        state.stage == Stage::Waiting && self.now_ms < state.deadline_ms
+    }
+
+    /// Notes that a worker has a request; returns the attempt's number and what to send.
+    pub(super) fn request_placed(
+        &mut self,
+        id: &RequestId,
+        worker: &WorkerId,
+        make_id: impl Fn(u32) -> TaskId,
+    ) -> Option<(TaskId, crate::Payload)> {
+        let state = self.requests.get_mut(id)?;
+        let task = make_id(state.attempts);
+        state.attempts += 1;
+        state.stage = Stage::Running(task.clone(), Some(worker.clone()));
+        Some((task, state.admitted.request.payload.clone()))
+    }
+
+    pub(super) fn request_ended(&mut self, ix: WorkerIx, id: RequestId, ended: TaskEnded) {
+        self.command(ix, WorkerCommand::Ack(vec![ended.task.clone()]));
+        if !self
+            .requests
+            .get(&id)
+            .is_some_and(|state| state.runs_as(&ended.task))
+        {
+            return self.orphan_ended(id, ended);
+        }
+        let worker = self.fleet.get(ix).host.worker.clone();
+        match ended.end {
+            TaskEnd::Done => {
+                self.judge_worker(ix, true);
+                self.finish_request(&id, Answer::Done(ended.output));
+            }
+            TaskEnd::Failed => {
+                self.judge_worker(ix, false);
+                if !self.retry_request(&id, worker) {
+                    self.finish_request(&id, Answer::Failed(ended.output));
+                }
+            }
+            TaskEnd::Stopped | TaskEnd::Lapsed => {
+                if !self.retry_request(&id, worker) {
+                    self.finish_request(&id, Answer::OutcomeUnknown);
+                }
+            }
+        }
+    }
+
+    /// Runs an idempotent request again, if the retry budget allows it.
+    fn retry_request(&mut self, id: &RequestId, avoid: WorkerId) -> bool {
+        let Some(state) = self.requests.get(id) else {
+            return false;
+        };
+        let may = state.admitted.request.idempotent
+            && state.attempts < consts::MAX_ATTEMPTS
+            && self.now_ms < state.deadline_ms;
+        let granted = may && self.budget.spend();
+        if granted {
+            self.queue_request(id, Some(avoid));
+        }
+        granted
+    }
+
+    pub(super) fn request_lost(
+        &mut self,
+        id: &RequestId,
+        task: &TaskId,
+        worker: WorkerId,
+        kind: LossKind,
+    ) {
+        if !self
+            .requests
+            .get(id)
+            .is_some_and(|state| state.runs_as(task))
+        {
+            return;
+        }
+        match kind {
+            LossKind::NeverStarted => self.queue_request(id, Some(worker)),
+            LossKind::Ended => {
+                if !self.retry_request(id, worker) {
+                    self.finish_request(id, Answer::OutcomeUnknown);
+                }
+            }
+        }
+    }
+
+    /// Runs the idempotent requests of a silent worker elsewhere; the others wait for the worker.
+    pub(super) fn move_idempotent(&mut self, ix: WorkerIx) {
+        let worker = self.fleet.get(ix);
+        let name = worker.host.worker.clone();
+        let held: Vec<RequestId> = worker
+            .tasks
+            .values()
+            .filter_map(|running| match &running.unit {
+                Some(UnitKind::Request(id)) => Some(id.clone()),
+                _ => None,
+            })
+            .collect();
+        for id in held {
+            self.retry_request(&id, name.clone());
+        }
+    }
+
+    pub(super) fn finish_request(&mut self, id: &RequestId, answer: Answer) {
+        let Some(state) = self.requests.get_mut(id) else {
+            return;
+        };
+        let until_ms = self.now_ms + consts::ANSWER_KEEP_MS;
+        let running = match &state.stage {
+            Stage::Running(task, Some(worker)) => Some((task.clone(), worker.clone())),
+            _ => None,
+        };
+        state.stage = Stage::Answered(answer.clone(), until_ms);
+        let refused = match &answer {
+            Answer::NotRun { reason, .. } => Some(*reason),
+            _ => None,
+        };
+        let recorded = refused.is_some() && !state.admitted.request.idempotent;
+        let origins = std::mem::take(&mut state.origins);
+        if let Some(reason) = refused {
+            self.tell(Told::RequestRefused {
+                request: id.clone(),
+                reason,
+            });
+        }
+        if recorded {
+            self.commit(CommitItem::Withdraw(id.clone()));
+        }
+        for origin in origins {
+            self.answer_origin(&origin, answer.clone());
+        }
+        if let Some((task, worker)) = running {
+            self.stop_if_running(&worker, task);
+        }
+    }
+
+    fn stop_if_running(&mut self, worker: &WorkerId, task: TaskId) {
+        let Some(ix) = self.fleet.find(worker) else {
+            return;
+        };
+        let state = self.fleet.get(ix);
+        if state.tasks.contains_key(&task) && state.link == Link::Ready {
+            self.command(ix, WorkerCommand::Stop(task));
+        }
+    }
+
+    /// Lets waiting requests whose every caller went away end.
+    pub(super) fn forget(&mut self, origin: &Origin) {
+        let mut left = Vec::new();
+        for (id, state) in &mut self.requests {
+            if state.origins.remove(origin) && state.origins.is_empty() {
+                left.push((id.clone(), state.stage == Stage::Waiting));
+            }
+        }
+        for (id, waiting) in left {
+            if waiting {
+                self.finish_request(&id, Answer::refused(Refusal::Cancelled, Millis(0)));
+            }
+        }
+    }
+
+    pub(super) fn scan_requests(&mut self) {
+        let now_ms = self.now_ms;
+        self.requests.retain(|_, state| match &state.stage {
+            Stage::Answered(_, until_ms) => *until_ms > now_ms,
+            _ => true,
+        });
+        self.orphans
+            .retain(|_, orphan| !matches!(orphan, Orphan::Ended(_, at) if *at <= now_ms));
+        let seeking = self
+            .requests
+            .iter()
+            .filter(|(_, state)| state.stage == Stage::Seeking);
+        let seeking: Vec<RequestId> = seeking.map(|(id, _)| id.clone()).collect();
+        for id in seeking {
+            self.seek(&id);
+        }
+        let late = self
+            .requests
+            .iter()
+            .filter(|(_, state)| state.deadline_ms <= now_ms);
+        let late: Vec<(RequestId, Stage)> = late
+            .map(|(id, state)| (id.clone(), state.stage.clone()))
+            .collect();
+        for (id, stage) in late {
+            match stage {
+                Stage::Recording | Stage::Waiting => {
+                    let reason = Refusal::DeadlinePassed;
+                    let answer = Answer::refused(reason, consts::RETRY_AFTER_MS);
+                    self.finish_request(&id, answer);
+                }
+                Stage::Running(..) | Stage::Seeking => {
+                    self.finish_request(&id, Answer::OutcomeUnknown);
+                }
+                Stage::Answered(..) => {}
+            }
+        }
+    }
+
+    /// Says whether any request is unanswered.
+    pub(super) fn requests_open(&self) -> bool {
+        self.requests
+            .values()
+            .any(|state| !matches!(state.stage, Stage::Answered(..)))
+    }
+}
+
+impl RequestState {
+    pub(super) fn runs_as(&self, task: &TaskId) -> bool {
+        matches!(&self.stage, Stage::Running(running, _) if running == task)
+    }
+
+    fn is_same(&self, other: &AdmittedRequest) -> bool {
+        let (a, b) = (&self.admitted.request, &other.request);
+        a.queue == b.queue && a.payload == b.payload && a.idempotent == b.idempotent
+    }
+
+    /// Says whether the row of a request that was refused may be removed again.
+    pub(super) fn is_refused(&self) -> bool {
+        matches!(&self.stage, Stage::Answered(Answer::NotRun { .. }, _))
+    }
+}
--- /dev/null
+++ b/core/src/reducer/workers.rs
@@ -0,0 +1,394 @@
+//! Connections to workers, their claims, and what they report.
+
+use super::{requests::LossKind, Core};
+use crate::{
+    consts, Claim, DaemonId, Effect, Epoch, Host, Link, Millis, Resources, Running, TaskEnded,
+    TaskHeld, TaskId, TaskName, Told, UnitKind, WorkerCommand, WorkerId, WorkerIx, WorkerReport,
+};
+
+/// What a connection needs.
+enum LinkStep {
+    Nothing,
+    Open,
+    Renew,
+    Drop,
+    Lapse,
+}
+
+impl Core {
+    pub(super) fn scan_hosts(&mut self) {
+        if self.next_hosts_ms <= self.now_ms {
+            self.next_hosts_ms = self.now_ms + consts::HOST_POLL_MS;
+            self.out.push(Effect::ReadHosts);
+        }
+    }
+
+    pub(super) fn hosts_read(&mut self, hosts: Vec<Host>) {
+        let own = &self.settings.domain;
+        let own: Vec<Host> = hosts
+            .into_iter()
+            .filter(|host| host.domain == *own)
+            .collect();
+        let left = self.fleet.relist(own);
+        if !self.is_keeper() {
+            return;
+        }
+        for ix in left {
+            self.worker_left(ix);
+        }
+        self.adopt_jobs();
+    }
+
+    /// Ends the tasks of a worker that left the host list: the platform lists no host that runs.
+    fn worker_left(&mut self, ix: WorkerIx) {
+        self.close_link(ix);
+        self.lose_tasks(ix, LossKind::Ended);
+    }
+
+    pub(super) fn scan_workers(&mut self) {
+        if !self.is_keeper() {
+            return;
+        }
+        for ix in self.fleet.places() {
+            match self.next_link_step(ix) {
+                LinkStep::Nothing => {}
+                LinkStep::Open => self.open_link(ix),
+                LinkStep::Renew => self.renew(ix),
+                LinkStep::Drop => self.link_lost(ix),
+                LinkStep::Lapse => self.lapse(ix),
+            }
+        }
+    }
+
+    fn next_link_step(&self, ix: WorkerIx) -> LinkStep {
+        let now_ms = self.now_ms;
+        let worker = self.fleet.get(ix);
+        let unanswered = worker.renewed_ms > worker.heard_ms;
+        let lapsed = now_ms.since(worker.renewed_ms) > consts::TASK_LAPSE_MS;
+        match worker.link {
+            Link::Down { .. } if lapsed && !worker.tasks.is_empty() => LinkStep::Lapse,
+            Link::Down { retry_ms } if worker.listed && retry_ms <= now_ms => LinkStep::Open,
+            Link::Down { .. } => LinkStep::Nothing,
+            Link::Opening { since_ms } | Link::Claiming { since_ms } => {
+                let late = now_ms.since(since_ms) > consts::LINK_SILENCE_MS;
+                if late {
+                    LinkStep::Drop
+                } else {
+                    LinkStep::Nothing
+                }
+            }
+            Link::Ready
+                if unanswered
+                    && now_ms.since(worker.heard_ms.max(worker.asked_ms))
+                        > consts::LINK_SILENCE_MS =>
+            {
+                LinkStep::Drop
+            }
+            Link::Ready if now_ms.since(worker.renewed_ms) >= renew_span_ms(worker.owed) => {
+                LinkStep::Renew
+            }
+            Link::Ready => LinkStep::Nothing,
+        }
+    }
+
+    fn open_link(&mut self, ix: WorkerIx) {
+        let since_ms = self.now_ms;
+        let worker = self.fleet.get_mut(ix);
+        worker.link = Link::Opening { since_ms };
+        worker.link_number += 1;
+        let link = worker.link_number;
+        let (worker, address) = (worker.host.worker.clone(), worker.host.address.clone());
+        self.out.push(Effect::LinkWorker {
+            worker,
+            address,
+            link,
+        });
+    }
+
+    fn renew(&mut self, ix: WorkerIx) {
+        let now_ms = self.now_ms;
+        let worker = self.fleet.get_mut(ix);
+        if worker.renewed_ms <= worker.heard_ms {
+            worker.asked_ms = now_ms;
+        }
+        worker.renewed_ms = now_ms;
+        self.command(
+            ix,
+            WorkerCommand::Renew {
+                lease_ms: consts::TASK_LEASE_MS,
+            },
+        );
+    }
+
+    /// Sends a command to a worker by its present connection.
+    pub(super) fn command(&mut self, ix: WorkerIx, command: WorkerCommand) {
+        let worker = self.fleet.get(ix);
+        let (claim, link) = (worker.claim, worker.link_number);
+        let worker = worker.host.worker.clone();
+        self.out.push(Effect::SendWorker {
+            worker,
+            link,
+            claim,
+            command,
+        });
+    }
+
+    /// Finds a worker by the connection in use; anything of an older connection is dropped.
+    fn linked(&self, worker: &WorkerId, link: u64) -> Option<WorkerIx> {
+        let ix = self.fleet.find(worker)?;
+        let state = self.fleet.get(ix);
+        let current = state.link_number == link && !matches!(state.link, Link::Down { .. });
+        current.then_some(ix)
+    }
+
+    pub(super) fn worker_linked(&mut self, worker: &WorkerId, link: u64) {
+        let Some(ix) = self.linked(worker, link) else {
+            return;
+        };
+        let epoch = self.fleet.get(ix).claim.epoch.next();
+        self.send_claim(ix, epoch);
+    }
+
+    fn send_claim(&mut self, ix: WorkerIx, epoch: Epoch) {
+        let Some(term) = self.keeper_term() else {
+            return;
+        };
+        let now_ms = self.now_ms;
+        let worker = self.fleet.get_mut(ix);
+        worker.claim = Claim { term, epoch };
+        worker.link = Link::Claiming { since_ms: now_ms };
+        worker.renewed_ms = now_ms;
+        worker.asked_ms = now_ms;
+        let owner = self.me().clone();
+        self.command(ix, WorkerCommand::Claim { owner });
+    }
+
+    pub(super) fn worker_unlinked(&mut self, worker: &WorkerId, link: u64) {
+        if let Some(ix) = self.linked(worker, link) {
+            self.link_lost(ix);
+        }
+    }
+
+    fn link_lost(&mut self, ix: WorkerIx) {
+        let was_ready = self.fleet.get(ix).link == Link::Ready;
+        self.close_link(ix);
+        if was_ready {
+            let worker = self.fleet.get(ix).host.worker.clone();
+            self.tell(Told::WorkerSilent { worker });
+            self.move_idempotent(ix);
+        }
+    }
+
+    fn close_link(&mut self, ix: WorkerIx) {
+        let retry_ms = self.now_ms + consts::RECONNECT_MS;
+        let worker = self.fleet.get_mut(ix);
+        worker.link = Link::Down { retry_ms };
+        let worker = worker.host.worker.clone();
+        self.out.push(Effect::UnlinkWorker { worker });
+    }
+
+    pub(super) fn unlink_workers(&mut self) {
+        for ix in self.fleet.places() {
+            self.close_link(ix);
+        }
+    }
+
+    /// Counts the tasks of a silent worker as ended: their leases have run out at the worker.
+    fn lapse(&mut self, ix: WorkerIx) {
+        self.lose_tasks(ix, LossKind::Ended);
+    }
+
+    pub(super) fn worker_heard(&mut self, worker: &WorkerId, link: u64, report: WorkerReport) {
+        let Some(ix) = self.linked(worker, link) else {
+            return;
+        };
+        self.fleet.get_mut(ix).heard_ms = self.now_ms;
+        match report {
+            WorkerReport::Claimed {
+                incarnation,
+                capacity,
+                running,
+                ended,
+            } => {
+                self.worker_claimed(ix, incarnation, capacity, running, ended);
+            }
+            WorkerReport::Fenced { claim, owner } => self.worker_fenced(ix, claim, owner),
+            WorkerReport::NoRoom(task) => self.task_lost(ix, &task, LossKind::NeverStarted),
+            WorkerReport::Ended(ended) => self.task_ended(ix, ended),
+            WorkerReport::Renewed => {}
+        }
+    }
+
+    fn worker_fenced(&mut self, ix: WorkerIx, claim: Claim, owner: DaemonId) {
+        if owner == *self.me() && Some(claim.term) == self.keeper_term() {
+            self.send_claim(ix, claim.epoch.next());
+            return;
+        }
+        let worker = self.fleet.get(ix).host.worker.clone();
+        self.tell(Told::Fenced { worker, owner });
+        self.fenced_by(claim.term);
+    }
+
+    fn worker_claimed(
+        &mut self,
+        ix: WorkerIx,
+        incarnation: u64,
+        capacity: Resources,
+        running: Vec<TaskHeld>,
+        ended: Vec<TaskEnded>,
+    ) {
+        let worker = self.fleet.get_mut(ix);
+        let same = worker.incarnation == Some(incarnation);
+        worker.incarnation = Some(incarnation);
+        worker.host.capacity = capacity;
+        worker.claimed = true;
+        worker.link = Link::Ready;
+        let name = worker.host.worker.clone();
+        self.tell(Told::WorkerClaimed {
+            worker: name,
+            running: running.len() as u64,
+        });
+        self.fleet.recount();
+        self.lose_unreported(ix, same, &running, &ended);
+        for held in running {
+            self.adopt_task(ix, held);
+        }
+        for task in ended {
+            self.task_ended(ix, task);
+        }
+        self.adopt_jobs();
+        self.refill(ix, None);
+    }
+
+    /// Settles the tasks that the worker does not know. A worker that did not start anew never
+    /// got them, and refuses them under the new claim; of one that did, nothing is known.
+    fn lose_unreported(
+        &mut self,
+        ix: WorkerIx,
+        same: bool,
+        running: &[TaskHeld],
+        ended: &[TaskEnded],
+    ) {
+        let known = self.fleet.get(ix).tasks.keys();
+        let reported = |task: &TaskId| {
+            running.iter().any(|held| held.task == *task)
+                || ended.iter().any(|ended| ended.task == *task)
+        };
+        let missing: Vec<TaskId> = known.filter(|task| !reported(task)).cloned().collect();
+        let kind = if same {
+            LossKind::NeverStarted
+        } else {
+            LossKind::Ended
+        };
+        for task in missing {
+            self.task_lost(ix, &task, kind);
+        }
+    }
+
+    fn adopt_task(&mut self, ix: WorkerIx, held: TaskHeld) {
+        let (unit, wanted) = match TaskName::parse(&held.task) {
+            Some(TaskName::Request { request, .. }) => self.adopt_request(ix, request, &held.task),
+            Some(TaskName::Job { job, index, .. }) => {
+                let unit = self.adopt_job_task(ix, job, index, &held.task);
+                let wanted = unit.is_some() || !self.jobs_are_loaded();
+                (unit, wanted)
+            }
+            None => (None, false),
+        };
+        if !self.fleet.get(ix).tasks.contains_key(&held.task) {
+            let owes_answer = matches!(unit, Some(UnitKind::Request(_)));
+            let TaskHeld { task, team, need } = held.clone();
+            let running = Running {
+                unit,
+                team,
+                need,
+                since_ms: self.now_ms,
+                owes_answer,
+            };
+            self.fleet.add(ix, task, running);
+        }
+        if !wanted {
+            self.command(ix, WorkerCommand::Stop(held.task));
+        }
+    }
+
+    fn task_ended(&mut self, ix: WorkerIx, ended: TaskEnded) {
+        let running = self.fleet.remove(ix, &ended.task);
+        if let Some(running) = &running {
+            self.tell_ended(ix, &ended, running);
+        }
+        match TaskName::parse(&ended.task) {
+            Some(TaskName::Request { request, .. }) => self.request_ended(ix, request, ended),
+            Some(TaskName::Job { job, index, .. }) => self.job_task_ended(ix, job, index, &ended),
+            None => self.command(ix, WorkerCommand::Ack(vec![ended.task])),
+        }
+        self.refill(ix, running.map(|running| running.team));
+    }
+
+    fn tell_ended(&mut self, ix: WorkerIx, ended: &TaskEnded, running: &Running) {
+        let told = Told::Ended {
+            task: ended.task.clone(),
+            team: running.team.clone(),
+            worker: self.fleet.get(ix).host.worker.clone(),
+            ran_ms: self.now_ms.since(running.since_ms),
+            well: ended.end == crate::TaskEnd::Done,
+        };
+        self.tell(told);
+    }
+
+    fn lose_tasks(&mut self, ix: WorkerIx, kind: LossKind) {
+        let tasks: Vec<TaskId> = self.fleet.get(ix).tasks.keys().cloned().collect();
+        for task in tasks {
+            self.task_lost(ix, &task, kind);
+        }
+    }
+
+    fn task_lost(&mut self, ix: WorkerIx, task: &TaskId, kind: LossKind) {
+        let Some(running) = self.fleet.remove(ix, task) else {
+            return;
+        };
+        let worker = self.fleet.get(ix).host.worker.clone();
+        match running.unit {
+            Some(UnitKind::Request(request)) => self.request_lost(&request, task, worker, kind),
+            Some(UnitKind::Task { job, index }) => self.job_task_lost(&job, index, task),
+            Some(UnitKind::Gang { .. }) | None => {}
+        }
+        self.refill(ix, Some(running.team));
+    }
+
+    /// Counts a success or a failure of a worker, and lets it rest after too many failures.
+    pub(super) fn judge_worker(&mut self, ix: WorkerIx, well: bool) {
+        if well {
+            self.fleet.get_mut(ix).failures = 0;
+            return;
+        }
+        let may_rest = self.may_rest_another();
+        let rest_until_ms = self.now_ms + consts::QUARANTINE_MS;
+        let worker = self.fleet.get_mut(ix);
+        worker.failures += 1;
+        if worker.failures >= consts::QUARANTINE_FAILURES && may_rest {
+            worker.rest_until_ms = rest_until_ms;
+            let worker = worker.host.worker.clone();
+            self.tell(Told::WorkerQuarantined { worker });
+        }
+    }
+
+    fn may_rest_another(&self) -> bool {
+        let now_ms = self.now_ms;
+        let resting = self
+            .fleet
+            .iter()
+            .filter(|worker| worker.rest_until_ms > now_ms)
+            .count();
+        let listed = self.fleet.iter().filter(|worker| worker.listed).count();
+        resting * 100 < listed * consts::QUARANTINE_PERCENT
+    }
+}
+
+const fn renew_span_ms(owed: u32) -> Millis {
+    if owed > 0 {
+        consts::BUSY_RENEW_MS
+    } else {
+        consts::RENEW_MS
+    }
+}
--- /dev/null
+++ b/core/src/resources.rs
@@ -0,0 +1,102 @@
+//! Processors, memory, accelerators and request slots.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// An amount of each resource that a worker has or a task needs.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Resources {
+    /// Processors in thousandths.
+    pub cpu_milli: u64,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+    /// Concurrent requests.
+    pub slots: u64,
+}
+
+/// The number of resource kinds in [`Resources`].
+pub const KINDS: usize = 4;
+
+impl Resources {
+    /// The resource kinds' names in the order of [`Resources::parts`].
+    pub const NAMES: [&'static str; KINDS] = ["processors", "memory", "accelerators", "slots"];
+
+    /// Returns the amounts as an array, in the order of [`Resources::NAMES`].
+    pub const fn parts(&self) -> [u64; KINDS] {
+        [
+            self.cpu_milli,
+            self.memory_mib,
+            self.accelerators,
+            self.slots,
+        ]
+    }
+
+    /// Makes an amount from an array in the order of [`Resources::NAMES`].
+    pub const fn from_parts(parts: [u64; KINDS]) -> Self {
+        Self {
+            cpu_milli: parts[0],
+            memory_mib: parts[1],
+            accelerators: parts[2],
+            slots: parts[3],
+        }
+    }
+
+    fn zip(self, other: Self, op: impl Fn(u64, u64) -> u64) -> Self {
+        let (a, b) = (self.parts(), other.parts());
+        Self::from_parts(std::array::from_fn(|i| op(a[i], b[i])))
+    }
+
+    /// Returns the sum, held at the largest number.
+    pub fn plus(self, other: Self) -> Self {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// Returns the difference, held at zero.
+    pub fn minus(self, other: Self) -> Self {
+        self.zip(other, u64::saturating_sub)
+    }
+
+    /// Returns this amount `count` times.
+    pub fn times(self, count: u64) -> Self {
+        self.zip(self, |a, _| a.saturating_mul(count))
+    }
+
+    /// Returns the smaller amount of each kind.
+    pub fn min(self, other: Self) -> Self {
+        self.zip(other, u64::min)
+    }
+
+    /// Says whether each amount is at most that of `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        let (a, b) = (self.parts(), room.parts());
+        (0..KINDS).all(|i| a[i] <= b[i])
+    }
+
+    /// Returns the name of the first kind of which `room` has too little.
+    pub fn first_excess(&self, room: &Self) -> Option<&'static str> {
+        let (a, b) = (self.parts(), room.parts());
+        (0..KINDS).find(|&i| a[i] > b[i]).map(|i| Self::NAMES[i])
+    }
+
+    /// Returns the largest share of `total` that any kind takes, in millionths.
+    pub fn dominant_share_ppm(&self, total: &Self) -> u64 {
+        let (a, b) = (self.parts(), total.parts());
+        let share = |i: usize| match b[i] {
+            0 => 0,
+            total => a[i].saturating_mul(1_000_000) / total,
+        };
+        (0..KINDS).map(share).max().unwrap_or(0)
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "cpu={}m,memory={}MiB,accelerators={},slots={}",
+            self.cpu_milli, self.memory_mib, self.accelerators, self.slots
+        )
+    }
+}
--- /dev/null
+++ b/core/src/retry_budget.rs
@@ -0,0 +1,36 @@
+//! A budget for retries in proportion to the requests served.
+
+use crate::consts::{RETRY_BURST, RETRY_PERCENT};
+
+/// The cost of one retry, in hundredths.
+const RETRY_COST: u64 = 100;
+
+/// Grants retries as a fixed part of all requests, so that retries never multiply an overload.
+#[derive(Debug)]
+pub struct RetryBudget {
+    hundredths: u64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            hundredths: RETRY_BURST * RETRY_COST,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a request.
+    pub fn earn(&mut self) {
+        self.hundredths = (self.hundredths + RETRY_PERCENT).min(RETRY_BURST * RETRY_COST);
+    }
+
+    /// Takes one retry from the budget, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let granted = self.hundredths >= RETRY_COST;
+        if granted {
+            self.hundredths -= RETRY_COST;
+        }
+        granted
+    }
+}
--- /dev/null
+++ b/core/src/task_name.rs
@@ -0,0 +1,74 @@
+//! How an attempt's id is made and read.
+
+use crate::{JobId, RequestId, TaskId, Term};
+
+/// What an attempt belongs to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TaskName {
+    /// An attempt to run a request.
+    Request {
+        /// The request.
+        request: RequestId,
+        /// The term in which it was made.
+        term: Term,
+        /// The attempts made before it in that term.
+        attempt: u32,
+    },
+    /// An attempt to run a task of a job.
+    Job {
+        /// The job.
+        job: JobId,
+        /// The task's number within the job.
+        index: u32,
+        /// The term in which it was made.
+        term: Term,
+        /// The attempts made before it in that term.
+        attempt: u32,
+    },
+}
+
+impl TaskName {
+    /// Returns the id that stands for the name at a worker.
+    pub fn id(&self) -> TaskId {
+        match self {
+            TaskName::Request {
+                request,
+                term,
+                attempt,
+            } => TaskId::new(format!("r {term} {attempt} {request}")),
+            TaskName::Job {
+                job,
+                index,
+                term,
+                attempt,
+            } => TaskId::new(format!("j {term} {attempt} {index} {job}")),
+        }
+    }
+
+    /// Reads an id that [`TaskName::id`] made.
+    pub fn parse(id: &TaskId) -> Option<TaskName> {
+        let (kind, rest) = id.as_str().split_once(' ')?;
+        let (term, rest) = rest.split_once(' ')?;
+        let (attempt, rest) = rest.split_once(' ')?;
+        let term = term.parse().ok()?;
+        let attempt = attempt.parse().ok()?;
+        match kind {
+            "r" => Some(TaskName::Request {
+                request: RequestId::new(rest),
+                term,
+                attempt,
+            }),
+            "j" => {
+                let (index, job) = rest.split_once(' ')?;
+                let index = index.parse().ok()?;
+                Some(TaskName::Job {
+                    job: JobId::new(job),
+                    index,
+                    term,
+                    attempt,
+                })
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/core/src/unit.rs
@@ -0,0 +1,51 @@
+//! Units of waiting work.
+
+use crate::{Class, JobId, Millis, RequestId, Resources, TeamName, WorkerId};
+
+/// What a unit of waiting work stands for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum UnitKind {
+    /// A request.
+    Request(RequestId),
+    /// One task of a job.
+    Task {
+        /// The job.
+        job: JobId,
+        /// The task's number.
+        index: u32,
+    },
+    /// All tasks of a gang job.
+    Gang {
+        /// The job.
+        job: JobId,
+        /// The number of tasks.
+        tasks: u32,
+    },
+}
+
+/// Work that waits for workers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Unit {
+    /// What it stands for.
+    pub kind: UnitKind,
+    /// The team that pays for it.
+    pub team: TeamName,
+    /// Its policy.
+    pub class: Class,
+    /// The need of one task.
+    pub need: Resources,
+    /// When it began to wait.
+    pub since_ms: Millis,
+    /// A worker that just failed it.
+    pub avoid: Option<WorkerId>,
+}
+
+impl Unit {
+    /// Returns the number of tasks that start together.
+    pub const fn tasks(&self) -> u32 {
+        match self.kind {
+            UnitKind::Gang { tasks, .. } => tasks,
+            _ => 1,
+        }
+    }
+}
--- /dev/null
+++ b/core/src/worker_state.rs
@@ -0,0 +1,131 @@
+//! What a keeper knows of one worker.
+
+use crate::{consts, Claim, Host, Millis, Resources, TaskId, TeamName, UnitKind};
+use std::collections::BTreeMap;
+
+/// The state of the connection to a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Link {
+    /// Not connected; the next attempt is due at the given time.
+    Down {
+        /// When to try again.
+        retry_ms: Millis,
+    },
+    /// A connection is being opened.
+    Opening {
+        /// Since when.
+        since_ms: Millis,
+    },
+    /// The claim is sent and not answered.
+    Claiming {
+        /// Since when.
+        since_ms: Millis,
+    },
+    /// The worker is under this daemon's command.
+    Ready,
+}
+
+/// A task that runs, or may run, on a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Running {
+    /// What the task belongs to; `None` for one that nobody waits for.
+    pub unit: Option<UnitKind>,
+    /// The team that pays for it.
+    pub team: TeamName,
+    /// What it takes.
+    pub need: Resources,
+    /// When it was started, on this daemon's clock.
+    pub since_ms: Millis,
+    /// Whether a caller waits for its output.
+    pub owes_answer: bool,
+}
+
+/// What a keeper knows of one worker.
+#[derive(Clone, Debug)]
+pub struct WorkerState {
+    /// The worker as the host list shows it.
+    pub host: Host,
+    /// Whether the host list still shows it.
+    pub listed: bool,
+    /// The connection's state.
+    pub link: Link,
+    /// Counts the connections.
+    pub link_number: u64,
+    /// The claim in use.
+    pub claim: Claim,
+    /// Whether the worker accepted a claim of this term.
+    pub claimed: bool,
+    /// Changes whenever the worker starts anew.
+    pub incarnation: Option<u64>,
+    /// What the tasks take.
+    pub used: Resources,
+    /// The tasks that run or may run.
+    pub tasks: BTreeMap<TaskId, Running>,
+    /// The tasks among them for which a caller waits.
+    pub owed: u32,
+    /// When the worker was last heard.
+    pub heard_ms: Millis,
+    /// When the latest renewal was sent; the tasks' leases count from no later.
+    pub renewed_ms: Millis,
+    /// When the oldest unanswered renewal was sent.
+    pub asked_ms: Millis,
+    /// The failures in a row.
+    pub failures: u32,
+    /// Until when the worker gets no work.
+    pub rest_until_ms: Millis,
+}
+
+impl WorkerState {
+    /// Makes the state of a worker that was just listed.
+    pub fn new(host: Host) -> Self {
+        Self {
+            host,
+            listed: true,
+            link: Link::Down {
+                retry_ms: Millis(0),
+            },
+            link_number: 0,
+            claim: Claim::default(),
+            claimed: false,
+            incarnation: None,
+            used: Resources::default(),
+            tasks: BTreeMap::new(),
+            owed: 0,
+            heard_ms: Millis(0),
+            renewed_ms: Millis(0),
+            asked_ms: Millis(0),
+            failures: 0,
+            rest_until_ms: Millis(0),
+        }
+    }
+
+    /// Says whether new work may go to the worker.
+    pub fn takes_work(&self, now_ms: Millis) -> bool {
+        let probing = self.failures >= consts::QUARANTINE_FAILURES && !self.tasks.is_empty();
+        self.link == Link::Ready
+            && self.listed
+            && !self.host.leaving
+            && self.rest_until_ms <= now_ms
+            && !probing
+    }
+
+    /// Returns what is free.
+    pub fn free(&self) -> Resources {
+        self.host.capacity.minus(self.used)
+    }
+
+    /// Adds a task.
+    pub fn add(&mut self, task: TaskId, running: Running) {
+        self.used = self.used.plus(running.need);
+        self.owed += u32::from(running.owes_answer);
+        self.tasks.insert(task, running);
+    }
+
+    /// Removes a task.
+    pub fn remove(&mut self, task: &TaskId) -> Option<Running> {
+        let running = self.tasks.remove(task)?;
+        self.used = self.used.minus(running.need);
+        self.owed -= u32::from(running.owes_answer);
+        Some(running)
+    }
+}
--- /dev/null
+++ b/daemon/src/links.rs
@@ -0,0 +1,103 @@
+//! Connections to peers and workers, on an asynchronous runtime of their own.
+
+mod peers;
+mod workers;
+
+use crate::{control::Input, Settings};
+use crossbeam::channel::Sender;
+use pomelotide_core::{Claim, DaemonId, Event, PeerMessage, WorkerCommand, WorkerId};
+use pomelotide_wire::WorkerFrame;
+use std::{collections::HashMap, io};
+use tokio::{
+    runtime::{Builder, Runtime},
+    sync::mpsc,
+};
+
+/// All connections to peers and workers.
+pub(crate) struct Links {
+    runtime: Runtime,
+    me: DaemonId,
+    inputs: Sender<Input>,
+    peers: HashMap<DaemonId, (String, mpsc::Sender<PeerMessage>)>,
+    workers: HashMap<WorkerId, (u64, mpsc::UnboundedSender<WorkerFrame>)>,
+}
+
+impl Links {
+    pub(crate) fn start(
+        settings: &Settings,
+        me: &DaemonId,
+        inputs: Sender<Input>,
+    ) -> io::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .thread_name("links")
+            .enable_all()
+            .build()?;
+        let listener = runtime.block_on(tokio::net::TcpListener::bind(settings.peers))?;
+        runtime.spawn(peers::serve(listener, inputs.clone()));
+        let (peers, workers) = (HashMap::new(), HashMap::new());
+        Ok(Self {
+            runtime,
+            me: me.clone(),
+            inputs,
+            peers,
+            workers,
+        })
+    }
+
+    /// Makes a peer's address known; messages to it go there from now on.
+    pub(crate) fn know_peer(&mut self, peer: DaemonId, address: String) {
+        if self
+            .peers
+            .get(&peer)
+            .is_some_and(|(known, _)| *known == address)
+        {
+            return;
+        }
+        let (sender, messages) = mpsc::channel(crate::consts::PEER_BACKLOG);
+        self.runtime
+            .spawn(peers::dial(self.me.clone(), address.clone(), messages));
+        self.peers.insert(peer, (address, sender));
+    }
+
+    /// Sends a message to a peer; it is dropped where too many wait.
+    pub(crate) fn send_peer(&mut self, to: DaemonId, message: PeerMessage) {
+        if let Some((_, sender)) = self.peers.get(&to) {
+            let _ = sender.try_send(message);
+        }
+    }
+
+    pub(crate) fn link_worker(&mut self, worker: WorkerId, address: String, link: u64) {
+        let (sender, frames) = mpsc::unbounded_channel();
+        let inputs = self.inputs.clone();
+        self.runtime
+            .spawn(workers::dial(worker.clone(), address, link, frames, inputs));
+        self.workers.insert(worker, (link, sender));
+    }
+
+    pub(crate) fn unlink_worker(&mut self, worker: WorkerId) {
+        self.workers.remove(&worker);
+    }
+
+    pub(crate) fn send_worker(
+        &mut self,
+        worker: WorkerId,
+        link: u64,
+        claim: Claim,
+        command: WorkerCommand,
+    ) {
+        let found = self
+            .workers
+            .get(&worker)
+            .filter(|(current, _)| *current == link);
+        if let Some((_, sender)) = found {
+            // A closed connection tells the reducer by an event of its own.
+            let _ = sender.send(WorkerFrame { claim, command });
+        }
+    }
+}
+
+/// Tells the control thread; it outlives all connections.
+fn tell(inputs: &Sender<Input>, event: Event) {
+    let _ = inputs.send(Input::Event(event));
+}
--- /dev/null
+++ b/daemon/src/links/workers.rs
@@ -0,0 +1,74 @@
+//! Connections to workers.
+
+use super::tell;
+use crate::{consts, control::Input};
+use crossbeam::channel::Sender;
+use futures_util::{SinkExt, StreamExt};
+use pomelotide_core::{Event, WorkerId};
+use pomelotide_wire::{decode, encode, WorkerFrame};
+use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio_tungstenite::{client_async, tungstenite::Message, WebSocketStream};
+
+/// Opens a connection to a worker and serves it until it breaks or is given up.
+pub(super) async fn dial(
+    worker: WorkerId,
+    address: String,
+    link: u64,
+    frames: mpsc::UnboundedReceiver<WorkerFrame>,
+    inputs: Sender<Input>,
+) {
+    let opened = time::timeout(consts::DIAL_LIMIT, open(&address))
+        .await
+        .ok()
+        .flatten();
+    if let Some(socket) = opened {
+        tell(
+            &inputs,
+            Event::WorkerLinked {
+                worker: worker.clone(),
+                link,
+            },
+        );
+        serve(&worker, link, socket, frames, &inputs).await;
+    }
+    tell(&inputs, Event::WorkerUnlinked { worker, link });
+}
+
+async fn open(address: &str) -> Option<WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let url = format!("ws://{address}/control");
+    client_async(url, stream)
+        .await
+        .ok()
+        .map(|(socket, _)| socket)
+}
+
+async fn serve(
+    worker: &WorkerId,
+    link: u64,
+    socket: WebSocketStream<TcpStream>,
+    mut frames: mpsc::UnboundedReceiver<WorkerFrame>,
+    inputs: &Sender<Input>,
+) {
+    let (mut sink, mut stream) = socket.split();
+    loop {
+        tokio::select! {
+            frame = frames.recv() => {
+                let Some(frame) = frame else { return };
+                let Ok(bytes) = encode(&frame) else { continue };
+                if sink.send(Message::binary(bytes)).await.is_err() {
+                    return;
+                }
+            }
+            message = stream.next() => {
+                let Some(Ok(message)) = message else { return };
+                let Message::Binary(bytes) = message else { continue };
+                if let Ok(report) = decode(&bytes) {
+                    let worker = worker.clone();
+                    tell(inputs, Event::WorkerHeard { worker, link, report });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/settings.rs
@@ -0,0 +1,105 @@
+//! The daemon's settings.
+
+use pomelotide_core::{CoreSettings, DaemonId, DomainName, KeyDigest, Millis};
+use std::{
+    net::SocketAddr,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// What a daemon is told at its start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// The host's name, without the part that changes with each start.
+    pub name: String,
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The address for callers and operators.
+    pub callers: SocketAddr,
+    /// The address for peers.
+    pub peers: SocketAddr,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// How long the balancer may keep sending after a stop was asked for.
+    pub drain_grace_ms: Millis,
+    /// The digest of the secret that operators show; without it, no one may change anything.
+    pub operator: Option<KeyDigest>,
+    /// Where to record all events, for a replay.
+    pub trace: Option<String>,
+}
+
+/// Builds [`Settings`] from defaults.
+#[derive(Clone, Debug)]
+pub struct SettingsBuilder(Settings);
+
+impl SettingsBuilder {
+    /// Begins with what has no default.
+    pub fn new(name: impl Into<String>, domain: DomainName) -> Self {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self(Settings {
+            name: name.into(),
+            domain,
+            callers: local(7100),
+            peers: local(7200),
+            platform: local(7000),
+            drain_grace_ms: Millis(5_000),
+            operator: None,
+            trace: None,
+        })
+    }
+
+    /// Sets the address for callers and operators.
+    pub fn callers(mut self, address: SocketAddr) -> Self {
+        self.0.callers = address;
+        self
+    }
+
+    /// Sets the address for peers.
+    pub fn peers(mut self, address: SocketAddr) -> Self {
+        self.0.peers = address;
+        self
+    }
+
+    /// Sets the platform's address.
+    pub fn platform(mut self, address: SocketAddr) -> Self {
+        self.0.platform = address;
+        self
+    }
+
+    /// Sets how long the balancer may keep sending after a stop was asked for.
+    pub fn drain_grace_ms(mut self, span_ms: Millis) -> Self {
+        self.0.drain_grace_ms = span_ms;
+        self
+    }
+
+    /// Sets the digest of the secret that operators show.
+    pub fn operator(mut self, digest: KeyDigest) -> Self {
+        self.0.operator = Some(digest);
+        self
+    }
+
+    /// Sets where to record all events.
+    pub fn trace(mut self, path: impl Into<String>) -> Self {
+        self.0.trace = Some(path.into());
+        self
+    }
+
+    /// Returns the settings.
+    pub fn build(self) -> Settings {
+        self.0
+    }
+}
+
+impl Settings {
+    /// Returns the part that the reducer needs, under an id that no earlier start had.
+    pub fn core(&self) -> CoreSettings {
+        let started = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        CoreSettings {
+            daemon: DaemonId::new(format!("{}.{}", self.name, started.as_millis())),
+            domain: self.domain.clone(),
+            address: self.peers.to_string(),
+            drain_grace_ms: self.drain_grace_ms,
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for the platform and its workers, for tests and demonstrations only.
+//!
+//! The models hold what the interfaces promise and no more; they do no I/O, so that the same code
+//! runs behind sockets here and in tests in virtual time.
+
+pub mod cli;
+mod link;
+mod platform;
+mod table_model;
+mod worker_model;
+mod workers;
+
+pub use crate::{
+    platform::{serve_platform, PlatformFaults},
+    table_model::TableModel,
+    worker_model::{WorkerFaults, WorkerModel},
+    workers::{serve_workers, WorkersOptions},
+};
--- /dev/null
+++ b/standins/src/link.rs
@@ -0,0 +1,113 @@
+//! Serving one worker's control connections.
+
+use crate::{WorkerFaults, WorkerModel};
+use futures_util::{SinkExt, StreamExt};
+use pomelotide_core::{Millis, WorkerReport};
+use pomelotide_wire::{decode, encode, WorkerFrame};
+use std::{
+    io,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time,
+};
+use tokio_tungstenite::{accept_async, tungstenite::Message};
+
+/// The span between two looks for tasks that are due.
+const TICK: Duration = Duration::from_millis(2);
+
+/// A worker that any number of connections command.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+    model: Arc<Mutex<WorkerModel>>,
+    latest: Arc<Mutex<Option<mpsc::UnboundedSender<WorkerReport>>>>,
+    begun: Instant,
+}
+
+impl Shared {
+    pub(crate) fn new(model: WorkerModel) -> Self {
+        let model = Arc::new(Mutex::new(model));
+        Self {
+            model,
+            latest: Arc::default(),
+            begun: Instant::now(),
+        }
+    }
+
+    pub(crate) fn set_faults(&self, faults: WorkerFaults) {
+        self.with_model(|model, _| model.faults = faults);
+    }
+
+    fn with_model<T>(&self, job: impl FnOnce(&mut WorkerModel, Millis) -> T) -> T {
+        let now_ms = Millis(self.begun.elapsed().as_millis() as u64);
+        let mut model = self.model.lock().unwrap_or_else(PoisonError::into_inner);
+        job(&mut model, now_ms)
+    }
+
+    fn report(&self, reports: Vec<WorkerReport>) {
+        let latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(sender) = latest.as_ref() {
+            for report in reports {
+                // A closed connection loses reports; the next claim lists them again.
+                let _ = sender.send(report);
+            }
+        }
+    }
+
+    /// Accepts connections for ever.
+    pub(crate) async fn serve(self, listener: TcpListener) {
+        tokio::spawn(self.clone().run_tasks());
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(self.clone().serve_connection(stream));
+        }
+    }
+
+    async fn run_tasks(self) {
+        loop {
+            time::sleep(TICK).await;
+            let reports = self.with_model(|model, now_ms| model.tick(now_ms));
+            self.report(reports);
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let Ok(socket) = accept_async(stream).await else {
+            return Ok(());
+        };
+        let (mut sink, mut stream) = socket.split();
+        let (sender, mut reports) = mpsc::unbounded_channel();
+        let writer = async move {
+            while let Some(report) = reports.recv().await {
+                let Ok(bytes) = encode(&report) else { break };
+                if sink.send(Message::binary(bytes)).await.is_err() {
+                    break;
+                }
+            }
+        };
+        tokio::spawn(writer);
+        while let Some(Ok(message)) = stream.next().await {
+            if let Message::Binary(bytes) = message {
+                self.take(&bytes, &sender);
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&self, bytes: &[u8], sender: &mpsc::UnboundedSender<WorkerReport>) {
+        let Ok(frame) = decode::<WorkerFrame>(bytes) else {
+            return;
+        };
+        let reports =
+            self.with_model(|model, now_ms| model.command(now_ms, frame.claim, frame.command));
+        for report in reports {
+            if matches!(report, WorkerReport::Claimed { .. }) {
+                *self.latest.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender.clone());
+            }
+            let _ = sender.send(report);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/worker_model.rs
@@ -0,0 +1,259 @@
+//! A worker: runs tasks under leases for the daemon with the highest claim.
+
+use pomelotide_core::{
+    Claim, DaemonId, Millis, Payload, Resources, TaskEnd, TaskEnded, TaskHeld, TaskId, TaskStart,
+    TeamName, WorkerCommand, WorkerReport,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long a task without a declared run time and without instructions takes.
+const ANSWER_MS: Millis = Millis(2);
+
+/// Faults that tests switch on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WorkerFaults {
+    /// Every task fails at once.
+    pub fails_all: bool,
+    /// Claims are not compared: the guard of ownership is off.
+    pub ignores_claims: bool,
+}
+
+/// A worker's state.
+#[derive(Clone, Debug)]
+pub struct WorkerModel {
+    capacity: Resources,
+    incarnation: u64,
+    claim: Claim,
+    owner: Option<DaemonId>,
+    running: BTreeMap<TaskId, RunningTask>,
+    ended: BTreeMap<TaskId, TaskEnded>,
+    seen: BTreeSet<TaskId>,
+    started: Vec<(TaskId, TeamName)>,
+    /// The faults in force.
+    pub faults: WorkerFaults,
+}
+
+#[derive(Clone, Debug)]
+struct RunningTask {
+    team: TeamName,
+    need: Resources,
+    ends_ms: Option<Millis>,
+    lapses_ms: Millis,
+    plan: Plan,
+}
+
+/// What a task's payload asks for: `#run MS ok|fail TEXT`, or an echo.
+#[derive(Clone, Debug)]
+struct Plan {
+    run_ms: Option<Millis>,
+    end: TaskEnd,
+    output: Payload,
+}
+
+impl Plan {
+    fn of(start: &TaskStart) -> Self {
+        let text = String::from_utf8_lossy(&start.payload.0);
+        let declared = (start.run_ms > Millis(0)).then_some(start.run_ms);
+        let Some(rest) = text.strip_prefix("#run ") else {
+            let is_request = start.task.as_str().starts_with('r');
+            let run_ms = if is_request {
+                Some(ANSWER_MS)
+            } else {
+                declared
+            };
+            return Self {
+                run_ms,
+                end: TaskEnd::Done,
+                output: start.payload.clone(),
+            };
+        };
+        let mut words = rest.splitn(3, ' ');
+        let run_ms = words
+            .next()
+            .and_then(|ms| ms.parse().ok())
+            .map(Millis)
+            .or(declared);
+        let end = match words.next() {
+            Some("fail") => TaskEnd::Failed,
+            _ => TaskEnd::Done,
+        };
+        Self {
+            run_ms,
+            end,
+            output: Payload::from(words.next().unwrap_or_default()),
+        }
+    }
+}
+
+impl WorkerModel {
+    /// Makes a worker that just started; `incarnation` differs from that of each earlier start.
+    pub fn new(capacity: Resources, incarnation: u64) -> Self {
+        Self {
+            capacity,
+            incarnation,
+            claim: Claim::default(),
+            owner: None,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            seen: BTreeSet::new(),
+            started: Vec::new(),
+            faults: WorkerFaults::default(),
+        }
+    }
+
+    /// Takes a command and returns the reports that answer it at once.
+    pub fn command(
+        &mut self,
+        now_ms: Millis,
+        claim: Claim,
+        command: WorkerCommand,
+    ) -> Vec<WorkerReport> {
+        if let WorkerCommand::Claim { owner } = command {
+            return self.claimed(now_ms, claim, owner);
+        }
+        if claim != self.claim && !self.faults.ignores_claims {
+            return vec![self.fence()];
+        }
+        match command {
+            WorkerCommand::Claim { .. } => Vec::new(),
+            WorkerCommand::Start(start) => self.start(now_ms, start),
+            WorkerCommand::Renew { lease_ms } => self.renew(now_ms + lease_ms),
+            WorkerCommand::Stop(task) => self.finish(&task, TaskEnd::Stopped),
+            WorkerCommand::Ack(tasks) => {
+                tasks.iter().for_each(|task| drop(self.ended.remove(task)));
+                Vec::new()
+            }
+        }
+    }
+
+    fn claimed(&mut self, now_ms: Millis, claim: Claim, owner: DaemonId) -> Vec<WorkerReport> {
+        if claim <= self.claim && !self.faults.ignores_claims {
+            return vec![self.fence()];
+        }
+        let rival = self.owner.as_ref().is_some_and(|known| *known != owner);
+        if rival && claim.term == self.claim.term && !self.faults.ignores_claims {
+            return vec![self.fence()];
+        }
+        self.claim = claim;
+        self.owner = Some(owner);
+        self.renew(now_ms + pomelotide_core::consts::TASK_LEASE_MS);
+        let running = self.running.iter().map(|(task, running)| TaskHeld {
+            task: task.clone(),
+            team: running.team.clone(),
+            need: running.need,
+        });
+        vec![WorkerReport::Claimed {
+            incarnation: self.incarnation,
+            capacity: self.capacity,
+            running: running.collect(),
+            ended: self.ended.values().cloned().collect(),
+        }]
+    }
+
+    fn fence(&self) -> WorkerReport {
+        let owner = self
+            .owner
+            .clone()
+            .unwrap_or_else(|| DaemonId::new("nobody"));
+        WorkerReport::Fenced {
+            claim: self.claim,
+            owner,
+        }
+    }
+
+    fn start(&mut self, now_ms: Millis, start: TaskStart) -> Vec<WorkerReport> {
+        if !self.seen.insert(start.task.clone()) {
+            return Vec::new();
+        }
+        if !self.used().plus(start.need).fits(&self.capacity) {
+            return vec![WorkerReport::NoRoom(start.task)];
+        }
+        let plan = Plan::of(&start);
+        let run_ms = if self.faults.fails_all {
+            Some(Millis(0))
+        } else {
+            plan.run_ms
+        };
+        let running = RunningTask {
+            team: start.team.clone(),
+            need: start.need,
+            ends_ms: run_ms.map(|run_ms| now_ms + run_ms),
+            lapses_ms: now_ms + pomelotide_core::consts::TASK_LEASE_MS,
+            plan,
+        };
+        self.started.push((start.task.clone(), start.team));
+        self.running.insert(start.task, running);
+        Vec::new()
+    }
+
+    fn renew(&mut self, lapses_ms: Millis) -> Vec<WorkerReport> {
+        for running in self.running.values_mut() {
+            running.lapses_ms = lapses_ms;
+        }
+        vec![WorkerReport::Renewed]
+    }
+
+    fn finish(&mut self, task: &TaskId, end: TaskEnd) -> Vec<WorkerReport> {
+        let Some(running) = self.running.remove(task) else {
+            return Vec::new();
+        };
+        let output = match end {
+            TaskEnd::Done | TaskEnd::Failed => running.plan.output,
+            TaskEnd::Stopped | TaskEnd::Lapsed => Payload::default(),
+        };
+        let ended = TaskEnded {
+            task: task.clone(),
+            end,
+            output,
+        };
+        self.ended.insert(task.clone(), ended.clone());
+        vec![WorkerReport::Ended(ended)]
+    }
+
+    /// Ends the tasks that are due; returns the reports.
+    pub fn tick(&mut self, now_ms: Millis) -> Vec<WorkerReport> {
+        let due = |running: &RunningTask| {
+            if running.ends_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                Some(running.plan.end)
+            } else if running.lapses_ms <= now_ms {
+                Some(TaskEnd::Lapsed)
+            } else {
+                None
+            }
+        };
+        let due = self
+            .running
+            .iter()
+            .filter_map(|(task, run)| Some((task.clone(), due(run)?)));
+        let due: Vec<(TaskId, TaskEnd)> = due.collect();
+        let fails_all = self.faults.fails_all;
+        let end_of = |end| if fails_all { TaskEnd::Failed } else { end };
+        due.into_iter()
+            .flat_map(|(task, end)| self.finish(&task, end_of(end)))
+            .collect()
+    }
+
+    /// Returns what the running tasks take.
+    pub fn used(&self) -> Resources {
+        self.running
+            .values()
+            .fold(Resources::default(), |sum, run| sum.plus(run.need))
+    }
+
+    /// Returns what the worker has.
+    pub const fn capacity(&self) -> Resources {
+        self.capacity
+    }
+
+    /// Returns the running tasks with their teams and needs.
+    pub fn running(&self) -> impl Iterator<Item = (&TaskId, &TeamName, Resources)> {
+        self.running
+            .iter()
+            .map(|(task, run)| (task, &run.team, run.need))
+    }
+
+    /// Returns every task that was ever started, in order.
+    pub fn started(&self) -> &[(TaskId, TeamName)] {
+        &self.started
+    }
+}
--- /dev/null
+++ b/standins/src/workers.rs
@@ -0,0 +1,82 @@
+//! A process that stands in for the workers of one failure domain.
+
+use crate::{link::Shared, WorkerFaults, WorkerModel};
+use log::info;
+use pomelotide_core::{DomainName, Resources};
+use pomelotide_wire::{HttpClient, WireHost, WireHosts};
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::net::TcpListener;
+
+/// How long the host list may take to answer.
+const PLATFORM_LIMIT: Duration = Duration::from_secs(2);
+
+/// What to stand in for.
+#[derive(Clone, Debug)]
+pub struct WorkersOptions {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The number of workers.
+    pub count: u32,
+    /// The workers of one rack.
+    pub per_rack: u32,
+    /// What each worker has.
+    pub capacity: Resources,
+    /// The platform's address.
+    pub platform: String,
+    /// The number of workers that fail everything.
+    pub failing: u32,
+}
+
+/// Serves the workers for ever, after putting them on the host list.
+pub async fn serve_workers(options: WorkersOptions) -> io::Result<()> {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let incarnation = started.as_nanos() as u64;
+    let mut hosts = Vec::new();
+    for number in 0..options.count {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        hosts.push(host(&options, number, listener.local_addr()?));
+        let shared = Shared::new(WorkerModel::new(options.capacity, incarnation));
+        let fails_all = number < options.failing;
+        shared.set_faults(WorkerFaults {
+            fails_all,
+            ..WorkerFaults::default()
+        });
+        tokio::spawn(shared.serve(listener));
+    }
+    list(&options.platform, hosts)?;
+    info!(
+        "event=workers_listed domain={} count={}",
+        options.domain, options.count
+    );
+    std::future::pending().await
+}
+
+fn host(options: &WorkersOptions, number: u32, address: SocketAddr) -> WireHost {
+    let domain = &options.domain;
+    WireHost {
+        worker: format!("{domain}-w{number}"),
+        domain: domain.to_string(),
+        rack: format!("{domain}-r{}", number / options.per_rack.max(1)),
+        address: address.to_string(),
+        capacity: options.capacity,
+        leaving: false,
+    }
+}
+
+fn list(platform: &str, hosts: Vec<WireHost>) -> io::Result<()> {
+    let body = serde_json::to_vec(&WireHosts { hosts })?;
+    let client = HttpClient::new(platform, PLATFORM_LIMIT);
+    let reply = client
+        .send("POST", "/hosts", &[], body)
+        .map_err(io::Error::other)?;
+    match reply.status {
+        200 => Ok(()),
+        status => Err(io::Error::other(format!("the host list answered {status}"))),
+    }
+}
--- /dev/null
+++ b/wire/src/api.rs
@@ -0,0 +1,220 @@
+//! The JSON bodies between callers or operators and a daemon.
+
+use crate::parse_resources;
+use pomelotide_core::{
+    Answer, DaemonId, JobSpec, JobState, Millis, NoteVerdict, Payload, Refusal, Status,
+};
+use serde::{Deserialize, Serialize};
+
+/// A job as a caller submits it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApiJob {
+    /// The queue.
+    pub queue: String,
+    /// The number of tasks.
+    #[serde(default = "one")]
+    pub tasks: u32,
+    /// The need of one task, as in `cpu 1, memory 512MiB`.
+    pub need: String,
+    /// The declared run time of one task, as in `30s`; without it the tasks run until cancelled.
+    #[serde(default)]
+    pub run: Option<String>,
+    /// What each task is given.
+    #[serde(default)]
+    pub payload: String,
+}
+
+const fn one() -> u32 {
+    1
+}
+
+/// Says which field of a body is wrong.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ApiFault {
+    /// The field, or `body`.
+    pub field: String,
+    /// What is wrong with it.
+    pub error: String,
+}
+
+impl ApiFault {
+    /// Makes a fault.
+    pub fn new(field: &str, error: impl ToString) -> Self {
+        Self {
+            field: field.into(),
+            error: error.to_string(),
+        }
+    }
+}
+
+impl TryFrom<ApiJob> for JobSpec {
+    type Error = ApiFault;
+
+    fn try_from(job: ApiJob) -> Result<Self, ApiFault> {
+        let run_ms = job.run.map(|run| run.parse::<Millis>()).transpose();
+        Ok(Self {
+            queue: job.queue.parse().map_err(|e| ApiFault::new("queue", e))?,
+            tasks: job.tasks,
+            need: parse_resources(&job.need).map_err(|e| ApiFault::new("need", e))?,
+            run_ms: run_ms
+                .map_err(|e| ApiFault::new("run", e))?
+                .unwrap_or_default(),
+            payload: Payload::from(job.payload.as_str()),
+        })
+    }
+}
+
+/// An answer that is not a backend server's own.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum ApiAnswer {
+    /// The work ran at a backend server and failed there.
+    Failed,
+    /// The work did not run and never will under this call.
+    NotRun {
+        /// Why.
+        reason: String,
+        /// When to come back, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// The work may have run; nobody can tell.
+    OutcomeUnknown,
+    /// The job is on record.
+    Accepted {
+        /// The job's id.
+        job: String,
+    },
+    /// The state of a job: `active`, `succeeded`, `failed` or `cancelled`.
+    Job {
+        /// The state.
+        state: String,
+        /// The tasks that ended well, while the job is active.
+        done: Option<u32>,
+    },
+    /// No such job is on record.
+    NoSuchJob,
+    /// The note is accepted and in force everywhere.
+    InForce {
+        /// Its revision.
+        revision: u64,
+    },
+    /// The note is wrong or in conflict; nothing changed.
+    Rejected {
+        /// What is wrong, one line each.
+        faults: Vec<String>,
+    },
+    /// The body or a header is wrong.
+    Malformed(ApiFault),
+}
+
+impl From<&Answer> for ApiAnswer {
+    fn from(answer: &Answer) -> Self {
+        match answer {
+            Answer::Done(_) | Answer::Failed(_) => ApiAnswer::Failed,
+            Answer::NotRun {
+                reason,
+                retry_after_ms,
+            } => ApiAnswer::NotRun {
+                reason: reason.to_string(),
+                retry_after_ms: retry_after_ms.map(|ms| ms.0),
+            },
+            Answer::OutcomeUnknown | Answer::Note(NoteVerdict::Unknown) => {
+                ApiAnswer::OutcomeUnknown
+            }
+            Answer::JobAccepted(job) => ApiAnswer::Accepted {
+                job: job.to_string(),
+            },
+            Answer::Job(state) => ApiAnswer::from(state),
+            Answer::NoSuchJob => ApiAnswer::NoSuchJob,
+            Answer::Note(NoteVerdict::InForce(revision)) => ApiAnswer::InForce {
+                revision: revision.0,
+            },
+            Answer::Note(NoteVerdict::Rejected(faults)) => ApiAnswer::Rejected {
+                faults: faults.iter().map(ToString::to_string).collect(),
+            },
+        }
+    }
+}
+
+impl From<&JobState> for ApiAnswer {
+    fn from(state: &JobState) -> Self {
+        let (state, done) = match state {
+            JobState::Active { done } => ("active", Some(*done)),
+            JobState::Succeeded => ("succeeded", None),
+            JobState::Failed => ("failed", None),
+            JobState::Cancelled => ("cancelled", None),
+        };
+        ApiAnswer::Job {
+            state: state.into(),
+            done,
+        }
+    }
+}
+
+/// Returns the HTTP status code of an answer.
+pub const fn status_of(answer: &Answer) -> u16 {
+    match answer {
+        Answer::Done(_) | Answer::Job(_) | Answer::Note(NoteVerdict::InForce(_)) => 200,
+        Answer::JobAccepted(_) => 202,
+        Answer::Failed(_) => 502,
+        Answer::OutcomeUnknown | Answer::Note(NoteVerdict::Unknown) => 504,
+        Answer::NoSuchJob => 404,
+        Answer::Note(NoteVerdict::Rejected(_)) => 409,
+        Answer::NotRun { reason, .. } => match reason {
+            Refusal::UnknownKey => 401,
+            Refusal::WrongTeam => 403,
+            Refusal::UnknownQueue => 404,
+            Refusal::IdReused => 409,
+            Refusal::NeverFits | Refusal::OverLimit | Refusal::WrongClass => 422,
+            Refusal::Malformed => 400,
+            Refusal::Cancelled => 410,
+            _ => 503,
+        },
+    }
+}
+
+/// A daemon's summary of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ApiStatus {
+    /// The daemon.
+    pub daemon: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// The daemon that keeps the failure domain's workers.
+    pub keeper: Option<String>,
+    /// The configuration revision in use.
+    pub revision: u64,
+    /// Whether keys are honoured.
+    pub fresh: bool,
+    /// The workers on the host list.
+    pub workers: usize,
+    /// The workers that take work.
+    pub workers_ready: usize,
+    /// The tasks that run.
+    pub tasks_running: usize,
+    /// The units of work that wait.
+    pub waiting: usize,
+    /// The callers that wait here.
+    pub open_calls: usize,
+    /// Whether the daemon is about to stop.
+    pub draining: bool,
+}
+
+impl From<Status> for ApiStatus {
+    fn from(status: Status) -> Self {
+        Self {
+            daemon: status.daemon.to_string(),
+            domain: status.domain.to_string(),
+            keeper: status.keeper.as_ref().map(DaemonId::to_string),
+            revision: status.revision.0,
+            fresh: status.fresh,
+            workers: status.workers,
+            workers_ready: status.workers_ready,
+            tasks_running: status.tasks_running,
+            waiting: status.waiting,
+            open_calls: status.open_calls,
+            draining: status.draining,
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,29 @@
+//! Wire formats of pomelotide: frames between processes, the platform's HTTP protocol, the callers'
+//! HTTP bodies, settings files and release notes.
+
+mod api;
+mod frame;
+mod http;
+mod ini_text;
+mod limits_text;
+mod note_text;
+mod platform;
+mod problem;
+mod secret;
+mod table_key;
+
+pub use crate::{
+    api::{status_of, ApiAnswer, ApiFault, ApiJob, ApiStatus},
+    frame::{decode, encode, FrameError, PeerFrame, WorkerFrame},
+    http::{HttpClient, HttpError, HttpReply},
+    ini_text::{IniField, IniSection, IniText},
+    limits_text::{parse_resources, show_resources, ResourcesError},
+    note_text::{parse_note, show_entries},
+    platform::{
+        WireCheck, WireHost, WireHosts, WireInsert, WirePair, WireRead, WireRows, WireTxn,
+        WireTxnReply,
+    },
+    problem::{nearest, Problem, Problems},
+    secret::digest_of,
+    table_key::{decode_row, encode_row, key_text, parse_key, WireError},
+};
--- /dev/null
+++ b/wire/src/note_text.rs
@@ -0,0 +1,324 @@
+//! Release notes as INI text.
+
+use crate::{
+    limits_text::parse_resources, nearest, show_resources, IniField, IniSection, IniText, Problem,
+    Problems,
+};
+use pomelotide_core::{Class, Entry, EntryName, Note, NoteId, Revision};
+use std::{
+    fmt::{Display, Write},
+    str::FromStr, //
+};
+
+/// The kinds of entries with the fields that each takes.
+const KINDS: [(&str, &[&str]); 5] = [
+    ("domain", &[]),
+    ("team", &["share", "limit"]),
+    ("key", &["team", "secret_sha256"]),
+    ("queue", &["class", "open", "team", "need"]),
+    ("allotment", &["amount"]),
+];
+/// The first words of an entry's section.
+const VERBS: [&str; 3] = ["added", "changed", "withdrawn"];
+/// The fields of the section `note`.
+const NOTE_FIELDS: [&str; 2] = ["id", "base"];
+/// The length of a SHA-256 digest in hexadecimal digits.
+const DIGEST_DIGITS: usize = 64;
+
+/// Parses a release note; `file` names it in problems.
+///
+/// ```
+/// let text = "[note]\nid = first\nbase = 0\n\n[added domain saiss]\n";
+/// let note = pomelotide_wire::parse_note("first.ini", text).unwrap();
+/// assert_eq!(note.added.len(), 1);
+/// ```
+pub fn parse_note(file: &str, text: &str) -> Result<Note, Problems> {
+    let ini = IniText::parse(file, text)?;
+    let mut reader = Reader {
+        problems: Vec::new(),
+    };
+    let note = reader.read(&ini);
+    if reader.problems.is_empty() {
+        return Ok(note);
+    }
+    reader.problems.sort_by_key(|problem| problem.line);
+    Err(Problems {
+        file: file.into(),
+        list: reader.problems,
+    })
+}
+
+/// Reads a note and gathers everything that is wrong with it.
+struct Reader {
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    fn read(&mut self, ini: &IniText) -> Note {
+        let mut note = Note {
+            id: NoteId::new(""),
+            base: Revision(0),
+            added: Vec::new(),
+            changed: Vec::new(),
+            withdrawn: Vec::new(),
+        };
+        if !ini.sections.iter().any(|section| section.name == "note") {
+            let help = "begin with [note], id = NAME and base = REVISION";
+            self.problems
+                .push(Problem::new(1, "the section [note] is missing").with_help(help));
+        }
+        for section in &ini.sections {
+            let words: Vec<&str> = section.name.split_whitespace().collect();
+            match words.as_slice() {
+                ["note"] => self.read_head(section, &mut note),
+                ["added", kind, names @ ..] => {
+                    note.added.extend(self.read_entry(section, kind, names));
+                }
+                ["changed", kind, names @ ..] => {
+                    note.changed.extend(self.read_entry(section, kind, names));
+                }
+                ["withdrawn", kind, names @ ..] => {
+                    self.check_fields(section, &[]);
+                    note.withdrawn.extend(self.read_name(section, kind, names));
+                }
+                _ => self.wrong_section(section, &words),
+            }
+        }
+        note
+    }
+
+    fn wrong_section(&mut self, section: &IniSection, words: &[&str]) {
+        let known = VERBS.into_iter().chain(["note"]);
+        let near = words.first().and_then(|word| nearest(word, known));
+        let help = match near {
+            Some(near) => format!("did you mean {near}?"),
+            None => "sections are [note] and [added|changed|withdrawn KIND NAME]".into(),
+        };
+        let text = format!("[{}] is not a section of a release note", section.name);
+        self.problems
+            .push(Problem::new(section.line, text).with_help(help));
+    }
+
+    fn read_head(&mut self, section: &IniSection, note: &mut Note) {
+        self.check_fields(section, &NOTE_FIELDS);
+        if let Some(id) = self.required(section, "id") {
+            note.id = id;
+        }
+        if let Some(base) = self.required(section, "base") {
+            note.base = base;
+        }
+    }
+
+    fn read_entry(&mut self, section: &IniSection, kind: &str, names: &[&str]) -> Option<Entry> {
+        let name = self.read_name(section, kind, names)?;
+        let fields = KINDS
+            .iter()
+            .find(|(known, _)| *known == kind)
+            .map(|(_, fields)| *fields);
+        self.check_fields(section, fields.unwrap_or_default());
+        match name {
+            EntryName::Domain(name) => Some(Entry::Domain(name)),
+            EntryName::Team(name) => Some(Entry::Team {
+                name,
+                share: self.required(section, "share")?,
+                limit: self.resources(section, "limit")?,
+            }),
+            EntryName::Key(name) => Some(Entry::Key {
+                name,
+                digest: self.digest(section)?,
+                team: self.required(section, "team")?,
+            }),
+            EntryName::Queue(name) => Some(Entry::Queue {
+                name,
+                class: self.required::<Class>(section, "class")?,
+                open: self.yes_no(section, "open")?,
+                team: self.optional(section, "team")?,
+                need: self.resources(section, "need")?,
+            }),
+            EntryName::Allotment(team, domain) => {
+                let amount = self.resources(section, "amount")?;
+                Some(Entry::Allotment {
+                    team,
+                    domain,
+                    amount,
+                })
+            }
+        }
+    }
+
+    fn read_name(&mut self, section: &IniSection, kind: &str, names: &[&str]) -> Option<EntryName> {
+        let line = section.line;
+        match (kind, names) {
+            ("domain", [name]) => self.id(line, name).map(EntryName::Domain),
+            ("team", [name]) => self.id(line, name).map(EntryName::Team),
+            ("key", [name]) => self.id(line, name).map(EntryName::Key),
+            ("queue", [name]) => self.id(line, name).map(EntryName::Queue),
+            ("allotment", [team, domain]) => Some(EntryName::Allotment(
+                self.id(line, team)?,
+                self.id(line, domain)?,
+            )),
+            _ => {
+                let known = KINDS.iter().map(|(kind, _)| *kind);
+                let help = match nearest(kind, known) {
+                    Some(near) if near != kind => format!("did you mean {near}?"),
+                    _ => "write domain NAME, team NAME, key NAME, queue NAME or \
+                          allotment TEAM DOMAIN"
+                        .into(),
+                };
+                let text = format!("[{}] does not name an entry", section.name);
+                self.problems.push(Problem::new(line, text).with_help(help));
+                None
+            }
+        }
+    }
+
+    fn id<T: FromStr<Err: Display>>(&mut self, line: usize, text: &str) -> Option<T> {
+        match text.parse() {
+            Ok(id) => Some(id),
+            Err(error) => {
+                self.problems
+                    .push(Problem::new(line, format!("{text:?}: {error}")));
+                None
+            }
+        }
+    }
+
+    fn check_fields(&mut self, section: &IniSection, known: &[&str]) {
+        let mut seen = Vec::new();
+        for field in &section.fields {
+            if seen.contains(&field.name.as_str()) {
+                let text = format!("{} is given twice", field.name);
+                self.problems.push(Problem::new(field.line, text));
+            }
+            seen.push(&field.name);
+            if known.contains(&field.name.as_str()) {
+                continue;
+            }
+            let text = format!("[{}] has no field {}", section.name, field.name);
+            let mut problem = Problem::new(field.line, text);
+            if let Some(near) = nearest(&field.name, known.iter().copied()) {
+                problem = problem.with_help(format!("did you mean {near}?"));
+            }
+            self.problems.push(problem);
+        }
+    }
+
+    fn field<'a>(&mut self, section: &'a IniSection, name: &str) -> Option<&'a IniField> {
+        let found = section.field(name);
+        if found.is_none() {
+            let text = format!("[{}] needs the field {name}", section.name);
+            self.problems.push(Problem::new(section.line, text));
+        }
+        found
+    }
+
+    fn value<T, E: Display>(&mut self, field: &IniField, parsed: Result<T, E>) -> Option<T> {
+        match parsed {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let text = format!("{} = {}: {error}", field.name, field.value);
+                self.problems.push(Problem::new(field.line, text));
+                None
+            }
+        }
+    }
+
+    fn required<T: FromStr<Err: Display>>(
+        &mut self,
+        section: &IniSection,
+        name: &str,
+    ) -> Option<T> {
+        let field = self.field(section, name)?;
+        self.value(field, field.value.parse())
+    }
+
+    fn optional<T: FromStr<Err: Display>>(
+        &mut self,
+        section: &IniSection,
+        name: &str,
+    ) -> Option<Option<T>> {
+        match section.field(name) {
+            None => Some(None),
+            Some(field) => self.value(field, field.value.parse()).map(Some),
+        }
+    }
+
+    fn resources(
+        &mut self,
+        section: &IniSection,
+        name: &str,
+    ) -> Option<pomelotide_core::Resources> {
+        let field = self.field(section, name)?;
+        self.value(field, parse_resources(&field.value))
+    }
+
+    fn yes_no(&mut self, section: &IniSection, name: &str) -> Option<bool> {
+        let Some(field) = section.field(name) else {
+            return Some(false);
+        };
+        let parsed = match field.value.as_str() {
+            "yes" => Ok(true),
+            "no" => Ok(false),
+            _ => Err("expected yes or no"),
+        };
+        self.value(field, parsed)
+    }
+
+    fn digest(&mut self, section: &IniSection) -> Option<pomelotide_core::KeyDigest> {
+        let field = self.field(section, "secret_sha256")?;
+        let hex = field.value.len() == DIGEST_DIGITS
+            && field
+                .value
+                .chars()
+                .all(|c| matches!(c, '0'..='9' | 'a'..='f'));
+        let parsed = if hex {
+            Ok(pomelotide_core::KeyDigest::new(&field.value))
+        } else {
+            Err("expected 64 lower-case hexadecimal digits (pomelotide key digest)")
+        };
+        self.value(field, parsed)
+    }
+}
+
+/// Shows entries as the sections of a note.
+pub fn show_entries<'a>(verb: &str, entries: impl Iterator<Item = &'a Entry>) -> String {
+    let mut text = String::new();
+    for entry in entries {
+        let mut line = |args: std::fmt::Arguments<'_>| {
+            // Writing to a string does not fail.
+            let _ = text.write_fmt(args);
+        };
+        line(format_args!("[{verb} {}]\n", entry.name()));
+        match entry {
+            Entry::Domain(_) => {}
+            Entry::Team { share, limit, .. } => {
+                line(format_args!(
+                    "share = {share}\nlimit = {}\n",
+                    show_resources(limit)
+                ));
+            }
+            Entry::Key { digest, team, .. } => {
+                line(format_args!("team = {team}\nsecret_sha256 = {digest}\n"));
+            }
+            Entry::Queue {
+                class,
+                open,
+                team,
+                need,
+                ..
+            } => {
+                let open = if *open { "yes" } else { "no" };
+                line(format_args!("class = {class}\nopen = {open}\n"));
+                if let Some(team) = team {
+                    line(format_args!("team = {team}\n"));
+                }
+                line(format_args!("need = {}\n", show_resources(need)));
+            }
+            Entry::Allotment { amount, .. } => {
+                line(format_args!("amount = {}\n", show_resources(amount)));
+            }
+        }
+        line(format_args!("\n"));
+    }
+    text
+}
--- /dev/null
+++ b/wire/src/platform.rs
@@ -0,0 +1,253 @@
+//! The platform's HTTP bodies: table transactions and reads, and the host list.
+
+use crate::{
+    decode_row, encode_row, key_text, parse_key,
+    table_key::{DELTA_PREFIX, JOB_PREFIX, MEMBER_PREFIX},
+    WireError,
+};
+use pomelotide_core::{
+    consts::READ_ROWS, Host, Insert, Key, Query, Resources, Row, TableReply, Txn,
+};
+use serde::{Deserialize, Serialize};
+
+/// A row's name and content.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WirePair {
+    /// The name.
+    pub key: String,
+    /// The content.
+    pub value: String,
+}
+
+/// A demand on a row's content; none for an absent row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireCheck {
+    /// The name.
+    pub key: String,
+    /// The content.
+    pub value: Option<String>,
+}
+
+/// A row to insert where none is, and one that goes with it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireInsert {
+    /// The row that must be absent.
+    pub row: WirePair,
+    /// The row that goes with it.
+    pub with: Option<WirePair>,
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireTxn {
+    /// What must hold.
+    pub checks: Vec<WireCheck>,
+    /// Rows to write.
+    pub puts: Vec<WirePair>,
+    /// Rows to write where none is.
+    pub inserts: Vec<WireInsert>,
+    /// Rows to remove, where a content is given only if it matches.
+    pub deletes: Vec<WireCheck>,
+}
+
+/// What came of a transaction.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireTxnReply {
+    /// It took effect, but for the inserts whose row existed.
+    Committed {
+        /// The existing rows.
+        existed: Vec<WirePair>,
+    },
+    /// A check failed.
+    Conflict(WireCheck),
+}
+
+/// A read.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireRead {
+    /// Rows by name.
+    Keys(Vec<String>),
+    /// Rows by the beginning of their names, in order.
+    Prefix {
+        /// The beginning.
+        prefix: String,
+        /// The name after which to begin.
+        after: String,
+        /// The most rows to return.
+        limit: u32,
+    },
+}
+
+/// Rows that were read.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireRows {
+    /// The rows that exist.
+    pub rows: Vec<WirePair>,
+}
+
+/// A worker on the host list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireHost {
+    /// The worker's name.
+    pub worker: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its rack.
+    pub rack: String,
+    /// Its address, as `IP:port`.
+    pub address: String,
+    /// What it has.
+    pub capacity: Resources,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
+/// The host list.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireHosts {
+    /// The workers.
+    pub hosts: Vec<WireHost>,
+}
+
+fn pair(key: &Key, row: &Row) -> Result<WirePair, WireError> {
+    Ok(WirePair {
+        key: key_text(key),
+        value: encode_row(row)?,
+    })
+}
+
+fn check(key: &Key, row: Option<&Row>) -> Result<WireCheck, WireError> {
+    Ok(WireCheck {
+        key: key_text(key),
+        value: row.map(encode_row).transpose()?,
+    })
+}
+
+impl TryFrom<&Txn> for WireTxn {
+    type Error = WireError;
+
+    fn try_from(txn: &Txn) -> Result<Self, WireError> {
+        let checks = txn.checks.iter().map(|c| check(&c.key, c.row.as_ref()));
+        let puts = txn.puts.iter().map(|(key, row)| pair(key, row));
+        let inserts = txn.inserts.iter().map(WireInsert::try_from);
+        let deletes = txn
+            .deletes
+            .iter()
+            .map(|(key, row)| check(key, row.as_ref()));
+        Ok(Self {
+            checks: checks.collect::<Result<_, _>>()?,
+            puts: puts.collect::<Result<_, _>>()?,
+            inserts: inserts.collect::<Result<_, _>>()?,
+            deletes: deletes.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<&Insert> for WireInsert {
+    type Error = WireError;
+
+    fn try_from(insert: &Insert) -> Result<Self, WireError> {
+        let with = insert
+            .with
+            .as_ref()
+            .map(|with| pair(&with.0, &with.1))
+            .transpose()?;
+        Ok(Self {
+            row: pair(&insert.key, &insert.row)?,
+            with,
+        })
+    }
+}
+
+impl From<&Query> for WireRead {
+    fn from(query: &Query) -> Self {
+        let prefix = |prefix: String, after: String| {
+            let limit = READ_ROWS;
+            WireRead::Prefix {
+                prefix,
+                after,
+                limit,
+            }
+        };
+        match query {
+            Query::One(key) => WireRead::Keys(vec![key_text(key)]),
+            Query::Many(keys) => WireRead::Keys(keys.iter().map(key_text).collect()),
+            Query::DeltasAfter(revision) => {
+                prefix(DELTA_PREFIX.into(), key_text(&Key::Delta(*revision)))
+            }
+            Query::Members => prefix(MEMBER_PREFIX.into(), String::new()),
+            Query::JobsAfter(domain, after) => {
+                let after = after.clone().map(|job| key_text(&Key::Job(job)));
+                prefix(format!("{JOB_PREFIX}{domain}~"), after.unwrap_or_default())
+            }
+        }
+    }
+}
+
+fn rows_of(pairs: &[WirePair]) -> Result<Vec<(Key, Row)>, WireError> {
+    let read = |pair: &WirePair| Ok((parse_key(&pair.key)?, decode_row(&pair.value)?));
+    pairs.iter().map(read).collect()
+}
+
+impl TryFrom<&WireRows> for TableReply {
+    type Error = WireError;
+
+    fn try_from(rows: &WireRows) -> Result<Self, WireError> {
+        rows_of(&rows.rows).map(TableReply::Rows)
+    }
+}
+
+impl TryFrom<&WireTxnReply> for TableReply {
+    type Error = WireError;
+
+    fn try_from(reply: &WireTxnReply) -> Result<Self, WireError> {
+        match reply {
+            WireTxnReply::Committed { existed } => Ok(TableReply::Committed {
+                existed: rows_of(existed)?,
+            }),
+            WireTxnReply::Conflict(check) => {
+                let found = check
+                    .value
+                    .as_deref()
+                    .map(decode_row)
+                    .transpose()?
+                    .map(Box::new);
+                Ok(TableReply::Conflict {
+                    key: parse_key(&check.key)?,
+                    found,
+                })
+            }
+        }
+    }
+}
+
+impl TryFrom<&WireHost> for Host {
+    type Error = WireError;
+
+    fn try_from(host: &WireHost) -> Result<Self, WireError> {
+        let wrong = |error: pomelotide_core::IdError| WireError::new(error.to_string());
+        Ok(Self {
+            worker: host.worker.parse().map_err(wrong)?,
+            domain: host.domain.parse().map_err(wrong)?,
+            rack: host.rack.parse().map_err(wrong)?,
+            address: host.address.clone(),
+            capacity: host.capacity,
+            leaving: host.leaving,
+        })
+    }
+}
+
+impl From<&Host> for WireHost {
+    fn from(host: &Host) -> Self {
+        Self {
+            worker: host.worker.to_string(),
+            domain: host.domain.to_string(),
+            rack: host.rack.to_string(),
+            address: host.address.clone(),
+            capacity: host.capacity,
+            leaving: host.leaving,
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/problem.rs
@@ -0,0 +1,96 @@
+//! Problems of a text file, each with its line and a help.
+
+use miette::Diagnostic;
+use std::{
+    error::Error,
+    fmt, //
+};
+
+/// The most edits between a wrong name and the one that is proposed for it.
+const MAX_EDITS: usize = 3;
+
+/// One thing that is wrong in a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Problem {
+    /// The line, counted from 1.
+    pub line: usize,
+    /// What is wrong.
+    pub text: String,
+    /// What to do about it.
+    pub help: Option<String>,
+}
+
+/// Everything that is wrong in a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Problems {
+    /// The file's name.
+    pub file: String,
+    /// The problems in the order of their lines.
+    pub list: Vec<Problem>,
+}
+
+impl Problem {
+    /// Makes a problem without a help.
+    pub fn new(line: usize, text: impl Into<String>) -> Self {
+        Self {
+            line,
+            text: text.into(),
+            help: None,
+        }
+    }
+
+    /// Adds a help.
+    pub fn with_help(self, help: impl Into<String>) -> Self {
+        Self {
+            help: Some(help.into()),
+            ..self
+        }
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, problem) in self.list.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{}:{}: {}", self.file, problem.line, problem.text)?;
+            if let Some(help) = &problem.help {
+                write!(f, " ({help})")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Error for Problems {}
+
+impl Diagnostic for Problems {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new("pomelotide::file"))
+    }
+}
+
+/// Returns the known name that is nearest to a wrong one.
+pub fn nearest<'a>(wrong: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    let scored = known.into_iter().map(|name| (edits(wrong, name), name));
+    scored
+        .filter(|(edits, _)| *edits <= MAX_EDITS)
+        .min()
+        .map(|(_, name)| name)
+}
+
+/// Returns the least number of inserted, removed and replaced bytes between two texts.
+fn edits(a: &str, b: &str) -> usize {
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, from) in a.bytes().enumerate() {
+        let mut corner = i;
+        row[0] = i + 1;
+        for (j, to) in b.bytes().enumerate() {
+            let replaced = corner + usize::from(from != to);
+            corner = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(corner + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/wire/src/table_key.rs
@@ -0,0 +1,75 @@
+//! How rows of the table are named and written.
+
+use pomelotide_core::{Key, Revision, Row};
+use std::fmt;
+
+/// Says why a text is not a row or a key of ours.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WireError(String);
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl WireError {
+    pub(crate) fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+}
+
+/// The prefix of the notes' rows.
+pub(crate) const DELTA_PREFIX: &str = "config/delta/";
+/// The prefix of the daemons' rows.
+pub(crate) const MEMBER_PREFIX: &str = "member/";
+/// The prefix of the rows of jobs that are not over.
+pub(crate) const JOB_PREFIX: &str = "job/open/";
+
+/// Returns the text under which the table knows a row; revisions sort by number.
+pub fn key_text(key: &Key) -> String {
+    match key {
+        Key::ConfigHead => "config/head".into(),
+        Key::Delta(Revision(revision)) => format!("{DELTA_PREFIX}{revision:020}"),
+        Key::Member(daemon) => format!("{MEMBER_PREFIX}{daemon}"),
+        Key::Keeper(domain) => format!("keeper/{domain}"),
+        Key::Job(job) => format!("{JOB_PREFIX}{job}"),
+        Key::DoneJob(job) => format!("job/done/{job}"),
+        Key::Intent(request) => format!("intent/{request}"),
+    }
+}
+
+/// Reads what [`key_text`] wrote.
+pub fn parse_key(text: &str) -> Result<Key, WireError> {
+    let wrong = || WireError(format!("{text:?} is not a key of ours"));
+    if text == "config/head" {
+        return Ok(Key::ConfigHead);
+    }
+    if let Some(revision) = text.strip_prefix(DELTA_PREFIX) {
+        return revision.parse().map(Key::Delta).map_err(|_| wrong());
+    }
+    let (kind, name) = match text.strip_prefix("job/") {
+        Some(rest) => rest.split_once('/').ok_or_else(wrong)?,
+        None => text.split_once('/').ok_or_else(wrong)?,
+    };
+    match kind {
+        "member" => Ok(Key::Member(pomelotide_core::DaemonId::new(name))),
+        "keeper" => Ok(Key::Keeper(pomelotide_core::DomainName::new(name))),
+        "open" => Ok(Key::Job(pomelotide_core::JobId::new(name))),
+        "done" => Ok(Key::DoneJob(pomelotide_core::JobId::new(name))),
+        "intent" => Ok(Key::Intent(pomelotide_core::RequestId::new(name))),
+        _ => Err(wrong()),
+    }
+}
+
+/// Writes a row as the table keeps it; the same row always gives the same text.
+pub fn encode_row(row: &Row) -> Result<String, WireError> {
+    serde_json::to_string(row).map_err(|error| WireError(error.to_string()))
+}
+
+/// Reads what [`encode_row`] wrote.
+pub fn decode_row(text: &str) -> Result<Row, WireError> {
+    serde_json::from_str(text).map_err(|error| WireError(error.to_string()))
+}
