--- a/core/src/reducer/commits.rs
+++ b/core/src/reducer/commits.rs
@@ -38,6 +38,8 @@
     items: Vec<CommitItem>,
     txn: Txn,
     state: FlightState,
+    /// Whether an answer was lost, so that a later refusal proves nothing.
+    may_be_written: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -126,6 +128,7 @@
             items,
             txn,
             state: FlightState::Sent,
+            may_be_written: false,
         });
         self.send_flight();
     }
@@ -203,6 +206,7 @@
         let at_ms = self.now_ms + consts::TABLE_RETRY_MS;
         if let Some(flight) = &mut self.commits.flight {
             flight.state = FlightState::Again { at_ms };
+            flight.may_be_written = true;
         }
     }
 
@@ -244,6 +248,9 @@
     }
 
     fn flight_refused(&mut self) {
+        if self.commits.flight.as_ref().is_some_and(|flight| flight.may_be_written) {
+            return self.flight_lost();
+        }
         self.commits_failed();
         let Some(flight) = self.commits.flight.take() else {
             return;
--- a/core/src/reducer/jobs.rs
+++ b/core/src/reducer/jobs.rs
@@ -8,6 +8,14 @@
 };
 use std::collections::BTreeMap;
 
+/// A state of a job's record on its way to the table, and what it settles.
+#[derive(Debug)]
+struct Writing {
+    state: JobState,
+    origins: Vec<Origin>,
+    unacked: Vec<(WorkerId, TaskId)>,
+}
+
 /// A job at the keeper.
 #[derive(Debug)]
 pub(super) struct JobRecord {
@@ -25,6 +33,8 @@
     origins: Vec<Origin>,
     /// Ended tasks that their workers may forget once the record is written.
     unacked: Vec<(WorkerId, TaskId)>,
+    /// What the transaction under way writes.
+    writing: Option<Writing>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -408,10 +418,11 @@
     }
 
     /// Adds the rows that record a job's latest state.
-    pub(super) fn add_job(&self, txn: &mut Txn, job: &JobId) {
-        let Some(record) = self.jobs.get(job) else {
+    pub(super) fn add_job(&mut self, txn: &mut Txn, job: &JobId) {
+        let Some(record) = self.jobs.get_mut(job) else {
             return;
         };
+        record.begin_writing();
         let row = Row::Job(record.row.clone());
         if record.row.state.is_final() {
             txn.deletes.push((Key::Job(job.clone()), None));
@@ -425,25 +436,24 @@
         let Some(record) = self.jobs.get_mut(job) else {
             return;
         };
-        let unacked = std::mem::take(&mut record.unacked);
-        let origins = std::mem::take(&mut record.origins);
-        let state = record.row.state;
-        let over = state.is_final() && record.running.is_empty();
-        for (worker, task) in unacked {
+        let Some(written) = record.writing.take() else {
+            return;
+        };
+        // The job may have changed again since; then a later transaction ends it.
+        let over = written.state.is_final() && record.running.is_empty();
+        let over = over && record.unacked.is_empty() && record.origins.is_empty();
+        for (worker, task) in written.unacked {
             if let Some(ix) = self.fleet.find(&worker) {
                 self.command(ix, WorkerCommand::Ack(vec![task]));
             }
         }
-        for origin in origins {
-            self.answer_origin(&origin, Answer::Job(state));
+        for origin in written.origins {
+            self.answer_origin(&origin, Answer::Job(written.state));
         }
         if over {
-            let well = state == JobState::Succeeded;
+            let well = written.state == JobState::Succeeded;
             self.jobs.remove(job);
-            self.tell(Told::JobEnded {
-                job: job.clone(),
-                well,
-            });
+            self.tell(Told::JobEnded { job: job.clone(), well });
         }
     }
 
@@ -469,6 +479,9 @@
             };
             return self.answer_origin(&origin, answer);
         };
+        if record.stage == Stage::Recording {
+            return self.answer_origin(&origin, Answer::NoSuchJob);
+        }
         if record.row.team != *team {
             let answer = Answer::refused(Refusal::WrongTeam, consts::RETRY_AFTER_MS);
             return self.answer_origin(&origin, answer);
@@ -495,9 +508,22 @@
             gang_queued: false,
             origins: Vec::new(),
             unacked: Vec::new(),
+            writing: None,
         }
     }
 
+    /// Notes that the present state is on its way to the table; a transaction that was turned away
+    /// is made anew, so that what it was to settle is kept.
+    fn begin_writing(&mut self) {
+        let state = self.row.state;
+        let kept = self.writing.take();
+        let (mut origins, mut unacked) =
+            kept.map_or_else(Default::default, |kept| (kept.origins, kept.unacked));
+        origins.append(&mut self.origins);
+        unacked.append(&mut self.unacked);
+        self.writing = Some(Writing { state, origins, unacked });
+    }
+
     /// Says whether a task neither runs nor has ended well.
     pub(super) fn lacks(&self, index: u32) -> bool {
         !self.row.ended.contains(index) && !self.running.contains_key(&index)
