--- a/proofs/tests/scenarios.rs
+++ b/proofs/tests/scenarios.rs
@@ -48,6 +48,7 @@
     planned_stop,
     platform_down_for_all,
     racing_operators,
+    retry_at_another_domain,
     serves_every_kind_of_work,
     silent_connection,
     submission_retried_at_the_next_keeper,
