--- a/cli/src/cli.rs
+++ b/cli/src/cli.rs
@@ -1,11 +1,10 @@
-//! The command line.
+//! What the command line asks for.
 
-use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use crate::grammar::{command, NAME};
+use clap::{error::ErrorKind, ArgMatches};
 use clap_complete::{generate, Shell};
-use std::{env, io};
+use std::{env, io, net::SocketAddr};
 
-/// The name of the program.
-const NAME: &str = "pomelotide";
 /// The variable that names the daemon where no argument does.
 const DAEMON_VARIABLE: &str = "POMELOTIDE_DAEMON";
 /// The variable that holds the key's secret where no argument does.
@@ -25,8 +24,8 @@
 /// What the command line asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Options {
-    /// The daemon's address, as `IP:port`.
-    pub daemon: String,
+    /// The daemons' addresses.
+    pub daemons: Vec<SocketAddr>,
     /// The secret of the key to show.
     pub secret: Option<String>,
     /// How results are shown.
@@ -85,131 +84,24 @@
     },
     /// Cancels a job.
     Cancel(String),
+    /// Shows the latest release notes.
+    NoteHistory,
     /// Shows a daemon's summary of itself.
     Status,
+    /// Shows a failure domain's jobs.
+    Jobs,
+    /// Shows a failure domain's workers.
+    Workers,
+    /// Shows the teams.
+    Teams,
+    /// Shows the daemons.
+    Daemons,
+    /// Shows what happened to a request or job.
+    Explain(String),
     /// Shows the digest of a secret.
     KeyDigest(String),
 }
 
-fn note_command() -> Command {
-    let file = || {
-        Arg::new("file")
-            .value_name("FILE")
-            .required(true)
-            .help("The release note")
-    };
-    Command::new("note")
-        .about("Checks and applies release notes")
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .subcommand(
-            Command::new("check")
-                .about("Checks a note's text")
-                .arg(file()),
-        )
-        .subcommand(
-            Command::new("apply")
-                .about("Applies a note and waits until it is in force")
-                .arg(file()),
-        )
-        .subcommand(
-            Command::new("diff")
-                .about("Shows what a note would change")
-                .arg(file()),
-        )
-        .subcommand(Command::new("show").about("Shows the configuration in force"))
-}
-
-fn ask_command() -> Command {
-    Command::new("ask")
-        .about("Sends a request and shows its answer")
-        .arg(Arg::new("queue").required(true))
-        .arg(Arg::new("payload").default_value(""))
-        .arg(option("id", "The request's id; a retry shows it again"))
-        .arg(option("deadline", "How long to wait").default_value("10s"))
-        .arg(
-            Arg::new("idempotent")
-                .long("idempotent")
-                .action(ArgAction::SetTrue)
-                .help("Running it twice does no harm"),
-        )
-        .after_help("Example:\n  pomelotide ask availability 'press 7?' --idempotent")
-}
-
-fn submit_command() -> Command {
-    Command::new("submit")
-        .about("Submits a job and shows its id")
-        .arg(Arg::new("queue").required(true))
-        .arg(Arg::new("payload").default_value(""))
-        .arg(
-            option("tasks", "The number of tasks")
-                .value_parser(value_parser!(u32))
-                .default_value("1"),
-        )
-        .arg(option("need", "The need of one task").default_value("cpu 1, memory 256MiB"))
-        .arg(option(
-            "run",
-            "The declared run time; without it, until cancelled",
-        ))
-        .arg(option("id", "The submission's id; a retry shows it again"))
-        .after_help(
-            "Example:\n  pomelotide submit nightly --tasks 4 --need 'cpu 2, memory 1GiB' --run 30s",
-        )
-}
-
-fn option(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).help(help)
-}
-
-/// Returns the whole command line.
-pub fn command() -> Command {
-    let job = || Arg::new("job").required(true).help("The job's id");
-    let key = Command::new("key")
-        .about("Works with keys' secrets")
-        .subcommand_required(true)
-        .subcommand(
-            Command::new("digest")
-                .about("Shows the digest of a secret")
-                .arg(Arg::new("secret").required(true)),
-        );
-    let completions = Command::new("completions")
-        .about("Shows a shell's completion script")
-        .arg(
-            Arg::new("shell")
-                .required(true)
-                .value_parser(value_parser!(Shell)),
-        );
-    Command::new(NAME)
-        .about("Drives the pomelotide cluster scheduler")
-        .version(clap::crate_version!())
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .arg(option("daemon", "The daemon's address, as IP:port").global(true))
-        .arg(option("secret", "The secret of the key to show").global(true))
-        .arg(
-            option("output", "How results are shown")
-                .global(true)
-                .value_parser(["text", "json"])
-                .default_value("text"),
-        )
-        .subcommands([note_command(), ask_command(), submit_command()])
-        .subcommand(Command::new("job").about("Shows a job's state").arg(job()))
-        .subcommand(
-            Command::new("wait")
-                .about("Waits until a job is over")
-                .arg(job())
-                .arg(option("limit", "How long to wait").default_value("60s")),
-        )
-        .subcommand(Command::new("cancel").about("Cancels a job").arg(job()))
-        .subcommand(Command::new("status").about("Shows a daemon's summary of itself"))
-        .subcommands([key, completions])
-        .after_help(
-            "Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 outcome unknown, \
-             4 daemon not reached.\nThe variables POMELOTIDE_DAEMON and POMELOTIDE_SECRET stand \
-             in for --daemon and --secret.",
-        )
-}
-
 /// Reads the command line; ends the process with a message where it is wrong.
 pub fn parse() -> Options {
     let matches = command().get_matches();
@@ -219,11 +111,10 @@
         }
         std::process::exit(0);
     }
-    let daemon = text(&matches, "daemon").or_else(|| env::var(DAEMON_VARIABLE).ok());
     let json = text(&matches, "output").as_deref() == Some("json");
     Options {
-        daemon: daemon.unwrap_or_else(|| DEFAULT_DAEMON.into()),
-        secret: text(&matches, "secret").or_else(|| env::var(SECRET_VARIABLE).ok()),
+        daemons: daemons(&matches),
+        secret: secret(&matches),
         output: if json {
             OutputForm::Json
         } else {
@@ -233,6 +124,35 @@
     }
 }
 
+fn daemons(matches: &ArgMatches) -> Vec<SocketAddr> {
+    let given = text(matches, "daemon").or_else(|| env::var(DAEMON_VARIABLE).ok());
+    let given = given.unwrap_or_else(|| DEFAULT_DAEMON.into());
+    let parts = given.split(',').map(str::trim);
+    let read: Result<Vec<SocketAddr>, _> = parts.map(str::parse).collect();
+    read.unwrap_or_else(|_| {
+        wrong(format!(
+            "--daemon or {DAEMON_VARIABLE}: {given:?} is not IP:port, or several of them \
+             separated by commas (for example {DEFAULT_DAEMON})"
+        ))
+    })
+}
+
+fn secret(matches: &ArgMatches) -> Option<String> {
+    let secret = text(matches, "secret").or_else(|| env::var(SECRET_VARIABLE).ok())?;
+    let plain = !secret.is_empty() && secret.chars().all(|c| c.is_ascii_graphic());
+    if !plain {
+        wrong(format!(
+            "--secret or {SECRET_VARIABLE}: expected letters, digits and signs without spaces"
+        ));
+    }
+    Some(secret)
+}
+
+/// Ends the process with a message and the exit code of wrong usage.
+fn wrong(message: String) -> ! {
+    command().error(ErrorKind::ValueValidation, message).exit()
+}
+
 fn action(matches: &ArgMatches) -> Action {
     let Some((name, args)) = matches.subcommand() else {
         unreachable!("clap demands a subcommand");
@@ -261,9 +181,14 @@
         },
         "cancel" => Action::Cancel(required(args, "job")),
         "key" => match args.subcommand() {
-            Some((_, args)) => Action::KeyDigest(required(args, "secret")),
+            Some((_, args)) => Action::KeyDigest(required(args, "text")),
             None => unreachable!("clap demands a subcommand"),
         },
+        "jobs" => Action::Jobs,
+        "workers" => Action::Workers,
+        "teams" => Action::Teams,
+        "daemons" => Action::Daemons,
+        "explain" => Action::Explain(required(args, "id")),
         _ => Action::Status,
     }
 }
@@ -273,6 +198,7 @@
         Some(("check", args)) => Action::NoteCheck(required(args, "file")),
         Some(("apply", args)) => Action::NoteApply(required(args, "file")),
         Some(("diff", args)) => Action::NoteDiff(required(args, "file")),
+        Some(("history", _)) => Action::NoteHistory,
         _ => Action::NoteShow,
     }
 }
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -7,16 +7,19 @@
 /// How long a call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(305);
 
-/// A daemon with the key that is shown to it.
+/// The daemons to ask, with the key that is shown to them.
 pub(crate) struct Client {
-    http: HttpClient,
+    daemons: Vec<HttpClient>,
     authorization: Option<String>,
 }
 
 impl Client {
     pub(crate) fn new(options: &Options) -> Self {
+        let daemons = options.daemons.iter();
         Self {
-            http: HttpClient::new(&options.daemon, CALL_LIMIT),
+            daemons: daemons
+                .map(|daemon| HttpClient::new(&daemon.to_string(), CALL_LIMIT))
+                .collect(),
             authorization: options
                 .secret
                 .as_ref()
@@ -24,7 +27,7 @@
         }
     }
 
-    /// Sends a request to the daemon.
+    /// Sends a request to the first daemon that is reached.
     pub(crate) fn send(
         &self,
         method: &str,
@@ -36,7 +39,28 @@
         if let Some(authorization) = &self.authorization {
             headers.push(("authorization", authorization));
         }
-        self.http.send(method, path, &headers, body)
+        let mut failure = HttpError::NotSent("no daemon is named".into());
+        for daemon in &self.daemons {
+            match daemon.send(method, path, &headers, body.clone()) {
+                Err(HttpError::NotSent(text)) => failure = HttpError::NotSent(text),
+                other => return other,
+            }
+        }
+        Err(failure)
+    }
+
+    /// Reads a path of the first daemon that is reached.
+    pub(crate) fn get(&self, path: &str) -> Result<HttpReply, HttpError> {
+        self.send("GET", path, &[], Vec::new())
+    }
+
+    /// Reads a path of every daemon.
+    pub(crate) fn get_all<'a>(
+        &'a self,
+        path: &'a str,
+    ) -> impl Iterator<Item = Result<HttpReply, HttpError>> + 'a {
+        let daemons = self.daemons.iter();
+        daemons.map(move |daemon| daemon.send("GET", path, &[], Vec::new()))
     }
 }
 
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -6,13 +6,18 @@
     exit::Exit,
     note_files::{diff, read_note},
     output::{show_answer, show_status},
+    views::{explanation_text, rows_text, Row},
 };
 use pomelotide_core::Millis;
-use pomelotide_wire::{digest_of, ApiAnswer, ApiJob, ApiStatus, HttpError, HttpReply};
+use pomelotide_wire::{
+    digest_of, ApiAnswer, ApiExplanation, ApiJob, ApiJobView, ApiNoteView, ApiPeerView, ApiStatus,
+    ApiTeamView, ApiWorkerView, HttpError, HttpReply,
+};
+use serde_json::{json, Value};
 use std::{
     io::{self, Write},
-    thread,
-    time::{Duration, Instant},
+    process, thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// The span between two looks at a job that is waited for.
@@ -27,47 +32,66 @@
 
 fn carry_out(options: &Options) -> Result<Exit, Exit> {
     let client = Client::new(options);
+    match &options.action {
+        Action::NoteCheck(_)
+        | Action::NoteApply(_)
+        | Action::NoteDiff(_)
+        | Action::NoteShow
+        | Action::NoteHistory => note(options, &client),
+        Action::Ask { .. } => ask(options, &client),
+        Action::Submit { .. } => submit(options, &client),
+        Action::Job(job) => answer(options, client.get(&format!("/v1/jobs/{job}"))),
+        Action::Wait { job, limit } => wait(options, &client, job, limit),
+        Action::Cancel(job) => answer(
+            options,
+            client.send("DELETE", &format!("/v1/jobs/{job}"), &[], Vec::new()),
+        ),
+        Action::Status => status(options, &client),
+        Action::Jobs => kept::<ApiJobView>(options, &client, "/v1/jobs"),
+        Action::Workers => kept::<ApiWorkerView>(options, &client, "/v1/workers"),
+        Action::Teams => kept::<ApiTeamView>(options, &client, "/v1/teams"),
+        Action::Daemons => list::<ApiPeerView>(options, &client, "/v1/daemons"),
+        Action::Explain(id) => explain(options, &client, id),
+        Action::KeyDigest(secret) => {
+            let digest = digest_of(secret);
+            show(
+                options,
+                digest.as_str(),
+                json!({"secret_sha256": digest.as_str()}),
+            )
+        }
+    }
+}
+
+fn note(options: &Options, client: &Client) -> Result<Exit, Exit> {
     match &options.action {
         Action::NoteCheck(file) => {
             let (_, note) = read_note(file)?;
-            println!(
+            let text = format!(
                 "{file}: note {} on revision {} is well-formed",
                 note.id, note.base
             );
-            Ok(Exit::Done)
+            show(
+                options,
+                &text,
+                json!({"file": file, "note": note.id, "base": note.base}),
+            )
         }
         Action::NoteApply(file) => {
             let (text, _) = read_note(file)?;
-            answer(
-                options,
-                client.send("POST", "/v1/notes", &[], text.into_bytes()),
-            )
+            let reply = client.send("POST", "/v1/notes", &[], text.into_bytes());
+            answer(options, reply)
         }
         Action::NoteDiff(file) => {
             let (_, note) = read_note(file)?;
-            println!("{}", diff(&config(&client)?, &note));
-            Ok(Exit::Done)
+            let diff = diff(&config(client)?, &note);
+            show(options, &diff, json!({"diff": diff}))
         }
         Action::NoteShow => {
-            print!("{}", config(&client)?);
-            Ok(Exit::Done)
-        }
-        Action::Ask { .. } => ask(options, &client),
-        Action::Submit { .. } => submit(options, &client),
-        Action::Job(job) => answer(
-            options,
-            client.send("GET", &format!("/v1/jobs/{job}"), &[], Vec::new()),
-        ),
-        Action::Wait { job, limit } => wait(options, &client, job, limit),
-        Action::Cancel(job) => answer(
-            options,
-            client.send("DELETE", &format!("/v1/jobs/{job}"), &[], Vec::new()),
-        ),
-        Action::Status => status(options, &client),
-        Action::KeyDigest(secret) => {
-            println!("{}", digest_of(secret));
-            Ok(Exit::Done)
+            let config = config(client)?;
+            show(options, config.trim_end(), json!({"config": config}))
         }
+        _ => list::<ApiNoteView>(options, client, "/v1/notes"),
     }
 }
 
@@ -84,23 +108,18 @@
     };
     let mut headers = vec![("deadline", deadline.as_str())];
     headers.push(("idempotent", if *idempotent { "yes" } else { "no" }));
-    if let Some(id) = id {
-        headers.push(("request-id", id));
-    }
+    let id = id.clone().unwrap_or_else(fresh_id);
+    headers.push(("request-id", id.as_str()));
     let path = format!("/v1/queues/{queue}/requests");
     let reply = reached(client.send("POST", &path, &headers, payload.clone().into_bytes()))?;
     if reply.status != STATUS_OK {
-        return Ok(shown(options, &reply));
+        let exit = shown(options, &reply);
+        eprintln!("request id {id}; pomelotide explain {id} says more");
+        return Ok(exit);
     }
-    let mut out = io::stdout();
-    let written = out
-        .write_all(&reply.body)
-        .and_then(|()| out.write_all(b"\n"));
-    Ok(if written.is_ok() {
-        Exit::Done
-    } else {
-        Exit::Unknown
-    })
+    let answer = String::from_utf8_lossy(&reply.body).into_owned();
+    let json = json!({"outcome": "done", "request": id, "answer": answer});
+    show(options, &answer, json)
 }
 
 fn submit(options: &Options, client: &Client) -> Result<Exit, Exit> {
@@ -123,8 +142,13 @@
         payload,
     };
     let body = serde_json::to_vec(&job).map_err(|_| Exit::Usage)?;
-    let headers: Vec<(&str, &str)> = id.iter().map(|id| ("request-id", id.as_str())).collect();
-    answer(options, client.send("POST", "/v1/jobs", &headers, body))
+    let id = id.unwrap_or_else(fresh_id);
+    let headers = [("request-id", id.as_str())];
+    let exit = answer(options, client.send("POST", "/v1/jobs", &headers, body))?;
+    if exit != Exit::Done {
+        eprintln!("submission id {id}; pomelotide explain {id} says more");
+    }
+    Ok(exit)
 }
 
 fn wait(options: &Options, client: &Client, job: &str, limit: &str) -> Result<Exit, Exit> {
@@ -134,7 +158,7 @@
     })?;
     let begun = Instant::now();
     loop {
-        let reply = client.send("GET", &format!("/v1/jobs/{job}"), &[], Vec::new());
+        let reply = client.get(&format!("/v1/jobs/{job}"));
         let over = match &reply {
             Ok(reply) => !is_unsettled(reply),
             Err(_) => false,
@@ -158,7 +182,7 @@
 }
 
 fn status(options: &Options, client: &Client) -> Result<Exit, Exit> {
-    let reply = reached(client.send("GET", "/v1/status", &[], Vec::new()))?;
+    let reply = reached(client.get("/v1/status"))?;
     match serde_json::from_slice::<ApiStatus>(&reply.body) {
         Ok(status) => {
             show_status(options.output, &status);
@@ -168,8 +192,86 @@
     }
 }
 
+/// Makes an id that no other call has, so that the call can be repeated and explained.
+fn fresh_id() -> String {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    format!("cli.{}.{}", process::id(), since.as_micros())
+}
+
+fn list<T: Row>(options: &Options, client: &Client, path: &str) -> Result<Exit, Exit> {
+    let reply = reached(client.get(path))?;
+    match serde_json::from_slice::<Vec<T>>(&reply.body) {
+        Ok(rows) => {
+            println!("{}", rows_text(options.output, &rows));
+            Ok(Exit::Done)
+        }
+        Err(_) => Ok(shown(options, &reply)),
+    }
+}
+
+/// Shows what only a failure domain's keeper knows in full; says so where another one is asked.
+fn kept<T: Row>(options: &Options, client: &Client, path: &str) -> Result<Exit, Exit> {
+    let reply = reached(client.get("/v1/status"))?;
+    if let Ok(status) = serde_json::from_slice::<ApiStatus>(&reply.body) {
+        if status.keeper.as_ref() != Some(&status.daemon) {
+            let keeper = status.keeper.unwrap_or_else(|| "not known".into());
+            let (daemon, domain) = (status.daemon, status.domain);
+            eprintln!(
+                "{daemon} does not keep the workers of {domain} and knows only a part; the keeper \
+                 is {keeper}"
+            );
+        }
+    }
+    list::<T>(options, client, path)
+}
+
+/// Asks all named daemons what they know of a request or job.
+fn explain(options: &Options, client: &Client, id: &str) -> Result<Exit, Exit> {
+    let mut all = ApiExplanation {
+        id: id.into(),
+        ..ApiExplanation::default()
+    };
+    let mut failures = Vec::new();
+    let path = format!("/v1/explain/{id}");
+    for reply in client.get_all(&path) {
+        match reached(reply) {
+            Ok(reply) => match serde_json::from_slice::<ApiExplanation>(&reply.body) {
+                Ok(found) => all.steps.extend(found.steps),
+                Err(_) => failures.push(shown(options, &reply)),
+            },
+            Err(exit) => failures.push(exit),
+        }
+    }
+    if all.steps.is_empty() && !failures.is_empty() {
+        return Err(failures[0]);
+    }
+    all.steps.sort_by_key(|step| step.at_ms);
+    if options.output == OutputForm::Json || !all.steps.is_empty() {
+        println!("{}", explanation_text(options.output, &all));
+    }
+    if all.steps.is_empty() {
+        eprintln!(
+            "these daemons remember nothing of {id}; name all entry hosts with --daemon A,B,C, or \
+             search their logs"
+        );
+        return Ok(Exit::Refused);
+    }
+    Ok(Exit::Done)
+}
+
+/// Shows a result for people or for programs.
+fn show(options: &Options, text: &str, json: Value) -> Result<Exit, Exit> {
+    let shown = match options.output {
+        OutputForm::Text => writeln!(io::stdout(), "{text}"),
+        OutputForm::Json => writeln!(io::stdout(), "{json}"),
+    };
+    shown.map(|()| Exit::Done).map_err(|_| Exit::Unknown)
+}
+
 fn config(client: &Client) -> Result<String, Exit> {
-    let reply = reached(client.send("GET", "/v1/config", &[], Vec::new()))?;
+    let reply = reached(client.get("/v1/config"))?;
     Ok(String::from_utf8_lossy(&reply.body).into_owned())
 }
 
@@ -178,11 +280,14 @@
 }
 
 fn reached(reply: Result<HttpReply, HttpError>) -> Result<HttpReply, Exit> {
-    reply.map_err(|error| {
-        eprintln!("{error}");
-        match error {
-            HttpError::NotSent(_) => Exit::Unreachable,
-            HttpError::Broken(_) => Exit::Unknown,
+    reply.map_err(|error| match error {
+        HttpError::NotSent(_) => {
+            eprintln!("{error}; name a daemon that runs with --daemon IP:PORT");
+            Exit::Unreachable
+        }
+        HttpError::Broken(_) => {
+            eprintln!("{error}; the daemon may have got the call, so repeat it with its id");
+            Exit::Unknown
         }
     })
 }
--- /dev/null
+++ b/cli/src/grammar.rs
@@ -0,0 +1,262 @@
+//! The grammar of the command line: commands, arguments and their help.
+
+use clap::{value_parser, Arg, ArgAction, Command};
+use clap_complete::Shell;
+use pomelotide_core::{consts::MAX_JOB_TASKS, JobId, Millis, QueueName, RequestId};
+use pomelotide_wire::parse_need;
+use std::{fmt::Display, str::FromStr};
+
+/// The name of the program.
+pub(crate) const NAME: &str = "pomelotide";
+
+/// What every help text ends with.
+const EXIT_CODES: &str = "\
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage or file, 3 outcome unknown,
+4 no daemon reached.
+The variables POMELOTIDE_DAEMON and POMELOTIDE_SECRET stand in for --daemon and --secret.
+
+Examples:
+  pomelotide note check first.ini
+  pomelotide --daemon 127.0.0.1:7101,127.0.0.1:7102 status
+  pomelotide --secret KEY submit nightly --tasks 4 --need 'cpu 2, memory 1GiB' --run 30s
+  pomelotide explain JOB";
+
+/// Returns the whole command line.
+pub fn command() -> Command {
+    Command::new(NAME)
+        .about("Drives the pomelotide cluster scheduler")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_options())
+        .subcommands([note_command(), ask_command(), submit_command()])
+        .subcommands(job_commands())
+        .subcommands(view_commands())
+        .subcommands([key_command(), completions_command()])
+        .after_help(EXIT_CODES)
+}
+
+fn global_options() -> [Arg; 3] {
+    [
+        option(
+            "daemon",
+            "The daemons' addresses, as IP:port, separated by commas; the first one reached is asked",
+        )
+        .value_name("IP:PORT")
+        .global(true),
+        option("secret", "The secret of the key to show").global(true),
+        option("output", "How results are shown")
+            .global(true)
+            .value_parser(["text", "json"])
+            .default_value("text"),
+    ]
+}
+
+fn note_command() -> Command {
+    let on_file = |name, about, example| {
+        let file = Arg::new("file").value_name("FILE").required(true);
+        Command::new(name)
+            .about(about)
+            .arg(file.help("The release note"))
+            .after_help(example)
+    };
+    let check = on_file(
+        "check",
+        "Checks a note's text, without a daemon",
+        "Example:\n  pomelotide note check first.ini",
+    );
+    let apply = on_file(
+        "apply",
+        "Applies a note and waits until it is in force",
+        "Example:\n  pomelotide --secret OPERATOR note apply first.ini\n\n\
+         Applying the same note again is safe: a note is accepted once by its id.",
+    );
+    let diff = on_file(
+        "diff",
+        "Shows what a note would change",
+        "Example:\n  pomelotide note diff second.ini",
+    );
+    let show = Command::new("show")
+        .about("Shows the configuration in force")
+        .after_help("Example:\n  pomelotide note show > in-force.ini");
+    let history = Command::new("history")
+        .about("Shows the latest revisions with their notes' ids, the newest first")
+        .after_help("Example:\n  pomelotide note history --output json");
+    Command::new("note")
+        .about("Checks, applies and shows release notes")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([check, apply, diff, show, history])
+}
+
+fn ask_command() -> Command {
+    Command::new("ask")
+        .about("Sends a request and shows its answer")
+        .args([queue(), payload()])
+        .arg(request_id("The request's id; a retry shows it again"))
+        .arg(
+            option("deadline", "How long to wait, at most 5min")
+                .value_parser(checked::<Millis>)
+                .default_value("10s"),
+        )
+        .arg(
+            Arg::new("idempotent")
+                .long("idempotent")
+                .action(ArgAction::SetTrue)
+                .help("Running it twice does no harm"),
+        )
+        .after_help("Example:\n  pomelotide ask availability 'press 7?' --idempotent")
+}
+
+fn submit_command() -> Command {
+    Command::new("submit")
+        .about("Submits a job and shows its id")
+        .args([queue(), payload()])
+        .arg(
+            option("tasks", "The number of tasks")
+                .value_parser(value_parser!(u32).range(1..=i64::from(MAX_JOB_TASKS)))
+                .default_value("1"),
+        )
+        .arg(
+            option("need", "The need of one task")
+                .value_parser(need)
+                .default_value("cpu 1, memory 256MiB"),
+        )
+        .arg(
+            option("run", "The declared run time; without it, until cancelled")
+                .value_parser(checked::<Millis>),
+        )
+        .arg(request_id("The submission's id; a retry shows it again"))
+        .after_help(
+            "Example:\n  pomelotide submit nightly --tasks 4 --need 'cpu 2, memory 1GiB' --run 30s",
+        )
+}
+
+fn job_commands() -> [Command; 3] {
+    let job = || {
+        let job = Arg::new("job").value_name("JOB").required(true);
+        job.value_parser(checked::<JobId>).help("The job's id")
+    };
+    let show = Command::new("job")
+        .about("Shows a job's state")
+        .arg(job())
+        .after_help("Example:\n  pomelotide job saiss~bennani~night-1");
+    let wait = Command::new("wait")
+        .about("Waits until a job is over")
+        .arg(job())
+        .arg(
+            option("limit", "How long to wait")
+                .value_parser(checked::<Millis>)
+                .default_value("60s"),
+        )
+        .after_help(
+            "Example:\n  pomelotide wait saiss~bennani~night-1 --limit 10min\n\n\
+             Ends with 0 where the job succeeded or was cancelled, with 1 where it failed and \
+             with 3 where it is still active at the limit.",
+        );
+    let cancel = Command::new("cancel")
+        .about("Cancels a job")
+        .arg(job())
+        .after_help("Example:\n  pomelotide --secret KEY cancel saiss~bennani~night-1");
+    [show, wait, cancel]
+}
+
+fn view_commands() -> [Command; 6] {
+    let view = |name, about, example| Command::new(name).about(about).after_help(example);
+    let explain = view(
+        "explain",
+        "Shows what happened to a request or job, and why",
+        "Example:\n  pomelotide --daemon 127.0.0.1:7101,127.0.0.1:7102 explain loan-1\n\n\
+         Every daemon that --daemon names is asked, and what they tell is shown by time. A daemon \
+         remembers its own latest 8192 decisions and forgets them when it ends; the logs hold all.",
+    );
+    [
+        view(
+            "status",
+            "Shows a daemon's summary of itself",
+            "Example:\n  pomelotide status",
+        ),
+        view(
+            "jobs",
+            "Shows the jobs of the daemon's failure domain that are not over (ask its keeper)",
+            "Example:\n  pomelotide jobs --output json",
+        ),
+        view(
+            "workers",
+            "Shows the workers of the daemon's failure domain (ask its keeper)",
+            "Example:\n  pomelotide workers",
+        ),
+        view(
+            "teams",
+            "Shows each team's share, limit and what it has here (ask the keeper)",
+            "Example:\n  pomelotide teams",
+        ),
+        view(
+            "daemons",
+            "Shows the daemons that a daemon knows",
+            "Example:\n  pomelotide daemons",
+        ),
+        explain.arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .value_parser(checked::<JobId>)
+                .help("A request's or a job's id"),
+        ),
+    ]
+}
+
+fn key_command() -> Command {
+    Command::new("key")
+        .about("Works with keys' secrets")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("digest")
+                .about("Shows the digest of a secret, for secret_sha256 and operator_sha256")
+                .arg(Arg::new("text").value_name("SECRET").required(true))
+                .after_help("Example:\n  pomelotide key digest press"),
+        )
+}
+
+fn completions_command() -> Command {
+    Command::new("completions")
+        .about("Shows a shell's completion script")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+        .after_help("Example:\n  pomelotide completions bash > /etc/bash_completion.d/pomelotide")
+}
+
+fn queue() -> Arg {
+    let queue = Arg::new("queue").value_name("QUEUE").required(true);
+    queue.value_parser(checked::<QueueName>).help("The queue")
+}
+
+fn payload() -> Arg {
+    let payload = Arg::new("payload").value_name("PAYLOAD").default_value("");
+    payload.help("What the backend server is given")
+}
+
+fn request_id(help: &'static str) -> Arg {
+    option("id", help).value_parser(checked::<RequestId>)
+}
+
+fn option(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help)
+}
+
+/// Takes a text over as it is, if it can be read as a value.
+fn checked<T: FromStr<Err: Display>>(text: &str) -> Result<String, String> {
+    text.parse::<T>()
+        .map(|_| text.to_string())
+        .map_err(|error| error.to_string())
+}
+
+fn need(text: &str) -> Result<String, String> {
+    parse_need(text)
+        .map(|_| text.to_string())
+        .map_err(|error| error.to_string())
+}
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -4,7 +4,9 @@
 mod client;
 mod commands;
 mod exit;
+mod grammar;
 mod note_files;
 mod output;
+mod views;
 
-pub use crate::{commands::run, exit::Exit};
+pub use crate::{commands::run, exit::Exit, grammar::command};
--- a/cli/src/note_files.rs
+++ b/cli/src/note_files.rs
@@ -1,18 +1,19 @@
 //! Release notes in files.
 
 use crate::exit::Exit;
+use miette::Report;
 use pomelotide_core::{EntryName, Note};
-use pomelotide_wire::{parse_note, show_entries};
+use pomelotide_wire::{parse_note, show_entries, FileReport};
 use std::fs;
 
 /// Reads and checks a note; shows what is wrong.
 pub(crate) fn read_note(file: &str) -> Result<(String, Note), Exit> {
     let text = fs::read_to_string(file).map_err(|error| {
-        eprintln!("{file}: {error}");
+        eprintln!("can't read {file}: {error}");
         Exit::Usage
     })?;
     let note = parse_note(file, &text).map_err(|problems| {
-        eprintln!("{problems}");
+        eprintln!("{:?}", Report::new(FileReport::new(problems, &text)));
         Exit::Usage
     })?;
     Ok((text, note))
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -16,13 +16,11 @@
         ApiAnswer::Failed => "failed at the backend server".into(),
         ApiAnswer::NotRun {
             reason,
-            retry_after_ms: None,
-        } => format!("not run: {reason}"),
-        ApiAnswer::NotRun {
-            reason,
-            retry_after_ms: Some(after_ms),
+            help,
+            retry_after_ms,
         } => {
-            format!("not run: {reason}; come back in {after_ms} ms")
+            let after = retry_after_ms.map(|after_ms| format!("; retry after {after_ms} ms"));
+            format!("not run: {reason} ({help}){}", after.unwrap_or_default())
         }
         ApiAnswer::OutcomeUnknown => "outcome unknown; ask again with the same id".into(),
         ApiAnswer::Accepted { job } => job.clone(),
--- /dev/null
+++ b/cli/src/views.rs
@@ -0,0 +1,160 @@
+//! Tables of jobs, workers, teams, daemons and notes, and the explanation of a request or job.
+
+use crate::cli::OutputForm;
+use pomelotide_wire::{
+    ApiExplanation, ApiJobView, ApiNoteView, ApiPeerView, ApiTeamView, ApiWorkerView,
+};
+use serde::{de::DeserializeOwned, Serialize};
+
+/// The milliseconds of a day, an hour, a minute and a second.
+const DAY_MS: u64 = 86_400_000;
+const HOUR_MS: u64 = 3_600_000;
+const MINUTE_MS: u64 = 60_000;
+const SECOND_MS: u64 = 1_000;
+
+/// A line of a table.
+pub(crate) trait Row: DeserializeOwned + Serialize {
+    /// The columns' heads.
+    const HEADS: &'static [&'static str];
+
+    /// Returns the columns' values.
+    fn cells(&self) -> Vec<String>;
+}
+
+/// Returns rows as a table for people, or as one JSON list.
+pub(crate) fn rows_text<T: Row>(form: OutputForm, rows: &[T]) -> String {
+    if form == OutputForm::Json {
+        return serde_json::to_string(rows).unwrap_or_default();
+    }
+    let mut lines = vec![T::HEADS.iter().map(ToString::to_string).collect()];
+    lines.extend(rows.iter().map(Row::cells));
+    let widths: Vec<usize> = (0..T::HEADS.len())
+        .map(|column| widest(&lines, column))
+        .collect();
+    let shown: Vec<String> = lines.iter().map(|cells| line(cells, &widths)).collect();
+    shown.join("\n")
+}
+
+fn widest(lines: &[Vec<String>], column: usize) -> usize {
+    let widths = lines.iter().map(|cells| cells[column].chars().count());
+    widths.max().unwrap_or(0)
+}
+
+fn line(cells: &[String], widths: &[usize]) -> String {
+    let padded = cells.iter().zip(widths);
+    let padded: Vec<String> = padded
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    padded.join("  ").trim_end().to_string()
+}
+
+/// Returns an explanation for people, or as one JSON value.
+pub(crate) fn explanation_text(form: OutputForm, explanation: &ApiExplanation) -> String {
+    if form == OutputForm::Json {
+        return serde_json::to_string(explanation).unwrap_or_default();
+    }
+    let steps = explanation.steps.iter();
+    let lines: Vec<String> = steps
+        .map(|step| format!("{}  {}  {}", time_text(step.at_ms), step.daemon, step.text))
+        .collect();
+    lines.join("\n")
+}
+
+/// Returns the time of the day in UTC.
+fn time_text(at_ms: u64) -> String {
+    let day_ms = at_ms % DAY_MS;
+    let (hours, minutes) = (day_ms / HOUR_MS, day_ms % HOUR_MS / MINUTE_MS);
+    let (seconds, millis) = (day_ms % MINUTE_MS / SECOND_MS, day_ms % SECOND_MS);
+    format!("{hours:02}:{minutes:02}:{seconds:02}.{millis:03}Z")
+}
+
+impl Row for ApiJobView {
+    const HEADS: &'static [&'static str] = &[
+        "JOB", "TEAM", "QUEUE", "CLASS", "STATE", "TASKS", "RUNNING", "DONE", "FAILURES",
+    ];
+
+    fn cells(&self) -> Vec<String> {
+        vec![
+            self.job.clone(),
+            self.team.clone(),
+            self.queue.clone(),
+            self.class.clone(),
+            self.state.clone(),
+            self.tasks.to_string(),
+            self.running.to_string(),
+            self.done.to_string(),
+            self.failures.to_string(),
+        ]
+    }
+}
+
+impl Row for ApiWorkerView {
+    const HEADS: &'static [&'static str] =
+        &["WORKER", "RACK", "STATE", "TASKS", "USED", "CAPACITY"];
+
+    fn cells(&self) -> Vec<String> {
+        vec![
+            self.worker.clone(),
+            self.rack.clone(),
+            self.state.clone(),
+            self.tasks.to_string(),
+            self.used.clone(),
+            self.capacity.clone(),
+        ]
+    }
+}
+
+impl Row for ApiTeamView {
+    const HEADS: &'static [&'static str] = &[
+        "TEAM",
+        "SHARE",
+        "WAITING",
+        "RUNNING HERE",
+        "ALLOTMENT HERE",
+        "LIMIT FLEET-WIDE",
+    ];
+
+    fn cells(&self) -> Vec<String> {
+        vec![
+            self.team.clone(),
+            self.share.to_string(),
+            self.waiting.to_string(),
+            self.running.clone(),
+            self.allotment.clone(),
+            self.limit.clone(),
+        ]
+    }
+}
+
+impl Row for ApiPeerView {
+    const HEADS: &'static [&'static str] = &[
+        "DOMAIN",
+        "DAEMON",
+        "PEER ADDRESS",
+        "KEEPER",
+        "HEARD",
+        "STATE",
+    ];
+
+    fn cells(&self) -> Vec<String> {
+        let keeper = self.keeper_term.map(|term| format!("term {term}"));
+        let heard = self.silent_ms.map(|span| format!("{span} ms ago"));
+        let state = if self.draining { "draining" } else { "serving" };
+        vec![
+            self.domain.clone(),
+            self.daemon.clone(),
+            self.address.clone(),
+            keeper.unwrap_or_else(|| "-".into()),
+            heard.unwrap_or_else(|| "never".into()),
+            state.into(),
+        ]
+    }
+}
+
+impl Row for ApiNoteView {
+    const HEADS: &'static [&'static str] = &["REVISION", "NOTE"];
+
+    fn cells(&self) -> Vec<String> {
+        vec![self.revision.to_string(), self.note.clone()]
+    }
+}
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -268,6 +268,12 @@
         }
     }
 
+    /// Returns the latest notes with the revisions that they made, the newest first.
+    pub fn history(&self) -> impl Iterator<Item = (Revision, &NoteId)> {
+        let newest = self.last_notes.iter().rev();
+        newest.filter_map(|note| Some((self.accepted_in(note)?, note)))
+    }
+
     /// Returns the note that made this revision.
     pub fn last_note(&self) -> Option<&NoteId> {
         self.last_notes.back()
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -9,14 +9,16 @@
 
 /// The longest accepted text identifier, in bytes.
 pub const MAX_ID_BYTES: usize = 128;
+/// The longest accepted job identifier, in bytes: a failure domain, a team and a caller's id.
+pub const MAX_JOB_ID_BYTES: usize = 3 * MAX_ID_BYTES + 2;
 
 /// Says why a text is not an identifier.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum IdError {
     /// The text is empty.
     Empty,
-    /// The text is longer than [`MAX_ID_BYTES`].
-    TooLong,
+    /// The text is longer than the given number of bytes.
+    TooLong(usize),
     /// The text holds a character that this kind of identifier does not allow.
     BadCharacter(char),
 }
@@ -25,7 +27,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             IdError::Empty => write!(f, "an identifier may not be empty"),
-            IdError::TooLong => write!(f, "an identifier has at most {MAX_ID_BYTES} bytes"),
+            IdError::TooLong(most) => write!(f, "an identifier has at most {most} bytes here"),
             IdError::BadCharacter(c) => {
                 write!(f, "{c:?} is not allowed here (letters, digits, - _ .)")
             }
@@ -35,12 +37,12 @@
 
 impl std::error::Error for IdError {}
 
-fn check_text(text: &str, extra: &str) -> Result<(), IdError> {
+fn check_text(text: &str, extra: &str, most: usize) -> Result<(), IdError> {
     if text.is_empty() {
         return Err(IdError::Empty);
     }
-    if text.len() > MAX_ID_BYTES {
-        return Err(IdError::TooLong);
+    if text.len() > most {
+        return Err(IdError::TooLong(most));
     }
     let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c) || extra.contains(c);
     match text.chars().find(|c| !allowed(*c)) {
@@ -50,7 +52,7 @@
 }
 
 macro_rules! text_ids {
-    ($($(#[$doc:meta])* $name:ident, $extra:literal;)*) => {$(
+    ($($(#[$doc:meta])* $name:ident, $extra:literal, $most:expr;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
         pub struct $name(CompactString);
@@ -77,7 +79,7 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check_text(text, $extra)?;
+                check_text(text, $extra, $most)?;
                 Ok(Self::new(text))
             }
         }
@@ -86,29 +88,29 @@
 
 text_ids! {
     /// Names a daemon, unique for the life of one process (host name and start counter).
-    DaemonId, ":";
+    DaemonId, ":", MAX_ID_BYTES;
     /// Names a failure domain.
-    DomainName, "";
+    DomainName, "", MAX_ID_BYTES;
     /// Names a submitted job; it begins with the failure domain that runs it and a `~`.
-    JobId, ":/~";
+    JobId, ":/~", MAX_JOB_ID_BYTES;
     /// Names a key in a release note.
-    KeyName, "";
+    KeyName, "", MAX_ID_BYTES;
     /// Holds the digest of the secret that a caller shows.
-    KeyDigest, "";
+    KeyDigest, "", MAX_ID_BYTES;
     /// Names a release note.
-    NoteId, ":/";
+    NoteId, ":/", MAX_ID_BYTES;
     /// Names a queue.
-    QueueName, "";
+    QueueName, "", MAX_ID_BYTES;
     /// Names a rack inside a failure domain.
-    RackName, "";
+    RackName, "", MAX_ID_BYTES;
     /// Names a caller's request; a retry shows the same id.
-    RequestId, ":/";
+    RequestId, ":/", MAX_ID_BYTES;
     /// Names one attempt to run one task on one worker.
-    TaskId, ":/~ ";
+    TaskId, ":/~ ", MAX_ID_BYTES;
     /// Names a team.
-    TeamName, "";
+    TeamName, "", MAX_ID_BYTES;
     /// Names a worker.
-    WorkerId, ":";
+    WorkerId, ":", MAX_ID_BYTES;
 }
 
 macro_rules! number_ids {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,6 +33,7 @@
 mod task_set;
 mod told;
 mod unit;
+mod view;
 mod worker;
 mod worker_state;
 
@@ -68,8 +69,9 @@
     },
     task_name::TaskName,
     task_set::TaskSet,
-    told::Told,
+    told::{LostCause, RequestOutcome, Told, WaitCause},
     unit::{Unit, UnitKind},
+    view::{JobView, PeerView, TeamView, WorkerView},
     worker::{Claim, Host, TaskEnd, TaskEnded, TaskHeld, TaskStart, WorkerCommand, WorkerReport},
     worker_state::{Link, Running, WorkerState},
 };
--- a/core/src/reducer/calls.rs
+++ b/core/src/reducer/calls.rs
@@ -35,6 +35,11 @@
         match self.admit_request(&request) {
             Ok(team) => {
                 request.id = RequestId::of_team(&team, &request.id);
+                self.tell(Told::RequestAdmitted {
+                    request: request.id.clone(),
+                    team: team.clone(),
+                    queue: request.queue.clone(),
+                });
                 let deadline_ms = self.now_ms + request.deadline_ms;
                 let origin = self.origin(call);
                 let admitted = AdmittedRequest {
@@ -106,6 +111,11 @@
         match self.admit_job(&spec, key.as_ref()) {
             Ok(team) => {
                 let request = RequestId::of_team(&team, &request);
+                self.tell(Told::JobAdmitted {
+                    request: request.clone(),
+                    team: team.clone(),
+                    queue: spec.queue.clone(),
+                });
                 let admitted = AdmittedJob {
                     origin: self.origin(call),
                     team,
@@ -223,6 +233,7 @@
             });
         }
         let here = to == *self.me();
+        self.tell_passed_on(&kind, &to);
         match kind {
             CallKind::Request(mut admitted) => {
                 admitted.request.deadline_ms = left_ms;
@@ -246,6 +257,18 @@
         }
     }
 
+    fn tell_passed_on(&mut self, kind: &CallKind, to: &DaemonId) {
+        let request = match kind {
+            CallKind::Request(admitted) => admitted.request.id.clone(),
+            CallKind::Job(admitted) => admitted.request.clone(),
+            CallKind::Cancel { .. } | CallKind::Lookup => return,
+        };
+        if to != self.me() {
+            let to = to.clone();
+            self.tell(Told::PassedOn { request, to });
+        }
+    }
+
     fn keeper_for(&self, kind: &CallKind) -> Option<DaemonId> {
         match kind {
             CallKind::Cancel { job, .. } => {
--- a/core/src/reducer/jobs.rs
+++ b/core/src/reducer/jobs.rs
@@ -221,6 +221,7 @@
             since_ms: self.now_ms,
             avoid,
         };
+        self.tell_retry(&unit);
         self.enqueue(unit);
     }
 
@@ -356,6 +357,12 @@
             return;
         };
         record.row.state = state;
+        let team = record.row.team.clone();
+        self.tell(Told::JobDecided {
+            job: job.clone(),
+            team,
+            state,
+        });
         self.stop_job(job);
         self.commit(CommitItem::JobState(job.clone()));
     }
--- a/core/src/reducer/members.rs
+++ b/core/src/reducer/members.rs
@@ -3,7 +3,7 @@
 use super::{Core, Op};
 use crate::{
     consts, DaemonId, DomainName, Effect, Freshness, Heartbeat, Key, MemberRow, Millis,
-    PeerMessage, Query, Resources, Row, TableReply, Term, Told, Txn,
+    PeerMessage, PeerView, Query, Resources, Row, TableReply, Term, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -63,6 +63,20 @@
     }
 }
 
+impl Members {
+    pub(super) fn views(&self, now_ms: Millis) -> Vec<PeerView> {
+        let views = self.peers.iter().map(|(daemon, peer)| PeerView {
+            daemon: daemon.clone(),
+            domain: peer.domain.clone(),
+            address: peer.address.clone(),
+            keeper: peer.keeper.filter(|_| peer.is_heard(now_ms)),
+            silent_ms: peer.heard_ms.map(|at_ms| now_ms.since(at_ms)),
+            draining: peer.draining,
+        });
+        views.collect()
+    }
+}
+
 impl Core {
     pub(super) fn tick_members(&mut self) {
         let now_ms = self.now_ms;
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -13,6 +13,8 @@
 mod orphans;
 mod requests;
 mod schedule;
+mod tells;
+mod views;
 mod workers;
 
 use crate::{
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -191,6 +191,7 @@
             since_ms: state.since_ms,
             avoid,
         };
+        self.tell_retry(&unit);
         self.enqueue(unit);
     }
 
@@ -383,18 +384,11 @@
             _ => None,
         };
         state.stage = Stage::Answered(answer.clone(), until_ms);
-        let refused = match &answer {
-            Answer::NotRun { reason, .. } => Some(*reason),
-            _ => None,
-        };
-        let recorded = refused.is_some() && !state.admitted.request.idempotent;
+        let refused = matches!(answer, Answer::NotRun { .. });
+        let recorded = refused && !state.admitted.request.idempotent;
         let origins = std::mem::take(&mut state.origins);
-        if let Some(reason) = refused {
-            self.tell(Told::RequestRefused {
-                request: id.clone(),
-                reason,
-            });
-        }
+        let team = state.admitted.team.clone();
+        self.tell_answered(id, team, &answer);
         if recorded {
             self.commit(CommitItem::Withdraw(id.clone()));
         }
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -3,7 +3,7 @@
 use super::Core;
 use crate::{
     consts, Class, Millis, Resources, Running, TaskId, TaskName, TaskStart, TeamName, Told, Unit,
-    UnitKind, WorkerCommand, WorkerIx,
+    UnitKind, WaitCause, WorkerCommand, WorkerIx,
 };
 use std::collections::BTreeSet;
 
@@ -33,11 +33,40 @@
     /// Lets a unit wait, or starts it at once where nothing of its kind waits before it.
     pub(super) fn enqueue(&mut self, unit: Unit) {
         let (class, team) = (unit.class, unit.team.clone());
+        let (kind, cause) = (unit.kind.clone(), self.wait_cause(&unit));
+        let ahead = self.queues.len_of(class, &team);
         let alone = self.queues.push(unit);
         let few = self.queues.len_of(class, &team) <= consts::BACKFILL_DEPTH;
         if alone || few {
             self.start_first(class, &team, &Scope::Everywhere);
         }
+        if let Some(cause) = cause.filter(|_| self.is_wanted_kind(&kind)) {
+            self.tell(Told::Waiting {
+                work: kind,
+                team,
+                class,
+                ahead: ahead as u64,
+                cause,
+            });
+        }
+    }
+
+    /// Returns why a unit would wait; of the tasks of one job only the first is told of.
+    fn wait_cause(&self, unit: &Unit) -> Option<WaitCause> {
+        let ahead = self.queues.len_of(unit.class, &unit.team);
+        let last = ahead.checked_sub(1);
+        let last = last.and_then(|last| self.queues.get(unit.class, &unit.team, last));
+        if last.is_some_and(|last| last.kind.is_of_same_job(&unit.kind)) {
+            return None;
+        }
+        let together = unit.need.times(u64::from(unit.tasks()));
+        if !self.may_spend(&unit.team, together) {
+            return Some(WaitCause::TeamLimit);
+        }
+        Some(match ahead {
+            0 => WaitCause::NoRoom,
+            _ => WaitCause::Behind,
+        })
     }
 
     /// Looks for work everywhere, after a change of limits or configuration.
@@ -146,7 +175,11 @@
     }
 
     fn is_wanted(&self, unit: &Unit) -> bool {
-        match &unit.kind {
+        self.is_wanted_kind(&unit.kind)
+    }
+
+    fn is_wanted_kind(&self, kind: &UnitKind) -> bool {
+        match kind {
             UnitKind::Request(id) => self.wants_request(id),
             UnitKind::Task { job, index } => self.wants_task(job, *index),
             UnitKind::Gang { job, .. } => self.wants_job(job),
--- /dev/null
+++ b/core/src/reducer/views.rs
@@ -0,0 +1,79 @@
+//! Read-only views for operators.
+
+use super::Core;
+use crate::{Class, JobView, Link, Millis, PeerView, TeamName, TeamView, WorkerState, WorkerView};
+
+impl Core {
+    /// Returns the jobs of the failure domain that are not over; none where another daemon is keeper.
+    pub fn job_views(&self) -> Vec<JobView> {
+        let views = self.jobs.iter().map(|(job, record)| JobView {
+            job: job.clone(),
+            team: record.row.team.clone(),
+            queue: record.row.spec.queue.clone(),
+            class: record.class,
+            tasks: record.row.spec.tasks,
+            running: record.running.len(),
+            done: record.row.ended.len(),
+            failures: record.row.failures,
+            state: record.row.state,
+        });
+        views.collect()
+    }
+
+    /// Returns the failure domain's workers as this daemon knows them.
+    pub fn worker_views(&self) -> Vec<WorkerView> {
+        let listed = self.fleet.iter().filter(|worker| worker.listed);
+        listed.map(|worker| self.worker_view(worker)).collect()
+    }
+
+    fn worker_view(&self, worker: &WorkerState) -> WorkerView {
+        WorkerView {
+            worker: worker.host.worker.clone(),
+            rack: worker.host.rack.clone(),
+            address: worker.host.address.clone(),
+            ready: worker.link == Link::Ready,
+            leaving: worker.host.leaving,
+            rest_ms: worker.rest_until_ms.since(self.now_ms),
+            tasks: worker.tasks.len(),
+            used: worker.used,
+            capacity: worker.host.capacity,
+        }
+    }
+
+    /// Returns all teams with what they may have and have in this failure domain.
+    pub fn team_views(&self) -> Vec<TeamView> {
+        let teams = self.config.teams();
+        teams.filter_map(|team| self.team_view(team)).collect()
+    }
+
+    fn team_view(&self, team: &TeamName) -> Option<TeamView> {
+        let (share, limit) = self.config.team(team)?;
+        let classes = Class::ALL.iter();
+        Some(TeamView {
+            team: team.clone(),
+            share,
+            limit,
+            allotment: self.limits.spendable(team),
+            running: self.fleet.usage(team),
+            waiting: classes
+                .map(|(class, _)| self.queues.len_of(*class, team))
+                .sum(),
+        })
+    }
+
+    /// Returns all daemons that this one knows, itself among them.
+    pub fn peer_views(&self) -> Vec<PeerView> {
+        let own = PeerView {
+            daemon: self.me().clone(),
+            domain: self.settings.domain.clone(),
+            address: self.settings.address.clone(),
+            keeper: self.keeper_term(),
+            silent_ms: Some(Millis(0)),
+            draining: self.drain.is_asked(),
+        };
+        let mut views = self.members.views(self.now_ms);
+        views.push(own);
+        views.sort_by(|a, b| (&a.domain, &a.daemon).cmp(&(&b.domain, &b.daemon)));
+        views
+    }
+}
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -2,8 +2,9 @@
 
 use super::{requests::LossKind, Core};
 use crate::{
-    consts, Claim, DaemonId, Effect, Epoch, Host, Link, Millis, Resources, Running, TaskEnded,
-    TaskHeld, TaskId, TaskName, Told, UnitKind, WorkerCommand, WorkerId, WorkerIx, WorkerReport,
+    consts, Claim, Class, DaemonId, Effect, Epoch, Host, Link, LostCause, Millis, Resources,
+    Running, TaskEnded, TaskHeld, TaskId, TaskName, Told, UnitKind, WorkerCommand, WorkerId,
+    WorkerIx, WorkerReport,
 };
 
 /// What a connection needs.
@@ -332,10 +333,19 @@
             worker: self.fleet.get(ix).host.worker.clone(),
             ran_ms: self.now_ms.since(running.since_ms),
             well: ended.end == crate::TaskEnd::Done,
+            end: ended.end,
+            class: self.class_of(&ended.task),
         };
         self.tell(told);
     }
 
+    fn class_of(&self, task: &TaskId) -> Option<Class> {
+        match TaskName::parse(task)? {
+            TaskName::Request { .. } => Some(Class::Small),
+            TaskName::Job { job, .. } => self.jobs.get(&job).map(|record| record.class),
+        }
+    }
+
     fn lose_tasks(&mut self, ix: WorkerIx, kind: LossKind) {
         let tasks: Vec<TaskId> = self.fleet.get(ix).tasks.keys().cloned().collect();
         for task in tasks {
@@ -348,6 +358,15 @@
             return;
         };
         let worker = self.fleet.get(ix).host.worker.clone();
+        self.tell(Told::Lost {
+            task: task.clone(),
+            team: running.team.clone(),
+            worker: worker.clone(),
+            cause: match kind {
+                LossKind::NeverStarted => LostCause::NeverStarted,
+                LossKind::Ended => LostCause::WorkerGone,
+            },
+        });
         match running.unit {
             Some(UnitKind::Request(request)) => self.request_lost(&request, task, worker, kind),
             Some(UnitKind::Task { job, index }) => self.job_task_lost(&job, index, task),
--- a/core/src/told.rs
+++ b/core/src/told.rs
@@ -1,13 +1,119 @@
 //! What the reducer tells of its decisions, for logs and metrics.
 
 use crate::{
-    Class, DaemonId, JobId, Millis, Refusal, RequestId, Revision, TaskId, TeamName, Term, WorkerId,
+    Class, DaemonId, JobId, JobState, Millis, QueueName, Refusal, RequestId, Revision, TaskEnd,
+    TaskId, TeamName, Term, UnitKind, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
+/// Why a unit of work waits.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum WaitCause {
+    /// Other work of the same class and team waits before it.
+    Behind,
+    /// The team's part of its upper limit is spent in this failure domain.
+    TeamLimit,
+    /// No worker that takes work has room.
+    NoRoom,
+}
+
+/// Why a keeper no longer counts a task as running, though no worker reported its end.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum LostCause {
+    /// The worker never got it and never will.
+    NeverStarted,
+    /// It may have run; the worker left, started anew or was silent until the lease lapsed.
+    WorkerGone,
+}
+
+/// How a request that was admitted was answered.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum RequestOutcome {
+    /// With the backend server's whole answer.
+    Done,
+    /// With the backend server's failure.
+    Failed,
+    /// With "outcome unknown".
+    Unknown,
+}
+
 /// A decision worth a log line.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Told {
+    /// A request was let in at the daemon where it arrived.
+    RequestAdmitted {
+        /// The request, under the id that it has inside the system.
+        request: RequestId,
+        /// The team.
+        team: TeamName,
+        /// The queue.
+        queue: QueueName,
+    },
+    /// A job was let in at the daemon where it arrived.
+    JobAdmitted {
+        /// The submission, under the id that it has inside the system.
+        request: RequestId,
+        /// The team.
+        team: TeamName,
+        /// The queue.
+        queue: QueueName,
+    },
+    /// A request or a submission was passed on to the keeper that decides it.
+    PassedOn {
+        /// The request or submission.
+        request: RequestId,
+        /// The keeper.
+        to: DaemonId,
+    },
+    /// A unit of work could not start at once.
+    Waiting {
+        /// The work.
+        work: UnitKind,
+        /// The team.
+        team: TeamName,
+        /// The class.
+        class: Class,
+        /// The units of the same class and team that wait before it.
+        ahead: u64,
+        /// Why it waits.
+        cause: WaitCause,
+    },
+    /// A task counts as ended, though no worker reported its end.
+    Lost {
+        /// The attempt.
+        task: TaskId,
+        /// The team.
+        team: TeamName,
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        cause: LostCause,
+    },
+    /// Work is to run again.
+    Retried {
+        /// The work.
+        work: UnitKind,
+        /// The worker that had it before, if one is to be avoided.
+        avoid: Option<WorkerId>,
+    },
+    /// An admitted request was answered.
+    RequestAnswered {
+        /// The request.
+        request: RequestId,
+        /// The team.
+        team: TeamName,
+        /// How.
+        outcome: RequestOutcome,
+    },
+    /// A job's final state is decided; it is recorded next.
+    JobDecided {
+        /// The job.
+        job: JobId,
+        /// The team.
+        team: TeamName,
+        /// The state.
+        state: JobState,
+    },
     /// Work was given to a worker.
     Placed {
         /// The attempt.
@@ -33,6 +139,10 @@
         ran_ms: Millis,
         /// Whether it ended well.
         well: bool,
+        /// How it ended.
+        end: TaskEnd,
+        /// The class, where this daemon knows the work.
+        class: Option<Class>,
     },
     /// A request was refused.
     RequestRefused {
--- a/core/src/unit.rs
+++ b/core/src/unit.rs
@@ -1,9 +1,10 @@
 //! Units of waiting work.
 
 use crate::{Class, JobId, Millis, RequestId, Resources, TeamName, WorkerId};
+use serde::{Deserialize, Serialize};
 
 /// What a unit of waiting work stands for.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum UnitKind {
     /// A request.
     Request(RequestId),
@@ -40,6 +41,21 @@
     pub avoid: Option<WorkerId>,
 }
 
+impl UnitKind {
+    /// Returns the job that the work belongs to.
+    pub const fn job(&self) -> Option<&JobId> {
+        match self {
+            UnitKind::Request(_) => None,
+            UnitKind::Task { job, .. } | UnitKind::Gang { job, .. } => Some(job),
+        }
+    }
+
+    /// Says whether both belong to one job.
+    pub fn is_of_same_job(&self, other: &Self) -> bool {
+        self.job().is_some() && self.job() == other.job()
+    }
+}
+
 impl Unit {
     /// Returns the number of tasks that start together.
     pub const fn tasks(&self) -> u32 {
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -1,32 +1,38 @@
 //! The adapter to callers and operators: HTTP.
 
+mod fields;
+mod reply;
+
+use self::{
+    fields::{body, check_job, deadline, fault, header, key, parse, payload, yes_no},
+    reply::{answer_reply, json, text, with_request_id, Rejected, Reply},
+};
 use crate::{
     consts,
-    control::{Input, NewCall},
-    Settings,
+    control::{Input, Look, NewCall},
+    Journal, Settings,
 };
 use crossbeam::channel::{bounded, Sender};
+use log::info;
 use metrics_exporter_prometheus::PrometheusHandle;
 use oxhttp::{
-    model::{header::RETRY_AFTER, Body, HeaderValue, Request as HttpRequest, Response, StatusCode},
+    model::{Body, Request as HttpRequest},
     ListeningServer, Server,
 };
 use pomelotide_core::{
-    Answer, CallId, Entry, Event, JobId, JobSpec, KeyDigest, Millis, Payload, QueueName, Request,
-    RequestId, Status,
+    Answer, CallId, Core, Event, JobId, JobSpec, KeyDigest, Payload, QueueName, Request, RequestId,
+    Status,
 };
 use pomelotide_wire::{
-    digest_of, parse_note, show_entries, status_of, ApiAnswer, ApiFault, ApiJob, ApiStatus,
+    parse_note, show_entries, ApiExplanation, ApiJob, ApiJobView, ApiNoteView, ApiPeerView,
+    ApiStatus, ApiTeamView, ApiWorkerView,
 };
 use std::{
-    io::{self, Read},
-    str::FromStr,
+    io,
     sync::atomic::{AtomicU64, Ordering},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// The deadline of a request that names none.
-const DEFAULT_DEADLINE_MS: Millis = Millis(10_000);
 /// How long the control thread may take to describe itself.
 const STATUS_LIMIT: Duration = Duration::from_secs(2);
 /// How much longer than any deadline a handler waits for the control thread.
@@ -41,17 +47,6 @@
     unnamed: AtomicU64,
 }
 
-/// Why a call got no further than this adapter.
-enum Rejected {
-    Malformed(ApiFault),
-    TooLarge,
-    NotOperator,
-    NoSuchPath,
-    Stopped,
-}
-
-type Reply = Response<Body>;
-
 /// Serves callers and operators.
 pub(crate) fn serve(
     settings: &Settings,
@@ -78,41 +73,81 @@
 
 impl Callers {
     fn respond(&self, request: &mut HttpRequest<Body>) -> Reply {
-        self.route(request)
-            .unwrap_or_else(|rejected| rejected.reply())
+        self.route(request).unwrap_or_else(|rejected| {
+            let path = request.uri().path();
+            info!("event=call_rejected path={path:?} why=\"{rejected}\"");
+            rejected.reply()
+        })
     }
 
     fn route(&self, request: &mut HttpRequest<Body>) -> Result<Reply, Rejected> {
         let path = request.uri().path().to_string();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
+        // The id of a job or request may hold a slash.
         match (request.method().as_str(), parts.as_slice()) {
             ("POST", ["v1", "queues", queue, "requests"]) => self.run(request, queue),
             ("POST", ["v1", "jobs"]) => self.submit(request),
-            ("GET", ["v1", "jobs", job]) => self.look_up(job),
-            ("DELETE", ["v1", "jobs", job]) => self.cancel(request, job),
+            ("GET", ["v1", "jobs", job @ ..]) if !job.is_empty() => self.look_up(&job.join("/")),
+            ("DELETE", ["v1", "jobs", job @ ..]) if !job.is_empty() => {
+                self.cancel(request, &job.join("/"))
+            }
             ("POST", ["v1", "notes"]) => self.propose(request),
-            ("GET", ["v1", "config"]) => self.show_config(),
-            ("GET", ["v1", "status"]) => Ok(json(200, &ApiStatus::from(self.status()?))),
-            ("GET", ["healthz"]) => self.status().map(|_| text(200, "ok\n")),
-            ("GET", ["readyz"]) => self.ready(),
-            ("GET", ["metrics"]) => Ok(text(200, &self.metrics.render())),
-            _ => Err(Rejected::NoSuchPath),
+            ("GET", ["v1", "explain", id @ ..]) if !id.is_empty() => self.explain(&id.join("/")),
+            ("GET", rest) => self.show(rest),
+            (_, rest) => Err(other_method(rest)),
+        }
+    }
+
+    /// Shows a part of the daemon's state.
+    fn show(&self, path: &[&str]) -> Result<Reply, Rejected> {
+        match path {
+            ["v1", "config"] => self.show_config(),
+            ["v1", "status"] => Ok(json(200, &ApiStatus::from(self.status()?))),
+            ["v1", "jobs"] => {
+                self.list(|core| core.job_views().into_iter().map(ApiJobView::from).collect())
+            }
+            ["v1", "workers"] => self.list(|core| {
+                core.worker_views()
+                    .into_iter()
+                    .map(ApiWorkerView::from)
+                    .collect()
+            }),
+            ["v1", "teams"] => self.list(|core| {
+                core.team_views()
+                    .into_iter()
+                    .map(ApiTeamView::from)
+                    .collect()
+            }),
+            ["v1", "daemons"] => self.list(|core| {
+                core.peer_views()
+                    .into_iter()
+                    .map(ApiPeerView::from)
+                    .collect()
+            }),
+            ["v1", "notes"] => self.list(|core| {
+                let notes = core.config().history().take(consts::HISTORY_NOTES);
+                notes.map(ApiNoteView::from).collect()
+            }),
+            ["healthz"] => self.status().map(|_| text(200, "ok\n")),
+            ["readyz"] => self.ready(),
+            ["metrics"] => Ok(text(200, &self.metrics.render())),
+            _ => Err(other_method(path)),
         }
     }
 
     fn run(&self, http: &mut HttpRequest<Body>, queue: &str) -> Result<Reply, Rejected> {
         let queue: QueueName = parse("queue", queue)?;
-        let deadline = header(http, "deadline")?;
-        let deadline_ms = deadline.map(|text| parse("deadline", &text)).transpose()?;
         let request = Request {
             id: self.request_id(http)?,
             key: key(http)?,
             queue,
             idempotent: yes_no(http, "idempotent")?,
-            deadline_ms: deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
-            payload: Payload(body(http)?),
+            deadline_ms: deadline(http)?,
+            payload: Payload(payload(http)?),
         };
-        self.call(|call| Event::RequestArrived { call, request })
+        let id = request.id.clone();
+        let reply = self.call(|call| Event::RequestArrived { call, request })?;
+        Ok(with_request_id(reply, &id))
     }
 
     fn submit(&self, http: &mut HttpRequest<Body>) -> Result<Reply, Rejected> {
@@ -121,12 +156,15 @@
         let parsed = serde_json::from_slice::<ApiJob>(&body(http)?);
         let job = parsed.map_err(|error| fault("body", error))?;
         let spec = JobSpec::try_from(job).map_err(Rejected::Malformed)?;
-        self.call(|call| Event::JobArrived {
+        check_job(&spec)?;
+        let id = request.clone();
+        let reply = self.call(|call| Event::JobArrived {
             call,
             request,
             key,
             spec,
-        })
+        })?;
+        Ok(with_request_id(reply, &id))
     }
 
     fn look_up(&self, job: &str) -> Result<Reply, Rejected> {
@@ -150,11 +188,22 @@
         self.call(|call| Event::NoteArrived { call, note })
     }
 
+    fn explain(&self, id: &str) -> Result<Reply, Rejected> {
+        // A request's id is a job's id that names neither failure domain nor team.
+        let id: JobId = parse("id", id)?;
+        let explanation = self.look(move |_, journal| ApiExplanation {
+            id: id.to_string(),
+            steps: journal.explain(id.as_str()),
+        })?;
+        Ok(json(200, &explanation))
+    }
+
     fn show_config(&self) -> Result<Reply, Rejected> {
-        let entries: Vec<Entry> = self.ask(Input::Config)?;
-        let revision = self.status()?.revision;
-        let head = format!("; revision {revision}\n\n");
-        Ok(text(200, &(head + &show_entries("added", entries.iter()))))
+        let shown = self.look(|core, _| {
+            let head = format!("; revision {}\n\n", core.config().revision());
+            head + &show_entries("added", core.config().entries())
+        })?;
+        Ok(text(200, &shown))
     }
 
     fn ready(&self) -> Result<Reply, Rejected> {
@@ -168,16 +217,30 @@
     }
 
     fn status(&self) -> Result<Status, Rejected> {
-        self.ask(Input::Status)
+        self.look(|core, _| core.status())
     }
 
-    fn ask<T>(&self, input: impl FnOnce(Sender<T>) -> Input) -> Result<T, Rejected> {
-        let (sender, answer) = bounded(1);
+    fn list<T: Send + serde::Serialize + 'static>(
+        &self,
+        list: impl FnOnce(&Core) -> Vec<T> + Send + 'static,
+    ) -> Result<Reply, Rejected> {
+        Ok(json(200, &self.look(|core, _| list(core))?))
+    }
+
+    /// Looks at the state from the control thread.
+    fn look<T: Send + 'static>(
+        &self,
+        look: impl FnOnce(&Core, &Journal) -> T + Send + 'static,
+    ) -> Result<T, Rejected> {
+        let (sender, seen) = bounded(1);
+        let look = move |core: &Core, journal: &Journal| {
+            // Whoever asked may have gone away.
+            let _ = sender.send(look(core, journal));
+        };
         self.inputs
-            .send(input(sender))
+            .send(Input::Look(Look(Box::new(look))))
             .map_err(|_| Rejected::Stopped)?;
-        answer
-            .recv_timeout(STATUS_LIMIT)
+        seen.recv_timeout(STATUS_LIMIT)
             .map_err(|_| Rejected::Stopped)
     }
 
@@ -213,125 +276,15 @@
     }
 }
 
-fn answer_reply(answer: Answer) -> Reply {
-    let status = status_of(&answer);
-    if let Answer::Done(payload) = answer {
-        return reply(status, "application/octet-stream", payload.0);
-    }
-    let retry_after_ms = match &answer {
-        Answer::NotRun { retry_after_ms, .. } => *retry_after_ms,
-        _ => None,
-    };
-    let mut response = match &answer {
-        Answer::Failed(payload) => reply(status, "application/octet-stream", payload.0.clone()),
-        other => json(status, &ApiAnswer::from(other)),
-    };
-    if let Some(after_ms) = retry_after_ms {
-        let seconds = after_ms.0.div_ceil(1_000);
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
-    }
-    response
-}
-
-impl Rejected {
-    fn reply(self) -> Reply {
-        match self {
-            Rejected::Malformed(fault) => json(400, &ApiAnswer::Malformed(fault)),
-            Rejected::TooLarge => {
-                let error = format!("larger than {} bytes", consts::MAX_BODY_BYTES);
-                json(413, &ApiAnswer::Malformed(ApiFault::new("body", error)))
-            }
-            Rejected::NotOperator => {
-                let error = "operators show the secret of operator_sha256";
-                json(
-                    401,
-                    &ApiAnswer::Malformed(ApiFault::new("authorization", error)),
-                )
-            }
-            Rejected::NoSuchPath => json(
-                404,
-                &ApiAnswer::Malformed(ApiFault::new("path", "no such path")),
-            ),
-            Rejected::Stopped => {
-                let (reason, retry_after_ms) = ("draining".into(), Some(1_000));
-                json(
-                    503,
-                    &ApiAnswer::NotRun {
-                        reason,
-                        retry_after_ms,
-                    },
-                )
-            }
-        }
-    }
-}
-
-fn fault(field: &str, error: impl ToString) -> Rejected {
-    Rejected::Malformed(ApiFault::new(field, error))
-}
-
-fn parse<T: FromStr<Err: ToString>>(field: &str, text: &str) -> Result<T, Rejected> {
-    text.parse().map_err(|error: T::Err| fault(field, error))
-}
-
-fn header(http: &HttpRequest<Body>, name: &'static str) -> Result<Option<String>, Rejected> {
-    let Some(value) = http.headers().get(name) else {
-        return Ok(None);
-    };
-    let text = value
-        .to_str()
-        .map_err(|_| fault(name, "expected plain text"))?;
-    Ok(Some(text.trim().to_string()))
-}
-
-fn yes_no(http: &HttpRequest<Body>, name: &'static str) -> Result<bool, Rejected> {
-    match header(http, name)?.as_deref() {
-        None | Some("no") => Ok(false),
-        Some("yes") => Ok(true),
-        Some(_) => Err(fault(name, "expected yes or no")),
+/// Says why no answer belongs to a path under the method of the call.
+fn other_method(path: &[&str]) -> Rejected {
+    match path {
+        ["v1", "jobs"] | ["v1", "notes"] => Rejected::WrongMethod("GET, POST"),
+        ["v1", "jobs", ..] => Rejected::WrongMethod("GET, DELETE"),
+        ["v1", "queues", _, "requests"] => Rejected::WrongMethod("POST"),
+        ["v1", "explain", ..]
+        | ["v1", "config" | "daemons" | "status" | "teams" | "workers"]
+        | ["healthz" | "metrics" | "readyz"] => Rejected::WrongMethod("GET"),
+        _ => Rejected::NoSuchPath,
     }
 }
-
-fn key(http: &HttpRequest<Body>) -> Result<Option<KeyDigest>, Rejected> {
-    let Some(text) = header(http, "authorization")? else {
-        return Ok(None);
-    };
-    match text.strip_prefix("Bearer ") {
-        Some(secret) => Ok(Some(digest_of(secret.trim()))),
-        None => Err(fault("authorization", "expected Bearer SECRET")),
-    }
-}
-
-fn body(http: &mut HttpRequest<Body>) -> Result<Vec<u8>, Rejected> {
-    let mut bytes = Vec::new();
-    let mut limited = http.body_mut().take(consts::MAX_BODY_BYTES + 1);
-    limited
-        .read_to_end(&mut bytes)
-        .map_err(|error| fault("body", error))?;
-    if bytes.len() as u64 > consts::MAX_BODY_BYTES {
-        return Err(Rejected::TooLarge);
-    }
-    Ok(bytes)
-}
-
-fn json<T: serde::Serialize>(status: u16, value: &T) -> Reply {
-    let mut bytes = serde_json::to_vec(value).unwrap_or_default();
-    bytes.push(b'\n');
-    reply(status, "application/json", bytes)
-}
-
-fn text(status: u16, text: &str) -> Reply {
-    reply(status, "text/plain; charset=utf-8", text.into())
-}
-
-fn reply(status: u16, kind: &'static str, bytes: Vec<u8>) -> Reply {
-    let mut response = Response::new(Body::from(bytes));
-    *response.status_mut() =
-        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    response
-        .headers_mut()
-        .insert("content-type", HeaderValue::from_static(kind));
-    response
-}
--- /dev/null
+++ b/daemon/src/callers/reply.rs
@@ -0,0 +1,121 @@
+//! Answers as HTTP responses.
+
+use oxhttp::model::{
+    header::{ALLOW, RETRY_AFTER},
+    Body, HeaderName, HeaderValue, Response, StatusCode,
+};
+use pomelotide_core::{consts::RETRY_AFTER_MS, Answer, Refusal, RequestId};
+use pomelotide_wire::{status_of, ApiAnswer, ApiFault};
+use serde::Serialize;
+use std::fmt;
+
+/// The header that names a request in its answer.
+const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+
+pub(super) type Reply = Response<Body>;
+
+/// Why a call got no further than this adapter.
+#[derive(Debug)]
+pub(super) enum Rejected {
+    Malformed(ApiFault),
+    TooLarge(ApiFault),
+    NotOperator,
+    NoSuchPath,
+    WrongMethod(&'static str),
+    Stopped,
+}
+
+pub(super) fn answer_reply(answer: Answer) -> Reply {
+    let status = status_of(&answer);
+    if let Answer::Done(payload) = answer {
+        return reply(status, "application/octet-stream", payload.0);
+    }
+    let retry_after_ms = match &answer {
+        Answer::NotRun { retry_after_ms, .. } => *retry_after_ms,
+        _ => None,
+    };
+    let mut response = match &answer {
+        Answer::Failed(payload) => reply(status, "application/octet-stream", payload.0.clone()),
+        other => json(status, &ApiAnswer::from(other)),
+    };
+    if let Some(after_ms) = retry_after_ms {
+        let seconds = after_ms.0.div_ceil(1_000);
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+impl Rejected {
+    /// Returns the response; nothing was taken in.
+    pub(super) fn reply(self) -> Reply {
+        match self {
+            Rejected::Malformed(fault) => json(400, &ApiAnswer::Malformed(fault)),
+            Rejected::TooLarge(fault) => json(413, &ApiAnswer::Malformed(fault)),
+            Rejected::WrongMethod(allowed) => {
+                let error = format!("this path takes {allowed}");
+                let mut response = json(405, &malformed("method", &error));
+                response
+                    .headers_mut()
+                    .insert(ALLOW, HeaderValue::from_static(allowed));
+                response
+            }
+            Rejected::NotOperator => {
+                let error = "operators show the secret whose digest is operator_sha256";
+                json(401, &malformed("authorization", error))
+            }
+            Rejected::NoSuchPath => json(404, &malformed("path", "no such path")),
+            Rejected::Stopped => {
+                let answer = Answer::refused(Refusal::Draining, RETRY_AFTER_MS);
+                json(status_of(&answer), &ApiAnswer::from(&answer))
+            }
+        }
+    }
+}
+
+impl fmt::Display for Rejected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Rejected::Malformed(fault) | Rejected::TooLarge(fault) => {
+                write!(f, "{}: {}", fault.field, fault.error.escape_debug())
+            }
+            Rejected::NotOperator => f.write_str("not an operator's secret"),
+            Rejected::NoSuchPath => f.write_str("no such path"),
+            Rejected::WrongMethod(allowed) => write!(f, "the path takes {allowed}"),
+            Rejected::Stopped => f.write_str("the daemon is stopping"),
+        }
+    }
+}
+
+fn malformed(field: &str, error: &str) -> ApiAnswer {
+    ApiAnswer::Malformed(ApiFault::new(field, error))
+}
+
+pub(super) fn json<T: Serialize>(status: u16, value: &T) -> Reply {
+    let mut bytes = serde_json::to_vec(value).unwrap_or_default();
+    bytes.push(b'\n');
+    reply(status, "application/json", bytes)
+}
+
+pub(super) fn text(status: u16, text: &str) -> Reply {
+    reply(status, "text/plain; charset=utf-8", text.into())
+}
+
+fn reply(status: u16, kind: &'static str, bytes: Vec<u8>) -> Reply {
+    let mut response = Response::new(Body::from(bytes));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+        .headers_mut()
+        .insert("content-type", HeaderValue::from_static(kind));
+    response
+}
+
+/// Names the request in its answer, so that a caller that gave no id can ask about it.
+pub(super) fn with_request_id(mut response: Reply, id: &RequestId) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -3,35 +3,96 @@
 use crate::{Settings, SettingsBuilder};
 use pomelotide_core::{DomainName, KeyDigest, Millis};
 use pomelotide_wire::{nearest, IniField, IniSection, IniText, Problem, Problems};
-use std::{fmt::Display, str::FromStr};
+use std::{fmt::Display, net::SocketAddr, str::FromStr};
 
 /// A field of the settings file.
 struct FieldRule {
     section: &'static str,
     name: &'static str,
-    required: bool,
+    /// What its value looks like.
+    form: &'static str,
+    /// What holds where the field is left out; `None` where it may not be.
+    default: Option<&'static str>,
+    meaning: &'static str,
 }
 
-const fn rule(section: &'static str, name: &'static str, required: bool) -> FieldRule {
-    FieldRule {
-        section,
-        name,
-        required,
-    }
-}
-
-/// All fields of the settings file; `docs/OPERATING.md` describes each.
+/// All fields of the settings file.
 const FIELDS: [FieldRule; 8] = [
-    rule("daemon", "name", true),
-    rule("daemon", "domain", true),
-    rule("daemon", "callers", false),
-    rule("daemon", "peers", false),
-    rule("daemon", "drain_grace", false),
-    rule("daemon", "operator_sha256", false),
-    rule("daemon", "trace", false),
-    rule("platform", "address", false),
+    FieldRule {
+        section: "daemon",
+        name: "name",
+        form: "letters, digits, - _ .",
+        default: None,
+        meaning: "the host's name; each start adds its time to it",
+    },
+    FieldRule {
+        section: "daemon",
+        name: "domain",
+        form: "letters, digits, - _ .",
+        default: None,
+        meaning: "the failure domain, as the host list and the release notes name it",
+    },
+    FieldRule {
+        section: "daemon",
+        name: "callers",
+        form: "IP:port",
+        default: Some("127.0.0.1:7100"),
+        meaning: "where callers and operators are served by HTTP",
+    },
+    FieldRule {
+        section: "daemon",
+        name: "peers",
+        form: "IP:port",
+        default: Some("127.0.0.1:7200"),
+        meaning: "where the other daemons connect; they are told this address",
+    },
+    FieldRule {
+        section: "daemon",
+        name: "drain_grace",
+        form: "span, at most 10min",
+        default: Some("5s"),
+        meaning: "how long callers are still served after a planned stop was asked for",
+    },
+    FieldRule {
+        section: "daemon",
+        name: "operator_sha256",
+        form: "64 hexadecimal digits",
+        default: Some("no operator"),
+        meaning: "the digest of the secret that operators show (pomelotide key digest)",
+    },
+    FieldRule {
+        section: "daemon",
+        name: "trace",
+        form: "path",
+        default: Some("no trace"),
+        meaning: "where to record all events for a replay; for development, it grows without end",
+    },
+    FieldRule {
+        section: "platform",
+        name: "address",
+        form: "IP:port",
+        default: Some("127.0.0.1:7000"),
+        meaning: "where the platform's table service and host list are",
+    },
 ];
 
+/// Returns the settings reference as a table in Markdown.
+pub fn settings_reference() -> String {
+    let head = "| section | field | value | default | meaning |\n|---|---|---|---|---|\n";
+    let rows = FIELDS.iter().map(|rule| {
+        let default = rule.default.unwrap_or("(required)");
+        let FieldRule {
+            section,
+            name,
+            form,
+            meaning,
+            ..
+        } = rule;
+        format!("| `[{section}]` | `{name}` | {form} | {default} | {meaning} |\n")
+    });
+    head.to_string() + &rows.collect::<String>()
+}
+
 /// The longest accepted grace, in milliseconds.
 const MAX_GRACE_MS: Millis = Millis(600_000);
 
@@ -64,7 +125,19 @@
 
 impl Checker<'_> {
     fn check_names(&mut self) {
-        for section in &self.ini.sections {
+        for (place, section) in self.ini.sections.iter().enumerate() {
+            let earlier = &self.ini.sections[..place];
+            if let Some(first) = earlier.iter().find(|first| first.name == section.name) {
+                let text = format!("[{}] begins in line {} already", section.name, first.line);
+                let problem = Problem::new(section.line, text);
+                self.problems
+                    .push(problem.with_help("write each section once"));
+            }
+            if section.name.is_empty() {
+                let problem = Problem::new(section.line, "fields stand before the first section");
+                self.problems.push(problem.with_help("begin with [daemon]"));
+                continue;
+            }
             if !FIELDS.iter().any(|rule| rule.section == section.name) {
                 let known = FIELDS.iter().map(|rule| rule.section);
                 let text = format!("there is no section [{}]", section.name);
@@ -73,10 +146,13 @@
             }
             self.check_fields(section);
         }
-        for rule in FIELDS.iter().filter(|rule| rule.required) {
+        for rule in FIELDS.iter().filter(|rule| rule.default.is_none()) {
             if self.find(rule.section, rule.name).is_none() {
                 let text = format!("[{}] needs the field {}", rule.section, rule.name);
-                self.problems.push(Problem::new(1, text));
+                let own = |section: &&IniSection| section.name == rule.section;
+                let line = self.ini.sections.iter().find(own).map_or(1, |own| own.line);
+                let help = format!("add {} = ...", rule.name);
+                self.problems.push(Problem::new(line, text).with_help(help));
             }
         }
     }
@@ -131,9 +207,10 @@
     fn read(&mut self) -> Option<Settings> {
         let name: Option<DomainName> = self.get("daemon", "name");
         let domain = self.get("daemon", "domain");
-        let callers = self.get("daemon", "callers");
-        let peers = self.get("daemon", "peers");
-        let platform = self.get("platform", "address");
+        let callers = self.address("daemon", "callers");
+        let peers = self.address("daemon", "peers");
+        let platform = self.address("platform", "address");
+        self.check_addresses(callers, peers);
         let grace_ms = self.get::<Millis>("daemon", "drain_grace");
         let operator = self.digest();
         self.check_grace(grace_ms);
@@ -159,6 +236,30 @@
         Some(builder.build())
     }
 
+    fn address(&mut self, section: &str, name: &str) -> Option<SocketAddr> {
+        let field = self.find(section, name)?;
+        let address = field.value.parse().ok();
+        if address.is_none() {
+            let text = format!("{name} = {}: expected IP:port", field.value);
+            let help = "for example 127.0.0.1:7100; names are not looked up";
+            self.problems
+                .push(Problem::new(field.line, text).with_help(help));
+        }
+        address
+    }
+
+    /// Finds that callers and peers would share an address.
+    fn check_addresses(&mut self, callers: Option<SocketAddr>, peers: Option<SocketAddr>) {
+        if let (Some(field), true) = (self.find("daemon", "peers"), callers == peers) {
+            if peers.is_some() {
+                let text = format!("peers = {}: the same address as callers", field.value);
+                let help = "give the two different ports";
+                self.problems
+                    .push(Problem::new(field.line, text).with_help(help));
+            }
+        }
+    }
+
     fn check_grace(&mut self, grace_ms: Option<Millis>) {
         let field = self.find("daemon", "drain_grace");
         if let (Some(field), true) = (field, grace_ms > Some(MAX_GRACE_MS)) {
--- a/daemon/src/consts.rs
+++ b/daemon/src/consts.rs
@@ -26,3 +26,7 @@
 pub(crate) const MAX_BODY_BYTES: u64 = 1_048_576;
 /// How long the last writes may take when the process ends.
 pub(crate) const LAST_WRITES: Duration = Duration::from_millis(300);
+/// The decisions about work that a daemon keeps to explain them.
+pub(crate) const JOURNAL_ENTRIES: usize = 8_192;
+/// The accepted notes that a daemon shows at most.
+pub(crate) const HISTORY_NOTES: usize = 256;
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -1,9 +1,9 @@
 //! The control thread: events in, effects out.
 
-use crate::{callers, consts, links::Links, platform::Platform, telemetry, Settings};
+use crate::{callers, consts, links::Links, platform::Platform, telemetry, Journal, Settings};
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
 use log::{error, info};
-use pomelotide_core::{Answer, CallId, Core, Effect, Entry, Event, Millis, Status};
+use pomelotide_core::{Answer, CallId, Core, Effect, Event, Millis};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -23,10 +23,19 @@
     Event(Event),
     /// A caller waits for an answer to the event made from the call's number.
     Call(Box<NewCall>),
-    /// Somebody asks for the daemon's summary.
-    Status(Sender<Status>),
-    /// Somebody asks for the configuration.
-    Config(Sender<Vec<Entry>>),
+    /// Somebody looks at the state, and sends on what was seen.
+    Look(Look),
+}
+
+type LookFn = dyn FnOnce(&Core, &Journal) + Send;
+
+/// A look at the state; it changes nothing.
+pub(crate) struct Look(pub(crate) Box<LookFn>);
+
+impl std::fmt::Debug for Look {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Look")
+    }
 }
 
 /// A call whose number the control thread gives.
@@ -52,6 +61,7 @@
 
 struct Control {
     core: Core,
+    journal: Journal,
     begun: Instant,
     links: Links,
     platform: Platform,
@@ -70,6 +80,7 @@
         links: Links::start(&settings, &core_settings.daemon, sender.clone())?,
         platform: Platform::start(&settings, &sender)?,
         core: Core::new(core_settings.clone()),
+        journal: Journal::new(core_settings.daemon.clone()),
         begun: Instant::now(),
         waiting: HashMap::new(),
         last_call: CallId(0),
@@ -126,13 +137,8 @@
                 self.waiting.insert(self.last_call, call.answer);
                 self.step((call.event)(self.last_call))
             }
-            Input::Status(reply) => {
-                // Whoever asked may have gone away.
-                let _ = reply.send(self.core.status());
-                Next::Go
-            }
-            Input::Config(reply) => {
-                let _ = reply.send(self.core.config().entries().cloned().collect());
+            Input::Look(look) => {
+                (look.0)(&self.core, &self.journal);
                 Next::Go
             }
         }
@@ -141,7 +147,9 @@
     fn step(&mut self, event: Event) -> Next {
         let now_ms = Millis(self.begun.elapsed().as_millis() as u64);
         self.record(now_ms, &event);
+        let stepping = Instant::now();
         let effects = self.core.step(now_ms, event);
+        telemetry::sample_placements(&effects, stepping.elapsed());
         let mut next = Next::Go;
         for effect in effects {
             if self.carry_out(effect) == Next::Exit {
@@ -194,7 +202,10 @@
             Effect::Write { op, txn } => self.platform.write(op, txn),
             Effect::Read { op, query } => self.platform.read(op, query),
             Effect::ReadHosts => self.platform.read_hosts(),
-            Effect::Tell(told) => telemetry::tell(&told),
+            Effect::Tell(told) => {
+                self.journal.keep(&told);
+                telemetry::tell(&told);
+            }
             Effect::Exit => return Next::Exit,
         }
         Next::Go
--- /dev/null
+++ b/daemon/src/journal.rs
@@ -0,0 +1,117 @@
+//! The latest decisions of this daemon, kept to explain what became of a request or job.
+
+use crate::{consts, log_line::event_name, sentence::sentence};
+use pomelotide_core::{DaemonId, JobId, RequestId, TaskId, TaskName, Told, UnitKind};
+use pomelotide_wire::ApiStep;
+use std::{
+    collections::VecDeque,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// The latest decisions about work, the oldest first; older ones fall out.
+pub struct Journal {
+    daemon: DaemonId,
+    entries: VecDeque<(u64, Told)>,
+}
+
+impl Journal {
+    /// Makes an empty journal of a daemon.
+    pub fn new(daemon: DaemonId) -> Self {
+        Self {
+            daemon,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Keeps a decision, if it is about a request or a job.
+    pub fn keep(&mut self, told: &Told) {
+        if Subject::of(told).is_none() {
+            return;
+        }
+        if self.entries.len() == consts::JOURNAL_ENTRIES {
+            self.entries.pop_front();
+        }
+        self.entries.push_back((wall_ms(), told.clone()));
+    }
+
+    /// Returns what is kept about a request or job: by the id that the caller gave, by the one that
+    /// it has inside the system, or by the job's id.
+    pub fn explain(&self, id: &str) -> Vec<ApiStep> {
+        let about = self.entries.iter().filter(|(_, told)| is_about(told, id));
+        let steps = about.map(|(at_ms, told)| ApiStep {
+            at_ms: *at_ms,
+            daemon: self.daemon.to_string(),
+            event: event_name(told).into(),
+            text: sentence(told),
+        });
+        steps.collect()
+    }
+}
+
+/// The request or job that a decision is about.
+enum Subject {
+    Request(RequestId),
+    Job(JobId),
+}
+
+impl Subject {
+    fn of(told: &Told) -> Option<Self> {
+        match told {
+            Told::RequestAdmitted { request, .. }
+            | Told::JobAdmitted { request, .. }
+            | Told::PassedOn { request, .. }
+            | Told::RequestAnswered { request, .. }
+            | Told::RequestRefused { request, .. }
+            | Told::JobRefused { request, .. } => Some(Subject::Request(request.clone())),
+            Told::Waiting { work, .. } | Told::Retried { work, .. } => Some(Self::of_work(work)),
+            Told::Placed { task, .. } | Told::Ended { task, .. } | Told::Lost { task, .. } => {
+                Self::of_task(task)
+            }
+            Told::JobAccepted { job, .. }
+            | Told::JobDecided { job, .. }
+            | Told::JobEnded { job, .. } => Some(Subject::Job(job.clone())),
+            _ => None,
+        }
+    }
+
+    fn of_work(work: &UnitKind) -> Self {
+        match work {
+            UnitKind::Request(request) => Subject::Request(request.clone()),
+            UnitKind::Task { job, .. } | UnitKind::Gang { job, .. } => Subject::Job(job.clone()),
+        }
+    }
+
+    fn of_task(task: &TaskId) -> Option<Self> {
+        TaskName::parse(task).map(|name| match name {
+            TaskName::Request { request, .. } => Subject::Request(request),
+            TaskName::Job { job, .. } => Subject::Job(job),
+        })
+    }
+
+    fn text(&self) -> &str {
+        match self {
+            Subject::Request(request) => request.as_str(),
+            Subject::Job(job) => job.as_str(),
+        }
+    }
+}
+
+/// Says whether a decision is about an id. A job `domain~team~id` was submitted as `team~id`, and
+/// a request `team~id` came in as `id`, so either may be the end of the other after a `~`.
+fn is_about(told: &Told, id: &str) -> bool {
+    let Some(subject) = Subject::of(told) else {
+        return false;
+    };
+    let ends_with = |long: &str, short: &str| {
+        long.strip_suffix(short)
+            .is_some_and(|head| head.is_empty() || head.ends_with('~'))
+    };
+    ends_with(subject.text(), id) || ends_with(id, subject.text())
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_millis() as u64
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,13 +8,17 @@
 pub mod cli;
 mod consts;
 mod control;
+mod journal;
 mod links;
+mod log_line;
 mod platform;
+mod sentence;
 mod settings;
 mod telemetry;
 
 pub use crate::{
-    check::read_settings,
+    check::{read_settings, settings_reference},
     control::run,
+    journal::Journal,
     settings::{Settings, SettingsBuilder},
 };
--- a/daemon/src/links/peers.rs
+++ b/daemon/src/links/peers.rs
@@ -1,7 +1,11 @@
 //! Connections between daemons, one for each direction.
 
 use super::tell;
-use crate::{consts, control::Input};
+use crate::{
+    consts,
+    control::Input,
+    telemetry::{count_sent, peer_kind, Receiver},
+};
 use crossbeam::channel::Sender;
 use futures_util::{SinkExt, StreamExt};
 use log::debug;
@@ -101,7 +105,9 @@
         let sent = tokio::select! {
             message = messages.recv() => {
                 let Some(message) = message else { return End::Dropped };
+                let kind = peer_kind(&message);
                 let Ok(bytes) = encode(&PeerFrame::new(me.clone(), message)) else { continue };
+                count_sent(Receiver::Peers, kind, bytes.len());
                 sink.send(Message::binary(bytes)).await
             }
             _ = ping.tick() => {
--- a/daemon/src/links/workers.rs
+++ b/daemon/src/links/workers.rs
@@ -1,7 +1,11 @@
 //! Connections to workers.
 
 use super::tell;
-use crate::{consts, control::Input};
+use crate::{
+    consts,
+    control::Input,
+    telemetry::{command_kind, count_sent, Receiver},
+};
 use crossbeam::channel::Sender;
 use futures_util::{SinkExt, StreamExt};
 use pomelotide_core::{Event, WorkerId};
@@ -57,6 +61,7 @@
             frame = frames.recv() => {
                 let Some(frame) = frame else { return };
                 let Ok(bytes) = encode(&frame) else { continue };
+                count_sent(Receiver::Workers, command_kind(&frame.command), bytes.len());
                 if sink.send(Message::binary(bytes)).await.is_err() {
                     return;
                 }
--- /dev/null
+++ b/daemon/src/log_line.rs
@@ -0,0 +1,145 @@
+//! Decisions as log lines: key=value pairs, with the ids of all that they are about.
+
+use pomelotide_core::{TaskId, TaskName, Told, UnitKind};
+
+/// Returns the kind of a decision, as it stands in the log.
+pub(crate) const fn event_name(told: &Told) -> &'static str {
+    match told {
+        Told::RequestAdmitted { .. } => "request_admitted",
+        Told::JobAdmitted { .. } => "job_admitted",
+        Told::PassedOn { .. } => "passed_on",
+        Told::Waiting { .. } => "waiting",
+        Told::Placed { .. } => "placed",
+        Told::Ended { .. } => "ended",
+        Told::Lost { .. } => "lost",
+        Told::Retried { .. } => "retried",
+        Told::RequestAnswered { .. } => "request_answered",
+        Told::RequestRefused { .. } => "request_refused",
+        Told::JobAccepted { .. } => "job_accepted",
+        Told::JobRefused { .. } => "job_refused",
+        Told::JobDecided { .. } => "job_decided",
+        Told::JobEnded { .. } => "job_ended",
+        Told::KeeperStarted { .. } => "keeper_started",
+        Told::KeeperStopped { .. } => "keeper_stopped",
+        Told::WorkerClaimed { .. } => "worker_claimed",
+        Told::WorkerSilent { .. } => "worker_silent",
+        Told::WorkerQuarantined { .. } => "worker_quarantined",
+        Told::Fenced { .. } => "fenced",
+        Told::ConfigApplied { .. } => "config_applied",
+        Told::PeerSilent { .. } => "peer_silent",
+    }
+}
+
+/// Returns the line of a decision.
+pub(crate) fn log_line(told: &Told) -> String {
+    let name = event_name(told);
+    let pairs = match told {
+        Told::RequestAdmitted {
+            request,
+            team,
+            queue,
+        }
+        | Told::JobAdmitted {
+            request,
+            team,
+            queue,
+        } => format!("request={request} team={team} queue={queue}"),
+        Told::PassedOn { request, to } => format!("request={request} to={to}"),
+        Told::Waiting {
+            work,
+            team,
+            class,
+            ahead,
+            cause,
+        } => {
+            let work = work_pairs(work);
+            format!("{work} team={team} class={class} ahead={ahead} cause={cause:?}")
+        }
+        Told::Placed {
+            task,
+            team,
+            class,
+            worker,
+            waited_ms,
+        } => {
+            let (task, waited_ms) = (task_pairs(task), waited_ms.0);
+            format!("{task} team={team} class={class} worker={worker} waited_ms={waited_ms}")
+        }
+        Told::Ended {
+            task,
+            team,
+            worker,
+            ran_ms,
+            end,
+            ..
+        } => {
+            let (task, ran_ms) = (task_pairs(task), ran_ms.0);
+            format!("{task} team={team} worker={worker} ran_ms={ran_ms} end={end:?}")
+        }
+        Told::Lost {
+            task,
+            team,
+            worker,
+            cause,
+        } => {
+            let task = task_pairs(task);
+            format!("{task} team={team} worker={worker} cause={cause:?}")
+        }
+        other => short_pairs(other),
+    };
+    format!("event={name} {pairs}")
+}
+
+fn short_pairs(told: &Told) -> String {
+    match told {
+        Told::Retried { work, avoid } => match avoid {
+            Some(worker) => format!("{} avoid={worker}", work_pairs(work)),
+            None => work_pairs(work),
+        },
+        Told::RequestAnswered {
+            request,
+            team,
+            outcome,
+        } => format!("request={request} team={team} outcome={outcome:?}"),
+        Told::RequestRefused { request, reason } | Told::JobRefused { request, reason } => {
+            format!("request={request} reason={reason}")
+        }
+        Told::JobAccepted { job, team } => format!("job={job} team={team}"),
+        Told::JobDecided { job, team, state } => format!("job={job} team={team} state={state:?}"),
+        Told::JobEnded { job, well } => format!("job={job} well={well}"),
+        Told::KeeperStarted { term } | Told::KeeperStopped { term } => format!("term={term}"),
+        Told::WorkerClaimed { worker, running } => format!("worker={worker} running={running}"),
+        Told::WorkerSilent { worker } | Told::WorkerQuarantined { worker } => {
+            format!("worker={worker}")
+        }
+        Told::Fenced { worker, owner } => format!("worker={worker} owner={owner}"),
+        Told::ConfigApplied { revision } => format!("revision={revision}"),
+        Told::PeerSilent { peer } => format!("peer={peer}"),
+        _ => String::new(),
+    }
+}
+
+fn work_pairs(work: &UnitKind) -> String {
+    match work {
+        UnitKind::Request(request) => format!("request={request}"),
+        UnitKind::Task { job, index } => format!("job={job} index={index}"),
+        UnitKind::Gang { job, tasks } => format!("job={job} tasks={tasks}"),
+    }
+}
+
+fn task_pairs(task: &TaskId) -> String {
+    match TaskName::parse(task) {
+        Some(TaskName::Request {
+            request,
+            term,
+            attempt,
+        }) => format!("request={request} term={term} attempt={attempt}"),
+        Some(TaskName::Job {
+            job,
+            index,
+            term,
+            attempt,
+        }) => format!("job={job} index={index} term={term} attempt={attempt}"),
+        None => format!("task=\"{task}\""),
+    }
+}
--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -1,6 +1,11 @@
 //! The adapter to the platform: table service and host list.
 
-use crate::{consts, control::Input, Settings};
+use crate::{
+    consts,
+    control::Input,
+    telemetry::{self, count_sent},
+    Settings,
+};
 use crossbeam::channel::{self, Receiver, Sender};
 use log::warn;
 use pomelotide_core::{Event, Host, OpId, Query, TableReply, Txn};
@@ -92,6 +97,7 @@
     let Some(body) = body else {
         return TableReply::Refused;
     };
+    count_sent(telemetry::Receiver::Platform, "write", body.len());
     match client.send("POST", "/table/txn", &[], body) {
         Err(HttpError::NotSent(_)) => TableReply::Refused,
         Err(HttpError::Broken(_)) => TableReply::Lost,
@@ -108,6 +114,7 @@
     let Ok(body) = serde_json::to_vec(&WireRead::from(query)) else {
         return TableReply::Refused;
     };
+    count_sent(telemetry::Receiver::Platform, "read", body.len());
     let reply = client.send("POST", "/table/read", &[], body).ok();
     let wire = reply.and_then(|reply| body_of::<WireRows>(&reply));
     wire.and_then(|wire| TableReply::try_from(&wire).ok())
@@ -115,6 +122,7 @@
 }
 
 fn hosts(client: &HttpClient) -> Option<Vec<Host>> {
+    count_sent(telemetry::Receiver::Platform, "hosts", 0);
     let reply = client.send("GET", "/hosts", &[], Vec::new()).ok()?;
     let wire = body_of::<WireHosts>(&reply)?;
     let read = wire.hosts.iter().map(Host::try_from).collect();
--- /dev/null
+++ b/daemon/src/sentence.rs
@@ -0,0 +1,140 @@
+//! Decisions as sentences for people.
+
+use pomelotide_core::{
+    LostCause, RequestOutcome, TaskEnd, TaskId, TaskName, Told, UnitKind, WaitCause,
+};
+use pomelotide_wire::refusal_help;
+
+/// Returns what a decision about work says to people.
+pub(crate) fn sentence(told: &Told) -> String {
+    match told {
+        Told::RequestAdmitted { team, queue, .. } => {
+            format!("admitted to queue {queue} for team {team}")
+        }
+        Told::JobAdmitted { team, queue, .. } => {
+            format!("job admitted to queue {queue} for team {team}")
+        }
+        Told::PassedOn { to, .. } => format!("passed on to keeper {to}"),
+        Told::Waiting { .. } => waiting(told),
+        Told::Placed {
+            task,
+            worker,
+            waited_ms,
+            ..
+        } => format!("{} placed on worker {worker} after {waited_ms}", part(task)),
+        Told::Ended {
+            task,
+            worker,
+            ran_ms,
+            end,
+            ..
+        } => format!(
+            "{} {} on worker {worker} after {ran_ms}",
+            part(task),
+            end_text(*end)
+        ),
+        Told::Lost {
+            task,
+            worker,
+            cause,
+            ..
+        } => format!(
+            "{} lost at worker {worker}: {}",
+            part(task),
+            lost_text(*cause)
+        ),
+        Told::Retried { work, avoid } => retried(work, avoid.as_ref().map(ToString::to_string)),
+        _ => settled(told),
+    }
+}
+
+/// Returns the sentence of a decision that settles a request or job.
+fn settled(told: &Told) -> String {
+    match told {
+        Told::RequestAnswered { outcome, .. } => match outcome {
+            RequestOutcome::Done => "answered in full".into(),
+            RequestOutcome::Failed => "answered: failed at the backend server".into(),
+            RequestOutcome::Unknown => "answered: outcome unknown; it may have run".into(),
+        },
+        Told::RequestRefused { reason, .. } => {
+            format!("refused, not run: {reason} ({})", refusal_help(*reason))
+        }
+        Told::JobRefused { reason, .. } => {
+            format!("job refused, not run: {reason} ({})", refusal_help(*reason))
+        }
+        Told::JobAccepted { job, .. } => format!("on record as job {job}"),
+        Told::JobDecided { state, .. } if state.is_final() => {
+            format!("job is over: {}", format!("{state:?}").to_lowercase())
+        }
+        Told::JobEnded { .. } => "the job's outcome is on record".into(),
+        other => format!("{other:?}"),
+    }
+}
+
+fn waiting(told: &Told) -> String {
+    let Told::Waiting {
+        work,
+        team,
+        class,
+        ahead,
+        cause,
+    } = told
+    else {
+        return String::new();
+    };
+    let what = work_text(work);
+    let behind = match ahead {
+        0 => String::new(),
+        _ => format!(" behind {ahead} {class} units of team {team}"),
+    };
+    match cause {
+        WaitCause::Behind => format!("{what} waits{behind}"),
+        WaitCause::TeamLimit => format!(
+            "{what} waits{behind}: team {team} has spent its part of the upper limit here \
+             (pomelotide teams)"
+        ),
+        WaitCause::NoRoom => {
+            format!("{what} waits: no worker that takes work has room (pomelotide workers)")
+        }
+    }
+}
+
+fn retried(work: &UnitKind, avoid: Option<String>) -> String {
+    let what = work_text(work);
+    match avoid {
+        Some(worker) => format!("{what} is tried again, elsewhere than on {worker} if possible"),
+        None => format!("{what} is tried again"),
+    }
+}
+
+fn work_text(work: &UnitKind) -> String {
+    match work {
+        UnitKind::Request(_) => "the request".into(),
+        UnitKind::Task { index, .. } => format!("task {index}"),
+        UnitKind::Gang { tasks, .. } => format!("the gang of {tasks} tasks"),
+    }
+}
+
+fn part(task: &TaskId) -> String {
+    match TaskName::parse(task) {
+        Some(TaskName::Job { index, .. }) => format!("task {index}"),
+        Some(TaskName::Request { .. }) => "the request".into(),
+        None => "a task".into(),
+    }
+}
+
+const fn end_text(end: TaskEnd) -> &'static str {
+    match end {
+        TaskEnd::Done => "ended well",
+        TaskEnd::Failed => "failed",
+        TaskEnd::Stopped => "was stopped on command",
+        TaskEnd::Lapsed => "stopped, since its lease ran out,",
+    }
+}
+
+const fn lost_text(cause: LostCause) -> &'static str {
+    match cause {
+        LostCause::NeverStarted => "the worker never started it",
+        LostCause::WorkerGone => "the worker left, started anew or was silent past the lease",
+    }
+}
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -1,25 +1,53 @@
 //! Logs and metrics: one line and one sample for each decision that the reducer tells.
 
+use crate::log_line::log_line;
 use log::{info, warn};
 use metrics::{counter, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
-use pomelotide_core::{Millis, Told};
+use pomelotide_core::{Class, Effect, Millis, PeerMessage, TeamName, Told, WorkerCommand};
+use std::time::Duration;
 
 /// The upper bounds of the histograms of seconds.
 const SECONDS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.2, 5.0, 30.0, 300.0,
 ];
+/// The upper bounds of the histogram of decisions' times, in seconds.
+const PLACEMENT_SECONDS: [f64; 10] = [
+    0.00001, 0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.05,
+];
+/// The histogram of decisions' times.
+const PLACEMENT: &str = "pomelotide_placement_seconds";
+
+/// To whom the daemon sends on its own account, for the counters of control cost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Receiver {
+    Peers,
+    Workers,
+    Platform,
+}
+
+impl Receiver {
+    const fn name(self) -> &'static str {
+        match self {
+            Receiver::Peers => "peers",
+            Receiver::Workers => "workers",
+            Receiver::Platform => "platform",
+        }
+    }
+}
 
 /// Installs the recorder of metrics and returns what renders them.
 pub(crate) fn install() -> PrometheusHandle {
-    let suffix = Matcher::Suffix("_seconds".into());
-    let builder = PrometheusBuilder::new();
-    let builder = match builder.set_buckets_for_metric(suffix, &SECONDS) {
-        Ok(builder) => builder,
-        // The bounds are a constant that is not empty.
-        Err(_) => PrometheusBuilder::new(),
+    let bounds = |builder: PrometheusBuilder, matcher, bounds: &[f64]| {
+        // The bounds are constants that are not empty.
+        builder
+            .set_buckets_for_metric(matcher, bounds)
+            .unwrap_or_default()
     };
-    let recorder = builder.build_recorder();
+    let suffix = Matcher::Suffix("_seconds".into());
+    let builder = bounds(PrometheusBuilder::new(), suffix, &SECONDS);
+    let placement = Matcher::Full(PLACEMENT.into());
+    let recorder = bounds(builder, placement, &PLACEMENT_SECONDS).build_recorder();
     let handle = recorder.handle();
     // Only a second daemon in the same process finds a recorder installed.
     let _ = metrics::set_global_recorder(recorder);
@@ -30,70 +58,96 @@
     span_ms.0 as f64 / 1_000.0
 }
 
-/// Logs and counts one decision about work.
+/// Logs and counts one decision.
 pub(crate) fn tell(told: &Told) {
+    match told {
+        Told::KeeperStopped { .. }
+        | Told::WorkerSilent { .. }
+        | Told::WorkerQuarantined { .. }
+        | Told::Fenced { .. }
+        | Told::Lost { .. }
+        | Told::PeerSilent { .. } => warn!("{}", log_line(told)),
+        _ => info!("{}", log_line(told)),
+    }
+    count(told);
+}
+
+fn count(told: &Told) {
     match told {
         Told::Placed {
-            task,
             team,
             class,
-            worker,
             waited_ms,
-        } => {
-            info!("event=placed task=\"{task}\" team={team} class={class} worker={worker} waited_ms={}", waited_ms.0);
-            histogram!("pomelotide_wait_seconds", "team" => team.to_string(), "class" => class.to_string())
-                .record(seconds(*waited_ms));
-        }
+            ..
+        } => sample("pomelotide_wait_seconds", team, Some(*class), *waited_ms),
         Told::Ended {
-            task,
             team,
-            worker,
+            class,
             ran_ms,
-            well,
-        } => {
-            info!(
-                "event=ended task=\"{task}\" team={team} worker={worker} ran_ms={} well={well}",
-                ran_ms.0
-            );
-            histogram!("pomelotide_run_seconds", "team" => team.to_string())
-                .record(seconds(*ran_ms));
-        }
-        Told::RequestRefused { request, reason } => {
-            info!("event=request_refused request={request} reason={reason}");
+            ..
+        } => sample("pomelotide_run_seconds", team, *class, *ran_ms),
+        Told::RequestRefused { reason, .. } | Told::JobRefused { reason, .. } => {
             counter!("pomelotide_refused_total", "reason" => reason.to_string()).increment(1);
         }
-        Told::JobAccepted { job, team } => {
-            info!("event=job_accepted job={job} team={team}");
+        Told::JobAccepted { team, .. } => {
             counter!("pomelotide_jobs_accepted_total", "team" => team.to_string()).increment(1);
         }
-        Told::JobRefused { request, reason } => {
-            info!("event=job_refused request={request} reason={reason}");
-            counter!("pomelotide_refused_total", "reason" => reason.to_string()).increment(1);
+        Told::Retried { .. } => counter!("pomelotide_retried_total").increment(1),
+        Told::Lost { .. } => counter!("pomelotide_lost_total").increment(1),
+        Told::WorkerSilent { .. } => counter!("pomelotide_worker_silent_total").increment(1),
+        Told::WorkerQuarantined { .. } => {
+            counter!("pomelotide_worker_quarantined_total").increment(1);
         }
-        other => tell_state(other),
+        _ => {}
     }
 }
 
-/// Logs and counts one change of the daemon's surroundings.
-fn tell_state(told: &Told) {
-    match told {
-        Told::JobEnded { job, well } => info!("event=job_ended job={job} well={well}"),
-        Told::KeeperStarted { term } => info!("event=keeper_started term={term}"),
-        Told::KeeperStopped { term } => warn!("event=keeper_stopped term={term}"),
-        Told::WorkerClaimed { worker, running } => {
-            info!("event=worker_claimed worker={worker} running={running}");
-        }
-        Told::WorkerSilent { worker } => {
-            warn!("event=worker_silent worker={worker}");
-            counter!("pomelotide_worker_silent_total").increment(1);
-        }
-        Told::WorkerQuarantined { worker } => {
-            warn!("event=worker_quarantined worker={worker}");
-            counter!("pomelotide_worker_quarantined_total").increment(1);
-        }
-        Told::Fenced { worker, owner } => warn!("event=fenced worker={worker} owner={owner}"),
-        Told::ConfigApplied { revision } => info!("event=config_applied revision={revision}"),
-        Told::PeerSilent { peer } => warn!("event=peer_silent peer={peer}"),
-        _ => {}
+fn sample(name: &'static str, team: &TeamName, class: Option<Class>, span_ms: Millis) {
+    let class = class.map_or_else(|| "unknown".to_string(), |class| class.to_string());
+    histogram!(name, "team" => team.to_string(), "class" => class).record(seconds(span_ms));
+}
+
+/// Samples the time of one step of the reducer for each placement that was decided in it.
+pub(crate) fn sample_placements(effects: &[Effect], took: Duration) {
+    let placed = effects.iter().filter_map(|effect| match effect {
+        Effect::Tell(Told::Placed { team, class, .. }) => Some((team, class)),
+        _ => None,
+    });
+    let count = placed.clone().count();
+    for (team, class) in placed {
+        histogram!(PLACEMENT, "team" => team.to_string(), "class" => class.to_string())
+            .record(took.as_secs_f64() / count as f64);
+    }
+}
+
+/// Counts a message that the daemon sends on its own account.
+pub(crate) fn count_sent(to: Receiver, kind: &'static str, bytes: usize) {
+    counter!("pomelotide_sent_messages_total", "to" => to.name(), "kind" => kind).increment(1);
+    counter!("pomelotide_sent_bytes_total", "to" => to.name(), "kind" => kind)
+        .increment(bytes as u64);
+}
+
+/// Returns the kind of a message between daemons, as in the counters.
+pub(crate) const fn peer_kind(message: &PeerMessage) -> &'static str {
+    match message {
+        PeerMessage::Heartbeat(_) => "heartbeat",
+        PeerMessage::Notes { .. } => "notes",
+        PeerMessage::Run(_) => "run",
+        PeerMessage::Submit(_) => "submit",
+        PeerMessage::Cancel { .. } => "cancel",
+        PeerMessage::Answer { .. } => "answer",
+        PeerMessage::Forget(_) => "forget",
+        PeerMessage::Handover { .. } => "handover",
+    }
+}
+
+/// Returns the kind of a command to a worker, as in the counters.
+pub(crate) const fn command_kind(command: &WorkerCommand) -> &'static str {
+    match command {
+        WorkerCommand::Claim { .. } => "claim",
+        WorkerCommand::Start(_) => "start",
+        WorkerCommand::Renew { .. } => "renew",
+        WorkerCommand::Stop(_) => "stop",
+        WorkerCommand::Ack(_) => "ack",
     }
 }
--- a/wire/src/api.rs
+++ b/wire/src/api.rs
@@ -1,6 +1,6 @@
 //! The JSON bodies between callers or operators and a daemon.
 
-use crate::parse_resources;
+use crate::parse_need;
 use pomelotide_core::{
     Answer, DaemonId, JobSpec, JobState, Millis, NoteVerdict, Payload, Refusal, Status,
 };
@@ -56,7 +56,7 @@
         Ok(Self {
             queue: job.queue.parse().map_err(|e| ApiFault::new("queue", e))?,
             tasks: job.tasks,
-            need: parse_resources(&job.need).map_err(|e| ApiFault::new("need", e))?,
+            need: parse_need(&job.need).map_err(|e| ApiFault::new("need", e))?,
             run_ms: run_ms
                 .map_err(|e| ApiFault::new("run", e))?
                 .unwrap_or_default(),
@@ -75,6 +75,9 @@
     NotRun {
         /// Why.
         reason: String,
+        /// What to do about it.
+        #[serde(default)]
+        help: String,
         /// When to come back, in milliseconds.
         retry_after_ms: Option<u64>,
     },
@@ -117,6 +120,7 @@
                 retry_after_ms,
             } => ApiAnswer::NotRun {
                 reason: reason.to_string(),
+                help: refusal_help(*reason).into(),
                 retry_after_ms: retry_after_ms.map(|ms| ms.0),
             },
             Answer::OutcomeUnknown | Answer::Note(NoteVerdict::Unknown) => {
@@ -174,6 +178,30 @@
     }
 }
 
+/// Returns what a caller or operator can do about a refusal.
+pub const fn refusal_help(reason: Refusal) -> &'static str {
+    match reason {
+        Refusal::UnknownKey => "show a key that is in force: --secret, or authorization: Bearer",
+        Refusal::UnknownQueue => "pomelotide note show lists the queues",
+        Refusal::WrongTeam => "the queue or job belongs to another team than the key",
+        Refusal::NeverFits => "no worker is that large; pomelotide workers shows what they have",
+        Refusal::OverLimit => "more than the team's upper limit; pomelotide teams shows it",
+        Refusal::WrongClass => {
+            "queues of class small take requests (ask), the others jobs (submit)"
+        }
+        Refusal::Overloaded => "too much work waits; come back later",
+        Refusal::NoKeeper => "no daemon keeps the workers at the moment; come back later",
+        Refusal::StaleConfig => "the daemon can't tell whether keys still hold; come back later",
+        Refusal::TableDown => "the platform's table can't record the work; come back later",
+        Refusal::DeadlinePassed => "it waited until its deadline; come back later",
+        Refusal::Draining => "the daemon is stopping; ask another one",
+        Refusal::RetriesSpent => "backend servers fail too often; come back later",
+        Refusal::Cancelled => "its caller gave it up or cancelled it",
+        Refusal::IdReused => "the id belongs to other work of the team; choose a new one",
+        Refusal::Malformed => "a field is out of its range",
+    }
+}
+
 /// A daemon's summary of itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ApiStatus {
--- a/wire/src/http.rs
+++ b/wire/src/http.rs
@@ -88,7 +88,7 @@
             .request(request)
             .map_err(|error| match error.kind() {
                 ErrorKind::ConnectionRefused | ErrorKind::InvalidInput => {
-                    not_sent(error.to_string())
+                    not_sent(format!("{}: {error}", self.base))
                 }
                 _ => HttpError::Broken(error.to_string()),
             })?;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -9,21 +9,27 @@
 mod note_text;
 mod platform;
 mod problem;
+mod report;
 mod secret;
 mod table_key;
+mod views;
 
 pub use crate::{
-    api::{status_of, ApiAnswer, ApiFault, ApiJob, ApiStatus},
+    api::{refusal_help, status_of, ApiAnswer, ApiFault, ApiJob, ApiStatus},
     frame::{decode, encode, FrameError, PeerFrame, WorkerFrame},
     http::{HttpClient, HttpError, HttpReply},
     ini_text::{IniField, IniSection, IniText},
-    limits_text::{parse_resources, show_resources, ResourcesError},
+    limits_text::{parse_need, parse_resources, show_resources, ResourcesError},
     note_text::{parse_note, show_entries},
     platform::{
         WireCheck, WireHost, WireHosts, WireInsert, WirePair, WireRead, WireRows, WireTxn,
         WireTxnReply,
     },
     problem::{nearest, Problem, Problems},
+    report::FileReport,
     secret::digest_of,
     table_key::{decode_row, encode_row, key_text, parse_key, WireError},
+    views::{
+        ApiExplanation, ApiJobView, ApiNoteView, ApiPeerView, ApiStep, ApiTeamView, ApiWorkerView,
+    },
 };
--- a/wire/src/limits_text.rs
+++ b/wire/src/limits_text.rs
@@ -1,5 +1,6 @@
 //! Resources as text, as in `cpu 4, memory 8GiB, accelerators 1, slots 2`.
 
+use crate::nearest;
 use pomelotide_core::Resources;
 use std::fmt;
 
@@ -19,12 +20,23 @@
 
 impl std::error::Error for ResourcesError {}
 
+/// The kinds of resources as they are written.
+const KINDS: [&str; 4] = ["cpu", "memory", "accelerators", "slots"];
 /// Memory units with their size in MiB.
 const MEMORY_UNITS: [(&str, u64); 3] = [("MiB", 1), ("GiB", 1_024), ("TiB", 1_048_576)];
 
 /// Parses an amount of resources; a kind that is not named is zero.
+///
+/// ```
+/// let need = pomelotide_wire::parse_resources("cpu 0.5, memory 2GiB").unwrap();
+/// assert_eq!((need.cpu_milli, need.memory_mib), (500, 2_048));
+/// ```
 pub fn parse_resources(text: &str) -> Result<Resources, ResourcesError> {
+    if text.trim().is_empty() {
+        return Err(ResourcesError("no resource is named".into()));
+    }
     let mut resources = Resources::default();
+    let mut seen = Vec::new();
     for part in text
         .split(',')
         .map(str::trim)
@@ -32,22 +44,38 @@
     {
         let (kind, amount) = part.split_once(char::is_whitespace).unwrap_or((part, ""));
         let amount = amount.trim();
+        if seen.contains(&kind) {
+            return Err(ResourcesError(format!("{kind} is named twice")));
+        }
+        seen.push(kind);
         let wrong = || ResourcesError(format!("{part:?} is not an amount"));
         match kind {
             "cpu" => resources.cpu_milli = parse_cpu(amount).ok_or_else(wrong)?,
             "memory" => resources.memory_mib = parse_memory(amount).ok_or_else(wrong)?,
             "accelerators" => resources.accelerators = amount.parse().map_err(|_| wrong())?,
             "slots" => resources.slots = amount.parse().map_err(|_| wrong())?,
-            _ => {
-                return Err(ResourcesError(format!(
-                    "{kind:?} is not a kind of resource"
-                )))
-            }
+            _ => return Err(unknown_kind(kind)),
         }
     }
     Ok(resources)
 }
 
+fn unknown_kind(kind: &str) -> ResourcesError {
+    let near =
+        nearest(kind, KINDS).map_or_else(String::new, |near| format!(", did you mean {near}?"));
+    ResourcesError(format!("{kind:?} is not a kind of resource{near}"))
+}
+
+/// Parses an amount that a task takes; it has to take something, or no limit would hold it.
+pub fn parse_need(text: &str) -> Result<Resources, ResourcesError> {
+    match parse_resources(text)? {
+        nothing if nothing == Resources::default() => {
+            Err(ResourcesError("a task has to take something".into()))
+        }
+        need => Ok(need),
+    }
+}
+
 fn parse_cpu(text: &str) -> Option<u64> {
     if let Some(milli) = text.strip_suffix('m') {
         return milli.parse().ok();
@@ -72,13 +100,39 @@
     number.parse::<u64>().ok()?.checked_mul(unit.1)
 }
 
-/// Shows an amount so that [`parse_resources`] reads it back.
+/// Shows an amount so that [`parse_resources`] reads it back; a kind of which there is none is left
+/// out.
 pub fn show_resources(resources: &Resources) -> String {
     let Resources {
         cpu_milli,
         memory_mib,
         accelerators,
         slots,
-    } = resources;
-    format!("cpu {cpu_milli}m, memory {memory_mib}MiB, accelerators {accelerators}, slots {slots}")
+    } = *resources;
+    let parts = [
+        (cpu_milli, format!("cpu {}", show_cpu(cpu_milli))),
+        (memory_mib, format!("memory {}", show_memory(memory_mib))),
+        (accelerators, format!("accelerators {accelerators}")),
+        (slots, format!("slots {slots}")),
+    ];
+    let some = parts.into_iter().filter(|(amount, _)| *amount > 0);
+    let some: Vec<String> = some.map(|(_, text)| text).collect();
+    if some.is_empty() {
+        return "cpu 0".into();
+    }
+    some.join(", ")
+}
+
+fn show_cpu(milli: u64) -> String {
+    match milli % 1_000 {
+        0 => (milli / 1_000).to_string(),
+        _ => format!("{milli}m"),
+    }
+}
+
+fn show_memory(mib: u64) -> String {
+    let whole = |size: &u64| mib.is_multiple_of(*size) && mib > 0;
+    let largest = MEMORY_UNITS.iter().rev().find(|(_, size)| whole(size));
+    let (unit, size) = largest.unwrap_or(&MEMORY_UNITS[0]);
+    format!("{}{unit}", mib / size)
 }
--- a/wire/src/problem.rs
+++ b/wire/src/problem.rs
@@ -1,6 +1,5 @@
 //! Problems of a text file, each with its line and a help.
 
-use miette::Diagnostic;
 use std::{
     error::Error,
     fmt, //
@@ -65,12 +64,6 @@
 
 impl Error for Problems {}
 
-impl Diagnostic for Problems {
-    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
-        Some(Box::new("pomelotide::file"))
-    }
-}
-
 /// Returns the known name that is nearest to a wrong one.
 pub fn nearest<'a>(wrong: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     let scored = known.into_iter().map(|name| (edits(wrong, name), name));
