--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -5,7 +5,9 @@
 PIDS=()
 # The digest of the secret "operator".
 OPERATOR_SHA256=06e55b633481f7bb072957eabcf110c972e86691c3cfedabe088024bffe42f23
-PLATFORM=127.0.0.1:${PLATFORM_PORT:-7000}
+# Added to every port, so that two installations can run on one machine.
+PORT_SHIFT=${PORT_SHIFT:-0}
+PLATFORM=127.0.0.1:$((${PLATFORM_PORT:-7000} + PORT_SHIFT))
 
 stop_all() {
     local pid
@@ -41,14 +43,14 @@
         --platform "$PLATFORM"
 }
 
-# start_daemon NAME DOMAIN CALLERS_PORT PEERS_PORT
+# start_daemon NAME DOMAIN CALLERS_PORT PEERS_PORT, with ports before the shift.
 start_daemon() {
     cat >"$RUN_DIR/$1.ini" <<INI
 [daemon]
 name = $1
 domain = $2
-callers = 127.0.0.1:$3
-peers = 127.0.0.1:$4
+callers = 127.0.0.1:$(($3 + PORT_SHIFT))
+peers = 127.0.0.1:$(($4 + PORT_SHIFT))
 drain_grace = 1s
 operator_sha256 = $OPERATOR_SHA256
 
