--- /dev/null
+++ b/daemon/tests/settings.rs
@@ -0,0 +1,80 @@
+//! Settings files: what is read, and what is said of wrong ones.
+
+use pomelotide_core::Millis;
+use pomelotide_daemon::{read_settings, settings_reference};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/settings")
+}
+
+#[test]
+fn wrong_settings_get_the_messages_beside_them() {
+    let mut tried = 0;
+    for file in fs::read_dir(folder()).unwrap() {
+        let path = file.unwrap().path();
+        if path.extension().is_none_or(|kind| kind != "txt") {
+            continue;
+        }
+        let text = fs::read_to_string(path.with_extension("ini")).unwrap();
+        let name = path.with_extension("ini");
+        let name = name.file_name().unwrap().to_str().unwrap();
+        let problems = read_settings(name, &text).unwrap_err();
+        let expected = fs::read_to_string(&path).unwrap();
+        assert_eq!(format!("{problems}\n"), expected, "{name}");
+        tried += 1;
+    }
+    assert_eq!(tried, 6);
+}
+
+#[test]
+fn every_field_is_read() {
+    let text = fs::read_to_string(folder().join("good.ini")).unwrap();
+    let settings = read_settings("good.ini", &text).unwrap();
+    assert_eq!(settings.name, "saiss-1");
+    assert_eq!(settings.callers.to_string(), "10.0.0.1:7100");
+    assert_eq!(settings.peers.to_string(), "10.0.0.1:7200");
+    assert_eq!(settings.platform.to_string(), "10.0.0.9:7000");
+    assert_eq!(settings.drain_grace_ms, Millis(600_000));
+    assert!(settings
+        .operator
+        .is_some_and(|digest| digest.as_str().starts_with("06e55b63")));
+    assert_eq!(settings.trace.as_deref(), Some("run/trace.jsonl"));
+}
+
+#[test]
+fn the_page_holds_the_reference_of_the_code() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATING.md");
+    let page = fs::read_to_string(page).unwrap();
+    let reference = settings_reference();
+    assert!(
+        page.contains(&reference),
+        "docs/OPERATING.md lacks:\n{reference}"
+    );
+}
+
+#[test]
+fn check_ends_with_0_for_good_and_2_for_wrong_settings() {
+    let check = |file: &str| {
+        let path = folder().join(file);
+        let run = Command::new(env!("CARGO_BIN_EXE_pomelotided"))
+            .arg("--config")
+            .arg(&path)
+            .arg("--check")
+            .output()
+            .unwrap();
+        let shown = String::from_utf8(run.stderr).unwrap();
+        (run.status.code(), shown)
+    };
+    assert_eq!(check("good.ini").0, Some(0));
+    let (code, shown) = check("many.ini");
+    assert_eq!(code, Some(2));
+    for line in ["many.ini:3:", "many.ini:8:", "did you mean platform?"] {
+        assert!(shown.contains(line), "{line} is not in:\n{shown}");
+    }
+    assert_eq!(check("no-such-file.ini").0, Some(2));
+}
--- a/wire/src/ini_text.rs
+++ b/wire/src/ini_text.rs
@@ -40,10 +40,11 @@
             ..ParseOption::default()
         };
         let parsed = Ini::load_from_str_opt(text, option).map_err(|error| {
-            let problem = Problem::new(error.line, error.msg.to_string());
+            let help = "a line is [SECTION], NAME = VALUE, or a comment that begins with ;";
+            let line = first_wrong_line(text).unwrap_or(error.line);
             Problems {
                 file: file.into(),
-                list: vec![problem],
+                list: vec![Problem::new(line, "not a line of INI").with_help(help)],
             }
         })?;
         let lines = Lines::of(text);
@@ -59,6 +60,17 @@
     }
 }
 
+/// Returns the first line that neither is blank or a comment nor begins a section or field.
+fn first_wrong_line(text: &str) -> Option<usize> {
+    let is_wrong = |line: &str| {
+        let closed = !line.starts_with('[') || line.ends_with(']');
+        let ignored = line.is_empty() || line.starts_with([';', '#']);
+        !(ignored || closed && Start::of(line).is_some())
+    };
+    let wrong = text.lines().position(|line| is_wrong(line.trim()));
+    wrong.map(|place| place + 1)
+}
+
 impl IniSection {
     /// Returns a field.
     pub fn field(&self, name: &str) -> Option<&IniField> {
@@ -105,23 +117,23 @@
             .map(|(place, (line, _))| (place + 1, *line))
             .nth(same_before);
         let (place, line) = found.unwrap_or((0, 1));
-        let fields = properties.map(|(key, value)| IniField {
-            name: key.to_string(),
-            value: value.to_string(),
-            line: self.field_line(place, key).unwrap_or(line),
-        });
-        IniSection {
-            fields: fields.collect(),
-            name,
-            line,
+        let mut fields: Vec<IniField> = Vec::new();
+        for (key, value) in properties {
+            let same_before = fields.iter().filter(|field| field.name == key).count();
+            fields.push(IniField {
+                name: key.to_string(),
+                value: value.to_string(),
+                line: self.field_line(place, key, same_before).unwrap_or(line),
+            });
         }
+        IniSection { name, line, fields }
     }
 
-    fn field_line(&self, place: usize, name: &str) -> Option<usize> {
+    fn field_line(&self, place: usize, name: &str, same_before: usize) -> Option<usize> {
         let rest = self.starts[place.min(self.starts.len())..].iter();
         let own = rest.take_while(|(_, start)| matches!(start, Start::Field(_)));
         let mut named = own.filter(|(_, start)| matches!(start, Start::Field(of) if *of == name));
-        named.next().map(|(line, _)| *line)
+        named.nth(same_before).map(|(line, _)| *line)
     }
 }
 
--- a/wire/src/note_text.rs
+++ b/wire/src/note_text.rs
@@ -1,10 +1,12 @@
 //! Release notes as INI text.
 
 use crate::{
-    limits_text::parse_resources, nearest, show_resources, IniField, IniSection, IniText, Problem,
-    Problems,
+    limits_text::{parse_need, parse_resources},
+    nearest, show_resources, IniField, IniSection, IniText, Problem, Problems,
+};
+use pomelotide_core::{
+    Class, Entry, EntryName, KeyDigest, Note, NoteId, QueueName, Resources, Revision,
 };
-use pomelotide_core::{Class, Entry, EntryName, Note, NoteId, Revision};
 use std::{
     fmt::{Display, Write},
     str::FromStr, //
@@ -67,6 +69,7 @@
             self.problems
                 .push(Problem::new(1, "the section [note] is missing").with_help(help));
         }
+        self.check_repeated(ini);
         for section in &ini.sections {
             let words: Vec<&str> = section.name.split_whitespace().collect();
             match words.as_slice() {
@@ -87,7 +90,32 @@
         note
     }
 
+    /// Finds entries that two sections name; the name is what follows the verb.
+    fn check_repeated(&mut self, ini: &IniText) {
+        let mut seen: Vec<(String, usize)> = Vec::new();
+        for section in &ini.sections {
+            let mut words = section.name.split_whitespace().peekable();
+            words.next_if(|word| VERBS.contains(word));
+            let name = words.collect::<Vec<_>>().join(" ");
+            match seen.iter().find(|(earlier, _)| *earlier == name) {
+                Some((_, line)) => {
+                    let text = format!("{name} is named in line {line} too");
+                    let help = "name each entry once in a note";
+                    let problem = Problem::new(section.line, text).with_help(help);
+                    self.problems.push(problem);
+                }
+                None => seen.push((name, section.line)),
+            }
+        }
+    }
+
     fn wrong_section(&mut self, section: &IniSection, words: &[&str]) {
+        if words.is_empty() {
+            let text = "fields stand before the first section";
+            let help = "begin with [note]";
+            let problem = Problem::new(section.line, text).with_help(help);
+            return self.problems.push(problem);
+        }
         let known = VERBS.into_iter().chain(["note"]);
         let near = words.first().and_then(|word| nearest(word, known));
         let help = match near {
@@ -104,8 +132,8 @@
         if let Some(id) = self.required(section, "id") {
             note.id = id;
         }
-        if let Some(base) = self.required(section, "base") {
-            note.base = base;
+        if let Some(base) = self.number(section, "base", 0) {
+            note.base = Revision(base);
         }
     }
 
@@ -116,25 +144,22 @@
             .find(|(known, _)| *known == kind)
             .map(|(_, fields)| *fields);
         self.check_fields(section, fields.unwrap_or_default());
+        // All fields are read before any of them is missed, so that all problems are found.
         match name {
             EntryName::Domain(name) => Some(Entry::Domain(name)),
-            EntryName::Team(name) => Some(Entry::Team {
-                name,
-                share: self.required(section, "share")?,
-                limit: self.resources(section, "limit")?,
-            }),
-            EntryName::Key(name) => Some(Entry::Key {
-                name,
-                digest: self.digest(section)?,
-                team: self.required(section, "team")?,
-            }),
-            EntryName::Queue(name) => Some(Entry::Queue {
-                name,
-                class: self.required::<Class>(section, "class")?,
-                open: self.yes_no(section, "open")?,
-                team: self.optional(section, "team")?,
-                need: self.resources(section, "need")?,
-            }),
+            EntryName::Team(name) => {
+                let share = self.number(section, "share", 1);
+                let limit = self.resources(section, "limit");
+                let (share, limit) = (share?, limit?);
+                Some(Entry::Team { name, share, limit })
+            }
+            EntryName::Key(name) => {
+                let digest = self.digest(section);
+                let team = self.required(section, "team");
+                let (digest, team) = (digest?, team?);
+                Some(Entry::Key { name, digest, team })
+            }
+            EntryName::Queue(name) => self.read_queue(section, name),
             EntryName::Allotment(team, domain) => {
                 let amount = self.resources(section, "amount")?;
                 Some(Entry::Allotment {
@@ -146,6 +171,20 @@
         }
     }
 
+    fn read_queue(&mut self, section: &IniSection, name: QueueName) -> Option<Entry> {
+        let class = self.required::<Class>(section, "class");
+        let open = self.yes_no(section, "open");
+        let team = self.optional(section, "team");
+        let need = self.need(section);
+        Some(Entry::Queue {
+            name,
+            class: class?,
+            open: open?,
+            team: team?,
+            need: need?,
+        })
+    }
+
     fn read_name(&mut self, section: &IniSection, kind: &str, names: &[&str]) -> Option<EntryName> {
         let line = section.line;
         match (kind, names) {
@@ -243,15 +282,27 @@
         }
     }
 
-    fn resources(
-        &mut self,
-        section: &IniSection,
-        name: &str,
-    ) -> Option<pomelotide_core::Resources> {
+    fn resources(&mut self, section: &IniSection, name: &str) -> Option<Resources> {
         let field = self.field(section, name)?;
         self.value(field, parse_resources(&field.value))
     }
 
+    fn need(&mut self, section: &IniSection) -> Option<Resources> {
+        let field = self.field(section, "need")?;
+        self.value(field, parse_need(&field.value))
+    }
+
+    /// Reads a whole number that is not below `least`.
+    fn number(&mut self, section: &IniSection, name: &str, least: u64) -> Option<u64> {
+        let field = self.field(section, name)?;
+        let parsed = match field.value.parse::<u64>() {
+            Ok(number) if number >= least => Ok(number),
+            Ok(_) => Err(format!("the least is {least}")),
+            Err(_) => Err("expected a whole number".to_string()),
+        };
+        self.value(field, parsed)
+    }
+
     fn yes_no(&mut self, section: &IniSection, name: &str) -> Option<bool> {
         let Some(field) = section.field(name) else {
             return Some(false);
@@ -264,7 +315,7 @@
         self.value(field, parsed)
     }
 
-    fn digest(&mut self, section: &IniSection) -> Option<pomelotide_core::KeyDigest> {
+    fn digest(&mut self, section: &IniSection) -> Option<KeyDigest> {
         let field = self.field(section, "secret_sha256")?;
         let hex = field.value.len() == DIGEST_DIGITS
             && field
@@ -272,7 +323,7 @@
                 .chars()
                 .all(|c| matches!(c, '0'..='9' | 'a'..='f'));
         let parsed = if hex {
-            Ok(pomelotide_core::KeyDigest::new(&field.value))
+            Ok(KeyDigest::new(&field.value))
         } else {
             Err("expected 64 lower-case hexadecimal digits (pomelotide key digest)")
         };
--- /dev/null
+++ b/wire/tests/texts.rs
@@ -0,0 +1,155 @@
+//! Resources, INI lines, table keys and frames: each is read back as it was written.
+
+use arbtest::arbtest;
+use pomelotide_core::{
+    CallId, Claim, DaemonId, DomainName, Epoch, JobId, Key, Origin, PeerMessage, RequestId,
+    Resources, Revision, TaskId, Term, WorkerCommand,
+};
+use pomelotide_wire::{
+    decode, encode, key_text, nearest, parse_key, parse_need, parse_resources, show_resources,
+    IniText, PeerFrame, WorkerFrame,
+};
+
+#[test]
+fn any_amount_is_read_back() {
+    arbtest(|u| {
+        let parts: [u32; 4] = u.arbitrary()?;
+        let amount = Resources::from_parts(parts.map(u64::from));
+        assert_eq!(parse_resources(&show_resources(&amount)), Ok(amount));
+        Ok(())
+    })
+    .seed(0x5eed_0000_0040);
+}
+
+#[test]
+fn amounts_are_shown_for_people() {
+    let shown = |text: &str| show_resources(&parse_resources(text).unwrap());
+    assert_eq!(shown("slots 3, memory 2048MiB"), "memory 2GiB, slots 3");
+    assert_eq!(shown("cpu 1.5, memory 3TiB"), "cpu 1500m, memory 3TiB");
+    assert_eq!(shown("cpu 0"), "cpu 0");
+}
+
+#[test]
+fn wrong_amounts_are_refused_with_an_example() {
+    for (text, why) in [
+        ("", "no resource is named"),
+        ("cpu", "\"cpu\" is not an amount"),
+        ("cpu -1", "\"cpu -1\" is not an amount"),
+        ("memory 5", "\"memory 5\" is not an amount"),
+        ("memory 5GB", "\"memory 5GB\" is not an amount"),
+        ("memory 99999999999999TiB", "is not an amount"),
+        ("cpu 1, cpu 2", "cpu is named twice"),
+        ("slot 1", "did you mean slots?"),
+    ] {
+        let error = parse_resources(text).unwrap_err().to_string();
+        assert!(error.starts_with(why) || error.contains(why), "{error}");
+        assert!(error.ends_with("slots 2"), "{error}");
+    }
+    assert!(parse_need("cpu 0, slots 0").is_err());
+}
+
+#[test]
+fn sections_and_fields_know_their_lines() {
+    let text = "; comment\n\n[a]\nx = 1\n\n# more\ny : 2\nx = 3\n[b]\n[a]\nx = 4\n";
+    let ini = IniText::parse("f", text).unwrap();
+    let lines: Vec<(String, usize)> = ini
+        .sections
+        .iter()
+        .flat_map(|section| {
+            let fields = section.fields.iter();
+            let fields =
+                fields.map(|field| (format!("{}={}", field.name, field.value), field.line));
+            std::iter::once((section.name.clone(), section.line)).chain(fields)
+        })
+        .collect();
+    let expected = [
+        ("a", 3),
+        ("x=1", 4),
+        ("y=2", 7),
+        ("x=3", 8),
+        ("b", 9),
+        ("a", 10),
+        ("x=4", 11),
+    ];
+    let mut expected: Vec<(String, usize)> = expected.map(|(t, l)| (t.to_string(), l)).into();
+    // The library gathers a section's fields by name.
+    expected.sort();
+    let mut lines = lines;
+    lines.sort();
+    assert_eq!(lines, expected);
+}
+
+#[test]
+fn the_nearest_name_is_proposed_only_when_near() {
+    let known = ["callers", "peers", "drain_grace"];
+    assert_eq!(nearest("caller", known), Some("callers"));
+    assert_eq!(nearest("grace_of_drain", known), None);
+}
+
+#[test]
+fn every_kind_of_key_is_read_back() {
+    let job = JobId::new("saiss~bennani~a/b:c");
+    let keys = [
+        Key::ConfigHead,
+        Key::Delta(Revision(69_000)),
+        Key::Member(DaemonId::new("saiss-1.17")),
+        Key::Keeper(DomainName::new("saiss")),
+        Key::Job(job.clone()),
+        Key::DoneJob(job),
+        Key::Intent(RequestId::new("bennani~a/b")),
+    ];
+    for key in keys {
+        assert_eq!(parse_key(&key_text(&key)), Ok(key));
+    }
+    for text in ["", "config", "job/", "job/lost/x", "config/delta/x", "x/y"] {
+        assert!(parse_key(text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn keys_of_revisions_sort_by_number() {
+    let text = |revision| key_text(&Key::Delta(Revision(revision)));
+    assert!(text(9) < text(10) && text(99) < text(u64::MAX));
+}
+
+#[test]
+fn frames_are_read_back() {
+    let origin = Origin {
+        daemon: DaemonId::new("a"),
+        call: CallId(1),
+    };
+    let frame = PeerFrame::new(DaemonId::new("b"), PeerMessage::Forget(origin));
+    let read: PeerFrame = decode(&encode(&frame).unwrap()).unwrap();
+    assert!(read.is_current());
+    assert_eq!(read, frame);
+    let command = WorkerFrame {
+        claim: Claim {
+            term: Term(3),
+            epoch: Epoch(4),
+        },
+        command: WorkerCommand::Stop(TaskId::new("r 1 0 bennani~x")),
+    };
+    assert_eq!(decode(&encode(&command).unwrap()), Ok(command));
+}
+
+#[test]
+fn bytes_that_are_no_frame_are_refused() {
+    let frame = PeerFrame::new(
+        DaemonId::new("b"),
+        PeerMessage::Notes {
+            first: Revision(1),
+            notes: Vec::new(),
+        },
+    );
+    let bytes = encode(&frame).unwrap();
+    for end in 0..bytes.len() {
+        assert!(decode::<PeerFrame>(&bytes[..end]).is_err(), "cut at {end}");
+    }
+    arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let _ = decode::<PeerFrame>(&bytes);
+        let _ = decode::<WorkerFrame>(&bytes);
+        Ok(())
+    })
+    .seed(0x5eed_0000_0040);
+}
