Tell when the table, the host list or the keys' freshness is lost and back

Cause: an outage of the platform left no line in the log and no metric: during a table outage of 25 s the log of the keeper held refusals only. Tasks that a new keeper found running were not in the explanation of their job.

The reducer tells each change once (table_silent, keys_stale, hosts_stale and their ends) and each task that it found.

--- a/cli/src/grammar.rs
+++ b/cli/src/grammar.rs
@@ -194,7 +194,9 @@
         view(
             "daemons",
             "Shows the daemons that a daemon knows",
-            "Example:\n  pomelotide daemons",
+            "Example:\n  pomelotide daemons\n\n\
+             Across failure domains only keepers speak, so that another domain's other daemons are \
+             never heard.",
         ),
         explain.arg(
             Arg::new("id")
--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -10,6 +10,8 @@
 pub const CONFIG_POLL_MS: Millis = Millis(1_000);
 /// The span between two reads of the host list.
 pub const HOST_POLL_MS: Millis = Millis(1_000);
+/// The span without a reading of the host list after which it counts as stale.
+pub const HOSTS_STALE_MS: Millis = Millis(5_000);
 /// The span between two writes of a daemon's own membership row.
 pub const MEMBER_WRITE_MS: Millis = Millis(10_000);
 /// The span between two reads of the membership rows.
--- a/core/src/reducer/members.rs
+++ b/core/src/reducer/members.rs
@@ -215,7 +215,7 @@
         Freshness::prolong(freshness, *now_ms, config.domains());
     }
 
-    fn own_silent_ms(&self) -> Option<Millis> {
+    pub(super) fn own_silent_ms(&self) -> Option<Millis> {
         let silent = self.now_ms.since(self.table_ok_ms) > consts::TABLE_SILENT_MS;
         silent.then_some(self.now_ms)
     }
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -5,6 +5,7 @@
 mod commits;
 mod config_feed;
 mod drain;
+mod health;
 mod job_record;
 mod jobs;
 mod keeper;
@@ -64,6 +65,7 @@
     commits: commits::Commits,
     budget: RetryBudget,
     drain: drain::Drain,
+    health: health::Health,
 }
 
 /// Why a table operation was begun.
@@ -121,6 +123,7 @@
             commits: commits::Commits::default(),
             budget: RetryBudget::default(),
             drain: drain::Drain::default(),
+            health: health::Health::default(),
         }
     }
 
@@ -187,6 +190,7 @@
         self.scan_adoption();
         self.scan_calls();
         self.scan_notes();
+        self.scan_health();
         self.schedule_rested();
     }
 
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -25,6 +25,7 @@
     }
 
     pub(super) fn hosts_read(&mut self, hosts: Vec<Host>) {
+        self.hosts_are_read();
         let own = &self.settings.domain;
         let own: Vec<Host> = hosts
             .into_iter()
@@ -307,6 +308,12 @@
                 owes_answer,
             };
             self.fleet.add(ix, task, running);
+            self.tell(Told::Found {
+                task: held.task.clone(),
+                team: held.team,
+                worker: self.fleet.get(ix).host.worker.clone(),
+                goes_on: wanted,
+            });
         }
         if !wanted {
             self.command(ix, WorkerCommand::Stop(held.task));
--- a/core/src/told.rs
+++ b/core/src/told.rs
@@ -78,6 +78,17 @@
         /// Why it waits.
         cause: WaitCause,
     },
+    /// A task that another keeper had started was found at a worker.
+    Found {
+        /// The attempt.
+        task: TaskId,
+        /// The team.
+        team: TeamName,
+        /// The worker.
+        worker: WorkerId,
+        /// Whether it may go on.
+        goes_on: bool,
+    },
     /// A task counts as ended, though no worker reported its end.
     Lost {
         /// The attempt.
@@ -211,6 +222,21 @@
         /// The revision.
         revision: Revision,
     },
+    /// The table does not answer this daemon, or does so again.
+    TableSilent {
+        /// Whether it is silent.
+        silent: bool,
+    },
+    /// The configuration is too old to honour keys, or is fresh again.
+    KeysStale {
+        /// Whether it is too old.
+        stale: bool,
+    },
+    /// The host list can't be read, or can be read again.
+    HostsStale {
+        /// Whether it can't be read.
+        stale: bool,
+    },
     /// A peer is gone.
     PeerSilent {
         /// The peer.
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -10,7 +10,7 @@
 use crate::{
     consts,
     control::{Input, Look, NewCall},
-    Journal, Settings,
+    telemetry, Journal, Settings,
 };
 use crossbeam::channel::{bounded, Sender};
 use log::info;
@@ -130,7 +130,10 @@
             }),
             ["healthz"] => self.status().map(|_| text(200, "ok\n")),
             ["readyz"] => self.ready(),
-            ["metrics"] => Ok(text(200, &self.metrics.render())),
+            ["metrics"] => {
+                telemetry::show_status(&self.status()?);
+                Ok(text(200, &self.metrics.render()))
+            }
             _ => Err(other_method(path)),
         }
     }
--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -64,9 +64,10 @@
             | Told::RequestRefused { request, .. }
             | Told::JobRefused { request, .. } => Some(Subject::Request(request.clone())),
             Told::Waiting { work, .. } | Told::Retried { work, .. } => Some(Self::of_work(work)),
-            Told::Placed { task, .. } | Told::Ended { task, .. } | Told::Lost { task, .. } => {
-                Self::of_task(task)
-            }
+            Told::Placed { task, .. }
+            | Told::Ended { task, .. }
+            | Told::Found { task, .. }
+            | Told::Lost { task, .. } => Self::of_task(task),
             Told::JobAccepted { job, .. }
             | Told::JobDecided { job, .. }
             | Told::JobEnded { job, .. } => Some(Subject::Job(job.clone())),
--- a/daemon/src/log_line.rs
+++ b/daemon/src/log_line.rs
@@ -12,6 +12,7 @@
         Told::Placed { .. } => "placed",
         Told::Ended { .. } => "ended",
         Told::Lost { .. } => "lost",
+        Told::Found { .. } => "found",
         Told::Retried { .. } => "retried",
         Told::RequestAnswered { .. } => "request_answered",
         Told::RequestRefused { .. } => "request_refused",
@@ -26,6 +27,12 @@
         Told::WorkerQuarantined { .. } => "worker_quarantined",
         Told::Fenced { .. } => "fenced",
         Told::ConfigApplied { .. } => "config_applied",
+        Told::TableSilent { silent: true } => "table_silent",
+        Told::TableSilent { silent: false } => "table_back",
+        Told::KeysStale { stale: true } => "keys_stale",
+        Told::KeysStale { stale: false } => "keys_fresh",
+        Told::HostsStale { stale: true } => "hosts_stale",
+        Told::HostsStale { stale: false } => "hosts_back",
         Told::PeerSilent { .. } => "peer_silent",
     }
 }
@@ -85,9 +92,18 @@
             let task = task_pairs(task);
             format!("{task} team={team} worker={worker} cause={cause:?}")
         }
+        Told::Found {
+            task,
+            team,
+            worker,
+            goes_on,
+        } => {
+            let task = task_pairs(task);
+            format!("{task} team={team} worker={worker} goes_on={goes_on}")
+        }
         other => short_pairs(other),
     };
-    format!("event={name} {pairs}")
+    format!("event={name} {pairs}").trim_end().to_string()
 }
 
 fn short_pairs(told: &Told) -> String {
--- a/daemon/src/sentence.rs
+++ b/daemon/src/sentence.rs
@@ -43,6 +43,18 @@
             part(task),
             lost_text(*cause)
         ),
+        Told::Found {
+            task,
+            worker,
+            goes_on,
+            ..
+        } => {
+            let then = if *goes_on { "goes on" } else { "is stopped" };
+            format!(
+                "{} found on worker {worker} at the takeover; it {then}",
+                part(task)
+            )
+        }
         Told::Retried { work, avoid } => retried(work, avoid.as_ref().map(ToString::to_string)),
         _ => settled(told),
     }
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -2,9 +2,9 @@
 
 use crate::log_line::log_line;
 use log::{info, warn};
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
-use pomelotide_core::{Class, Effect, Millis, PeerMessage, TeamName, Told, WorkerCommand};
+use pomelotide_core::{Class, Effect, Millis, PeerMessage, Status, TeamName, Told, WorkerCommand};
 use std::time::Duration;
 
 /// The upper bounds of the histograms of seconds.
@@ -54,6 +54,31 @@
     handle
 }
 
+const fn flag(on: bool) -> f64 {
+    if on {
+        1.0
+    } else {
+        0.0
+    }
+}
+
+/// Sets the gauges of what a daemon has in hand.
+pub(crate) fn show_status(status: &Status) {
+    let gauges = [
+        ("pomelotide_workers", status.workers),
+        ("pomelotide_workers_ready", status.workers_ready),
+        ("pomelotide_tasks_running", status.tasks_running),
+        ("pomelotide_waiting", status.waiting),
+        ("pomelotide_open_calls", status.open_calls),
+        ("pomelotide_revision", status.revision.0 as usize),
+    ];
+    for (name, value) in gauges {
+        gauge!(name).set(value as f64);
+    }
+    let keeps = status.keeper.as_ref() == Some(&status.daemon);
+    gauge!("pomelotide_is_keeper").set(flag(keeps));
+}
+
 fn seconds(span_ms: Millis) -> f64 {
     span_ms.0 as f64 / 1_000.0
 }
@@ -66,6 +91,9 @@
         | Told::WorkerQuarantined { .. }
         | Told::Fenced { .. }
         | Told::Lost { .. }
+        | Told::TableSilent { silent: true }
+        | Told::KeysStale { stale: true }
+        | Told::HostsStale { stale: true }
         | Told::PeerSilent { .. } => warn!("{}", log_line(told)),
         _ => info!("{}", log_line(told)),
     }
@@ -92,6 +120,9 @@
         Told::JobAccepted { team, .. } => {
             counter!("pomelotide_jobs_accepted_total", "team" => team.to_string()).increment(1);
         }
+        Told::TableSilent { silent } => gauge!("pomelotide_table_silent").set(flag(*silent)),
+        Told::KeysStale { stale } => gauge!("pomelotide_keys_stale").set(flag(*stale)),
+        Told::HostsStale { stale } => gauge!("pomelotide_hosts_stale").set(flag(*stale)),
         Told::Retried { .. } => counter!("pomelotide_retried_total").increment(1),
         Told::Lost { .. } => counter!("pomelotide_lost_total").increment(1),
         Told::WorkerSilent { .. } => counter!("pomelotide_worker_silent_total").increment(1),
