--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -89,12 +89,12 @@
     watch_signals(sender.clone())?;
     let _server = callers::serve(&settings, &sender, metrics)?;
     info!(
-        "event=started daemon={} domain={} callers={} peers={}",
+        "event=started incarnation={} domain={} callers={} peers={}",
         core_settings.daemon, settings.domain, settings.callers, settings.peers
     );
     control.run(&inputs);
     thread::sleep(consts::LAST_WRITES);
-    info!("event=stopped daemon={}", core_settings.daemon);
+    info!("event=stopped incarnation={}", core_settings.daemon);
     Ok(())
 }
 
--- a/daemon/src/log_line.rs
+++ b/daemon/src/log_line.rs
@@ -39,29 +39,16 @@
 
 /// Returns the line of a decision.
 pub(crate) fn log_line(told: &Told) -> String {
-    let name = event_name(told);
-    let pairs = match told {
-        Told::RequestAdmitted {
-            request,
-            team,
-            queue,
-        }
-        | Told::JobAdmitted {
-            request,
-            team,
-            queue,
-        } => format!("request={request} team={team} queue={queue}"),
-        Told::PassedOn { request, to } => format!("request={request} to={to}"),
-        Told::Waiting {
-            work,
-            team,
-            class,
-            ahead,
-            cause,
-        } => {
-            let work = work_pairs(work);
-            format!("{work} team={team} class={class} ahead={ahead} cause={cause:?}")
-        }
+    let pairs = task_told(told)
+        .or_else(|| work_told(told))
+        .unwrap_or_else(|| state_told(told));
+    let line = format!("event={} {pairs}", event_name(told));
+    line.trim_end().to_string()
+}
+
+/// Returns the pairs of a decision about one attempt.
+fn task_told(told: &Told) -> Option<String> {
+    let (task, team, worker, rest) = match told {
         Told::Placed {
             task,
             team,
@@ -69,8 +56,9 @@
             worker,
             waited_ms,
         } => {
-            let (task, waited_ms) = (task_pairs(task), waited_ms.0);
-            format!("{task} team={team} class={class} worker={worker} waited_ms={waited_ms}")
+            let waited_ms = waited_ms.0;
+            let rest = format!("class={class} waited_ms={waited_ms}");
+            (task, team, worker, rest)
         }
         Told::Ended {
             task,
@@ -80,34 +68,51 @@
             end,
             ..
         } => {
-            let (task, ran_ms) = (task_pairs(task), ran_ms.0);
-            format!("{task} team={team} worker={worker} ran_ms={ran_ms} end={end:?}")
+            let ran_ms = ran_ms.0;
+            (task, team, worker, format!("ran_ms={ran_ms} end={end:?}"))
         }
-        Told::Lost {
+        Told::Found {
             task,
             team,
             worker,
-            cause,
-        } => {
-            let task = task_pairs(task);
-            format!("{task} team={team} worker={worker} cause={cause:?}")
-        }
-        Told::Found {
+            goes_on,
+        } => (task, team, worker, format!("goes_on={goes_on}")),
+        Told::Lost {
             task,
             team,
             worker,
-            goes_on,
-        } => {
-            let task = task_pairs(task);
-            format!("{task} team={team} worker={worker} goes_on={goes_on}")
-        }
-        other => short_pairs(other),
+            cause,
+        } => (task, team, worker, format!("cause={cause:?}")),
+        _ => return None,
     };
-    format!("event={name} {pairs}").trim_end().to_string()
+    let task = task_pairs(task);
+    Some(format!("{task} team={team} worker={worker} {rest}"))
 }
 
-fn short_pairs(told: &Told) -> String {
-    match told {
+/// Returns the pairs of another decision about a request or job.
+fn work_told(told: &Told) -> Option<String> {
+    Some(match told {
+        Told::RequestAdmitted {
+            request,
+            team,
+            queue,
+        }
+        | Told::JobAdmitted {
+            request,
+            team,
+            queue,
+        } => format!("request={request} team={team} queue={queue}"),
+        Told::PassedOn { request, to } => format!("request={request} to={to}"),
+        Told::Waiting {
+            work,
+            team,
+            class,
+            ahead,
+            cause,
+        } => {
+            let work = work_pairs(work);
+            format!("{work} team={team} class={class} ahead={ahead} cause={cause:?}")
+        }
         Told::Retried { work, avoid } => match avoid {
             Some(worker) => format!("{} avoid={worker}", work_pairs(work)),
             None => work_pairs(work),
@@ -123,6 +128,13 @@
         Told::JobAccepted { job, team } => format!("job={job} team={team}"),
         Told::JobDecided { job, team, state } => format!("job={job} team={team} state={state:?}"),
         Told::JobEnded { job, well } => format!("job={job} well={well}"),
+        _ => return None,
+    })
+}
+
+/// Returns the pairs of a decision about the daemon's surroundings.
+fn state_told(told: &Told) -> String {
+    match told {
         Told::KeeperStarted { term } | Told::KeeperStopped { term } => format!("term={term}"),
         Told::WorkerClaimed { worker, running } => format!("worker={worker} running={running}"),
         Told::WorkerSilent { worker } | Told::WorkerQuarantined { worker } => {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,9 +1,11 @@
 //! The pomelotide entry host daemon.
 
+use env_logger::fmt::Formatter;
+use log::Record;
 use miette::Report;
 use pomelotide_daemon::{cli, read_settings, run, Settings};
 use pomelotide_wire::FileReport;
-use std::{fs, process::ExitCode};
+use std::{fs, io::Write, process::ExitCode};
 
 /// The exit code where the daemon could not go on.
 const EXIT_FAILED: u8 = 1;
@@ -23,8 +25,7 @@
         println!("{}: ok", options.config);
         return ExitCode::SUCCESS;
     }
-    let env = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(env).init();
+    start_log(settings.name.clone());
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -34,6 +35,21 @@
     }
 }
 
+/// Writes each event as one line of key=value pairs to the standard error stream.
+fn start_log(daemon: String) {
+    let env = env_logger::Env::default().default_filter_or("info");
+    let line = move |out: &mut Formatter, record: &Record<'_>| {
+        let (at, level) = (out.timestamp_millis(), record.level().as_str());
+        let level = level.to_lowercase();
+        writeln!(
+            out,
+            "at={at} level={level} daemon={daemon} {}",
+            record.args()
+        )
+    };
+    env_logger::Builder::from_env(env).format(line).init();
+}
+
 fn settings(file: &str) -> Result<Settings, Report> {
     let text = fs::read_to_string(file)
         .map_err(|error| Report::msg(format!("can't read {file}: {error}")))?;
--- a/daemon/src/sentence.rs
+++ b/daemon/src/sentence.rs
@@ -16,33 +16,39 @@
         }
         Told::PassedOn { to, .. } => format!("passed on to keeper {to}"),
         Told::Waiting { .. } => waiting(told),
+        Told::Retried { work, avoid } => retried(work, avoid.as_ref().map(ToString::to_string)),
+        _ => attempt(told).unwrap_or_else(|| settled(told)),
+    }
+}
+
+/// Returns the sentence of a decision about one attempt.
+fn attempt(told: &Told) -> Option<String> {
+    let (task, rest) = match told {
         Told::Placed {
             task,
             worker,
             waited_ms,
             ..
-        } => format!("{} placed on worker {worker} after {waited_ms}", part(task)),
+        } => (task, format!("placed on worker {worker} after {waited_ms}")),
         Told::Ended {
             task,
             worker,
             ran_ms,
             end,
             ..
-        } => format!(
-            "{} {} on worker {worker} after {ran_ms}",
-            part(task),
-            end_text(*end)
-        ),
+        } => {
+            let end = end_text(*end);
+            (task, format!("{end} on worker {worker} after {ran_ms}"))
+        }
         Told::Lost {
             task,
             worker,
             cause,
             ..
-        } => format!(
-            "{} lost at worker {worker}: {}",
-            part(task),
-            lost_text(*cause)
-        ),
+        } => {
+            let why = lost_text(*cause);
+            (task, format!("lost at worker {worker}: {why}"))
+        }
         Told::Found {
             task,
             worker,
@@ -50,14 +56,12 @@
             ..
         } => {
             let then = if *goes_on { "goes on" } else { "is stopped" };
-            format!(
-                "{} found on worker {worker} at the takeover; it {then}",
-                part(task)
-            )
+            let text = format!("found on worker {worker} at the takeover; it {then}");
+            (task, text)
         }
-        Told::Retried { work, avoid } => retried(work, avoid.as_ref().map(ToString::to_string)),
-        _ => settled(told),
-    }
+        _ => return None,
+    };
+    Some(format!("{} {rest}", part(task)))
 }
 
 /// Returns the sentence of a decision that settles a request or job.
--- /dev/null
+++ b/daemon/tests/pages.rs
@@ -0,0 +1,43 @@
+//! The page for operators names every event and metric of the code.
+
+use std::{fs, path::Path};
+
+fn read(path: &str) -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(path);
+    fs::read_to_string(file).expect("a file of the repository")
+}
+
+/// Returns the texts between a mark and the next quotation mark.
+fn quoted<'a>(text: &'a str, mark: &str) -> Vec<&'a str> {
+    let parts = text.split(mark).skip(1);
+    parts.filter_map(|part| part.split('"').next()).collect()
+}
+
+#[test]
+fn the_page_explains_every_event() {
+    let page = read("../docs/OPERATING.md");
+    let code = read("src/log_line.rs");
+    let names = code.split("fn log_line").next().expect("the names");
+    let events = quoted(names, "=> \"");
+    assert!(events.len() > 25, "{events:?}");
+    for event in events {
+        assert!(page.contains(&format!("`{event}`")), "{event}");
+    }
+    for file in ["src/control.rs", "src/callers.rs", "src/platform.rs"] {
+        for line in quoted(&read(file), "event=") {
+            let event = line.split(' ').next().unwrap_or(line);
+            assert!(page.contains(&format!("`{event}`")), "{event}");
+        }
+    }
+}
+
+#[test]
+fn the_page_explains_every_metric() {
+    let page = read("../docs/OPERATING.md");
+    let names = read("src/telemetry.rs");
+    let names = quoted(&names, "\"pomelotide_");
+    assert!(names.len() > 15, "{names:?}");
+    for name in names {
+        assert!(page.contains(&format!("`pomelotide_{name}`")), "{name}");
+    }
+}
