--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -85,7 +85,12 @@
         Action::NoteDiff(file) => {
             let (_, note) = read_note(file)?;
             let diff = diff(&config(client)?, &note);
-            show(options, &diff, json!({"diff": diff}))
+            let text = if diff.is_empty() {
+                "nothing would change"
+            } else {
+                &diff
+            };
+            show(options, text, json!({"diff": diff}))
         }
         Action::NoteShow => {
             let config = config(client)?;
--- a/daemon/src/callers/reply.rs
+++ b/daemon/src/callers/reply.rs
@@ -62,8 +62,12 @@
                 response
             }
             Rejected::NotOperator => {
-                let error = "operators show the secret whose digest is operator_sha256";
-                json(401, &malformed("authorization", error))
+                let answer = ApiAnswer::NotRun {
+                    reason: "not_operator".into(),
+                    help: "operators show the secret whose digest is operator_sha256".into(),
+                    retry_after_ms: None,
+                };
+                json(401, &answer)
             }
             Rejected::NoSuchPath => json(404, &malformed("path", "no such path")),
             Rejected::Stopped => {
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -238,14 +238,25 @@
 
     fn address(&mut self, section: &str, name: &str) -> Option<SocketAddr> {
         let field = self.find(section, name)?;
-        let address = field.value.parse().ok();
-        if address.is_none() {
-            let text = format!("{name} = {}: expected IP:port", field.value);
-            let help = "for example 127.0.0.1:7100; names are not looked up";
-            self.problems
-                .push(Problem::new(field.line, text).with_help(help));
-        }
-        address
+        let address: Option<SocketAddr> = field.value.parse().ok();
+        let (what, help) = match address {
+            None => (
+                "expected IP:port",
+                "for example 127.0.0.1:7100; names are not looked up",
+            ),
+            Some(address) if address.port() == 0 => {
+                ("the port may not be 0", "others have to know the port")
+            }
+            Some(address) if address.ip().is_unspecified() && name != "callers" => (
+                "not an address that others can reach",
+                "give the host's own IP number",
+            ),
+            Some(_) => return address,
+        };
+        let text = format!("{name} = {}: {what}", field.value);
+        self.problems
+            .push(Problem::new(field.line, text).with_help(help));
+        None
     }
 
     /// Finds that callers and peers would share an address.
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -28,7 +28,7 @@
         assert_eq!(format!("{problems}\n"), expected, "{name}");
         tried += 1;
     }
-    assert_eq!(tried, 6);
+    assert_eq!(tried, 7);
 }
 
 #[test]
