Never say 'not run' of a request that an earlier attempt may have run

A request's worker fell silent, the request was placed again and waited; its deadline passed, and it was refused as not run although the first attempt had started. The same after a change of keeper: the next one did not know of the first one's attempt.

Change: attempts that are not known never to have started are counted, and the daemon in front of the caller keeps in mind that an earlier keeper had the call; in either case 'not run' becomes 'outcome unknown'. A request passed on to another failure domain is remembered, so that its retry goes there too.

Ruled out: the checker; the worker's log showed the start.

--- a/core/src/peer.rs
+++ b/core/src/peer.rs
@@ -82,6 +82,8 @@
 pub struct WaitingRequest {
     /// Whether its row is in the table, so that it may run without another one.
     pub recorded: bool,
+    /// Whether an earlier attempt may have run.
+    pub doubtful: bool,
     /// The request.
     pub request: AdmittedRequest,
 }
--- a/core/src/reducer/calls.rs
+++ b/core/src/reducer/calls.rs
@@ -4,7 +4,7 @@
 use crate::{
     consts, AdmittedJob, AdmittedRequest, Answer, CallId, DaemonId, Effect, JobId, JobSpec, Key,
     KeyDigest, Millis, Origin, PeerMessage, Query, QueueName, Refusal, Request, RequestId, Row,
-    TableReply, TeamName, Told,
+    TableReply, TeamName, Term, Told,
 };
 
 /// An open call.
@@ -13,6 +13,8 @@
     kind: CallKind,
     deadline_ms: Millis,
     sent: Option<Sent>,
+    /// Whether a keeper that is not asked any more may have run it.
+    doubtful: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -27,9 +29,28 @@
 #[derive(Clone, Debug)]
 struct Sent {
     to: DaemonId,
+    term: Option<Term>,
     at_ms: Millis,
 }
 
+impl Call {
+    /// Notes that the call is passed on; what an earlier keeper did with it stays in doubt.
+    fn send(&mut self, to: &DaemonId, term: Option<Term>, at_ms: Millis) {
+        let moved = |sent: &Sent| sent.to != *to || sent.term != term;
+        self.doubtful |= self.sent.as_ref().is_some_and(moved);
+        let to = to.clone();
+        self.sent = Some(Sent { to, term, at_ms });
+    }
+
+    /// Returns what may be said: "not run" only where every keeper that was asked says so.
+    fn truthful(&self, answer: Answer) -> Answer {
+        match answer {
+            Answer::NotRun { .. } if self.doubtful => Answer::OutcomeUnknown,
+            answer => answer,
+        }
+    }
+}
+
 impl Core {
     pub(super) fn request_arrived(&mut self, call: CallId, mut request: Request) {
         match self.admit_request(&request) {
@@ -175,6 +196,7 @@
                 kind: CallKind::Lookup,
                 deadline_ms,
                 sent: None,
+                doubtful: false,
             },
         );
         self.read(
@@ -211,6 +233,7 @@
                 kind,
                 deadline_ms,
                 sent: None,
+                doubtful: false,
             },
         );
         self.pass_on(call);
@@ -226,11 +249,9 @@
         let Some(to) = self.keeper_for(&kind) else {
             return;
         };
+        let term = self.term_of(&to);
         if let Some(open) = self.calls.get_mut(&call) {
-            open.sent = Some(Sent {
-                to: to.clone(),
-                at_ms: self.now_ms,
-            });
+            open.send(&to, term, self.now_ms);
         }
         let here = to == *self.me();
         self.tell_passed_on(&kind, &to);
@@ -257,6 +278,13 @@
         }
     }
 
+    fn term_of(&self, keeper: &DaemonId) -> Option<Term> {
+        if keeper == self.me() {
+            return self.keeper_term();
+        }
+        self.members.peers.get(keeper)?.keeper
+    }
+
     fn tell_passed_on(&mut self, kind: &CallKind, to: &DaemonId) {
         let request = match kind {
             CallKind::Request(admitted) => admitted.request.id.clone(),
@@ -351,7 +379,8 @@
     /// Gives a caller of any daemon its final answer.
     pub(super) fn answer_origin(&mut self, origin: &Origin, answer: Answer) {
         if origin.daemon == *self.me() {
-            if self.calls.contains_key(&origin.call) {
+            if let Some(open) = self.calls.get(&origin.call) {
+                let answer = open.truthful(answer);
                 self.answer(origin.call, answer);
             }
             return;
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 mod members;
 mod notes;
 mod orphans;
+mod request_state;
 mod requests;
 mod schedule;
 mod tells;
@@ -58,7 +59,7 @@
     next_hosts_ms: Millis,
     queues: Queues,
     calls: BTreeMap<CallId, calls::Call>,
-    requests: BTreeMap<RequestId, requests::RequestState>,
+    requests: BTreeMap<RequestId, request_state::RequestState>,
     jobs: BTreeMap<JobId, job_record::JobRecord>,
     adoption: adoption::Adoption,
     orphans: BTreeMap<RequestId, orphans::Orphan>,
--- a/core/src/reducer/orphans.rs
+++ b/core/src/reducer/orphans.rs
@@ -1,7 +1,7 @@
 //! Requests that pass from one keeper to the next, by handover or by a death.
 
 use super::{
-    requests::{RequestState, Stage},
+    request_state::{RequestState, Stage},
     Core,
 };
 use crate::{
@@ -95,7 +95,12 @@
                     }
                     stage => {
                         let recorded = *stage == Stage::Waiting;
-                        waiting.push(WaitingRequest { recorded, request });
+                        let doubtful = state.doubtful > 0;
+                        waiting.push(WaitingRequest {
+                            recorded,
+                            doubtful,
+                            request,
+                        });
                     }
                 }
             }
@@ -105,9 +110,12 @@
 
     /// Takes over a request that waited at the keeper before.
     pub(super) fn take_waiting(&mut self, waiting: WaitingRequest) {
-        let known = self.requests.contains_key(&waiting.request.request.id);
-        if waiting.recorded && !known {
+        let id = waiting.request.request.id.clone();
+        if waiting.recorded && !self.requests.contains_key(&id) {
             self.open_request(waiting.request, Stage::Waiting);
+            if let Some(state) = self.requests.get_mut(&id) {
+                state.doubtful += u32::from(waiting.doubtful);
+            }
         } else {
             self.run_asked(waiting.request);
         }
@@ -129,6 +137,7 @@
             nonce,
             stage,
             attempts: 1,
+            doubtful: 1,
             admitted: running.request,
         };
         self.requests.insert(id, state);
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -1,6 +1,11 @@
 //! Requests at the keeper: recorded where needed, run, retried, answered once.
 
-use super::{commits::CommitItem, orphans::Orphan, Core};
+use super::{
+    commits::CommitItem,
+    orphans::Orphan,
+    request_state::{RequestState, Stage},
+    Core,
+};
 use crate::{
     consts, AdmittedRequest, Answer, Class, DaemonId, DomainName, IntentRow, IntentState, Link,
     Millis, Origin, PeerMessage, Refusal, RequestId, TaskEnd, TaskEnded, TaskId, Told, Unit,
@@ -17,33 +22,6 @@
     Ended,
 }
 
-/// A request at the keeper.
-#[derive(Debug)]
-pub(super) struct RequestState {
-    pub(super) admitted: AdmittedRequest,
-    pub(super) nonce: u64,
-    pub(super) origins: BTreeSet<Origin>,
-    pub(super) deadline_ms: Millis,
-    pub(super) since_ms: Millis,
-    pub(super) stage: Stage,
-    pub(super) attempts: u32,
-}
-
-/// How far a request has come.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum Stage {
-    /// Its row is being written.
-    Recording,
-    /// An earlier keeper announced it; its workers are asked what became of it.
-    Seeking,
-    /// It waits for a worker.
-    Waiting,
-    /// A worker has it.
-    Running(TaskId, Option<WorkerId>),
-    /// It was answered.
-    Answered(Answer, Millis),
-}
-
 /// What to do with a request that came in.
 enum Entry {
     Attach,
@@ -70,6 +48,7 @@
             Entry::Repeat(answer) => self.answer_origin(&origin, answer),
             Entry::Refuse(reason) => self.refuse_request(&admitted, reason),
             Entry::PassOn(keeper) => {
+                self.note_passed_on(&admitted, &keeper);
                 let passed_on = AdmittedRequest {
                     passed_on: true,
                     ..admitted
@@ -87,6 +66,7 @@
             return match &state.stage {
                 _ if !state.is_same(admitted) => Entry::Refuse(Refusal::IdReused),
                 Stage::Answered(answer, _) => Entry::Repeat(answer.clone()),
+                Stage::PassedOn(keeper) => Entry::PassOn(keeper.clone()),
                 _ => Entry::Attach,
             };
         }
@@ -116,6 +96,17 @@
         }
     }
 
+    /// Remembers where a request went, so that its retries go there too and never run here.
+    fn note_passed_on(&mut self, admitted: &AdmittedRequest, keeper: &DaemonId) {
+        let id = admitted.request.id.clone();
+        if !self.requests.contains_key(&id) {
+            let mut state = self.new_state(admitted.clone(), Stage::PassedOn(keeper.clone()));
+            // Whoever it was passed on to answers.
+            state.origins.clear();
+            self.requests.insert(id, state);
+        }
+    }
+
     fn is_crowded(&self) -> bool {
         let slots = self.fleet.total().slots as usize;
         self.queues.len(Class::Small) >= (slots * consts::WAITING_PER_SLOT).max(1)
@@ -157,21 +148,26 @@
         self.budget.earn();
         let id = admitted.request.id.clone();
         let recording = stage == Stage::Recording;
+        let state = self.new_state(admitted, stage);
+        self.requests.insert(id.clone(), state);
+        if recording {
+            self.commit(CommitItem::Intent(id));
+        } else {
+            self.queue_request(&id, None);
+        }
+    }
+
+    fn new_state(&mut self, admitted: AdmittedRequest, stage: Stage) -> RequestState {
         let nonce = self.next_nonce();
-        let state = RequestState {
+        RequestState {
             origins: BTreeSet::from([admitted.origin.clone()]),
             deadline_ms: self.now_ms + admitted.request.deadline_ms,
             since_ms: self.now_ms,
             nonce,
             stage,
             attempts: 0,
+            doubtful: 0,
             admitted,
-        };
-        self.requests.insert(id.clone(), state);
-        if recording {
-            self.commit(CommitItem::Intent(id));
-        } else {
-            self.queue_request(&id, None);
         }
     }
 
@@ -285,6 +281,7 @@
         let state = self.requests.get_mut(id)?;
         let task = make_id(state.attempts);
         state.attempts += 1;
+        state.doubtful += 1;
         state.stage = Stage::Running(task.clone(), Some(worker.clone()));
         Some((task, state.admitted.request.payload.clone()))
     }
@@ -348,7 +345,10 @@
             return;
         }
         match kind {
-            LossKind::NeverStarted => self.queue_request(id, Some(worker)),
+            LossKind::NeverStarted => {
+                self.attempt_never_started(id);
+                self.queue_request(id, Some(worker));
+            }
             LossKind::Ended => {
                 if !self.retry_request(id, worker) {
                     self.finish_request(id, Answer::OutcomeUnknown);
@@ -357,6 +357,12 @@
         }
     }
 
+    fn attempt_never_started(&mut self, id: &RequestId) {
+        if let Some(state) = self.requests.get_mut(id) {
+            state.doubtful = state.doubtful.saturating_sub(1);
+        }
+    }
+
     /// Runs the idempotent requests of a silent worker elsewhere; the others wait for the worker.
     pub(super) fn move_idempotent(&mut self, ix: WorkerIx) {
         let worker = self.fleet.get(ix);
@@ -378,6 +384,10 @@
         let Some(state) = self.requests.get_mut(id) else {
             return;
         };
+        let answer = match answer {
+            Answer::NotRun { .. } if state.doubtful > 0 => Answer::OutcomeUnknown,
+            answer => answer,
+        };
         let until_ms = self.now_ms + consts::ANSWER_KEEP_MS;
         let running = match &state.stage {
             Stage::Running(task, Some(worker)) => Some((task.clone(), worker.clone())),
@@ -455,7 +465,7 @@
                     let answer = Answer::refused(reason, consts::RETRY_AFTER_MS);
                     self.finish_request(&id, answer);
                 }
-                Stage::Running(..) | Stage::Seeking => {
+                Stage::Running(..) | Stage::Seeking | Stage::PassedOn(_) => {
                     self.finish_request(&id, Answer::OutcomeUnknown);
                 }
                 Stage::Answered(..) => {}
@@ -467,22 +477,6 @@
     pub(super) fn requests_open(&self) -> bool {
         self.requests
             .values()
-            .any(|state| !matches!(state.stage, Stage::Answered(..)))
-    }
-}
-
-impl RequestState {
-    pub(super) fn runs_as(&self, task: &TaskId) -> bool {
-        matches!(&self.stage, Stage::Running(running, _) if running == task)
-    }
-
-    fn is_same(&self, other: &AdmittedRequest) -> bool {
-        let (a, b) = (&self.admitted.request, &other.request);
-        a.queue == b.queue && a.payload == b.payload && a.idempotent == b.idempotent
-    }
-
-    /// Says whether the row of a request that was refused may be removed again.
-    pub(super) fn is_refused(&self) -> bool {
-        matches!(&self.stage, Stage::Answered(Answer::NotRun { .. }, _))
+            .any(|state| !matches!(state.stage, Stage::Answered(..) | Stage::PassedOn(_)))
     }
 }
--- a/proofs/tests/scenarios.rs
+++ b/proofs/tests/scenarios.rs
@@ -43,6 +43,7 @@
     leaving_worker,
     limit_holds_in_a_partition,
     lost_then_refused,
+    not_run_is_never_said_after_a_start,
     outcome_after_slow_write,
     paused_keeper_wakes,
     planned_stop,
