Prove every point with real processes, and let a refused request come back

Change: a refusal is not repeated but decided anew, and the row of each attempt is known by its own number, in the insert and in the removal. New rows are refused at once, too, when the table was silent for two seconds; before, the first such request waited its whole deadline (seen by hand: 10 s).

Before: scenario refused_may_come_back refused at line 13.

--- a/core/src/reducer/commits.rs
+++ b/core/src/reducer/commits.rs
@@ -10,10 +10,10 @@
 /// A row that waits to be written.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum CommitItem {
-    /// A request is about to run.
-    Intent(RequestId),
+    /// A request is about to run; the number tells its attempts to be recorded apart.
+    Intent(RequestId, u64),
     /// A recorded request was refused and may be asked again.
-    Withdraw(RequestId),
+    Withdraw(RequestId, u64),
     /// A job is accepted.
     NewJob(JobId),
     /// A job's record changed.
@@ -61,7 +61,8 @@
 
     /// Says whether new rows are accepted now.
     pub(super) fn commits_open(&self) -> bool {
-        !self.table_failing() && self.commits.items.len() < consts::COMMIT_BACKLOG
+        let reached = !self.table_failing() && self.own_silent_ms().is_none();
+        reached && self.commits.items.len() < consts::COMMIT_BACKLOG
     }
 
     /// Says whether every row is written.
@@ -151,36 +152,26 @@
 
     fn add_item(&mut self, txn: &mut Txn, item: &CommitItem) {
         match item {
-            CommitItem::Intent(id) => {
-                if let Some(row) = self.own_intent(id) {
-                    txn.inserts.push(Insert {
-                        key: Key::Intent(id.clone()),
-                        row,
-                        with: None,
-                    });
-                }
+            CommitItem::Intent(id, nonce) if self.is_recording(id, *nonce) => {
+                let (key, row) = (Key::Intent(id.clone()), self.own_intent(*nonce));
+                let with = None;
+                txn.inserts.push(Insert { key, row, with });
             }
-            CommitItem::Withdraw(id) => {
-                let refused = self
-                    .requests
-                    .get(id)
-                    .is_some_and(|state| state.is_refused());
-                if let Some(row) = self.own_intent(id).filter(|_| refused) {
-                    txn.deletes.push((Key::Intent(id.clone()), Some(row)));
-                }
+            CommitItem::Withdraw(id, nonce) => {
+                let row = self.own_intent(*nonce);
+                txn.deletes.push((Key::Intent(id.clone()), Some(row)));
             }
             CommitItem::NewJob(job) => txn.inserts.extend(self.new_job_insert(job)),
             CommitItem::JobState(job) => {
                 self.commits.changed_jobs.remove(job);
                 self.add_job(txn, job);
             }
-            CommitItem::Rerun(..) => {}
+            CommitItem::Intent(..) | CommitItem::Rerun(..) => {}
         }
     }
 
-    fn own_intent(&self, id: &RequestId) -> Option<Row> {
-        let nonce = self.requests.get(id)?.nonce;
-        Some(Row::Intent(self.intent_row(nonce, IntentState::MayRun)))
+    fn own_intent(&self, nonce: u64) -> Row {
+        Row::Intent(self.intent_row(nonce, IntentState::MayRun))
     }
 
     fn send_flight(&mut self) {
@@ -263,7 +254,7 @@
         let mut kept = VecDeque::new();
         for item in flight.items {
             match item {
-                CommitItem::Intent(id) => self.intent_refused(&id),
+                CommitItem::Intent(id, nonce) => self.intent_refused(&id, nonce),
                 CommitItem::NewJob(job) => self.new_job_refused(&job),
                 other => kept.push_back(other),
             }
@@ -286,9 +277,8 @@
 
     fn item_landed(&mut self, item: CommitItem, existed: &[(Key, Row)]) {
         match item {
-            CommitItem::Intent(id) => {
-                let nonce = self.requests.get(&id).map(|state| state.nonce);
-                match foreign_intent(existed, &id, self.me(), nonce) {
+            CommitItem::Intent(id, nonce) if self.is_recording(&id, nonce) => {
+                match foreign_intent(existed, &id, self.me(), Some(nonce)) {
                     Some(row) => self.intent_existed(&id, &row),
                     None => self.intent_recorded(&id),
                 }
@@ -305,7 +295,7 @@
             }
             CommitItem::JobState(job) => self.job_state_recorded(&job),
             CommitItem::Rerun(job, index) => self.rerun_allowed(&job, index),
-            CommitItem::Withdraw(_) => {}
+            CommitItem::Intent(..) | CommitItem::Withdraw(..) => {}
         }
     }
 }
--- a/core/src/reducer/request_state.rs
+++ b/core/src/reducer/request_state.rs
@@ -43,9 +43,4 @@
         let (a, b) = (&self.admitted.request, &other.request);
         a.queue == b.queue && a.payload == b.payload && a.idempotent == b.idempotent
     }
-
-    /// Says whether the row of a request that was refused may be removed again.
-    pub(super) fn is_refused(&self) -> bool {
-        matches!(&self.stage, Stage::Answered(Answer::NotRun { .. }, _))
-    }
 }
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -65,11 +65,18 @@
         if let Some(state) = self.requests.get(&request.id) {
             return match &state.stage {
                 _ if !state.is_same(admitted) => Entry::Refuse(Refusal::IdReused),
+                Stage::Answered(Answer::NotRun { .. }, _) => self.new_entry_of(admitted),
                 Stage::Answered(answer, _) => Entry::Repeat(answer.clone()),
                 Stage::PassedOn(keeper) => Entry::PassOn(keeper.clone()),
                 _ => Entry::Attach,
             };
         }
+        self.new_entry_of(admitted)
+    }
+
+    /// Decides on a request that did not run here yet.
+    fn new_entry_of(&self, admitted: &AdmittedRequest) -> Entry {
+        let request = &admitted.request;
         let Some(view) = self.config.queue(&request.queue) else {
             return Entry::Refuse(Refusal::UnknownQueue);
         };
@@ -149,9 +156,10 @@
         let id = admitted.request.id.clone();
         let recording = stage == Stage::Recording;
         let state = self.new_state(admitted, stage);
+        let nonce = state.nonce;
         self.requests.insert(id.clone(), state);
         if recording {
-            self.commit(CommitItem::Intent(id));
+            self.commit(CommitItem::Intent(id, nonce));
         } else {
             self.queue_request(&id, None);
         }
@@ -204,13 +212,13 @@
 
     /// Goes on with a request whose row is written.
     pub(super) fn intent_recorded(&mut self, id: &RequestId) {
-        if self
-            .requests
-            .get(id)
-            .is_some_and(|state| state.stage == Stage::Recording)
-        {
-            self.queue_request(id, None);
-        }
+        self.queue_request(id, None);
+    }
+
+    /// Says whether an attempt to record a request is the one that counts.
+    pub(super) fn is_recording(&self, id: &RequestId, nonce: u64) -> bool {
+        let state = self.requests.get(id);
+        state.is_some_and(|state| state.stage == Stage::Recording && state.nonce == nonce)
     }
 
     /// Settles a request that was announced before, by this daemon or another.
@@ -252,12 +260,8 @@
     }
 
     /// Refuses a request whose row was certainly not written.
-    pub(super) fn intent_refused(&mut self, id: &RequestId) {
-        if self
-            .requests
-            .get(id)
-            .is_some_and(|state| state.stage == Stage::Recording)
-        {
+    pub(super) fn intent_refused(&mut self, id: &RequestId, nonce: u64) {
+        if self.is_recording(id, nonce) {
             let answer = Answer::refused(Refusal::TableDown, consts::RETRY_AFTER_MS);
             self.finish_request(id, answer);
         }
@@ -396,11 +400,12 @@
         state.stage = Stage::Answered(answer.clone(), until_ms);
         let refused = matches!(answer, Answer::NotRun { .. });
         let recorded = refused && !state.admitted.request.idempotent;
+        let nonce = state.nonce;
         let origins = std::mem::take(&mut state.origins);
         let team = state.admitted.team.clone();
         self.tell_answered(id, team, &answer);
         if recorded {
-            self.commit(CommitItem::Withdraw(id.clone()));
+            self.commit(CommitItem::Withdraw(id.clone(), nonce));
         }
         for origin in origins {
             self.answer_origin(&origin, answer.clone());
--- a/proofs/tests/scenarios.rs
+++ b/proofs/tests/scenarios.rs
@@ -49,6 +49,7 @@
     planned_stop,
     platform_down_for_all,
     racing_operators,
+    refused_may_come_back,
     retry_at_another_domain,
     serves_every_kind_of_work,
     silent_connection,
--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -2,7 +2,8 @@
 
 use crate::{WorkerFaults, WorkerModel};
 use futures_util::{SinkExt, StreamExt};
-use pomelotide_core::{Millis, WorkerReport};
+use log::info;
+use pomelotide_core::{Millis, WorkerCommand, WorkerReport};
 use pomelotide_wire::{decode, encode, WorkerFrame};
 use std::{
     io,
@@ -22,15 +23,17 @@
 /// A worker that any number of connections command.
 #[derive(Clone, Debug)]
 pub(crate) struct Shared {
+    name: Arc<str>,
     model: Arc<Mutex<WorkerModel>>,
     latest: Arc<Mutex<Option<mpsc::UnboundedSender<WorkerReport>>>>,
     begun: Instant,
 }
 
 impl Shared {
-    pub(crate) fn new(model: WorkerModel) -> Self {
+    pub(crate) fn new(name: &str, model: WorkerModel) -> Self {
         let model = Arc::new(Mutex::new(model));
         Self {
+            name: name.into(),
             model,
             latest: Arc::default(),
             begun: Instant::now(),
@@ -47,6 +50,32 @@
         job(&mut model, now_ms)
     }
 
+    /// Logs what a proof counts: starts, ends and starts without room.
+    fn log_start(&self, command: &WorkerCommand, started: bool) {
+        let WorkerCommand::Start(start) = command else {
+            return;
+        };
+        let event = if started { "started" } else { "not_started" };
+        let (name, cpu_milli) = (&self.name, start.need.cpu_milli);
+        let (task, team) = (&start.task, &start.team);
+        info!("event={event} worker={name} team={team} cpu_milli={cpu_milli} task=\"{task}\"");
+    }
+
+    fn log_reports(&self, reports: &[WorkerReport]) {
+        for report in reports {
+            match report {
+                WorkerReport::Ended(ended) => {
+                    let (name, task, end) = (&self.name, &ended.task, ended.end);
+                    info!("event=ended worker={name} end={end:?} task=\"{task}\"");
+                }
+                WorkerReport::NoRoom(task) => {
+                    info!("event=no_room worker={} task=\"{task}\"", self.name);
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn report(&self, reports: Vec<WorkerReport>) {
         let latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(sender) = latest.as_ref() {
@@ -69,6 +98,7 @@
         loop {
             time::sleep(TICK).await;
             let reports = self.with_model(|model, now_ms| model.tick(now_ms));
+            self.log_reports(&reports);
             self.report(reports);
         }
     }
@@ -101,8 +131,14 @@
         let Ok(frame) = decode::<WorkerFrame>(bytes) else {
             return;
         };
-        let reports =
-            self.with_model(|model, now_ms| model.command(now_ms, frame.claim, frame.command));
+        let command = frame.command.clone();
+        let (reports, started) = self.with_model(|model, now_ms| {
+            let before = model.started().len();
+            let reports = model.command(now_ms, frame.claim, frame.command);
+            (reports, model.started().len() > before)
+        });
+        self.log_start(&command, started);
+        self.log_reports(&reports);
         for report in reports {
             if matches!(report, WorkerReport::Claimed { .. }) {
                 *self.latest.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender.clone());
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -5,7 +5,9 @@
 
 fn main() -> ExitCode {
     let env = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(env).init();
+    env_logger::Builder::from_env(env)
+        .format_timestamp_millis()
+        .init();
     match run(cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/standins/src/workers.rs
+++ b/standins/src/workers.rs
@@ -41,7 +41,10 @@
     for number in 0..options.count {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         hosts.push(host(&options, number, listener.local_addr()?));
-        let shared = Shared::new(WorkerModel::new(options.capacity, incarnation));
+        let shared = Shared::new(
+            &hosts[number as usize].worker,
+            WorkerModel::new(options.capacity, incarnation),
+        );
         let fails_all = number < options.failing;
         shared.set_faults(WorkerFaults {
             fails_all,
