Answer calls whose body is broken, and cut off bodies without end

Cause: after a rejected call the HTTP library reads the rest of the body; where that failed it put its own status 500 in place of our answer, and a body without end held its thread for good. We read the rest away ourselves now, up to 16 MiB, and end the connection after a broken one.

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -4,7 +4,7 @@
 mod reply;
 
 use self::{
-    fields::{body, check_job, deadline, fault, header, key, parse, payload, yes_no},
+    fields::{body, check_job, deadline, drop_body, fault, header, key, parse, payload, yes_no},
     reply::{answer_reply, json, text, with_request_id, Rejected, Reply},
 };
 use crate::{
@@ -76,6 +76,7 @@
         self.route(request).unwrap_or_else(|rejected| {
             let path = request.uri().path();
             info!("event=call_rejected path={path:?} why=\"{rejected}\"");
+            drop_body(request);
             rejected.reply()
         })
     }
--- a/daemon/src/callers/fields.rs
+++ b/daemon/src/callers/fields.rs
@@ -2,13 +2,16 @@
 
 use super::reply::Rejected;
 use crate::consts;
-use oxhttp::model::{Body, Request as HttpRequest};
+use oxhttp::model::{header::CONNECTION, Body, HeaderValue, Request as HttpRequest};
 use pomelotide_core::{
     consts::{MAX_DEADLINE_MS, MAX_JOB_TASKS, MAX_PAYLOAD_BYTES},
     JobSpec, KeyDigest, Millis,
 };
 use pomelotide_wire::{digest_of, ApiFault};
-use std::{io::Read, str::FromStr};
+use std::{
+    io::{self, Read},
+    str::FromStr,
+};
 
 /// The deadline of a request that names none.
 const DEFAULT_DEADLINE_MS: Millis = Millis(10_000);
@@ -68,6 +71,20 @@
     Ok(bytes)
 }
 
+/// Reads away what is left of a rejected call's body, so that the caller gets our answer. After a
+/// body that is cut short, wrongly framed or far too large, what follows on the connection can't be
+/// told apart from it, so the connection ends.
+pub(super) fn drop_body(http: &mut HttpRequest<Body>) {
+    let mut limited = http.body_mut().take(consts::MAX_DROPPED_BYTES);
+    let dropped = io::copy(&mut limited, &mut io::sink());
+    if dropped.is_ok_and(|bytes| bytes < consts::MAX_DROPPED_BYTES) {
+        return;
+    }
+    *http.body_mut() = Body::empty();
+    http.headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 fn too_large(field: &str, most_bytes: u64) -> Rejected {
     let error = format!("larger than {most_bytes} bytes");
     Rejected::TooLarge(ApiFault::new(field, error))
--- a/daemon/src/consts.rs
+++ b/daemon/src/consts.rs
@@ -24,6 +24,8 @@
 pub(crate) const PEER_BACKLOG: usize = 4_096;
 /// The largest body of a caller, in bytes.
 pub(crate) const MAX_BODY_BYTES: u64 = 1_048_576;
+/// What is read away of a rejected call's body at most, in bytes.
+pub(crate) const MAX_DROPPED_BYTES: u64 = 16 * 1_024 * 1_024;
 /// How long the last writes may take when the process ends.
 pub(crate) const LAST_WRITES: Duration = Duration::from_millis(300);
 /// The decisions about work that a daemon keeps to explain them.
--- a/daemon/tests/callers.rs
+++ b/daemon/tests/callers.rs
@@ -4,7 +4,8 @@
 use pomelotide_wire::{HttpClient, HttpReply};
 use std::{
     env, fs,
-    net::TcpListener,
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -31,6 +32,7 @@
 struct Daemon {
     process: Child,
     client: HttpClient,
+    callers: SocketAddr,
 }
 
 impl Drop for Daemon {
@@ -63,7 +65,12 @@
             .spawn()
             .expect("the daemon starts");
         let client = HttpClient::new(&format!("127.0.0.1:{}", ports[0]), START_LIMIT);
-        let mut daemon = Self { process, client };
+        let callers = SocketAddr::from(([127, 0, 0, 1], ports[0]));
+        let mut daemon = Self {
+            process,
+            client,
+            callers,
+        };
         let answers = daemon.await_answer();
         fs::remove_file(&file).expect("settings are removed");
         answers.then_some(daemon)
@@ -268,3 +275,41 @@
         "{metrics}"
     );
 }
+
+#[test]
+fn a_body_that_is_cut_short_is_refused_and_ends_the_connection() {
+    let daemon = Daemon::start();
+    let head = "POST /v1/queues/loans/requests HTTP/1.1\r\nhost: a\r\n";
+    for broken in [
+        "deadline: 5\r\ncontent-length: 50\r\n\r\nshort",
+        "content-length: 50\r\n\r\nshort",
+        "transfer-encoding: chunked\r\n\r\n5\r\nab",
+        "transfer-encoding: chunked\r\n\r\nzz\r\nGET /healthz HTTP/1.1\r\nhost: a\r\n\r\n",
+    ] {
+        let mut stream = TcpStream::connect(daemon.callers).expect("a connection");
+        let call = format!("{head}{broken}");
+        stream.write_all(call.as_bytes()).expect("the call is sent");
+        stream.shutdown(Shutdown::Write).expect("the end is sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 400 "), "{broken:?}: {answer}");
+        assert!(
+            answer.contains("\"outcome\":\"malformed\""),
+            "{broken:?}: {answer}"
+        );
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    }
+}
+
+#[test]
+fn a_body_without_end_is_cut_off() {
+    let daemon = Daemon::start();
+    let mut stream = TcpStream::connect(daemon.callers).expect("a connection");
+    let head = "POST /nope HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999999\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    let piece = vec![b'x'; 1_024 * 1_024];
+    let mut pieces = 0..256;
+    let cut_off = pieces.any(|_| stream.write_all(&piece).is_err());
+    assert!(cut_off, "256 MiB were taken in");
+    assert_eq!(daemon.send("GET", "/healthz", &[], "").0, 200);
+}
