--- a/cli/src/grammar.rs
+++ b/cli/src/grammar.rs
@@ -196,7 +196,7 @@
             "Shows the daemons that a daemon knows",
             "Example:\n  pomelotide daemons\n\n\
              Across failure domains only keepers speak, so that another domain's other daemons are \
-             never heard.",
+             not heard; ask a keeper.",
         ),
         explain.arg(
             Arg::new("id")
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -20,5 +20,6 @@
     check::{read_settings, settings_reference},
     control::run,
     journal::Journal,
+    log_line::log_line,
     settings::{Settings, SettingsBuilder},
 };
--- a/daemon/src/log_line.rs
+++ b/daemon/src/log_line.rs
@@ -37,8 +37,14 @@
     }
 }
 
-/// Returns the line of a decision.
-pub(crate) fn log_line(told: &Told) -> String {
+/// Returns the line of a decision, without the time, level and daemon.
+///
+/// ```
+/// use pomelotide_core::{Revision, Told};
+/// let told = Told::ConfigApplied { revision: Revision(7) };
+/// assert_eq!(pomelotide_daemon::log_line(&told), "event=config_applied revision=7");
+/// ```
+pub fn log_line(told: &Told) -> String {
     let pairs = task_told(told)
         .or_else(|| work_told(told))
         .unwrap_or_else(|| state_told(told));
--- a/daemon/tests/journal.rs
+++ b/daemon/tests/journal.rs
@@ -4,7 +4,7 @@
     Class, DaemonId, JobId, LostCause, Millis, QueueName, Refusal, RequestId, RequestOutcome,
     TaskEnd, TaskId, TeamName, Told, UnitKind, WaitCause, WorkerId,
 };
-use pomelotide_daemon::Journal;
+use pomelotide_daemon::{log_line, Journal};
 
 fn team() -> TeamName {
     TeamName::new("bennani")
@@ -137,3 +137,20 @@
     assert_eq!(texts(&journal, "r11808").len(), 1);
     assert_eq!(texts(&journal, "r19999").len(), 1);
 }
+
+#[test]
+fn one_grep_for_the_id_finds_every_line_of_a_request() {
+    for told in retried_request() {
+        let line = log_line(&told);
+        assert!(line.contains("request=bennani~loan-1"), "{line}");
+        let pairs = line.split(' ');
+        let pairs: Vec<(&str, &str)> = pairs.filter_map(|pair| pair.split_once('=')).collect();
+        assert_eq!(pairs.len(), line.split(' ').count(), "{line}");
+        let named = |name: &str| pairs.iter().any(|(key, _)| *key == name);
+        let on_worker = matches!(
+            told,
+            Told::Placed { .. } | Told::Ended { .. } | Told::Lost { .. }
+        );
+        assert!(!on_worker || (named("worker") && named("team")), "{line}");
+    }
+}
