--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -1,15 +1,14 @@
 //! The configuration: entries by name, each with the revision that last touched it.
 
 use crate::{
-    Class, DomainName, Entry, EntryName, FaultKind, KeyDigest, KeyName, Note, NoteFault, NoteId,
-    QueueName, Resources, Revision, TeamName,
+    config_parts::ConfigParts,
+    consts::{FORGET_REVISIONS, REMEMBERED_NOTES},
+    split, Class, DomainName, Entry, EntryName, FaultKind, KeyDigest, KeyName, Note, NoteFault,
+    NoteId, QueueName, Resources, Revision, TeamName,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// The notes that are known again when they are applied twice.
-const REMEMBERED_NOTES: usize = 8_192;
-
 /// The whole configuration at one revision.
 ///
 /// ```
@@ -27,13 +26,16 @@
 /// assert_eq!(config.revision(), Revision(1));
 /// ```
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "ConfigParts", into = "ConfigParts")]
 pub struct Config {
-    revision: Revision,
-    entries: BTreeMap<EntryName, Entry>,
-    touched: BTreeMap<EntryName, Revision>,
-    notes: BTreeMap<NoteId, Revision>,
-    last_notes: VecDeque<NoteId>,
-    digests: BTreeMap<KeyDigest, KeyName>,
+    pub(crate) revision: Revision,
+    /// The revision up to which notes and what they touched are no longer known.
+    pub(crate) floor: Revision,
+    pub(crate) entries: BTreeMap<EntryName, Entry>,
+    pub(crate) touched: BTreeMap<EntryName, Revision>,
+    pub(crate) notes: BTreeMap<NoteId, Revision>,
+    pub(crate) last_notes: VecDeque<NoteId>,
+    pub(crate) digests: BTreeMap<KeyDigest, KeyName>,
 }
 
 /// A queue's settings.
@@ -60,6 +62,11 @@
         self.notes.get(note).copied()
     }
 
+    /// Returns the numbers of notes and of touched entries that are remembered.
+    pub fn remembered(&self) -> (usize, usize) {
+        (self.notes.len(), self.touched.len())
+    }
+
     /// Returns all entries in the order of their names.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
@@ -103,15 +110,18 @@
 
     /// Returns the names of all teams.
     pub fn teams(&self) -> impl Iterator<Item = &TeamName> {
-        self.entries.values().filter_map(|entry| match entry {
-            Entry::Team { name, .. } => Some(name),
-            _ => None,
-        })
+        let from = EntryName::Team(TeamName::new(""));
+        self.entries
+            .range(from..)
+            .map_while(|(_, entry)| match entry {
+                Entry::Team { name, .. } => Some(name),
+                _ => None,
+            })
     }
 
     /// Returns the names of all failure domains.
     pub fn domains(&self) -> impl Iterator<Item = &DomainName> {
-        self.entries.values().filter_map(|entry| match entry {
+        self.entries.values().map_while(|entry| match entry {
             Entry::Domain(name) => Some(name),
             _ => None,
         })
@@ -119,32 +129,73 @@
 
     /// Returns the part of a team's upper limit that a failure domain holds.
     ///
-    /// Without any allotment entry for the team the limit is split evenly; with one, a domain that
-    /// has no entry holds nothing.
+    /// Operators' allotment entries come first; with one of them, a domain that has none holds
+    /// nothing. Without any, the keepers' split counts, and at first the limit is split evenly.
     pub fn allotment(&self, team: &TeamName, domain: &DomainName) -> Resources {
-        let Some((_, limit)) = self.team(team) else {
-            return Resources::default();
-        };
         let named = self
             .entries
             .get(&EntryName::Allotment(team.clone(), domain.clone()));
         if let Some(Entry::Allotment { amount, .. }) = named {
             return *amount;
         }
-        let split_by_hand = self.allotments(team).next().is_some();
-        match self.domains().position(|name| name == domain) {
-            Some(place) if !split_by_hand => even_part(limit, self.domains().count(), place),
-            _ => Resources::default(),
+        if self.is_split_by_hand(team) {
+            return Resources::default();
+        }
+        let parts = self.split(team);
+        let part = parts.iter().find(|(of, _)| of == domain);
+        part.map(|(_, amount)| *amount).unwrap_or_default()
+    }
+
+    /// Returns the parts of a team's limit that the failure domains hold, unless operators wrote
+    /// them.
+    pub fn split(&self, team: &TeamName) -> split::Parts {
+        if let Some(Entry::Split { parts, .. }) = self.entries.get(&EntryName::Split(team.clone()))
+        {
+            return parts.clone();
         }
+        let Some((_, limit)) = self.team(team) else {
+            return Vec::new();
+        };
+        let count = self.domains().count();
+        let part = |(place, domain): (usize, &DomainName)| {
+            (domain.clone(), split::even_part(limit, count, place))
+        };
+        self.domains().enumerate().map(part).collect()
+    }
+
+    /// Says whether the keepers may move parts of a team's limit: operators have not split it, and
+    /// the team owns no open queue, whose work is started even with an old configuration.
+    pub fn is_movable(&self, team: &TeamName) -> bool {
+        self.team(team).is_some() && !self.is_split_by_hand(team) && !self.owns_open_queue(team)
+    }
+
+    /// Says whether a team pays for a queue that is open to all.
+    pub fn owns_open_queue(&self, team: &TeamName) -> bool {
+        let from = EntryName::Queue(QueueName::new(""));
+        let mut queues = self
+            .entries
+            .range(from..)
+            .map_while(|(_, entry)| match entry {
+                Entry::Queue { open, team, .. } => Some((*open, team.as_ref())),
+                _ => None,
+            });
+        queues.any(|queue| queue == (true, Some(team)))
+    }
+
+    fn is_split_by_hand(&self, team: &TeamName) -> bool {
+        self.allotments(team).next().is_some()
     }
 
     fn allotments<'a>(&'a self, team: &'a TeamName) -> impl Iterator<Item = Resources> + 'a {
-        self.entries.values().filter_map(move |entry| match entry {
-            Entry::Allotment {
-                team: of, amount, ..
-            } if of == team => Some(*amount),
-            _ => None,
-        })
+        let from = EntryName::Allotment(team.clone(), DomainName::new(""));
+        self.entries
+            .range(from..)
+            .map_while(move |(_, entry)| match entry {
+                Entry::Allotment {
+                    team: of, amount, ..
+                } if of == team => Some(*amount),
+                _ => None,
+            })
     }
 
     /// Returns everything that is wrong with a note at this revision.
@@ -160,6 +211,13 @@
     }
 
     fn conflicts(&self, note: &Note) -> Vec<NoteFault> {
+        if note.base < self.floor {
+            let kind = FaultKind::BaseTooOld(self.floor);
+            return note
+                .names()
+                .map(|entry| NoteFault { entry, kind })
+                .collect();
+        }
         let newer = |name: EntryName| {
             let revision = *self.touched.get(&name)?;
             let kind = FaultKind::ChangedSince(revision);
@@ -176,6 +234,8 @@
         let withdrawn = note.withdrawn.iter().map(|name| (name.clone(), true));
         for (entry, must_exist) in added.chain(changed).chain(withdrawn) {
             let exists = self.entries.contains_key(&entry);
+            // The keepers write a split without regard to whether there is one.
+            let exists = exists || matches!(entry, EntryName::Split(_));
             let kind = match (seen.insert(entry.clone()), exists, must_exist) {
                 (false, _, _) => FaultKind::Repeated,
                 (_, true, false) => FaultKind::Exists,
@@ -235,10 +295,29 @@
                     kinds.push(FaultKind::NoSuchDomain);
                 }
             }
+            Entry::Split { team, parts } => kinds.extend(self.faults_of_split(team, parts)),
         }
         kinds
     }
 
+    fn faults_of_split(&self, team: &TeamName, parts: &split::Parts) -> Option<FaultKind> {
+        let Some((_, limit)) = self.team(team) else {
+            return Some(FaultKind::NoSuchTeam);
+        };
+        let is_domain = |domain: &DomainName| {
+            self.entries
+                .contains_key(&EntryName::Domain(domain.clone()))
+        };
+        if !parts.iter().all(|(domain, _)| is_domain(domain)) {
+            return Some(FaultKind::NoSuchDomain);
+        }
+        if !self.is_movable(team) {
+            return Some(FaultKind::NotSplittable);
+        }
+        let fits = split::sum_of(parts).fits(&limit);
+        (!fits).then_some(FaultKind::AllotmentsOverLimit)
+    }
+
     fn missing_team(&self, team: &TeamName) -> Option<FaultKind> {
         self.team(team).is_none().then_some(FaultKind::NoSuchTeam)
     }
@@ -247,8 +326,10 @@
     pub fn apply(&mut self, note: &Note) {
         self.revision = self.revision.next();
         for name in note.names() {
-            self.touched.insert(name.clone(), self.revision);
             self.remove(&name);
+            if !matches!(name, EntryName::Split(_)) {
+                self.touched.insert(name, self.revision);
+            }
         }
         for entry in note.added.iter().chain(&note.changed) {
             if let Entry::Key { name, digest, .. } = entry {
@@ -256,16 +337,59 @@
             }
             self.entries.insert(entry.name(), entry.clone());
         }
+        if note.names().any(|name| may_upset_splits(&name)) {
+            self.refit_splits();
+        }
         self.remember(note.id.clone());
     }
 
+    /// Fits the keepers' splits to the operators' entries, in the same way at every daemon.
+    fn refit_splits(&mut self) {
+        let from = EntryName::Split(TeamName::new(""));
+        let splits = self
+            .entries
+            .range(from..)
+            .filter_map(|(_, entry)| match entry {
+                Entry::Split { team, parts } => Some((team.clone(), parts.clone())),
+                _ => None,
+            });
+        let splits: Vec<_> = splits.collect();
+        for (team, mut parts) in splits {
+            let name = EntryName::Split(team.clone());
+            parts.retain(|(domain, _)| {
+                self.entries
+                    .contains_key(&EntryName::Domain(domain.clone()))
+            });
+            let limit = self.team(&team).filter(|_| self.is_movable(&team));
+            match limit {
+                Some((_, limit)) if !parts.is_empty() => {
+                    let parts = match split::sum_of(&parts) == limit {
+                        true => parts,
+                        false => split::rescaled(&parts, limit),
+                    };
+                    self.entries.insert(name, Entry::Split { team, parts });
+                }
+                _ => {
+                    self.entries.remove(&name);
+                }
+            }
+        }
+    }
+
     fn remember(&mut self, note: NoteId) {
         self.notes.insert(note.clone(), self.revision);
         self.last_notes.push_back(note);
-        if self.last_notes.len() > REMEMBERED_NOTES {
-            let oldest = self.last_notes.pop_front();
-            oldest.and_then(|note| self.notes.remove(&note));
+        let excess = self.last_notes.len().saturating_sub(REMEMBERED_NOTES);
+        if excess < FORGET_REVISIONS as usize {
+            return;
+        }
+        for note in self.last_notes.drain(..excess) {
+            if let Some(revision) = self.notes.remove(&note) {
+                self.floor = revision.max(self.floor);
+            }
         }
+        let floor = self.floor;
+        self.touched.retain(|_, revision| *revision > floor);
     }
 
     /// Returns the latest notes with the revisions that they made, the newest first.
@@ -286,9 +410,7 @@
     }
 }
 
-/// Returns one of `count` parts of a limit; the remainder goes to the first parts.
-fn even_part(limit: Resources, count: usize, place: usize) -> Resources {
-    let count = count.max(1) as u64;
-    let part = |whole: u64| whole / count + u64::from((place as u64) < whole % count);
-    Resources::from_parts(limit.parts().map(part))
+/// Says whether a change of an entry may leave a split unfit.
+const fn may_upset_splits(name: &EntryName) -> bool {
+    !matches!(name, EntryName::Key(_) | EntryName::Split(_))
 }
--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -60,6 +60,18 @@
 pub const TABLE_RETRY_MS: Millis = Millis(300);
 /// The notes that a daemon keeps for peers that lack them.
 pub const RECENT_NOTES: usize = 256;
+/// The latest notes whose ids and entries are remembered.
+pub const REMEMBERED_NOTES: usize = 2_048;
+/// The revisions after which what is no longer remembered is dropped.
+pub const FORGET_REVISIONS: u64 = 64;
+/// The revisions between two snapshots of the configuration.
+pub const SNAPSHOT_REVISIONS: u64 = 512;
+/// The objects that the snapshots take turns in.
+pub const SNAPSHOT_SLOTS: u64 = 8;
+/// The revisions that a daemon may lack before it reads a snapshot rather than the notes.
+pub const SNAPSHOT_LACK: u64 = 64;
+/// The rows that one transaction trims at most.
+pub const TRIM_ROWS: u64 = 128;
 /// The notes that one message carries at most.
 pub const NOTES_A_MESSAGE: usize = 64;
 /// The part of all workers that may rest in quarantine at once, in percent.
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -1,7 +1,8 @@
 //! Everything that a daemon can be told to do.
 
 use crate::{
-    Answer, CallId, Claim, DaemonId, OpId, PeerMessage, Query, Txn, WorkerCommand, WorkerId,
+    Answer, CallId, Claim, Config, DaemonId, OpId, PeerMessage, Query, SnapshotSlot, Txn,
+    WorkerCommand, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -68,6 +69,22 @@
         /// The query.
         query: Query,
     },
+    /// Writes a snapshot of the configuration to the object store.
+    PutObject {
+        /// The operation.
+        op: OpId,
+        /// The object.
+        slot: SnapshotSlot,
+        /// The configuration.
+        config: Box<Config>,
+    },
+    /// Reads a snapshot of the configuration from the object store.
+    GetObject {
+        /// The operation.
+        op: OpId,
+        /// The object.
+        slot: SnapshotSlot,
+    },
     /// Reads the host list.
     ReadHosts,
     /// Tells what happened, for logs and metrics.
--- a/core/src/entry.rs
+++ b/core/src/entry.rs
@@ -49,6 +49,14 @@
         /// The part of the limit.
         amount: Resources,
     },
+    /// How the keepers have split a team's upper limit among the failure domains; no operator
+    /// writes it, and a domain that it does not name holds nothing.
+    Split {
+        /// The team.
+        team: TeamName,
+        /// The failure domains' parts.
+        parts: Vec<(DomainName, Resources)>,
+    },
 }
 
 /// The kind and name of an [`Entry`].
@@ -64,6 +72,8 @@
     Queue(QueueName),
     /// Names a failure domain's part of a team's limit.
     Allotment(TeamName, DomainName),
+    /// Names the keepers' split of a team's limit.
+    Split(TeamName),
 }
 
 impl Entry {
@@ -77,6 +87,7 @@
             Entry::Allotment { team, domain, .. } => {
                 EntryName::Allotment(team.clone(), domain.clone())
             }
+            Entry::Split { team, .. } => EntryName::Split(team.clone()),
         }
     }
 }
@@ -89,6 +100,7 @@
             EntryName::Key(name) => write!(f, "key {name}"),
             EntryName::Queue(name) => write!(f, "queue {name}"),
             EntryName::Allotment(team, domain) => write!(f, "allotment {team} {domain}"),
+            EntryName::Split(team) => write!(f, "split {team}"),
         }
     }
 }
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -1,8 +1,8 @@
 //! Everything that can happen to a daemon.
 
 use crate::{
-    CallId, DaemonId, Host, JobId, JobSpec, KeyDigest, Note, OpId, PeerMessage, Request, RequestId,
-    TableReply, WorkerId, WorkerReport,
+    CallId, DaemonId, Host, JobId, JobSpec, KeyDigest, Note, ObjectReply, OpId, PeerMessage,
+    Request, RequestId, TableReply, WorkerId, WorkerReport,
 };
 use serde::{Deserialize, Serialize};
 
@@ -94,6 +94,13 @@
         /// What came of it.
         reply: TableReply,
     },
+    /// An operation on the object store ended.
+    ObjectAnswered {
+        /// The operation.
+        op: OpId,
+        /// What came of it.
+        reply: ObjectReply,
+    },
     /// The host list was read.
     HostsRead {
         /// The workers on it.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod class;
 mod config;
+mod config_parts;
 pub mod consts;
 mod effect;
 mod entry;
@@ -19,6 +20,7 @@
 mod limits;
 mod millis;
 mod note;
+mod object;
 mod payload;
 mod peer;
 mod queues;
@@ -27,6 +29,7 @@
 pub mod resources;
 mod retry_budget;
 mod settings;
+pub mod split;
 mod status;
 mod table;
 mod task_name;
@@ -51,6 +54,7 @@
     limits::Limits,
     millis::{Millis, MillisError},
     note::{FaultKind, Note, NoteFault, NoteVerdict},
+    object::{ObjectReply, SnapshotSlot},
     payload::Payload,
     peer::{
         AdmittedJob, AdmittedRequest, Heartbeat, Origin, PeerMessage, RunningRequest,
@@ -65,7 +69,7 @@
     status::Status,
     table::{
         Check, HeadRow, Insert, IntentRow, IntentState, KeeperRow, Key, MemberRow, Query, Row,
-        TableReply, Txn,
+        SnapshotRow, TableReply, Txn,
     },
     task_name::TaskName,
     task_set::TaskSet,
--- a/core/src/note.rs
+++ b/core/src/note.rs
@@ -59,6 +59,10 @@
     AllotmentsOverLimit,
     /// Another entry still needs the withdrawn one.
     StillUsed,
+    /// The note's base is so old that changes after it are no longer known.
+    BaseTooOld(Revision),
+    /// The keepers' split of a limit that is not theirs to split.
+    NotSplittable,
     /// The entry changed after the note's base revision.
     ChangedSince(Revision),
 }
@@ -76,6 +80,14 @@
             FaultKind::SameDigest => "has the same secret as another key",
             FaultKind::AllotmentsOverLimit => "has allotments that exceed its limit",
             FaultKind::StillUsed => "is still used by another entry",
+            FaultKind::NotSplittable => "is not split by the keepers",
+            FaultKind::BaseTooOld(floor) => {
+                return write!(
+                    f,
+                    "can't be compared with a base before revision {floor}; read the \
+                     configuration again and write the note anew"
+                );
+            }
             FaultKind::ChangedSince(revision) => {
                 return write!(f, "changed in revision {revision}, after the note's base");
             }
--- a/core/src/reducer/config_feed.rs
+++ b/core/src/reducer/config_feed.rs
@@ -1,19 +1,23 @@
 //! Following the configuration: reading the table, and relaying to peers that can't.
 
-use super::{Core, Op};
+use super::{snapshots::Source, Core, Op};
 use crate::{
-    consts, DaemonId, Heartbeat, Key, Millis, Note, PeerMessage, Query, Revision, Row, TableReply,
-    Told,
+    consts, DaemonId, Heartbeat, Key, Millis, Note, PeerMessage, Query, Revision, Row, SnapshotRow,
+    TableReply, Told,
 };
 use std::collections::VecDeque;
 
 /// The state of following the configuration.
 #[derive(Debug, Default)]
 pub(super) struct Feed {
-    next_poll_ms: Millis,
-    polling: bool,
+    pub(super) next_poll_ms: Millis,
+    pub(super) polling: bool,
     head: Revision,
-    recent: VecDeque<Note>,
+    pub(super) recent: VecDeque<Note>,
+    /// The snapshots that the table names.
+    pub(super) snapshot: SnapshotRow,
+    /// Whether the latest reading of a snapshot gave nothing usable.
+    pub(super) snapshot_failed: bool,
 }
 
 impl Core {
@@ -33,7 +37,7 @@
             Op::PollHead {
                 sent_ms: self.now_ms,
             },
-            Query::One(Key::ConfigHead),
+            Query::Many(vec![Key::ConfigHead, Key::Snapshot]),
         );
     }
 
@@ -42,21 +46,36 @@
         let TableReply::Rows(rows) = reply else {
             return;
         };
-        let head = rows.into_iter().find_map(|(_, row)| match row {
-            Row::Head(head) => Some(head.revision),
-            _ => None,
-        });
-        let head = head.unwrap_or_default();
+        let mut head = Revision::default();
+        for (_, row) in rows {
+            match row {
+                Row::Head(row) => head = row.revision,
+                Row::Snapshot(row) if row.trimmed >= self.feed.snapshot.trimmed => {
+                    self.feed.snapshot = row;
+                }
+                _ => {}
+            }
+        }
         self.feed.head = head.max(self.feed.head);
         if head > self.config.revision() {
-            self.feed.polling = true;
-            let query = Query::DeltasAfter(self.config.revision());
-            self.read(Op::PollDeltas { sent_ms }, query);
+            self.read_on(sent_ms);
         } else if head == self.config.revision() {
             self.config_confirmed(sent_ms);
         }
     }
 
+    fn read_on(&mut self, sent_ms: Millis) {
+        self.feed.polling = true;
+        let failed = std::mem::take(&mut self.feed.snapshot_failed);
+        match self.config_source(failed) {
+            Source::Snapshot(wanted) => self.read_snapshot(wanted),
+            Source::Deltas => {
+                let query = Query::DeltasAfter(self.config.revision());
+                self.read(Op::PollDeltas { sent_ms }, query);
+            }
+        }
+    }
+
     pub(super) fn deltas_read(&mut self, sent_ms: Millis, reply: TableReply) {
         self.feed.polling = false;
         let TableReply::Rows(rows) = reply else {
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -14,13 +14,15 @@
 mod orphans;
 mod requests;
 mod schedule;
+mod snapshots;
 mod tells;
 mod views;
 mod workers;
 
 use crate::{
     consts, CallId, Config, CoreSettings, DaemonId, Effect, Event, Fleet, Freshness, JobId, Limits,
-    Millis, OpId, Query, Queues, RequestId, RetryBudget, TableReply, Told, Txn,
+    Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, SnapshotRow,
+    TableReply, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -73,6 +75,9 @@
 enum Op {
     PollHead { sent_ms: Millis },
     PollDeltas { sent_ms: Millis },
+    PollSnapshot { wanted: Revision },
+    PutSnapshot { revision: Revision },
+    WriteSnapshot { row: SnapshotRow },
     WriteNote,
     ReadMembers,
     WriteMember,
@@ -163,6 +168,7 @@
                 self.worker_heard(&worker, link, report);
             }
             Event::TableAnswered { op, reply } => self.table_answered(op, reply),
+            Event::ObjectAnswered { op, reply } => self.object_answered(op, reply),
             Event::HostsRead { hosts } => self.hosts_read(hosts),
             Event::DrainAsked => self.drain_asked(),
         }
@@ -204,6 +210,8 @@
         match purpose {
             Op::PollHead { sent_ms } => self.head_read(sent_ms, reply),
             Op::PollDeltas { sent_ms } => self.deltas_read(sent_ms, reply),
+            Op::WriteSnapshot { row } => self.snapshot_row_written(row, reply),
+            Op::PollSnapshot { .. } | Op::PutSnapshot { .. } => {}
             Op::WriteNote => self.note_written(reply),
             Op::ReadMembers => self.members_read(reply),
             Op::WriteMember => {}
@@ -216,6 +224,14 @@
         }
     }
 
+    fn object_answered(&mut self, op: OpId, reply: ObjectReply) {
+        match self.ops.remove(&op) {
+            Some(Op::PollSnapshot { wanted }) => self.snapshot_read(wanted, reply),
+            Some(Op::PutSnapshot { revision }) => self.snapshot_stored(revision, reply),
+            _ => {}
+        }
+    }
+
     fn write(&mut self, purpose: Op, txn: Txn) {
         let op = self.begin(purpose);
         self.out.push(Effect::Write { op, txn });
--- /dev/null
+++ b/core/src/split.rs
@@ -0,0 +1,41 @@
+//! The arithmetic of splitting a team's upper limit among the failure domains.
+
+use crate::{DomainName, Resources};
+
+/// The failure domains' parts of a limit.
+pub type Parts = Vec<(DomainName, Resources)>;
+
+/// Returns one of `count` even parts of a limit; the remainder goes to the first parts.
+pub fn even_part(limit: Resources, count: usize, place: usize) -> Resources {
+    let count = count.max(1) as u64;
+    let part = |whole: u64| whole / count + u64::from((place as u64) < whole % count);
+    Resources::from_parts(limit.parts().map(part))
+}
+
+/// Returns the sum of all parts.
+pub fn sum_of(parts: &Parts) -> Resources {
+    let amounts = parts.iter().map(|(_, amount)| *amount);
+    amounts.fold(Resources::default(), Resources::plus)
+}
+
+/// Scales parts to a new limit; what rounding leaves over goes to the first part.
+pub fn rescaled(parts: &Parts, limit: Resources) -> Parts {
+    let (old, new) = (sum_of(parts).parts(), limit.parts());
+    let scale = |i: usize, amount: u64| match old[i] {
+        0 => 0,
+        old => (u128::from(amount) * u128::from(new[i]) / u128::from(old)) as u64,
+    };
+    let scaled = |amount: Resources| {
+        let amounts = amount.parts();
+        Resources::from_parts(std::array::from_fn(|i| scale(i, amounts[i])))
+    };
+    let mut parts: Parts = parts
+        .iter()
+        .map(|(domain, amount)| (domain.clone(), scaled(*amount)))
+        .collect();
+    let left = limit.minus(sum_of(&parts));
+    if let Some((_, first)) = parts.first_mut() {
+        *first = first.plus(left);
+    }
+    parts
+}
--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -10,6 +10,8 @@
     ConfigHead,
     /// The note that made a revision.
     Delta(Revision),
+    /// Where the latest snapshot of the configuration is.
+    Snapshot,
     /// A daemon.
     Member(DaemonId),
     /// The daemon that keeps a failure domain's workers.
@@ -31,6 +33,17 @@
     pub note: NoteId,
 }
 
+/// The snapshots of the configuration that the object store holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SnapshotRow {
+    /// The revision of the latest snapshot.
+    pub latest: Revision,
+    /// The revision of the snapshot before it; no later note is ever trimmed.
+    pub previous: Revision,
+    /// The revision up to which the notes' rows are trimmed.
+    pub trimmed: Revision,
+}
+
 /// A daemon with the address at which its peers reach it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberRow {
@@ -84,6 +97,8 @@
     Head(HeadRow),
     /// See [`Note`].
     Delta(Note),
+    /// See [`SnapshotRow`].
+    Snapshot(SnapshotRow),
     /// See [`MemberRow`].
     Member(MemberRow),
     /// See [`KeeperRow`].
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -201,6 +201,8 @@
             }
             Effect::Write { op, txn } => self.platform.write(op, txn),
             Effect::Read { op, query } => self.platform.read(op, query),
+            Effect::PutObject { op, slot, config } => self.platform.put_object(op, slot, config),
+            Effect::GetObject { op, slot } => self.platform.get_object(op, slot),
             Effect::ReadHosts => self.platform.read_hosts(),
             Effect::Tell(told) => {
                 self.journal.keep(&told);
--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -1,4 +1,4 @@
-//! The adapter to the platform: table service and host list.
+//! The adapter to the platform: table service, object store and host list.
 
 use crate::{
     consts,
@@ -8,19 +8,26 @@
 };
 use crossbeam::channel::{self, Receiver, Sender};
 use log::warn;
-use pomelotide_core::{Event, Host, OpId, Query, TableReply, Txn};
+use pomelotide_core::{
+    Config, Event, Host, ObjectReply, OpId, Query, SnapshotSlot, TableReply, Txn,
+};
 use pomelotide_wire::{
-    HttpClient, HttpError, HttpReply, WireHosts, WireRead, WireRows, WireTxn, WireTxnReply,
+    decode_snapshot, encode_snapshot, HttpClient, HttpError, HttpReply, WireHosts, WireRead,
+    WireRows, WireTxn, WireTxnReply,
 };
 use serde::de::DeserializeOwned;
 use std::{io, thread};
 
+/// The status of an operation that was carried out.
+const STATUS_OK: u16 = 200;
 /// The status by which the table service turns an operation away before it begins.
 const STATUS_REFUSED: u16 = 503;
 
 enum Job {
     Write(OpId, Txn),
     Read(OpId, Query),
+    PutObject(OpId, SnapshotSlot, Box<Config>),
+    GetObject(OpId, SnapshotSlot),
     Hosts,
 }
 
@@ -55,6 +62,14 @@
         let _ = self.jobs.send(Job::Read(op, query));
     }
 
+    pub(crate) fn put_object(&self, op: OpId, slot: SnapshotSlot, config: Box<Config>) {
+        let _ = self.jobs.send(Job::PutObject(op, slot, config));
+    }
+
+    pub(crate) fn get_object(&self, op: OpId, slot: SnapshotSlot) {
+        let _ = self.jobs.send(Job::GetObject(op, slot));
+    }
+
     /// Reads the host list, unless a reading is under way.
     pub(crate) fn read_hosts(&self) {
         let _ = self.hosts.try_send(Job::Hosts);
@@ -70,17 +85,7 @@
     let client = HttpClient::new(&settings.platform.to_string(), consts::PLATFORM_LIMIT);
     let work = move || {
         for job in jobs {
-            let event = match job {
-                Job::Write(op, txn) => Some(Event::TableAnswered {
-                    op,
-                    reply: write(&client, &txn),
-                }),
-                Job::Read(op, query) => Some(Event::TableAnswered {
-                    op,
-                    reply: read(&client, &query),
-                }),
-                Job::Hosts => hosts(&client).map(|hosts| Event::HostsRead { hosts }),
-            };
+            let event = carry_out(&client, job);
             if event.is_some_and(|event| inputs.send(Input::Event(event)).is_err()) {
                 return;
             }
@@ -90,6 +95,61 @@
     Ok(())
 }
 
+fn carry_out(client: &HttpClient, job: Job) -> Option<Event> {
+    match job {
+        Job::Write(op, txn) => Some(Event::TableAnswered {
+            op,
+            reply: write(client, &txn),
+        }),
+        Job::Read(op, query) => Some(Event::TableAnswered {
+            op,
+            reply: read(client, &query),
+        }),
+        Job::PutObject(op, slot, config) => Some(Event::ObjectAnswered {
+            op,
+            reply: put_object(client, slot, &config),
+        }),
+        Job::GetObject(op, slot) => Some(Event::ObjectAnswered {
+            op,
+            reply: get_object(client, slot),
+        }),
+        Job::Hosts => hosts(client).map(|hosts| Event::HostsRead { hosts }),
+    }
+}
+
+fn object_path(slot: SnapshotSlot) -> String {
+    format!("/objects/{slot}")
+}
+
+fn put_object(client: &HttpClient, slot: SnapshotSlot, config: &Config) -> ObjectReply {
+    let Ok(body) = encode_snapshot(config) else {
+        return ObjectReply::Unusable;
+    };
+    match client.send("PUT", &object_path(slot), &[], body) {
+        Ok(reply) if reply.status == STATUS_OK => ObjectReply::Stored,
+        _ => ObjectReply::Lost,
+    }
+}
+
+fn get_object(client: &HttpClient, slot: SnapshotSlot) -> ObjectReply {
+    let Ok(reply) = client.send("GET", &object_path(slot), &[], Vec::new()) else {
+        return ObjectReply::Lost;
+    };
+    if reply.status != STATUS_OK {
+        return ObjectReply::Unusable;
+    }
+    match decode_snapshot(&reply.body) {
+        Ok(config) => ObjectReply::Found(Box::new(config)),
+        Err(error) => {
+            warn!(
+                "event=snapshot_malformed slot={slot} error={:?}",
+                error.to_string()
+            );
+            ObjectReply::Unusable
+        }
+    }
+}
+
 fn write(client: &HttpClient, txn: &Txn) -> TableReply {
     let body = WireTxn::try_from(txn)
         .ok()
@@ -136,7 +196,7 @@
 }
 
 fn body_of<T: DeserializeOwned>(reply: &HttpReply) -> Option<T> {
-    if reply.status != 200 {
+    if reply.status != STATUS_OK {
         return None;
     }
     serde_json::from_slice(&reply.body).ok()
--- a/proofs/src/world.rs
+++ b/proofs/src/world.rs
@@ -13,8 +13,8 @@
 use node::{Node, WorkerNode};
 use outside::Platform;
 use pomelotide_core::{
-    Answer, CallId, Claim, Core, DaemonId, Effect, Event, Host, Millis, Resources, WorkerCommand,
-    WorkerId,
+    Answer, CallId, Claim, Core, DaemonId, Effect, Event, Host, Millis, ObjectReply, Resources,
+    WorkerCommand, WorkerId,
 };
 use std::collections::BTreeMap;
 
@@ -295,6 +295,12 @@
             }
             Effect::Write { op, txn } => self.call_table(daemon, op, outside::Job::write(&txn)),
             Effect::Read { op, query } => self.call_table(daemon, op, outside::Job::read(&query)),
+            // No scenario writes so many notes that a snapshot is due.
+            Effect::PutObject { op, .. } | Effect::GetObject { op, .. } => {
+                let event = Event::ObjectAnswered { op, reply: ObjectReply::Lost };
+                let due = Due::ToDaemon(daemon.clone(), Box::new(event));
+                self.schedule(self.now_ms + Millis(1), due);
+            }
             Effect::ReadHosts => self.read_hosts(daemon),
             Effect::Tell(told) if self.trace => println!("{} {daemon} {told:?}", self.now_ms),
             Effect::KnowPeer { .. } | Effect::Tell(_) => {}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod problem;
 mod report;
 mod secret;
+mod snapshot;
 mod table_key;
 mod views;
 
@@ -28,6 +29,7 @@
     problem::{nearest, Problem, Problems},
     report::FileReport,
     secret::digest_of,
+    snapshot::{decode_snapshot, encode_snapshot},
     table_key::{decode_row, encode_row, key_text, parse_key, WireError},
     views::{
         ApiExplanation, ApiJobView, ApiNoteView, ApiPeerView, ApiStep, ApiTeamView, ApiWorkerView,
--- a/wire/src/note_text.rs
+++ b/wire/src/note_text.rs
@@ -168,6 +168,7 @@
                     amount,
                 })
             }
+            EntryName::Split(_) => None,
         }
     }
 
@@ -334,14 +335,16 @@
 /// Shows entries as the sections of a note.
 pub fn show_entries<'a>(verb: &str, entries: impl Iterator<Item = &'a Entry>) -> String {
     let mut text = String::new();
-    for entry in entries {
+    // The keepers' splits are no part of any operator's note.
+    let written = entries.filter(|entry| !matches!(entry, Entry::Split { .. }));
+    for entry in written {
         let mut line = |args: std::fmt::Arguments<'_>| {
             // Writing to a string does not fail.
             let _ = text.write_fmt(args);
         };
         line(format_args!("[{verb} {}]\n", entry.name()));
         match entry {
-            Entry::Domain(_) => {}
+            Entry::Domain(_) | Entry::Split { .. } => {}
             Entry::Team { share, limit, .. } => {
                 line(format_args!(
                     "share = {share}\nlimit = {}\n",
--- /dev/null
+++ b/wire/src/snapshot.rs
@@ -0,0 +1,59 @@
+//! How a snapshot of the configuration is written to the object store.
+
+use crate::WireError;
+use pomelotide_core::Config;
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use sha2::{Digest, Sha256};
+
+/// The version of the format; another version is not read.
+const VERSION: u32 = 1;
+
+/// The outer form of a snapshot.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct WireSnapshot {
+    version: u32,
+    sha256: ByteBuf,
+    config: ByteBuf,
+}
+
+/// Writes a snapshot.
+///
+/// ```
+/// use pomelotide_core::Config;
+/// use pomelotide_wire::{decode_snapshot, encode_snapshot};
+/// let bytes = encode_snapshot(&Config::default()).unwrap();
+/// assert_eq!(decode_snapshot(&bytes), Ok(Config::default()));
+/// ```
+pub fn encode_snapshot(config: &Config) -> Result<Vec<u8>, WireError> {
+    let config = to_cbor(config)?;
+    let sha256 = Sha256::digest(&config).to_vec();
+    to_cbor(&WireSnapshot {
+        version: VERSION,
+        sha256: ByteBuf::from(sha256),
+        config: ByteBuf::from(config),
+    })
+}
+
+/// Reads a snapshot; a broken one, or one of another version, is an error.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<Config, WireError> {
+    let outer: WireSnapshot = from_cbor(bytes)?;
+    if outer.version != VERSION {
+        let version = outer.version;
+        return Err(WireError::new(format!("snapshot of version {version}")));
+    }
+    if Sha256::digest(&outer.config).as_slice() != outer.sha256.as_slice() {
+        return Err(WireError::new("snapshot with a wrong checksum"));
+    }
+    from_cbor(&outer.config)
+}
+
+fn to_cbor<T: Serialize>(value: &T) -> Result<Vec<u8>, WireError> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).map_err(|error| WireError::new(error.to_string()))?;
+    Ok(bytes)
+}
+
+fn from_cbor<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, WireError> {
+    ciborium::from_reader(bytes).map_err(|error| WireError::new(error.to_string()))
+}
--- a/wire/src/table_key.rs
+++ b/wire/src/table_key.rs
@@ -33,6 +33,7 @@
     match key {
         Key::ConfigHead => "config/head".into(),
         Key::Delta(Revision(revision)) => format!("{DELTA_PREFIX}{revision:020}"),
+        Key::Snapshot => "config/snapshot".into(),
         Key::Member(daemon) => format!("{MEMBER_PREFIX}{daemon}"),
         Key::Keeper(domain) => format!("keeper/{domain}"),
         Key::Job(job) => format!("{JOB_PREFIX}{job}"),
@@ -47,6 +48,9 @@
     if text == "config/head" {
         return Ok(Key::ConfigHead);
     }
+    if text == "config/snapshot" {
+        return Ok(Key::Snapshot);
+    }
     if let Some(revision) = text.strip_prefix(DELTA_PREFIX) {
         return revision.parse().map(Key::Delta).map_err(|_| wrong());
     }
--- /dev/null
+++ b/wire/tests/config_bytes.rs
@@ -0,0 +1,177 @@
+//! What following the configuration costs in bytes at the target's size, and broken snapshots.
+
+use pomelotide_core::{
+    consts::{CONFIG_POLL_MS, REMEMBERED_NOTES, SNAPSHOT_LACK, SNAPSHOT_REVISIONS},
+    split, Class, Config, DomainName, Entry, EntryName, HeadRow, Key, KeyDigest, KeyName, Note,
+    NoteId, Query, QueueName, Resources, Revision, Row, SnapshotRow, TeamName,
+};
+use pomelotide_wire::{
+    decode_snapshot, encode_row, encode_snapshot, key_text, WirePair, WireRead, WireRows,
+};
+use serde::Serialize;
+
+/// The users' target for all of a daemon's control traffic.
+const CONTROL_BYTES_A_SECOND: f64 = 19_000.0;
+/// The part of it that following the configuration may take.
+const CONFIG_PART: f64 = 0.1;
+/// How long a start may use the whole of it up.
+const START_SECONDS: f64 = 60.0;
+/// The users' target for changes of the configuration.
+const CHANGES_A_SECOND: f64 = 69_000.0 / 86_400.0;
+/// The headers of one call, there and back.
+const HEADER_BYTES: usize = 400;
+const TEAMS: usize = 120;
+const DOMAINS: usize = 10;
+const KEYS: usize = 1_200;
+const QUEUES: usize = 360;
+
+fn limit() -> Resources {
+    Resources::from_parts([4_000_000, 16_000_000, 64, 20_000])
+}
+
+fn key(number: usize) -> Entry {
+    Entry::Key {
+        name: KeyName::new(format!("key-{number}-of-a-team")),
+        digest: KeyDigest::new(format!("{number:064x}")),
+        team: TeamName::new(format!("team-{}", number % TEAMS)),
+    }
+}
+
+fn queue(number: usize) -> Entry {
+    Entry::Queue {
+        name: QueueName::new(format!("queue-{number}")),
+        class: Class::Batch,
+        open: false,
+        team: Some(TeamName::new(format!("team-{}", number % TEAMS))),
+        need: Resources::from_parts([1_000, 4_000, 0, 1]),
+    }
+}
+
+fn team(number: usize) -> Entry {
+    let name = TeamName::new(format!("team-{number}"));
+    let (share, limit) = (100, limit());
+    Entry::Team { name, share, limit }
+}
+
+fn parts_of(number: usize) -> Entry {
+    let domain = |place| DomainName::new(format!("domain-{place}"));
+    let part = |place| (domain(place), split::even_part(limit(), DOMAINS, place));
+    Entry::Split {
+        team: TeamName::new(format!("team-{number}")),
+        parts: (0..DOMAINS).map(part).collect(),
+    }
+}
+
+fn note(number: usize, added: Vec<Entry>, withdrawn: Vec<EntryName>) -> Note {
+    Note {
+        id: NoteId::new(format!("operator-change-{number:08}")),
+        base: Revision(number as u64),
+        added,
+        changed: Vec::new(),
+        withdrawn,
+    }
+}
+
+/// Replaces one key by another, as most of a day's changes do.
+fn change(number: usize) -> Note {
+    let old = key(number).name();
+    note(number, vec![key(number + KEYS)], vec![old])
+}
+
+fn target() -> Config {
+    let domains = (0..DOMAINS).map(|n| Entry::Domain(DomainName::new(format!("domain-{n}"))));
+    let mut entries: Vec<Entry> = domains.chain((0..TEAMS).map(team)).collect();
+    entries.extend((0..KEYS).map(key));
+    entries.extend((0..QUEUES).map(queue));
+    entries.extend((0..TEAMS).map(parts_of));
+    let mut config = Config::default();
+    config.apply(&note(0, entries, Vec::new()));
+    (0..REMEMBERED_NOTES + 100).for_each(|number| config.apply(&change(number)));
+    config
+}
+
+fn size(value: &impl Serialize) -> usize {
+    serde_json::to_vec(value).map_or(usize::MAX, |bytes| bytes.len())
+}
+
+fn rows(rows: &[(Key, Row)]) -> usize {
+    let pair = |(key, row): &(Key, Row)| WirePair {
+        key: key_text(key),
+        value: encode_row(row).unwrap_or_default(),
+    };
+    let rows = rows.iter().map(pair).collect();
+    size(&WireRows { rows })
+}
+
+fn delta_bytes() -> usize {
+    let revision = Revision(1_000_000);
+    let row = (Key::Delta(revision), Row::Delta(change(5_000)));
+    rows(&[row.clone(), row.clone()]) - rows(&[row])
+}
+
+fn poll_bytes() -> usize {
+    let revision = Revision(1_000_000);
+    let head = Row::Head(HeadRow {
+        revision,
+        note: change(5_000).id,
+    });
+    let snapshot = Row::Snapshot(SnapshotRow {
+        latest: revision,
+        previous: revision,
+        trimmed: revision,
+    });
+    let query = Query::Many(vec![Key::ConfigHead, Key::Snapshot]);
+    let reply = rows(&[(Key::ConfigHead, head), (Key::Snapshot, snapshot)]);
+    size(&WireRead::from(&query)) + reply + HEADER_BYTES
+}
+
+fn read_bytes() -> usize {
+    let query = Query::DeltasAfter(Revision(1_000_000));
+    size(&WireRead::from(&query)) + size(&WireRows::default()) + HEADER_BYTES
+}
+
+#[test]
+fn following_the_configuration_stays_within_its_part_of_the_budget() {
+    let (poll, read, delta) = (poll_bytes(), read_bytes(), delta_bytes());
+    let polls_a_second = 1_000.0 / CONFIG_POLL_MS.0 as f64;
+    let steady = polls_a_second * poll as f64 + CHANGES_A_SECOND * (read + delta) as f64;
+    println!("poll {poll} B, read {read} B, note {delta} B, steady {steady:.0} B/s");
+    assert!(steady <= CONTROL_BYTES_A_SECOND * CONFIG_PART);
+}
+
+#[test]
+fn a_start_uses_less_than_a_minute_of_the_budget() {
+    let snapshot = encode_snapshot(&target()).unwrap().len();
+    let notes = (SNAPSHOT_REVISIONS + SNAPSHOT_LACK) as usize;
+    let start = snapshot + notes * delta_bytes() + poll_bytes() + 2 * read_bytes();
+    let day = 69_000 * delta_bytes();
+    println!("snapshot {snapshot} B, start at most {start} B, notes of a day {day} B");
+    assert!(start as f64 <= CONTROL_BYTES_A_SECOND * START_SECONDS);
+}
+
+#[test]
+fn writing_snapshots_stays_within_the_budget_of_the_one_that_writes_them() {
+    let snapshot = encode_snapshot(&target()).unwrap().len() as f64;
+    let a_second = snapshot * CHANGES_A_SECOND / SNAPSHOT_REVISIONS as f64;
+    println!("snapshots {a_second:.0} B/s");
+    assert!(a_second <= CONTROL_BYTES_A_SECOND * CONFIG_PART);
+}
+
+#[test]
+fn a_snapshot_reads_back_whole() {
+    let config = target();
+    let bytes = encode_snapshot(&config).unwrap();
+    assert_eq!(decode_snapshot(&bytes), Ok(config));
+}
+
+#[test]
+fn a_broken_snapshot_is_never_read() {
+    let bytes = encode_snapshot(&Config::default()).unwrap();
+    for at in 0..bytes.len() {
+        let mut broken = bytes.clone();
+        broken[at] ^= 0x01;
+        // A change of a field's name or of the wrapping fails as well as one of the content.
+        assert!(decode_snapshot(&broken).is_err(), "byte {at}");
+        assert!(decode_snapshot(&bytes[..at]).is_err(), "cut at {at}");
+    }
+}
