Move parts of limits to where work waits for them

Cause: a team's fleet-wide limit was split evenly over the failure domains for good, so work waited in one domain while another held spare parts.

Each keeper tells the other keepers once a second what its waiting work misses, as far as its workers have room. A keeper that has spare parts sets them aside, then writes one note for up to 64 teams; the transaction also checks that the table still names it as keeper. Only the holder gives, so a cut domain keeps what it holds, and the sum stays within the limit in any cut. A new keeper spends parts of teams without open queues only after it confirmed the configuration once no earlier keeper's note can land any more. Any domain waits 3 s after a move it saw. Splits are an entry of their own that no operator's note touches: a changed limit scales them, a split by hand or a withdrawn team ends them.

Seen on the way: wants that were sent before a move was known were met twice; they now name their revision.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -325,17 +325,13 @@
     /// Applies a checked note and moves to the next revision.
     pub fn apply(&mut self, note: &Note) {
         self.revision = self.revision.next();
-        for name in note.names() {
+        let written = note.names();
+        for name in written.filter(|name| !matches!(name, EntryName::Split(_))) {
             self.remove(&name);
-            if !matches!(name, EntryName::Split(_)) {
-                self.touched.insert(name, self.revision);
-            }
+            self.touched.insert(name, self.revision);
         }
         for entry in note.added.iter().chain(&note.changed) {
-            if let Entry::Key { name, digest, .. } = entry {
-                self.digests.insert(digest.clone(), name.clone());
-            }
-            self.entries.insert(entry.name(), entry.clone());
+            self.insert(entry);
         }
         if note.names().any(|name| may_upset_splits(&name)) {
             self.refit_splits();
@@ -343,6 +339,27 @@
         self.remember(note.id.clone());
     }
 
+    fn insert(&mut self, entry: &Entry) {
+        let entry = match entry {
+            Entry::Split { team, parts } => self.merged_split(team, parts),
+            entry => entry.clone(),
+        };
+        if let Entry::Key { name, digest, .. } = &entry {
+            self.digests.insert(digest.clone(), name.clone());
+        }
+        self.entries.insert(entry.name(), entry);
+    }
+
+    /// Returns a team's split with some parts replaced.
+    fn merged_split(&self, team: &TeamName, changed: &split::Parts) -> Entry {
+        let mut parts: BTreeMap<DomainName, Resources> = self.split(team).into_iter().collect();
+        parts.extend(changed.iter().cloned());
+        Entry::Split {
+            team: team.clone(),
+            parts: parts.into_iter().collect(),
+        }
+    }
+
     /// Fits the keepers' splits to the operators' entries, in the same way at every daemon.
     fn refit_splits(&mut self) {
         let from = EntryName::Split(TeamName::new(""));
--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -60,6 +60,14 @@
 pub const TABLE_RETRY_MS: Millis = Millis(300);
 /// The notes that a daemon keeps for peers that lack them.
 pub const RECENT_NOTES: usize = 256;
+/// The span between two messages about what a failure domain misses of the teams' limits.
+pub const WANT_MS: Millis = Millis(1_000);
+/// How long such a message counts.
+pub const WANT_KEEP_MS: Millis = Millis(2_500);
+/// The span between two notes that move parts of limits, over all failure domains.
+pub const MOVE_MS: Millis = Millis(3_000);
+/// The moves that one note makes at most.
+pub const MOVES_A_NOTE: usize = 64;
 /// The latest notes whose ids and entries are remembered.
 pub const REMEMBERED_NOTES: usize = 2_048;
 /// The revisions after which what is no longer remembered is dropped.
--- a/core/src/entry.rs
+++ b/core/src/entry.rs
@@ -50,7 +50,8 @@
         amount: Resources,
     },
     /// How the keepers have split a team's upper limit among the failure domains; no operator
-    /// writes it, and a domain that it does not name holds nothing.
+    /// writes it. In a note it names only the parts that change; in the configuration it names
+    /// all, and a domain without one holds nothing.
     Split {
         /// The team.
         team: TeamName,
--- a/core/src/freshness.rs
+++ b/core/src/freshness.rs
@@ -28,6 +28,11 @@
         self.confirmed_ms.map(|at_ms| now_ms.since(at_ms))
     }
 
+    /// Says whether the configuration at hand was the latest one at some time from `at_ms` on.
+    pub fn was_confirmed_since(&self, at_ms: Millis) -> bool {
+        self.confirmed_ms >= Some(at_ms)
+    }
+
     /// Says whether keys may be honoured.
     pub fn is_fresh(&self, now_ms: Millis) -> bool {
         let lately = |at_ms: Millis| now_ms.since(at_ms) <= CONFIG_HOLD_MS;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod job;
 mod limits;
 mod millis;
+pub mod moves;
 mod note;
 mod object;
 mod payload;
--- a/core/src/limits.rs
+++ b/core/src/limits.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     teams: BTreeMap<TeamName, Held>,
+    /// What is about to be given away.
+    set_aside: BTreeMap<TeamName, Resources>,
 }
 
 impl Limits {
@@ -50,10 +52,23 @@
 
     /// Returns what a team may have running here.
     pub fn spendable(&self, team: &TeamName) -> Resources {
-        self.teams
-            .get(team)
-            .map(|held| held.spendable)
-            .unwrap_or_default()
+        let held = self.teams.get(team).map(|held| held.spendable);
+        let held = held.unwrap_or_default();
+        match self.set_aside.get(team) {
+            Some(amount) => held.minus(*amount),
+            None => held,
+        }
+    }
+
+    /// Spends a part of a team's allotment no more, until [`Limits::release`].
+    pub fn set_aside(&mut self, team: &TeamName, amount: Resources) {
+        let known = self.set_aside.entry(team.clone()).or_default();
+        *known = known.plus(amount);
+    }
+
+    /// Ends the setting aside of all parts.
+    pub fn release(&mut self) {
+        self.set_aside.clear();
     }
 
     /// Returns what a team may have running here once pending increases count.
--- a/core/src/peer.rs
+++ b/core/src/peer.rs
@@ -1,8 +1,8 @@
 //! What passes between daemons.
 
 use crate::{
-    Answer, CallId, DaemonId, DomainName, JobId, JobSpec, Millis, Note, Request, RequestId,
-    Resources, Revision, TaskId, TeamName, Term,
+    moves::Want, Answer, CallId, DaemonId, DomainName, JobId, JobSpec, Millis, Note, Request,
+    RequestId, Resources, Revision, TaskId, TeamName, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -118,6 +118,13 @@
         /// The answer.
         answer: Answer,
     },
+    /// What the sender's waiting work misses of the teams' limits.
+    Wants {
+        /// The configuration revision that they count from.
+        revision: Revision,
+        /// What is missing, by team.
+        wants: Vec<Want>,
+    },
     /// The caller of a request went away; a waiting request need not run.
     Forget(Origin),
     /// The sender stops keeping the failure domain's workers; the receiver goes on.
--- a/core/src/reducer/commits.rs
+++ b/core/src/reducer/commits.rs
@@ -64,6 +64,11 @@
         !self.table_failing() && self.commits.items.len() < consts::COMMIT_BACKLOG
     }
 
+    /// Says whether a transaction of this keeper is under way.
+    pub(super) fn commit_in_flight(&self) -> bool {
+        self.commits.flight.is_some()
+    }
+
     /// Says whether every row is written.
     pub(super) fn commits_settled(&self) -> bool {
         self.commits.items.is_empty() && self.commits.flight.is_none()
--- a/core/src/reducer/config_feed.rs
+++ b/core/src/reducer/config_feed.rs
@@ -2,8 +2,8 @@
 
 use super::{snapshots::Source, Core, Op};
 use crate::{
-    consts, DaemonId, Heartbeat, Key, Millis, Note, PeerMessage, Query, Revision, Row, SnapshotRow,
-    TableReply, Told,
+    consts, DaemonId, Entry, Heartbeat, Key, Millis, Note, PeerMessage, Query, Revision, Row,
+    SnapshotRow, TableReply, Told,
 };
 use std::collections::VecDeque;
 
@@ -103,6 +103,10 @@
         if revision != self.config.revision().next() {
             return;
         }
+        let is_move = note
+            .changed
+            .iter()
+            .any(|e| matches!(e, Entry::Split { .. }));
         self.config.apply(&note);
         self.limits
             .update(&self.config, &self.settings.domain, self.now_ms);
@@ -110,6 +114,7 @@
         if self.feed.recent.len() > consts::RECENT_NOTES {
             self.feed.recent.pop_front();
         }
+        self.moves_applied(is_move);
         self.tell(Told::ConfigApplied { revision });
         self.schedule_all();
     }
--- a/core/src/reducer/members.rs
+++ b/core/src/reducer/members.rs
@@ -215,6 +215,10 @@
         Freshness::prolong(freshness, *now_ms, config.domains());
     }
 
+    pub(super) fn table_is_silent(&self) -> bool {
+        self.own_silent_ms().is_some()
+    }
+
     pub(super) fn own_silent_ms(&self) -> Option<Millis> {
         let silent = self.now_ms.since(self.table_ok_ms) > consts::TABLE_SILENT_MS;
         silent.then_some(self.now_ms)
@@ -292,6 +296,7 @@
                 let origin = self.origin(call);
                 self.answer_origin(&origin, answer);
             }
+            PeerMessage::Wants { revision, wants } => self.wants_heard(from, revision, wants),
             PeerMessage::Forget(origin) => self.forget(&origin),
             PeerMessage::Handover {
                 term,
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -10,6 +10,7 @@
 mod jobs;
 mod keeper;
 mod members;
+mod moves;
 mod notes;
 mod orphans;
 mod requests;
@@ -54,6 +55,7 @@
     notes: notes::Notes,
     freshness: Freshness,
     limits: Limits,
+    moves: moves::Moves,
     members: members::Members,
     role: keeper::Role,
     fleet: Fleet,
@@ -79,6 +81,7 @@
     PutSnapshot { revision: Revision },
     WriteSnapshot { row: SnapshotRow },
     WriteNote,
+    WriteMove,
     ReadMembers,
     WriteMember,
     ReadKeeper,
@@ -115,6 +118,7 @@
             notes: notes::Notes::default(),
             freshness: Freshness::default(),
             limits: Limits::default(),
+            moves: moves::Moves::default(),
             members: members::Members::default(),
             role: keeper::Role::default(),
             fleet: Fleet::default(),
@@ -179,6 +183,7 @@
         self.tick_members();
         self.tick_keeper();
         self.tick_commits();
+        self.tick_moves();
         if self.next_scan_ms <= self.now_ms {
             self.next_scan_ms = self.now_ms + consts::SCAN_MS;
             self.scan();
@@ -212,6 +217,7 @@
             Op::PollDeltas { sent_ms } => self.deltas_read(sent_ms, reply),
             Op::WriteSnapshot { row } => self.snapshot_row_written(row, reply),
             Op::PollSnapshot { .. } | Op::PutSnapshot { .. } => {}
+            Op::WriteMove => self.move_written(reply),
             Op::WriteNote => self.note_written(reply),
             Op::ReadMembers => self.members_read(reply),
             Op::WriteMember => {}
@@ -261,6 +267,11 @@
         &self.config
     }
 
+    /// Returns what a team may have running in this failure domain, at its keeper.
+    pub fn spendable_here(&self, team: &crate::TeamName) -> crate::Resources {
+        self.spendable(team)
+    }
+
     /// Returns the failure domain's workers as the daemon knows them.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
--- a/core/src/reducer/notes.rs
+++ b/core/src/reducer/notes.rs
@@ -69,7 +69,12 @@
         self.write(Op::WriteNote, txn);
     }
 
-    fn note_txn(&self, note: &Note) -> Txn {
+    /// Says whether a note of an operator is being written.
+    pub(super) fn note_in_flight(&self) -> bool {
+        self.notes.writing.is_some()
+    }
+
+    pub(super) fn note_txn(&self, note: &Note) -> Txn {
         let revision = self.config.revision().next();
         let head = |revision, note| Row::Head(HeadRow { revision, note });
         let known = self
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -190,7 +190,7 @@
     /// claimed count in full, since an older keeper may still start tasks there.
     fn may_spend(&self, team: &TeamName, more: Resources) -> bool {
         let used = self.fleet.usage(team).plus(self.fleet.unclaimed());
-        used.plus(more).fits(&self.limits.spendable(team))
+        used.plus(more).fits(&self.spendable(team))
     }
 
     fn find_place(&self, unit: &Unit, scope: &Scope) -> Option<WorkerIx> {
--- a/core/src/reducer/snapshots.rs
+++ b/core/src/reducer/snapshots.rs
@@ -58,6 +58,7 @@
         self.feed.recent.clear();
         self.limits
             .update(&self.config, &self.settings.domain, self.now_ms);
+        self.moves_applied(true);
         self.tell(Told::ConfigApplied { revision });
         self.schedule_all();
     }
--- a/core/src/told.rs
+++ b/core/src/told.rs
@@ -237,6 +237,13 @@
         /// Whether it can't be read.
         stale: bool,
     },
+    /// Parts of this failure domain's allotments were given to others.
+    LimitsGiven {
+        /// The revision that did so.
+        revision: Revision,
+        /// The number of teams.
+        parts: u64,
+    },
     /// A peer is gone.
     PeerSilent {
         /// The peer.
--- a/core/tests/config_fakes/mod.rs
+++ b/core/tests/config_fakes/mod.rs
@@ -2,10 +2,11 @@
 #![allow(dead_code)]
 
 use pomelotide_core::{
-    Answer, CallId, Class, Config, Core, CoreSettings, DaemonId, DomainName, Effect, Entry,
-    EntryName, Event, Host, KeyDigest, KeyName, Millis, Note, NoteId, ObjectReply, Payload, Query,
-    QueueName, RackName, Request, RequestId, Resources, Revision, Row, SnapshotSlot, TableReply,
-    TeamName, Txn, WorkerCommand, WorkerId, WorkerReport,
+    Answer, CallId, Claim, Class, Config, Core, CoreSettings, DaemonId, DomainName, Effect, Entry,
+    EntryName, Event, Host, KeyDigest, KeyName, Millis, Note, NoteId, ObjectReply, OpId, Payload,
+    Query, QueueName, RackName, Request, RequestId, Resources, Revision, Row, SnapshotSlot,
+    TableReply, TaskEnd, TaskEnded, TaskHeld, TaskId, TaskStart, TeamName, Txn, WorkerCommand,
+    WorkerId, WorkerReport,
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -28,9 +29,20 @@
     pub lagging: Option<Rows>,
     pub answers: Vec<(CallId, Answer)>,
     pub clock_ms: u64,
+    /// Writes that are under way while this holds.
+    pub hold_writes: bool,
+    held: Vec<(OpId, Txn)>,
+    links: BTreeMap<WorkerId, u64>,
     inbox: VecDeque<Event>,
 }
 
+/// A task that a fake worker runs.
+#[derive(Clone)]
+pub struct Task {
+    pub domain: DomainName,
+    pub held: TaskHeld,
+}
+
 /// Everything together.
 #[derive(Default)]
 pub struct Fakes {
@@ -38,8 +50,9 @@
     pub rows: Rows,
     pub objects: BTreeMap<SnapshotSlot, Config>,
     pub store_down: bool,
-    pub running: BTreeMap<String, (usize, TeamName, Resources)>,
+    pub running: BTreeMap<TaskId, Task>,
     pub most_running: u64,
+    claims: BTreeMap<DomainName, (Claim, DaemonId)>,
     pub most_deletes: usize,
     pub writes: u64,
     pub reads: u64,
@@ -79,6 +92,17 @@
     }
 }
 
+/// A queue whose requests take several slots each.
+pub fn big_queue(name: &str, need: u64) -> Entry {
+    Entry::Queue {
+        name: QueueName::new(name),
+        class: Class::Service,
+        open: false,
+        team: None,
+        need: slots(need),
+    }
+}
+
 pub fn note(id: &str, base: u64, added: Vec<Entry>) -> Note {
     Note {
         id: NoteId::new(id),
@@ -96,6 +120,13 @@
     }
 }
 
+fn is_move(row: &Row) -> bool {
+    let Row::Delta(note) = row else { return false };
+    note.changed
+        .iter()
+        .any(|entry| matches!(entry, Entry::Split { .. }))
+}
+
 impl Fakes {
     /// Starts one daemon for each text `DOMAIN-NUMBER`, each with a worker of its failure domain.
     pub fn start(names: &[&str]) -> Self {
@@ -125,6 +156,9 @@
             lagging: None,
             answers: Vec::new(),
             clock_ms: 0,
+            hold_writes: false,
+            held: Vec::new(),
+            links: BTreeMap::new(),
             inbox: VecDeque::new(),
         });
         self.nodes.len() - 1
@@ -140,7 +174,7 @@
                 }
             }
             let running = self.running.values();
-            let running = running.map(|(_, _, need)| need.slots).sum();
+            let running = running.map(|task| task.held.need.slots).sum();
             self.most_running = self.most_running.max(running);
         }
     }
@@ -167,13 +201,16 @@
                 return;
             }
             Effect::SendPeer { to, message } => return self.send(at, &to, message),
-            Effect::LinkWorker { worker, link, .. } => Event::WorkerLinked { worker, link },
+            Effect::LinkWorker { worker, link, .. } => {
+                self.nodes[at].links.insert(worker.clone(), link);
+                Event::WorkerLinked { worker, link }
+            }
             Effect::SendWorker {
                 worker,
                 link,
+                claim,
                 command,
-                ..
-            } => match self.obey(at, command) {
+            } => match self.obey(at, claim, command) {
                 Some(report) => Event::WorkerHeard {
                     worker,
                     link,
@@ -181,6 +218,10 @@
                 },
                 None => return,
             },
+            Effect::Write { op, txn } if self.nodes[at].hold_writes => {
+                self.nodes[at].held.push((op, txn));
+                return;
+            }
             Effect::Write { op, txn } => Event::TableAnswered {
                 op,
                 reply: self.write(at, &txn),
@@ -234,17 +275,30 @@
         }
     }
 
-    fn obey(&mut self, at: usize, command: WorkerCommand) -> Option<WorkerReport> {
+    fn obey(&mut self, at: usize, claim: Claim, command: WorkerCommand) -> Option<WorkerReport> {
+        let node = &self.nodes[at];
+        let new = || (claim, node.id.clone());
+        let top = self.claims.entry(node.domain.clone()).or_insert_with(new);
+        if claim < top.0 {
+            let (claim, owner) = top.clone();
+            return Some(WorkerReport::Fenced { claim, owner });
+        }
+        *top = (claim, node.id.clone());
         match command {
             WorkerCommand::Claim { .. } => Some(WorkerReport::Claimed {
                 incarnation: 1,
                 capacity: slots(1_000),
-                running: Vec::new(),
+                running: self.tasks_at(at).map(|task| task.held.clone()).collect(),
                 ended: Vec::new(),
             }),
             WorkerCommand::Start(start) => {
-                let task = (at, start.team, start.need);
-                self.running.insert(start.task.to_string(), task);
+                let TaskStart {
+                    task, team, need, ..
+                } = start;
+                let held = TaskHeld { task, team, need };
+                let domain = self.nodes[at].domain.clone();
+                let task = Task { domain, held };
+                self.running.insert(task.held.task.clone(), task);
                 None
             }
             WorkerCommand::Renew { .. } => Some(WorkerReport::Renewed),
@@ -252,6 +306,67 @@
         }
     }
 
+    fn tasks_at(&self, at: usize) -> impl Iterator<Item = &Task> {
+        let domain = &self.nodes[at].domain;
+        self.running
+            .values()
+            .filter(move |task| task.domain == *domain)
+    }
+
+    /// Ends some tasks of a daemon's failure domain well.
+    pub fn finish(&mut self, at: usize, count: usize) {
+        let tasks = self.tasks_at(at).take(count);
+        let tasks: Vec<TaskId> = tasks.map(|task| task.held.task.clone()).collect();
+        for task in tasks {
+            self.running.remove(&task);
+            let ended = TaskEnded {
+                task,
+                end: TaskEnd::Done,
+                output: Payload(Vec::new()),
+            };
+            let links = self.nodes[at].links.clone();
+            for (worker, link) in links {
+                let report = WorkerReport::Ended(ended.clone());
+                let event = Event::WorkerHeard {
+                    worker,
+                    link,
+                    report,
+                };
+                self.nodes[at].inbox.push_back(event);
+            }
+        }
+    }
+
+    /// Lets the writes that were under way take effect, and loses their answers.
+    pub fn land_held_writes(&mut self, at: usize) {
+        for at_write in 0..self.nodes[at].held.len() {
+            let txn = self.nodes[at].held[at_write].1.clone();
+            self.write(at, &txn);
+        }
+        self.drop_held_writes(at);
+    }
+
+    /// Loses the writes that were under way, with the answer that this may be so.
+    pub fn drop_held_writes(&mut self, at: usize) {
+        self.nodes[at].hold_writes = false;
+        for (op, _) in std::mem::take(&mut self.nodes[at].held) {
+            let reply = TableReply::Lost;
+            let event = Event::TableAnswered { op, reply };
+            self.nodes[at].inbox.push_back(event);
+        }
+    }
+
+    /// Says whether a note that moves parts of limits is under way from a daemon.
+    pub fn holds_move(&self, at: usize) -> bool {
+        let rows = self.nodes[at].held.iter().flat_map(|(_, txn)| &txn.puts);
+        rows.into_iter().any(|(_, row)| is_move(row))
+    }
+
+    /// Returns the number of notes that moved parts of limits.
+    pub fn moves(&self) -> usize {
+        self.rows.values().filter(|row| is_move(row)).count()
+    }
+
     fn write(&mut self, at: usize, txn: &Txn) -> TableReply {
         let node = &mut self.nodes[at];
         if node.cut {
@@ -273,11 +388,19 @@
                 self.rows.remove(key);
             }
         }
+        let mut existed = Vec::new();
+        for insert in &txn.inserts {
+            if let Some(row) = self.rows.get(&insert.key) {
+                existed.push((insert.key.clone(), row.clone()));
+                continue;
+            }
+            self.rows.insert(insert.key.clone(), insert.row.clone());
+            self.rows.extend(insert.with.as_deref().cloned());
+        }
         if node.lose_answers > 0 {
             node.lose_answers -= 1;
             return TableReply::Lost;
         }
-        let existed = Vec::new();
         TableReply::Committed { existed }
     }
 
@@ -331,13 +454,17 @@
 
     /// Sends a daemon an idempotent request that waits long.
     pub fn request(&mut self, at: usize, key: &str, queue: &str) -> CallId {
+        self.request_of(at, key, queue, true)
+    }
+
+    pub fn request_of(&mut self, at: usize, key: &str, queue: &str, idempotent: bool) -> CallId {
         self.calls += 1;
         let call = CallId(self.calls);
         let request = Request {
             id: RequestId::new(format!("request-{}", self.calls)),
             key: Some(KeyDigest::new(format!("digest-of-{key}"))),
             queue: QueueName::new(queue),
-            idempotent: true,
+            idempotent,
             deadline_ms: Millis(300_000),
             payload: Payload(Vec::new()),
         };
@@ -357,7 +484,7 @@
     }
 
     pub fn running_at(&self, at: usize) -> usize {
-        self.running.values().filter(|(of, ..)| *of == at).count()
+        self.tasks_at(at).count()
     }
 
     /// Applies a first note and lets everything settle.
--- a/wire/tests/config_bytes.rs
+++ b/wire/tests/config_bytes.rs
@@ -1,7 +1,10 @@
 //! What following the configuration costs in bytes at the target's size, and broken snapshots.
 
 use pomelotide_core::{
-    consts::{CONFIG_POLL_MS, REMEMBERED_NOTES, SNAPSHOT_LACK, SNAPSHOT_REVISIONS},
+    consts::{
+        CONFIG_POLL_MS, MOVES_A_NOTE, MOVE_MS, REMEMBERED_NOTES, SNAPSHOT_LACK, SNAPSHOT_REVISIONS,
+    },
+    moves::{entries_of, Move},
     split, Class, Config, DomainName, Entry, EntryName, HeadRow, Key, KeyDigest, KeyName, Note,
     NoteId, Query, QueueName, Resources, Revision, Row, SnapshotRow, TeamName,
 };
@@ -139,6 +142,32 @@
     assert!(steady <= CONTROL_BYTES_A_SECOND * CONFIG_PART);
 }
 
+/// A note that moves as many parts as one note may.
+fn largest_move() -> Note {
+    let config = target();
+    let to = |number: usize| DomainName::new(format!("domain-{}", 1 + number % (DOMAINS - 1)));
+    let part = |number| Move {
+        team: TeamName::new(format!("team-{number}")),
+        to: to(number),
+        amount: Resources::from_parts([10_000, 40_000, 1, 50]),
+    };
+    let parts: Vec<Move> = (0..MOVES_A_NOTE).map(part).collect();
+    let entries = entries_of(&config, &DomainName::new("domain-0"), &parts);
+    Note {
+        changed: entries,
+        ..note(1_000_000, Vec::new(), Vec::new())
+    }
+}
+
+#[test]
+fn moves_of_limits_take_less_than_half_of_the_budget_at_their_worst() {
+    let row = (Key::Delta(Revision(1_000_000)), Row::Delta(largest_move()));
+    let bytes = rows(&[row]) + read_bytes();
+    let a_second = bytes as f64 * 1_000.0 / MOVE_MS.0 as f64;
+    println!("largest note of moves {bytes} B, at most {a_second:.0} B/s");
+    assert!(a_second <= CONTROL_BYTES_A_SECOND / 2.0);
+}
+
 #[test]
 fn a_start_uses_less_than_a_minute_of_the_budget() {
     let snapshot = encode_snapshot(&target()).unwrap().len();
