Remove the membership rows of daemons that are gone

Cause: a daemon that was not stopped gracefully left its row for ever.

The keeper of a domain removes rows of its own domain that stayed the same for 10 minutes, at most 32 a transaction, each only if its content still matches.

--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -16,6 +16,10 @@
 pub const MEMBER_WRITE_MS: Millis = Millis(10_000);
 /// The span between two reads of the membership rows.
 pub const MEMBER_POLL_MS: Millis = Millis(5_000);
+/// How long a daemon's membership row stays as it is before the row is removed.
+pub const MEMBER_GONE_MS: Millis = Millis(600_000);
+/// The membership rows that one transaction removes at most.
+pub const MEMBER_REMOVALS: usize = 32;
 /// The span between two heartbeats to a peer of the same failure domain.
 pub const HEARTBEAT_MS: Millis = Millis(400);
 /// The span between two heartbeats of keepers in different failure domains.
--- a/core/src/reducer/members.rs
+++ b/core/src/reducer/members.rs
@@ -34,6 +34,7 @@
     next_write_ms: Millis,
     next_read_ms: Millis,
     beats: u64,
+    pub(super) seen_rows: super::gone_members::SeenRows,
 }
 
 impl Peer {
@@ -124,11 +125,15 @@
         let TableReply::Rows(rows) = reply else {
             return;
         };
-        for (_, row) in rows {
-            if let Row::Member(row) = row {
-                self.know_peer(row.daemon, row.domain, row.address);
-            }
+        let rows = rows.into_iter().filter_map(|(_, row)| match row {
+            Row::Member(row) => Some(row),
+            _ => None,
+        });
+        let rows: Vec<MemberRow> = rows.collect();
+        for row in rows.iter().cloned() {
+            self.know_peer(row.daemon, row.domain, row.address);
         }
+        self.remove_gone_members(rows);
         let now_ms = self.now_ms;
         self.members.peers.retain(|_, peer| {
             now_ms.since(peer.known_ms) <= consts::PEER_MEMORY_MS
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod health;
 mod job_record;
+mod gone_members;
 mod jobs;
 mod keeper;
 mod members;
