--- a/daemon/src/log_line.rs
+++ b/daemon/src/log_line.rs
@@ -27,6 +27,7 @@
         Told::WorkerQuarantined { .. } => "worker_quarantined",
         Told::Fenced { .. } => "fenced",
         Told::ConfigApplied { .. } => "config_applied",
+        Told::LimitsGiven { .. } => "limits_given",
         Told::TableSilent { silent: true } => "table_silent",
         Told::TableSilent { silent: false } => "table_back",
         Told::KeysStale { stale: true } => "keys_stale",
@@ -142,6 +143,7 @@
         }
         Told::Fenced { worker, owner } => format!("worker={worker} owner={owner}"),
         Told::ConfigApplied { revision } => format!("revision={revision}"),
+        Told::LimitsGiven { revision, parts } => format!("revision={revision} parts={parts}"),
         Told::PeerSilent { peer } => format!("peer={peer}"),
         _ => String::new(),
     }
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -163,6 +163,7 @@
     match message {
         PeerMessage::Heartbeat(_) => "heartbeat",
         PeerMessage::Notes { .. } => "notes",
+        PeerMessage::Wants { .. } => "wants",
         PeerMessage::Run(_) => "run",
         PeerMessage::Submit(_) => "submit",
         PeerMessage::Cancel { .. } => "cancel",
--- a/proofs/src/world.rs
+++ b/proofs/src/world.rs
@@ -297,7 +297,10 @@
             Effect::Read { op, query } => self.call_table(daemon, op, outside::Job::read(&query)),
             // No scenario writes so many notes that a snapshot is due.
             Effect::PutObject { op, .. } | Effect::GetObject { op, .. } => {
-                let event = Event::ObjectAnswered { op, reply: ObjectReply::Lost };
+                let event = Event::ObjectAnswered {
+                    op,
+                    reply: ObjectReply::Lost,
+                };
                 let due = Due::ToDaemon(daemon.clone(), Box::new(event));
                 self.schedule(self.now_ms + Millis(1), due);
             }
