--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -16,6 +16,10 @@
 pub const MEMBER_WRITE_MS: Millis = Millis(10_000);
 /// The span between two reads of the membership rows.
 pub const MEMBER_POLL_MS: Millis = Millis(5_000);
+/// How long a daemon's membership row stays as it is before the row is removed.
+pub const MEMBER_GONE_MS: Millis = Millis(600_000);
+/// The membership rows that one transaction removes at most.
+pub const MEMBER_REMOVALS: usize = 32;
 /// The span between two heartbeats to a peer of the same failure domain.
 pub const HEARTBEAT_MS: Millis = Millis(400);
 /// The span between two heartbeats of keepers in different failure domains.
@@ -60,6 +64,26 @@
 pub const TABLE_RETRY_MS: Millis = Millis(300);
 /// The notes that a daemon keeps for peers that lack them.
 pub const RECENT_NOTES: usize = 256;
+/// The span between two messages about what a failure domain misses of the teams' limits.
+pub const WANT_MS: Millis = Millis(1_000);
+/// How long such a message counts.
+pub const WANT_KEEP_MS: Millis = Millis(2_500);
+/// The span between two notes that move parts of limits, over all failure domains.
+pub const MOVE_MS: Millis = Millis(3_000);
+/// The moves that one note makes at most.
+pub const MOVES_A_NOTE: usize = 64;
+/// The latest notes whose ids and entries are remembered.
+pub const REMEMBERED_NOTES: usize = 2_048;
+/// The revisions after which what is no longer remembered is dropped.
+pub const FORGET_REVISIONS: u64 = 64;
+/// The revisions between two snapshots of the configuration.
+pub const SNAPSHOT_REVISIONS: u64 = 512;
+/// The objects that the snapshots take turns in.
+pub const SNAPSHOT_SLOTS: u64 = 8;
+/// The revisions that a daemon may lack before it reads a snapshot rather than the notes.
+pub const SNAPSHOT_LACK: u64 = 64;
+/// The rows that one transaction trims at most.
+pub const TRIM_ROWS: u64 = 128;
 /// The notes that one message carries at most.
 pub const NOTES_A_MESSAGE: usize = 64;
 /// The part of all workers that may rest in quarantine at once, in percent.
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -5,23 +5,27 @@
 mod commits;
 mod config_feed;
 mod drain;
+mod gone_members;
 mod health;
 mod job_record;
 mod jobs;
 mod keeper;
 mod members;
+mod moves;
 mod notes;
 mod orphans;
 mod request_state;
 mod requests;
 mod schedule;
+mod snapshots;
 mod tells;
 mod views;
 mod workers;
 
 use crate::{
     consts, CallId, Config, CoreSettings, DaemonId, Effect, Event, Fleet, Freshness, JobId, Limits,
-    Millis, OpId, Query, Queues, RequestId, RetryBudget, TableReply, Told, Txn,
+    Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, SnapshotRow,
+    TableReply, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -53,6 +57,7 @@
     notes: notes::Notes,
     freshness: Freshness,
     limits: Limits,
+    moves: moves::Moves,
     members: members::Members,
     role: keeper::Role,
     fleet: Fleet,
@@ -74,7 +79,11 @@
 enum Op {
     PollHead { sent_ms: Millis },
     PollDeltas { sent_ms: Millis },
+    PollSnapshot { wanted: Revision },
+    PutSnapshot { revision: Revision },
+    WriteSnapshot { row: SnapshotRow },
     WriteNote,
+    WriteMove,
     ReadMembers,
     WriteMember,
     ReadKeeper,
@@ -111,6 +120,7 @@
             notes: notes::Notes::default(),
             freshness: Freshness::default(),
             limits: Limits::default(),
+            moves: moves::Moves::default(),
             members: members::Members::default(),
             role: keeper::Role::default(),
             fleet: Fleet::default(),
@@ -164,6 +174,7 @@
                 self.worker_heard(&worker, link, report);
             }
             Event::TableAnswered { op, reply } => self.table_answered(op, reply),
+            Event::ObjectAnswered { op, reply } => self.object_answered(op, reply),
             Event::HostsRead { hosts } => self.hosts_read(hosts),
             Event::DrainAsked => self.drain_asked(),
         }
@@ -174,6 +185,7 @@
         self.tick_members();
         self.tick_keeper();
         self.tick_commits();
+        self.tick_moves();
         if self.next_scan_ms <= self.now_ms {
             self.next_scan_ms = self.now_ms + consts::SCAN_MS;
             self.scan();
@@ -205,6 +217,9 @@
         match purpose {
             Op::PollHead { sent_ms } => self.head_read(sent_ms, reply),
             Op::PollDeltas { sent_ms } => self.deltas_read(sent_ms, reply),
+            Op::WriteSnapshot { row } => self.snapshot_row_written(row, reply),
+            Op::PollSnapshot { .. } | Op::PutSnapshot { .. } => {}
+            Op::WriteMove => self.move_written(reply),
             Op::WriteNote => self.note_written(reply),
             Op::ReadMembers => self.members_read(reply),
             Op::WriteMember => {}
@@ -217,6 +232,14 @@
         }
     }
 
+    fn object_answered(&mut self, op: OpId, reply: ObjectReply) {
+        match self.ops.remove(&op) {
+            Some(Op::PollSnapshot { wanted }) => self.snapshot_read(wanted, reply),
+            Some(Op::PutSnapshot { revision }) => self.snapshot_stored(revision, reply),
+            _ => {}
+        }
+    }
+
     fn write(&mut self, purpose: Op, txn: Txn) {
         let op = self.begin(purpose);
         self.out.push(Effect::Write { op, txn });
@@ -246,6 +269,11 @@
         &self.config
     }
 
+    /// Returns what a team may have running in this failure domain, at its keeper.
+    pub fn spendable_here(&self, team: &crate::TeamName) -> crate::Resources {
+        self.spendable(team)
+    }
+
     /// Returns the failure domain's workers as the daemon knows them.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
