Keep the running tasks of a job whose row is read after they were found

A keeper that its peers did not hear recorded a job and started it. The next keeper had the submission again, found the tasks at the claimed workers, then read the job's row and made a fresh record of it, without the tasks: it started all of them a second time.

Change: the row is taken into the record at hand, which keeps its tasks.

--- a/core/src/reducer/adoption.rs
+++ b/core/src/reducer/adoption.rs
@@ -75,17 +75,21 @@
             return;
         }
         let id = row.id.clone();
-        let again = match self.jobs.get(&id) {
-            Some(record) if record.stage != Stage::Recording => return,
-            _ => self.jobs.remove(&id),
-        };
         let class = self
             .config
             .queue(&row.spec.queue)
             .map_or(Class::Batch, |view| view.class);
-        self.jobs
-            .insert(id.clone(), JobRecord::new(row, class, Stage::Adopting));
-        for origin in again.into_iter().flat_map(JobRecord::into_origins) {
+        let origins = match self.jobs.get_mut(&id) {
+            Some(record) if record.stage != Stage::Recording => return,
+            // Its workers may have told of its tasks already; these stay known.
+            Some(record) => record.adopt(row, class),
+            None => {
+                self.jobs
+                    .insert(id.clone(), JobRecord::new(row, class, Stage::Adopting));
+                Vec::new()
+            }
+        };
+        for origin in origins {
             self.answer_origin(&origin, Answer::JobAccepted(id.clone()));
         }
     }
--- a/core/src/reducer/job_record.rs
+++ b/core/src/reducer/job_record.rs
@@ -59,8 +59,13 @@
         }
     }
 
-    pub(super) fn into_origins(self) -> Vec<Origin> {
-        self.origins
+    /// Becomes the record of a row that an earlier keeper wrote; returns who waits for it.
+    pub(super) fn adopt(&mut self, row: JobRow, class: Class) -> Vec<Origin> {
+        self.row = row;
+        self.class = class;
+        self.stage = Stage::Adopting;
+        self.request = None;
+        std::mem::take(&mut self.origins)
     }
 
     /// Notes that the present state is on its way to the table; a transaction that was turned away
--- a/proofs/tests/scenarios.rs
+++ b/proofs/tests/scenarios.rs
@@ -38,6 +38,7 @@
     cancellation_wave,
     domain_cut_goes_on,
     drifting_clocks,
+    job_runs_while_its_submission_comes_again,
     keeper_dies_with_work,
     late_command_of_an_old_connection,
     leaving_worker,
