Take a failure domain only with a worker in hand, and free what a gone worker held

A daemon that reached the platform but no worker wrote itself into the table as keeper; the keeper that served the domain was fenced, and for eight seconds nobody served. After it, a worker that was removed before it could be claimed counted against a limit, and when the host list dropped it nothing looked at the queues: two tasks waited for ever.

Change: the keeper's row is written, and the role announced, once a worker accepted a claim; a keeper without any yields to one that is heard. A change of what counts as full looks at all queues.

Also: the fixture of core/tests/tells.rs answers reads of several rows, which following the configuration now uses.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -123,6 +123,12 @@
         self.unclaimed_count
     }
 
+    /// Says whether any listed worker accepted a claim of this term, or none is listed at all.
+    pub fn is_held(&self) -> bool {
+        let listed = self.workers.iter().filter(|worker| worker.listed).count();
+        listed == 0 || self.unclaimed_count < listed
+    }
+
     /// Returns what a team has running.
     pub fn usage(&self, team: &TeamName) -> Resources {
         self.usage.get(team).copied().unwrap_or_default()
--- a/core/src/reducer/keeper.rs
+++ b/core/src/reducer/keeper.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Returns the term that peers are told: a keeper without any worker keeps nothing, and must not
+    /// push aside one that does.
+    pub(super) fn announced_term(&self) -> Option<Term> {
+        self.keeper_term().filter(|_| self.fleet.is_held())
+    }
+
     pub(super) fn keeper_name(&self) -> Option<DaemonId> {
         if self.is_keeper() {
             return Some(self.me().clone());
@@ -82,7 +88,7 @@
             RoleKind::Keeper {
                 record: Record::Wanted { retry_ms },
                 ..
-            } if *retry_ms <= now_ms => Step::ReadRecord,
+            } if *retry_ms <= now_ms && self.fleet.is_held() => Step::ReadRecord,
             RoleKind::Keeper { .. } => Step::Stay,
             RoleKind::Follower if self.may_become_keeper() => Step::Become,
             RoleKind::Follower => Step::Stay,
@@ -109,7 +115,6 @@
             },
         };
         self.tell(Told::KeeperStarted { term });
-        self.read_record();
         self.resend_calls();
     }
 
@@ -157,7 +162,8 @@
             return;
         }
         self.follow_term(term);
-        let yields = |mine: Term| (term, self.me()) > (mine, peer);
+        let held = self.fleet.is_held();
+        let yields = |mine: Term| !held || (term, self.me()) > (mine, peer);
         if self.keeper_term().is_some_and(yields) {
             self.step_down();
         }
--- a/core/src/reducer/members.rs
+++ b/core/src/reducer/members.rs
@@ -271,7 +271,7 @@
                 address: self.settings.address.clone(),
                 sent_ms: self.now_ms,
                 echo_ms,
-                keeper: self.keeper_term(),
+                keeper: self.announced_term(),
                 revision: self.config.revision(),
                 fresh_age_ms: self.freshness.age_ms(self.now_ms),
                 silent_age_ms: silent_ms.map(|at_ms| self.now_ms.since(at_ms)),
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -31,6 +31,7 @@
             .into_iter()
             .filter(|host| host.domain == *own)
             .collect();
+        let unclaimed = self.fleet.unclaimed();
         let left = self.fleet.relist(own);
         if !self.is_keeper() {
             return;
@@ -39,6 +40,9 @@
             self.worker_left(ix);
         }
         self.adopt_jobs();
+        if self.fleet.unclaimed() != unclaimed {
+            self.schedule_all();
+        }
     }
 
     /// Ends the tasks of a worker that left the host list: the platform lists no host that runs.
@@ -259,7 +263,11 @@
             self.task_ended(ix, task);
         }
         self.adopt_jobs();
-        self.refill(ix, None);
+        // With the last claim, what was counted as full for every team is known.
+        match self.fleet.unclaimed_count() {
+            0 => self.schedule_all(),
+            _ => self.refill(ix, None),
+        }
     }
 
     /// Settles the tasks that the worker does not know. A worker that did not start anew never
--- a/core/tests/tells.rs
+++ b/core/tests/tells.rs
@@ -213,6 +213,10 @@
             };
             vec![(Key::ConfigHead, Row::Head(head))]
         }
+        Query::Many(keys) => {
+            let each = keys.iter().cloned().map(Query::One);
+            each.flat_map(|query| rows(&query)).collect()
+        }
         Query::DeltasAfter(Revision(0)) => vec![(Key::Delta(revision), Row::Delta(note()))],
         _ => Vec::new(),
     }
