Keep the tasks of each rack as a count

Cause: each placement of a service counted the tasks of all racks anew, in a map by the racks' names: 724 us at 3,000 workers, 365% of a core at 5,000 a second, p99 2.6 s. The linear look over the workers is not the cause: a small question takes 28 us by the same loop.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -18,6 +18,9 @@
 pub struct Fleet {
     workers: Vec<WorkerState>,
     places: HashMap<WorkerId, WorkerIx>,
+    racks: HashMap<RackName, usize>,
+    /// The number of tasks on each rack.
+    rack_loads: Vec<usize>,
     usage: BTreeMap<TeamName, Resources>,
     total: Resources,
     largest: Resources,
@@ -67,19 +70,36 @@
 
     fn list(&mut self, host: Host) {
         match self.find(&host.worker) {
-            Some(ix) => {
-                let known = self.get_mut(ix);
-                known.listed = true;
-                known.host = host;
-            }
+            Some(ix) => self.list_again(ix, host),
             None => {
+                let rack = self.rack_place(&host.rack);
                 self.places
                     .insert(host.worker.clone(), WorkerIx(self.workers.len()));
-                self.workers.push(WorkerState::new(host));
+                self.workers.push(WorkerState::new(host, rack));
             }
         }
     }
 
+    fn list_again(&mut self, ix: WorkerIx, host: Host) {
+        let rack = self.rack_place(&host.rack);
+        let worker = &mut self.workers[ix.0];
+        self.rack_loads[worker.rack] -= worker.tasks.len();
+        self.rack_loads[rack] += worker.tasks.len();
+        worker.rack = rack;
+        worker.listed = true;
+        worker.host = host;
+    }
+
+    fn rack_place(&mut self, rack: &RackName) -> usize {
+        if let Some(place) = self.racks.get(rack) {
+            return *place;
+        }
+        let place = self.rack_loads.len();
+        self.racks.insert(rack.clone(), place);
+        self.rack_loads.push(0);
+        place
+    }
+
     /// Computes the fleet's sums anew.
     pub fn recount(&mut self) {
         let mut total = Resources::default();
@@ -147,12 +167,17 @@
     pub fn add(&mut self, ix: WorkerIx, task: TaskId, running: Running) {
         let usage = self.usage.entry(running.team.clone()).or_default();
         *usage = usage.plus(running.need);
-        self.workers[ix.0].add(task, running);
+        let worker = &mut self.workers[ix.0];
+        let known = worker.tasks.len();
+        worker.add(task, running);
+        self.rack_loads[worker.rack] += worker.tasks.len() - known;
     }
 
     /// Stops counting a task on a worker.
     pub fn remove(&mut self, ix: WorkerIx, task: &TaskId) -> Option<Running> {
-        let running = self.workers[ix.0].remove(task)?;
+        let worker = &mut self.workers[ix.0];
+        let running = worker.remove(task)?;
+        self.rack_loads[worker.rack] -= 1;
         if let Some(usage) = self.usage.get_mut(&running.team) {
             *usage = usage.minus(running.need);
         }
@@ -180,17 +205,14 @@
             Class::Batch | Class::Gang => {
                 open.min_by_key(|ix| (avoided(ix), Reverse(self.fullness_ppm(*ix)), *ix))
             }
-            Class::Service => {
-                let racks = self.rack_loads();
-                open.min_by_key(|ix| {
-                    (
-                        avoided(ix),
-                        racks[&self.get(*ix).host.rack],
-                        self.fullness_ppm(*ix),
-                        *ix,
-                    )
-                })
-            }
+            Class::Service => open.min_by_key(|ix| {
+                (
+                    avoided(ix),
+                    self.rack_loads[self.get(*ix).rack],
+                    self.fullness_ppm(*ix),
+                    *ix,
+                )
+            }),
         }
     }
 
@@ -203,14 +225,6 @@
         worker.used.dominant_share_ppm(&worker.host.capacity)
     }
 
-    fn rack_loads(&self) -> BTreeMap<&RackName, usize> {
-        let mut loads = BTreeMap::new();
-        for worker in &self.workers {
-            *loads.entry(&worker.host.rack).or_default() += worker.tasks.len();
-        }
-        loads
-    }
-
     /// Forgets every claim, at the start of a term.
     pub fn begin_term(&mut self) {
         for worker in &mut self.workers {
@@ -230,5 +244,6 @@
             worker.owed = 0;
         }
         self.usage.clear();
+        self.rack_loads.fill(0);
     }
 }
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -45,6 +45,8 @@
 pub struct WorkerState {
     /// The worker as the host list shows it.
     pub host: Host,
+    /// The place of its rack among the fleet's racks.
+    pub rack: usize,
     /// Whether the host list still shows it.
     pub listed: bool,
     /// The connection's state.
@@ -77,9 +79,10 @@
 
 impl WorkerState {
     /// Makes the state of a worker that was just listed.
-    pub fn new(host: Host) -> Self {
+    pub fn new(host: Host, rack: usize) -> Self {
         Self {
             host,
+            rack,
             listed: true,
             link: Link::Down {
                 retry_ms: Millis(0),
