--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -87,7 +87,7 @@
         self.rack_loads[rack] += worker.tasks.len();
         worker.rack = rack;
         worker.listed = true;
-        worker.host = host;
+        worker.set_host(host);
     }
 
     fn rack_place(&mut self, rack: &RackName) -> usize {
@@ -221,8 +221,7 @@
     }
 
     fn fullness_ppm(&self, ix: WorkerIx) -> u64 {
-        let worker = self.get(ix);
-        worker.used.dominant_share_ppm(&worker.host.capacity)
+        self.get(ix).fullness_ppm()
     }
 
     /// Forgets every claim, at the start of a term.
@@ -239,9 +238,7 @@
     /// Forgets every task, after the workers went to another keeper.
     pub fn clear_tasks(&mut self) {
         for worker in &mut self.workers {
-            worker.tasks.clear();
-            worker.used = Resources::default();
-            worker.owed = 0;
+            worker.clear_tasks();
         }
         self.usage.clear();
         self.rack_loads.fill(0);
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -246,7 +246,8 @@
         let worker = self.fleet.get_mut(ix);
         let same = worker.incarnation == Some(incarnation);
         worker.incarnation = Some(incarnation);
-        worker.host.capacity = capacity;
+        let host = worker.host.clone();
+        worker.set_host(Host { capacity, ..host });
         worker.claimed = true;
         worker.link = Link::Ready;
         let name = worker.host.worker.clone();
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -61,6 +61,8 @@
     pub incarnation: Option<u64>,
     /// What the tasks take.
     pub used: Resources,
+    /// The dominant share of the capacity that the tasks take.
+    fullness_ppm: u64,
     /// The tasks that run or may run.
     pub tasks: BTreeMap<TaskId, Running>,
     /// The tasks among them for which a caller waits.
@@ -92,6 +94,7 @@
             claimed: false,
             incarnation: None,
             used: Resources::default(),
+            fullness_ppm: 0,
             tasks: BTreeMap::new(),
             owed: 0,
             heard_ms: Millis(0),
@@ -117,17 +120,40 @@
         self.host.capacity.minus(self.used)
     }
 
+    /// Returns the dominant share of the capacity that the tasks take, in millionths.
+    pub const fn fullness_ppm(&self) -> u64 {
+        self.fullness_ppm
+    }
+
+    fn set_used(&mut self, used: Resources) {
+        self.used = used;
+        self.fullness_ppm = used.dominant_share_ppm(&self.host.capacity);
+    }
+
+    /// Takes over a reading of the host list, or what the worker itself says that it has.
+    pub fn set_host(&mut self, host: Host) {
+        self.host = host;
+        self.set_used(self.used);
+    }
+
     /// Adds a task.
     pub fn add(&mut self, task: TaskId, running: Running) {
-        self.used = self.used.plus(running.need);
+        self.set_used(self.used.plus(running.need));
         self.owed += u32::from(running.owes_answer);
         self.tasks.insert(task, running);
     }
 
+    /// Forgets all tasks.
+    pub fn clear_tasks(&mut self) {
+        self.tasks.clear();
+        self.owed = 0;
+        self.set_used(Resources::default());
+    }
+
     /// Removes a task.
     pub fn remove(&mut self, task: &TaskId) -> Option<Running> {
         let running = self.tasks.remove(task)?;
-        self.used = self.used.minus(running.need);
+        self.set_used(self.used.minus(running.need));
         self.owed -= u32::from(running.owes_answer);
         Some(running)
     }
