Ask only a quiet worker for a sign of life

Cause: a worker that owes an answer was renewed each 500 ms although its own reports had just shown that it lives. The lease itself needs a renewal each 20 s only.

Silent workers that owe an answer cost 554 B/s each as before, since the silence is what the renewal finds out.

--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -4,7 +4,7 @@
 use crate::{
     consts, Claim, Class, DaemonId, Effect, Epoch, Host, Link, LostCause, Millis, Resources,
     Running, TaskEnded, TaskHeld, TaskId, TaskName, Told, UnitKind, WorkerCommand, WorkerId,
-    WorkerIx, WorkerReport,
+    WorkerIx, WorkerReport, WorkerState,
 };
 
 /// What a connection needs.
@@ -90,9 +90,7 @@
             {
                 LinkStep::Drop
             }
-            Link::Ready if now_ms.since(worker.renewed_ms) >= renew_span_ms(worker.owed) => {
-                LinkStep::Renew
-            }
+            Link::Ready if renewal_is_due(worker, now_ms) => LinkStep::Renew,
             Link::Ready => LinkStep::Nothing,
         }
     }
@@ -420,10 +418,10 @@
     }
 }
 
-const fn renew_span_ms(owed: u32) -> Millis {
-    if owed > 0 {
-        consts::BUSY_RENEW_MS
-    } else {
-        consts::RENEW_MS
-    }
+/// Says whether the leases need a renewal, or a worker that owes an answer a sign of life. A worker
+/// that is heard anyway is asked for none.
+fn renewal_is_due(worker: &WorkerState, now_ms: Millis) -> bool {
+    let quiet_ms = now_ms.since(worker.renewed_ms.max(worker.heard_ms));
+    let silent = worker.owed > 0 && quiet_ms >= consts::BUSY_RENEW_MS;
+    silent || now_ms.since(worker.renewed_ms) >= consts::RENEW_MS
 }
