Give each worker's connection a small read buffer and a small queue

Cause: the WebSocket library reads into 128 KiB for each connection by default, and the queue of frames keeps room for 32 whole ones. A daemon with 3,000 workers holds 3,000 of both.

--- a/daemon/src/consts.rs
+++ b/daemon/src/consts.rs
@@ -32,3 +32,5 @@
 pub(crate) const JOURNAL_ENTRIES: usize = 8_192;
 /// The accepted notes that a daemon shows at most.
 pub(crate) const HISTORY_NOTES: usize = 256;
+/// The room for what a worker sends at a time; one of thousands of connections.
+pub(crate) const WORKER_READ_BYTES: usize = 2_048;
--- a/daemon/src/links.rs
+++ b/daemon/src/links.rs
@@ -19,7 +19,7 @@
     me: DaemonId,
     inputs: Sender<Input>,
     peers: HashMap<DaemonId, (String, mpsc::Sender<PeerMessage>)>,
-    workers: HashMap<WorkerId, (u64, mpsc::UnboundedSender<WorkerFrame>)>,
+    workers: HashMap<WorkerId, (u64, mpsc::UnboundedSender<Box<WorkerFrame>>)>,
 }
 
 impl Links {
@@ -92,7 +92,7 @@
             .filter(|(current, _)| *current == link);
         if let Some((_, sender)) = found {
             // A closed connection tells the reducer by an event of its own.
-            let _ = sender.send(WorkerFrame { claim, command });
+            let _ = sender.send(Box::new(WorkerFrame { claim, command }));
         }
     }
 }
--- a/daemon/src/links/workers.rs
+++ b/daemon/src/links/workers.rs
@@ -11,14 +11,18 @@
 use pomelotide_core::{Event, WorkerId};
 use pomelotide_wire::{decode, encode, WorkerFrame};
 use tokio::{net::TcpStream, sync::mpsc, time};
-use tokio_tungstenite::{client_async, tungstenite::Message, WebSocketStream};
+use tokio_tungstenite::{
+    client_async_with_config,
+    tungstenite::{protocol::WebSocketConfig, Message},
+    WebSocketStream,
+};
 
 /// Opens a connection to a worker and serves it until it breaks or is given up.
 pub(super) async fn dial(
     worker: WorkerId,
     address: String,
     link: u64,
-    frames: mpsc::UnboundedReceiver<WorkerFrame>,
+    frames: mpsc::UnboundedReceiver<Box<WorkerFrame>>,
     inputs: Sender<Input>,
 ) {
     let opened = time::timeout(consts::DIAL_LIMIT, open(&address))
@@ -42,7 +46,8 @@
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let url = format!("ws://{address}/control");
-    client_async(url, stream)
+    let config = WebSocketConfig::default().read_buffer_size(consts::WORKER_READ_BYTES);
+    client_async_with_config(url, stream, Some(config))
         .await
         .ok()
         .map(|(socket, _)| socket)
@@ -52,7 +57,7 @@
     worker: &WorkerId,
     link: u64,
     socket: WebSocketStream<TcpStream>,
-    mut frames: mpsc::UnboundedReceiver<WorkerFrame>,
+    mut frames: mpsc::UnboundedReceiver<Box<WorkerFrame>>,
     inputs: &Sender<Input>,
 ) {
     let (mut sink, mut stream) = socket.split();
