--- a/core/tests/costs.rs
+++ b/core/tests/costs.rs
@@ -17,10 +17,7 @@
 const STARTS_PER_S: u64 = 430;
 
 fn target() -> Size {
-    Size {
-        daemons: 3,
-        ..Size::new(WORKERS, TEAMS)
-    }
+    Size::new(WORKERS, TEAMS)
 }
 
 /// Returns the control bytes of two idle minutes, a second, without those of one kind. In two
