--- a/core/benches/measures/messages.rs
+++ b/core/benches/measures/messages.rs
@@ -108,9 +108,13 @@
         work_lines(report, &format!("work.requests-{rate}"), &domain, 10);
         let mut domain = Domain::settled(Size::new(TARGET_WORKERS, TARGET_TEAMS));
         domain.metered = true;
-        jobs(&mut domain, rate, 10);
+        jobs(&mut domain, rate, 1, 10);
         work_lines(report, &format!("work.jobs-{rate}"), &domain, 10);
     }
+    let mut domain = Domain::settled(Size::new(TARGET_WORKERS, TARGET_TEAMS));
+    domain.metered = true;
+    jobs(&mut domain, TARGET_STARTS_PER_S, 100, 10);
+    work_lines(report, "work.jobs-of-100-430", &domain, 10);
 }
 
 /// Counts the renewals at workers that all owe an answer, each of which reports something else
@@ -150,14 +154,15 @@
     }
 }
 
-fn jobs(domain: &mut Domain, rate: u64, span_s: u64) {
+fn jobs(domain: &mut Domain, rate: u64, tasks: u32, span_s: u64) {
+    let jobs_by = |hundredth: u64| rate * hundredth / u64::from(tasks) / 100;
     for hundredth in 0..span_s * 100 {
-        let due = rate * (hundredth + 1) / 100 - rate * hundredth / 100;
-        for _ in 0..due {
-            let event = domain.job(Class::Batch, 1);
+        for _ in jobs_by(hundredth)..jobs_by(hundredth + 1) {
+            let event = domain.job(Class::Batch, tasks);
             domain.step(event);
         }
-        while domain.started.len() as u64 > rate / 10 {
+        let most = (rate / 10).max(u64::from(tasks) * 4) as usize;
+        while domain.started.len() > most {
             domain.end_oldest();
         }
         domain.run(10);
