Count a claimed worker without counting all workers anew

Cause: each claim that a worker accepts computed the fleet's sums over all workers, so that a takeover cost workers squared.

A capacity that differs from the host list's still computes all anew.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -100,8 +100,22 @@
         place
     }
 
+    /// Counts a worker as claimed in this term, with what it says that it has.
+    pub fn claimed(&mut self, ix: WorkerIx, capacity: Resources) {
+        let worker = &mut self.workers[ix.0];
+        let was_unclaimed = worker.listed && !worker.claimed;
+        worker.claimed = true;
+        if worker.host.capacity != capacity {
+            worker.set_capacity(capacity);
+            self.recount();
+        } else if was_unclaimed {
+            self.unclaimed = self.unclaimed.minus(capacity);
+            self.unclaimed_count -= 1;
+        }
+    }
+
     /// Computes the fleet's sums anew.
-    pub fn recount(&mut self) {
+    fn recount(&mut self) {
         let mut total = Resources::default();
         let mut largest = [0; crate::resources::KINDS];
         let mut unclaimed = Resources::default();
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -252,16 +252,13 @@
         let worker = self.fleet.get_mut(ix);
         let same = worker.incarnation == Some(incarnation);
         worker.incarnation = Some(incarnation);
-        let host = worker.host.clone();
-        worker.set_host(Host { capacity, ..host });
-        worker.claimed = true;
         worker.link = Link::Ready;
         let name = worker.host.worker.clone();
         self.tell(Told::WorkerClaimed {
             worker: name,
             running: running.len() as u64,
         });
-        self.fleet.recount();
+        self.fleet.claimed(ix, capacity);
         self.lose_unreported(ix, same, &running, &ended);
         for held in running {
             self.adopt_task(ix, held);
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -130,7 +130,13 @@
         self.fullness_ppm = used.dominant_share_ppm(&self.host.capacity);
     }
 
-    /// Takes over a reading of the host list, or what the worker itself says that it has.
+    /// Takes over what the worker itself says that it has.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.host.capacity = capacity;
+        self.set_used(self.used);
+    }
+
+    /// Takes over a reading of the host list.
     pub fn set_host(&mut self, host: Host) {
         self.host = host;
         self.set_used(self.used);
