--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -18,6 +18,9 @@
 pub struct Fleet {
     workers: Vec<WorkerState>,
     places: HashMap<WorkerId, WorkerIx>,
+    racks: HashMap<RackName, usize>,
+    /// The number of tasks on each rack.
+    rack_loads: Vec<usize>,
     usage: BTreeMap<TeamName, Resources>,
     total: Resources,
     largest: Resources,
@@ -67,21 +70,52 @@
 
     fn list(&mut self, host: Host) {
         match self.find(&host.worker) {
-            Some(ix) => {
-                let known = self.get_mut(ix);
-                known.listed = true;
-                known.host = host;
-            }
+            Some(ix) => self.list_again(ix, host),
             None => {
+                let rack = self.rack_place(&host.rack);
                 self.places
                     .insert(host.worker.clone(), WorkerIx(self.workers.len()));
-                self.workers.push(WorkerState::new(host));
+                self.workers.push(WorkerState::new(host, rack));
             }
         }
     }
 
+    fn list_again(&mut self, ix: WorkerIx, host: Host) {
+        let rack = self.rack_place(&host.rack);
+        let worker = &mut self.workers[ix.0];
+        self.rack_loads[worker.rack] -= worker.tasks.len();
+        self.rack_loads[rack] += worker.tasks.len();
+        worker.rack = rack;
+        worker.listed = true;
+        worker.set_host(host);
+    }
+
+    fn rack_place(&mut self, rack: &RackName) -> usize {
+        if let Some(place) = self.racks.get(rack) {
+            return *place;
+        }
+        let place = self.rack_loads.len();
+        self.racks.insert(rack.clone(), place);
+        self.rack_loads.push(0);
+        place
+    }
+
+    /// Counts a worker as claimed in this term, with what it says that it has.
+    pub fn claimed(&mut self, ix: WorkerIx, capacity: Resources) {
+        let worker = &mut self.workers[ix.0];
+        let was_unclaimed = worker.listed && !worker.claimed;
+        worker.claimed = true;
+        if worker.host.capacity != capacity {
+            worker.set_capacity(capacity);
+            self.recount();
+        } else if was_unclaimed {
+            self.unclaimed = self.unclaimed.minus(capacity);
+            self.unclaimed_count -= 1;
+        }
+    }
+
     /// Computes the fleet's sums anew.
-    pub fn recount(&mut self) {
+    fn recount(&mut self) {
         let mut total = Resources::default();
         let mut largest = [0; crate::resources::KINDS];
         let mut unclaimed = Resources::default();
@@ -147,12 +181,17 @@
     pub fn add(&mut self, ix: WorkerIx, task: TaskId, running: Running) {
         let usage = self.usage.entry(running.team.clone()).or_default();
         *usage = usage.plus(running.need);
-        self.workers[ix.0].add(task, running);
+        let worker = &mut self.workers[ix.0];
+        let known = worker.tasks.len();
+        worker.add(task, running);
+        self.rack_loads[worker.rack] += worker.tasks.len() - known;
     }
 
     /// Stops counting a task on a worker.
     pub fn remove(&mut self, ix: WorkerIx, task: &TaskId) -> Option<Running> {
-        let running = self.workers[ix.0].remove(task)?;
+        let worker = &mut self.workers[ix.0];
+        let running = worker.remove(task)?;
+        self.rack_loads[worker.rack] -= 1;
         if let Some(usage) = self.usage.get_mut(&running.team) {
             *usage = usage.minus(running.need);
         }
@@ -173,42 +212,36 @@
         avoid: Option<&WorkerId>,
         now_ms: Millis,
     ) -> Option<WorkerIx> {
-        let open = self.places().filter(|ix| self.fits_at(*ix, need, now_ms));
-        let avoided = |ix: &WorkerIx| avoid == Some(&self.get(*ix).host.worker);
+        let avoided = |worker: &WorkerState| avoid == Some(&worker.host.worker);
+        let fits = |ix: WorkerIx| self.fits_at(ix, need, now_ms);
         match class {
-            Class::Small => open.min_by_key(|ix| (avoided(ix), self.busy_slots(*ix), *ix)),
-            Class::Batch | Class::Gang => {
-                open.min_by_key(|ix| (avoided(ix), Reverse(self.fullness_ppm(*ix)), *ix))
-            }
-            Class::Service => {
-                let racks = self.rack_loads();
-                open.min_by_key(|ix| {
-                    (
-                        avoided(ix),
-                        racks[&self.get(*ix).host.rack],
-                        self.fullness_ppm(*ix),
-                        *ix,
-                    )
-                })
-            }
+            Class::Small => self.least(fits, |worker| (avoided(worker), worker.used.slots)),
+            Class::Batch | Class::Gang => self.least(fits, |worker| {
+                (avoided(worker), Reverse(worker.fullness_ppm()))
+            }),
+            Class::Service => self.least(fits, |worker| {
+                let on_rack = self.rack_loads[worker.rack];
+                (avoided(worker), on_rack, worker.fullness_ppm())
+            }),
         }
     }
 
-    fn busy_slots(&self, ix: WorkerIx) -> u64 {
-        self.get(ix).used.slots
-    }
-
-    fn fullness_ppm(&self, ix: WorkerIx) -> u64 {
-        let worker = self.get(ix);
-        worker.used.dominant_share_ppm(&worker.host.capacity)
-    }
-
-    fn rack_loads(&self) -> BTreeMap<&RackName, usize> {
-        let mut loads = BTreeMap::new();
-        for worker in &self.workers {
-            *loads.entry(&worker.host.rack).or_default() += worker.tasks.len();
+    /// Returns the first worker with the least key among those that fit. Whether one fits is asked
+    /// last, and of few.
+    fn least<K: Ord>(
+        &self,
+        fits: impl Fn(WorkerIx) -> bool,
+        key_of: impl Fn(&WorkerState) -> K,
+    ) -> Option<WorkerIx> {
+        let mut least: Option<(K, WorkerIx)> = None;
+        for (ix, worker) in self.places().zip(&self.workers) {
+            let key = key_of(worker);
+            let less = least.as_ref().is_none_or(|(known, _)| key < *known);
+            if less && fits(ix) {
+                least = Some((key, ix));
+            }
         }
-        loads
+        least.map(|(_, ix)| ix)
     }
 
     /// Forgets every claim, at the start of a term.
@@ -225,10 +258,9 @@
     /// Forgets every task, after the workers went to another keeper.
     pub fn clear_tasks(&mut self) {
         for worker in &mut self.workers {
-            worker.tasks.clear();
-            worker.used = Resources::default();
-            worker.owed = 0;
+            worker.clear_tasks();
         }
         self.usage.clear();
+        self.rack_loads.fill(0);
     }
 }
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -4,7 +4,7 @@
 use crate::{
     consts, Claim, Class, DaemonId, Effect, Epoch, Host, Link, LostCause, Millis, Resources,
     Running, TaskEnded, TaskHeld, TaskId, TaskName, Told, UnitKind, WorkerCommand, WorkerId,
-    WorkerIx, WorkerReport,
+    WorkerIx, WorkerReport, WorkerState,
 };
 
 /// What a connection needs.
@@ -18,8 +18,16 @@
 
 impl Core {
     pub(super) fn scan_hosts(&mut self) {
-        if self.next_hosts_ms <= self.now_ms {
-            self.next_hosts_ms = self.now_ms + consts::HOST_POLL_MS;
+        let span_ms = if self.is_keeper() || self.hosts_are_awaited() {
+            consts::HOST_POLL_MS
+        } else {
+            consts::HOST_WATCH_MS
+        };
+        let latest_ms = self.now_ms + span_ms;
+        // Neither a new keeper nor a lost reading waits out the longer span.
+        if self.next_hosts_ms <= self.now_ms || self.next_hosts_ms > latest_ms {
+            self.next_hosts_ms = latest_ms;
+            self.hosts_are_asked();
             self.out.push(Effect::ReadHosts);
         }
     }
@@ -90,9 +98,7 @@
             {
                 LinkStep::Drop
             }
-            Link::Ready if now_ms.since(worker.renewed_ms) >= renew_span_ms(worker.owed) => {
-                LinkStep::Renew
-            }
+            Link::Ready if renewal_is_due(worker, now_ms) => LinkStep::Renew,
             Link::Ready => LinkStep::Nothing,
         }
     }
@@ -246,15 +252,13 @@
         let worker = self.fleet.get_mut(ix);
         let same = worker.incarnation == Some(incarnation);
         worker.incarnation = Some(incarnation);
-        worker.host.capacity = capacity;
-        worker.claimed = true;
         worker.link = Link::Ready;
         let name = worker.host.worker.clone();
         self.tell(Told::WorkerClaimed {
             worker: name,
             running: running.len() as u64,
         });
-        self.fleet.recount();
+        self.fleet.claimed(ix, capacity);
         self.lose_unreported(ix, same, &running, &ended);
         for held in running {
             self.adopt_task(ix, held);
@@ -419,10 +423,10 @@
     }
 }
 
-const fn renew_span_ms(owed: u32) -> Millis {
-    if owed > 0 {
-        consts::BUSY_RENEW_MS
-    } else {
-        consts::RENEW_MS
-    }
+/// Says whether the leases need a renewal, or a worker that owes an answer a sign of life. A worker
+/// that is heard anyway is asked for none.
+fn renewal_is_due(worker: &WorkerState, now_ms: Millis) -> bool {
+    let quiet_ms = now_ms.since(worker.renewed_ms.max(worker.heard_ms));
+    let silent = worker.owed > 0 && quiet_ms >= consts::BUSY_RENEW_MS;
+    silent || now_ms.since(worker.renewed_ms) >= consts::RENEW_MS
 }
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -45,6 +45,8 @@
 pub struct WorkerState {
     /// The worker as the host list shows it.
     pub host: Host,
+    /// The place of its rack among the fleet's racks.
+    pub rack: usize,
     /// Whether the host list still shows it.
     pub listed: bool,
     /// The connection's state.
@@ -59,6 +61,8 @@
     pub incarnation: Option<u64>,
     /// What the tasks take.
     pub used: Resources,
+    /// The dominant share of the capacity that the tasks take.
+    fullness_ppm: u64,
     /// The tasks that run or may run.
     pub tasks: BTreeMap<TaskId, Running>,
     /// The tasks among them for which a caller waits.
@@ -77,9 +81,10 @@
 
 impl WorkerState {
     /// Makes the state of a worker that was just listed.
-    pub fn new(host: Host) -> Self {
+    pub fn new(host: Host, rack: usize) -> Self {
         Self {
             host,
+            rack,
             listed: true,
             link: Link::Down {
                 retry_ms: Millis(0),
@@ -89,6 +94,7 @@
             claimed: false,
             incarnation: None,
             used: Resources::default(),
+            fullness_ppm: 0,
             tasks: BTreeMap::new(),
             owed: 0,
             heard_ms: Millis(0),
@@ -114,17 +120,46 @@
         self.host.capacity.minus(self.used)
     }
 
+    /// Returns the dominant share of the capacity that the tasks take, in millionths.
+    pub const fn fullness_ppm(&self) -> u64 {
+        self.fullness_ppm
+    }
+
+    fn set_used(&mut self, used: Resources) {
+        self.used = used;
+        self.fullness_ppm = used.dominant_share_ppm(&self.host.capacity);
+    }
+
+    /// Takes over what the worker itself says that it has.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.host.capacity = capacity;
+        self.set_used(self.used);
+    }
+
+    /// Takes over a reading of the host list.
+    pub fn set_host(&mut self, host: Host) {
+        self.host = host;
+        self.set_used(self.used);
+    }
+
     /// Adds a task.
     pub fn add(&mut self, task: TaskId, running: Running) {
-        self.used = self.used.plus(running.need);
+        self.set_used(self.used.plus(running.need));
         self.owed += u32::from(running.owes_answer);
         self.tasks.insert(task, running);
     }
 
+    /// Forgets all tasks.
+    pub fn clear_tasks(&mut self) {
+        self.tasks.clear();
+        self.owed = 0;
+        self.set_used(Resources::default());
+    }
+
     /// Removes a task.
     pub fn remove(&mut self, task: &TaskId) -> Option<Running> {
         let running = self.tasks.remove(task)?;
-        self.used = self.used.minus(running.need);
+        self.set_used(self.used.minus(running.need));
         self.owed -= u32::from(running.owes_answer);
         Some(running)
     }
