--- a/core/src/reducer/config_feed.rs
+++ b/core/src/reducer/config_feed.rs
@@ -37,7 +37,7 @@
             Op::PollHead {
                 sent_ms: self.now_ms,
             },
-            Query::Many(vec![Key::ConfigHead, Key::Snapshot]),
+            Query::One(Key::ConfigHead),
         );
     }
 
@@ -46,16 +46,11 @@
         let TableReply::Rows(rows) = reply else {
             return;
         };
-        let mut head = Revision::default();
-        for (_, row) in rows {
-            match row {
-                Row::Head(row) => head = row.revision,
-                Row::Snapshot(row) if row.trimmed >= self.feed.snapshot.trimmed => {
-                    self.feed.snapshot = row;
-                }
-                _ => {}
-            }
-        }
+        let head = rows.into_iter().find_map(|(_, row)| match row {
+            Row::Head(head) => Some(head.revision),
+            _ => None,
+        });
+        let head = head.unwrap_or_default();
         self.feed.head = head.max(self.feed.head);
         if head > self.config.revision() {
             self.read_on(sent_ms);
@@ -66,14 +61,33 @@
 
     fn read_on(&mut self, sent_ms: Millis) {
         self.feed.polling = true;
-        let failed = std::mem::take(&mut self.feed.snapshot_failed);
-        match self.config_source(failed) {
-            Source::Snapshot(wanted) => self.read_snapshot(wanted),
-            Source::Deltas => {
-                let query = Query::DeltasAfter(self.config.revision());
-                self.read(Op::PollDeltas { sent_ms }, query);
+        let lacks = self.feed.head.0 - self.config.revision().0;
+        if lacks >= consts::SNAPSHOT_LACK {
+            self.read(Op::PollSnapshotRow { sent_ms }, Query::One(Key::Snapshot));
+        } else {
+            self.read_deltas(sent_ms);
+        }
+    }
+
+    pub(super) fn snapshot_row_read(&mut self, sent_ms: Millis, reply: TableReply) {
+        let TableReply::Rows(rows) = reply else {
+            self.feed.polling = false;
+            return;
+        };
+        for (_, row) in rows {
+            if let Row::Snapshot(row) = row {
+                self.know_snapshots(row);
             }
         }
+        match self.config_source() {
+            Source::Snapshot(wanted) => self.read_snapshot(wanted),
+            Source::Deltas => self.read_deltas(sent_ms),
+        }
+    }
+
+    fn read_deltas(&mut self, sent_ms: Millis) {
+        let query = Query::DeltasAfter(self.config.revision());
+        self.read(Op::PollDeltas { sent_ms }, query);
     }
 
     pub(super) fn deltas_read(&mut self, sent_ms: Millis, reply: TableReply) {
@@ -81,6 +95,7 @@
         let TableReply::Rows(rows) = reply else {
             return;
         };
+        let before = self.config.revision();
         for (key, row) in rows {
             if let (Key::Delta(revision), Row::Delta(note)) = (key, row) {
                 self.apply_note(revision, note);
@@ -88,8 +103,10 @@
         }
         if self.config.revision() >= self.feed.head {
             self.config_confirmed(sent_ms);
-        } else {
+        } else if self.config.revision() > before {
             self.feed.next_poll_ms = self.now_ms;
+        } else {
+            self.feed.next_poll_ms = self.now_ms + consts::TABLE_RETRY_MS;
         }
     }
 
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -79,6 +79,7 @@
 enum Op {
     PollHead { sent_ms: Millis },
     PollDeltas { sent_ms: Millis },
+    PollSnapshotRow { sent_ms: Millis },
     PollSnapshot { wanted: Revision },
     PutSnapshot { revision: Revision },
     WriteSnapshot { row: SnapshotRow },
@@ -217,6 +218,7 @@
         match purpose {
             Op::PollHead { sent_ms } => self.head_read(sent_ms, reply),
             Op::PollDeltas { sent_ms } => self.deltas_read(sent_ms, reply),
+            Op::PollSnapshotRow { sent_ms } => self.snapshot_row_read(sent_ms, reply),
             Op::WriteSnapshot { row } => self.snapshot_row_written(row, reply),
             Op::PollSnapshot { .. } | Op::PutSnapshot { .. } => {}
             Op::WriteMove => self.move_written(reply),
--- a/core/src/reducer/snapshots.rs
+++ b/core/src/reducer/snapshots.rs
@@ -16,8 +16,16 @@
 }
 
 impl Core {
-    /// Returns where to read on from; `failed` is set where the latest snapshot was unusable.
-    pub(super) fn config_source(&self, failed: bool) -> Source {
+    pub(super) fn know_snapshots(&mut self, row: SnapshotRow) {
+        let known = self.feed.snapshot;
+        if (row.latest, row.trimmed) > (known.latest, known.trimmed) {
+            self.feed.snapshot = row;
+        }
+    }
+
+    /// Returns where to read on from.
+    pub(super) fn config_source(&mut self) -> Source {
+        let failed = std::mem::take(&mut self.feed.snapshot_failed);
         let (mine, row) = (self.config.revision(), self.feed.snapshot);
         let lacks_much = row.latest.0.saturating_sub(mine.0) >= consts::SNAPSHOT_LACK;
         let is_trimmed = mine < row.trimmed;
@@ -106,9 +114,18 @@
     }
 
     pub(super) fn snapshot_row_written(&mut self, row: SnapshotRow, reply: TableReply) {
-        if matches!(reply, TableReply::Committed { .. }) {
-            self.feed.snapshot = row;
-            self.trim();
+        match reply {
+            TableReply::Committed { .. } => {
+                self.feed.snapshot = row;
+                self.trim();
+            }
+            TableReply::Conflict { found, .. } => {
+                if let Some(Row::Snapshot(found)) = found.as_deref() {
+                    self.know_snapshots(*found);
+                    self.snapshot_stored(row.latest, ObjectReply::Stored);
+                }
+            }
+            _ => {}
         }
     }
 
--- a/core/tests/snapshots.rs
+++ b/core/tests/snapshots.rs
@@ -60,6 +60,20 @@
     assert_eq!(fakes.nodes[new].core.config(), fakes.nodes[0].core.config());
 }
 
+#[test]
+fn a_daemon_that_knows_no_snapshot_adds_its_own_to_the_ones_before() {
+    let mut fakes = Fakes::start(&["a-1", "a-2"]);
+    fakes.settle(entries());
+    write_up_to(&mut fakes, 0, 2 * SNAPSHOT_REVISIONS - 10);
+    write_up_to(&mut fakes, 1, 2 * SNAPSHOT_REVISIONS + 10);
+    let row = SnapshotRow {
+        latest: Revision(2 * SNAPSHOT_REVISIONS),
+        previous: Revision(SNAPSHOT_REVISIONS),
+        trimmed: Revision(SNAPSHOT_REVISIONS),
+    };
+    assert_eq!(snapshot_row(&fakes), row);
+}
+
 #[test]
 fn a_lost_snapshot_is_harmless() {
     let mut fakes = Fakes::start(&["a-1"]);
