Stop the youngest tasks above a limit that was lowered

Cause: a note that lowers a limit was said to be in force while tasks above it ran on; the checker looked at limits only when a task started. Now it also looks when a note comes into force, and two scenarios broke Limits (20 processors against a new limit of 6).

Change: a keeper that applies a smaller part stops its youngest tasks above it; they wait again, once at a time, and what a larger part that does not count yet would allow is left to run. Requests end by themselves.

--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -54,6 +54,8 @@
 pub const MAX_DEADLINE_MS: Millis = Millis(300_000);
 /// The span between two looks over workers, calls and waiting requests.
 pub const SCAN_MS: Millis = Millis(100);
+/// The span between two looks for tasks above a limit that was lowered.
+pub const SURPLUS_MS: Millis = Millis(1_000);
 /// The wait of a fenced keeper before it may try again.
 pub const FENCED_REST_MS: Millis = Millis(5_000);
 /// The silence of the table after which a daemon says that it does not reach it.
--- a/core/src/reducer/config_feed.rs
+++ b/core/src/reducer/config_feed.rs
@@ -133,6 +133,7 @@
         }
         self.moves_applied(is_move);
         self.tell(Told::ConfigApplied { revision });
+        self.shed_surplus();
         self.schedule_all();
     }
 
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -18,6 +18,7 @@
 mod requests;
 mod schedule;
 mod snapshots;
+mod surplus;
 mod tells;
 mod views;
 mod workers;
@@ -49,6 +50,7 @@
     now_ms: Millis,
     out: Vec<Effect>,
     next_scan_ms: Millis,
+    next_surplus_ms: Millis,
     ops: BTreeMap<OpId, Op>,
     last_op: OpId,
     table_ok_ms: Millis,
@@ -113,6 +115,7 @@
             now_ms: Millis(0),
             out: Vec::new(),
             next_scan_ms: Millis(0),
+            next_surplus_ms: Millis(0),
             ops: BTreeMap::new(),
             last_op: OpId(0),
             table_ok_ms: Millis(0),
@@ -205,6 +208,7 @@
         self.scan_adoption();
         self.scan_calls();
         self.scan_notes();
+        self.scan_surplus();
         self.scan_health();
         self.schedule_rested();
     }
--- /dev/null
+++ b/core/src/reducer/surplus.rs
@@ -0,0 +1,79 @@
+//! What runs above a limit that was lowered: the youngest tasks stop and wait again.
+
+use super::Core;
+use crate::{consts, Link, Millis, Resources, TaskId, TeamName, UnitKind, WorkerCommand, WorkerIx};
+use std::cmp::Reverse;
+
+/// A task that may be stopped and run again.
+struct Stoppable {
+    since_ms: Millis,
+    at: WorkerIx,
+    task: TaskId,
+    need: Resources,
+}
+
+impl Core {
+    /// Looks again now and then: a worker may have been silent when its tasks were to stop.
+    pub(super) fn scan_surplus(&mut self) {
+        if self.next_surplus_ms <= self.now_ms {
+            self.next_surplus_ms = self.now_ms + consts::SURPLUS_MS;
+            self.shed_surplus();
+        }
+    }
+
+    /// Stops what runs above the limits. Requests are left to end, since callers wait for them.
+    pub(super) fn shed_surplus(&mut self) {
+        if !self.is_keeper() {
+            return;
+        }
+        let teams: Vec<TeamName> = self.config.teams().cloned().collect();
+        for team in teams {
+            let surplus = self.surplus(&team);
+            if surplus != Resources::default() {
+                self.stop_youngest(&team, surplus);
+            }
+        }
+    }
+
+    /// Returns what a team has running above its part; a larger part that does not count yet keeps
+    /// what runs, since it ran under the part before.
+    fn surplus(&self, team: &TeamName) -> Resources {
+        self.fleet.usage(team).minus(self.limits.target(team))
+    }
+
+    fn stop_youngest(&mut self, team: &TeamName, mut surplus: Resources) {
+        let mut tasks = self.stoppable(team);
+        tasks.sort_by_key(|task| (Reverse(task.since_ms), task.task.clone()));
+        for Stoppable { at, task, need, .. } in tasks {
+            if surplus == Resources::default() {
+                return;
+            }
+            if need.min(surplus) != Resources::default() {
+                surplus = surplus.minus(need);
+                self.command(at, WorkerCommand::Stop(task));
+            }
+        }
+    }
+
+    fn stoppable(&self, team: &TeamName) -> Vec<Stoppable> {
+        let mut found = Vec::new();
+        for at in self.fleet.places() {
+            let worker = self.fleet.get(at);
+            if worker.link != Link::Ready {
+                continue;
+            }
+            let own = worker
+                .tasks
+                .iter()
+                .filter(|(_, running)| running.team == *team);
+            let jobs = own.filter(|(_, run)| matches!(run.unit, Some(UnitKind::Task { .. })));
+            found.extend(jobs.map(|(task, running)| Stoppable {
+                since_ms: running.since_ms,
+                at,
+                task: task.clone(),
+                need: running.need,
+            }));
+        }
+        found
+    }
+}
--- a/proofs/src/checks.rs
+++ b/proofs/src/checks.rs
@@ -113,6 +113,10 @@
                 team,
                 need,
             } => self.started(worker, task, team, *need),
+            Observation::InForce { note, revision } => {
+                self.accepted(note, *revision);
+                self.check_limits()
+            }
             Observation::Overcommitted { worker, task } => {
                 let seen = format!("{worker} was told to start {task} without room");
                 Err((Invariant::Capacity, seen))
@@ -154,7 +158,6 @@
             Observation::Leaving { worker } => {
                 self.leaving.entry(worker.clone()).or_insert(self.now_ms);
             }
-            Observation::InForce { note, revision } => self.accepted(note, *revision),
             _ => {}
         }
     }
@@ -332,6 +335,12 @@
         }
     }
 
+    fn check_limits(&self) -> Checked {
+        self.limits
+            .keys()
+            .try_for_each(|team| self.check_limit(team))
+    }
+
     fn check_limit(&self, team: &TeamName) -> Checked {
         let used = self.sum(|_, run| run.team == *team);
         match self.limits.get(team) {
--- a/proofs/src/runner.rs
+++ b/proofs/src/runner.rs
@@ -100,11 +100,20 @@
     lookup: Option<(CallNumber, Millis)>,
 }
 
+/// A note that was proposed.
+#[derive(Debug)]
+struct Proposed {
+    note: Note,
+    call: Option<CallNumber>,
+    /// Whether the checker knows that it is in force.
+    seen: bool,
+}
+
 struct Runner<'a> {
     world: World,
     notes: &'a Path,
     works: BTreeMap<String, Sent>,
-    files: BTreeMap<String, (Note, Option<CallNumber>)>,
+    files: BTreeMap<String, Proposed>,
 }
 
 impl Runner<'_> {
@@ -137,6 +146,9 @@
             Statement::Expect(name, expected, within_ms) => {
                 self.expect(*within_ms, |runner| runner.judge(name, expected))
             }
+            Statement::ExpectRace(a, b, within_ms) => {
+                self.expect(*within_ms, |runner| runner.judge_race(a, b))
+            }
             Statement::ExpectQuiet(within_ms) => self.expect(*within_ms, Runner::judge_quiet),
             Statement::ExpectStarts(id, count) => self.judge_starts(id, *count),
             Statement::ExpectDone(prefix, count) => self.judge_done(prefix, *count),
@@ -204,18 +216,21 @@
             note: proposed,
         };
         let call = self.world.call(daemon, |_| None, event);
-        self.files.insert(file.into(), (note, call));
+        let seen = false;
+        self.files
+            .insert(file.into(), Proposed { note, call, seen });
         Ok(())
     }
 
     /// Tells the checker of notes whose operators were just told that they are in force.
     fn note_in_force(&mut self) {
         let mut told = Vec::new();
-        for (note, call) in self.files.values_mut() {
-            let answer = call.and_then(|call| self.world.answer(call));
+        for proposed in self.files.values_mut().filter(|proposed| !proposed.seen) {
+            let answer = proposed.call.and_then(|call| self.world.answer(call));
             if let Some(Answer::Note(NoteVerdict::InForce(revision))) = answer {
+                proposed.seen = true;
                 told.push(Observation::InForce {
-                    note: note.clone(),
+                    note: proposed.note.clone(),
                     revision: *revision,
                 });
             }
@@ -327,8 +342,16 @@
         }
     }
 
+    fn judge_race(&self, a: &str, b: &str) -> Result<(), String> {
+        let one = |winner, loser| {
+            self.judge_note(winner, &Expected::InForce)?;
+            self.judge_note(loser, &Expected::Rejected)
+        };
+        one(a, b).or_else(|_| one(b, a))
+    }
+
     fn judge_note(&self, file: &str, expected: &Expected) -> Result<(), String> {
-        let call = self.files.get(file).and_then(|(_, call)| *call);
+        let call = self.files.get(file).and_then(|proposed| proposed.call);
         let answer = call.and_then(|call| self.world.answer(call));
         match (answer, expected) {
             (Some(Answer::Note(NoteVerdict::InForce(_))), Expected::InForce) => Ok(()),
--- a/proofs/src/script.rs
+++ b/proofs/src/script.rs
@@ -248,6 +248,13 @@
         let what = self.text()?;
         match what.as_str() {
             "quiet" => return Some(Statement::ExpectQuiet(self.within())),
+            "race" => {
+                return Some(Statement::ExpectRace(
+                    self.text()?,
+                    self.text()?,
+                    self.within(),
+                ))
+            }
             "starts" => return Some(Statement::ExpectStarts(self.text()?, self.parse()?)),
             "keeper" => return Some(Statement::ExpectKeeper(self.text()?, self.within())),
             "at-least" => {
--- a/proofs/src/statement.rs
+++ b/proofs/src/statement.rs
@@ -124,6 +124,8 @@
     Cancel(String, String, String),
     /// Waits until work or a note got what is expected.
     Expect(String, Expected, Millis),
+    /// Waits until exactly one of two notes is in force and the other one is rejected.
+    ExpectRace(String, String, Millis),
     /// Waits until everything is answered and every job over.
     ExpectQuiet(Millis),
     /// The number of starts of a request or of a job's tasks.
--- a/proofs/tests/scenarios.rs
+++ b/proofs/tests/scenarios.rs
@@ -46,6 +46,7 @@
     limit_holds_in_a_partition,
     lonely_daemon_takes_nothing,
     lost_then_refused,
+    lowered_limit_sheds_surplus,
     not_run_is_never_said_after_a_start,
     outcome_after_slow_write,
     paused_keeper_wakes,
