Order teams by what they had lately, across classes, and keep room for what does not fit

Now: small questions first; then the team that is furthest below its weighted share, by what it runs and ran over the last minute, with its classes in order; a queue shows the oldest unit of each need; room is kept for one gang at a time and some wide tasks, planned whole and disjoint, moved to whichever workers get free first; one worker in four keeps headroom for questions, and they go there while larger work waits.

Four tests failed before and pass now: a wide task is not starved, a question starts at once while batch fills the fleet, services leave other teams their share, and a gang that fits the sum of the workers but no set of them is refused at once.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -100,6 +100,16 @@
         }
     }
 
+    /// Returns the most that any small question takes of each kind, besides its slot.
+    pub fn largest_question(&self) -> Resources {
+        let needs = self.entries.values().filter_map(|entry| match entry {
+            Entry::Queue { class, need, .. } if *class == Class::Small => Some(*need),
+            _ => None,
+        });
+        let most = needs.fold(Resources::default(), Resources::max);
+        Resources { slots: 0, ..most }
+    }
+
     /// Returns a team's share and fleet-wide upper limit.
     pub fn team(&self, name: &TeamName) -> Option<(u64, Resources)> {
         match self.entries.get(&EntryName::Team(name.clone()))? {
--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -112,10 +112,22 @@
 pub const QUARANTINE_FAILURES: u32 = 5;
 /// How long a quarantined worker rests before a probe.
 pub const QUARANTINE_MS: Millis = Millis(30_000);
-/// The wait after which a gang holds capacity back from batch work.
-pub const GANG_PATIENCE_MS: Millis = Millis(15_000);
-/// The queued units that are tried behind a head that does not fit.
-pub const BACKFILL_DEPTH: usize = 4;
+/// One worker in so many keeps headroom for small questions.
+pub const HEADROOM_EVERY: usize = 4;
+/// The questions that each of these workers keeps headroom for.
+pub const HEADROOM_QUESTIONS: u64 = 4;
+/// How long the head of a queue finds no room before room is kept for it.
+pub const RESERVE_AFTER_MS: Millis = Millis(3_000);
+/// How long room is kept on the same workers before it is planned anew.
+pub const REPLAN_MS: Millis = Millis(10_000);
+/// The workers for each unit that room may be kept for.
+pub const WORKERS_PER_RESERVATION: usize = 24;
+/// The samples, one each [`SCAN_MS`], over which a team's running share is averaged.
+pub const SHARE_SAMPLES: u64 = 600;
+/// How often the average counts beside what runs now, when teams are ordered.
+pub const SHARE_MEMORY: u64 = 4;
+/// The needs of a queue that are tried, in order of age, for want of room for the first.
+pub const BACKFILL_DEPTH: usize = 8;
 /// The largest request or task payload in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 262_144;
 /// The most tasks of one job.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The failure domain's workers and what runs on them.
 
 use crate::{
-    Class, Host, Link, Millis, RackName, Resources, Running, TaskId, TeamName, WorkerId,
+    consts, Class, Host, Link, Millis, RackName, Resources, Running, TaskId, TeamName, WorkerId,
     WorkerState,
 };
 use std::{
@@ -23,6 +23,7 @@
     largest: Resources,
     unclaimed: Resources,
     unclaimed_count: usize,
+    headroom: Resources,
 }
 
 impl Fleet {
@@ -160,9 +161,9 @@
     }
 
     /// Says whether a worker takes a task now.
-    pub fn fits_at(&self, ix: WorkerIx, need: &Resources, now_ms: Millis) -> bool {
+    pub fn fits_at(&self, ix: WorkerIx, class: Class, need: &Resources, now_ms: Millis) -> bool {
         let worker = &self.workers[ix.0];
-        need.fits(&worker.free()) && worker.takes_work(now_ms)
+        need.fits(&worker.free_for(class, self.headroom_at(ix))) && worker.takes_work(now_ms)
     }
 
     /// Chooses a worker for a task by the policy of its class.
@@ -173,10 +174,14 @@
         avoid: Option<&WorkerId>,
         now_ms: Millis,
     ) -> Option<WorkerIx> {
-        let open = self.places().filter(|ix| self.fits_at(*ix, need, now_ms));
+        let open = self
+            .places()
+            .filter(|ix| self.fits_at(*ix, class, need, now_ms));
         let avoided = |ix: &WorkerIx| avoid == Some(&self.get(*ix).host.worker);
         match class {
-            Class::Small => open.min_by_key(|ix| (avoided(ix), self.busy_slots(*ix), *ix)),
+            Class::Small => {
+                open.min_by_key(|ix| (avoided(ix), self.is_held(*ix), self.busy_slots(*ix), *ix))
+            }
             Class::Batch | Class::Gang => {
                 open.min_by_key(|ix| (avoided(ix), Reverse(self.fullness_ppm(*ix)), *ix))
             }
@@ -194,6 +199,71 @@
         }
     }
 
+    /// Keeps room on some workers that only small questions may take.
+    pub fn set_headroom(&mut self, headroom: Resources) {
+        self.headroom = headroom;
+    }
+
+    fn headroom_at(&self, ix: WorkerIx) -> Resources {
+        match ix.0 % consts::HEADROOM_EVERY {
+            0 => self.headroom,
+            _ => Resources::default(),
+        }
+    }
+
+    /// Chooses the least busy worker that has headroom left for a small question.
+    pub fn choose_headroom(&self, need: &Resources, now_ms: Millis) -> Option<WorkerIx> {
+        let kept = self.places().step_by(consts::HEADROOM_EVERY);
+        let inside = |ix: &WorkerIx| {
+            let cpu_mem = Resources { slots: 0, ..*need };
+            let asked = self.get(*ix).asked.plus(cpu_mem);
+            Resources { slots: 0, ..asked }.fits(&self.headroom)
+        };
+        let open = kept.filter(|ix| inside(ix) && self.fits_at(*ix, Class::Small, need, now_ms));
+        open.min_by_key(|ix| (self.busy_slots(*ix), *ix))
+    }
+
+    /// Keeps room on a worker for work that does not fit yet.
+    pub fn hold(&mut self, ix: WorkerIx, need: Resources) {
+        let held = &mut self.workers[ix.0].held;
+        *held = held.plus(need);
+    }
+
+    /// Gives up kept room.
+    pub fn release(&mut self, ix: WorkerIx, need: Resources) {
+        let held = &mut self.workers[ix.0].held;
+        *held = held.minus(need);
+    }
+
+    /// Returns the worker that misses the least to take a task beside what is kept already.
+    pub fn roomiest(&self, need: &Resources, now_ms: Millis) -> Option<WorkerIx> {
+        let able = |ix: &WorkerIx| {
+            let worker = self.get(*ix);
+            let wanted = worker.held.plus(*need);
+            wanted.fits(&worker.host.capacity) && worker.takes_work(now_ms)
+        };
+        let missing_ppm = |ix: &WorkerIx| {
+            let worker = self.get(*ix);
+            let wanted = worker.used.plus(worker.held).plus(*need);
+            wanted.dominant_share_ppm(&worker.host.capacity)
+        };
+        self.places()
+            .filter(able)
+            .min_by_key(|ix| (missing_ppm(ix), *ix))
+    }
+
+    /// Returns how many tasks of a need the listed workers hold when they are empty.
+    pub fn copies(&self, need: &Resources) -> u64 {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        listed
+            .map(|worker| need.copies_in(&worker.host.capacity))
+            .fold(0, u64::saturating_add)
+    }
+
+    fn is_held(&self, ix: WorkerIx) -> bool {
+        self.get(ix).held != Resources::default()
+    }
+
     fn busy_slots(&self, ix: WorkerIx) -> u64 {
         self.get(ix).used.slots
     }
@@ -227,6 +297,7 @@
         for worker in &mut self.workers {
             worker.tasks.clear();
             worker.used = Resources::default();
+            worker.asked = Resources::default();
             worker.owed = 0;
         }
         self.usage.clear();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -30,11 +30,13 @@
 pub mod resources;
 mod retry_budget;
 mod settings;
+mod share_meter;
 pub mod split;
 mod status;
 mod table;
 mod task_name;
 mod task_set;
+mod team_queue;
 mod told;
 mod unit;
 mod view;
@@ -67,6 +69,7 @@
     resources::Resources,
     retry_budget::RetryBudget,
     settings::CoreSettings,
+    share_meter::ShareMeter,
     status::Status,
     table::{
         Check, HeadRow, Insert, IntentRow, IntentState, KeeperRow, Key, MemberRow, Query, Row,
@@ -74,6 +77,7 @@
     },
     task_name::TaskName,
     task_set::TaskSet,
+    team_queue::TeamQueue,
     told::{LostCause, RequestOutcome, Told, WaitCause},
     unit::{Unit, UnitKind},
     view::{JobView, PeerView, TeamView, WorkerView},
--- a/core/src/queues.rs
+++ b/core/src/queues.rs
@@ -1,33 +1,60 @@
 //! Waiting work by class and team.
 
-use crate::{Class, TeamName, Unit};
-use std::collections::{BTreeMap, VecDeque};
+use crate::{Class, Millis, TeamName, TeamQueue, Unit, UnitKind};
+use std::collections::BTreeMap;
 
-/// The waiting units, first in first out within each class and team.
-#[derive(Debug, Default)]
+/// Numbers of units that were put back lie below this one.
+const FIRST_NUMBER: u64 = 1 << 63;
+
+/// The waiting units, first in first out within each class, team and need.
+#[derive(Debug)]
 pub struct Queues {
-    waiting: BTreeMap<(Class, TeamName), VecDeque<Unit>>,
+    waiting: BTreeMap<(Class, TeamName), TeamQueue>,
     count: BTreeMap<Class, usize>,
+    next_number: u64,
+    next_front: u64,
+}
+
+impl Default for Queues {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            count: BTreeMap::new(),
+            next_number: FIRST_NUMBER,
+            next_front: FIRST_NUMBER - 1,
+        }
+    }
 }
 
 impl Queues {
     /// Adds a unit at the end; says whether it is alone in its queue.
     pub fn push(&mut self, unit: Unit) -> bool {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.insert(number, unit)
+    }
+
+    /// Puts a unit back before all others of its queue.
+    pub fn push_front(&mut self, unit: Unit) {
+        let number = self.next_front;
+        self.next_front -= 1;
+        self.insert(number, unit);
+    }
+
+    fn insert(&mut self, number: u64, unit: Unit) -> bool {
         *self.count.entry(unit.class).or_default() += 1;
-        let queue = self
-            .waiting
-            .entry((unit.class, unit.team.clone()))
-            .or_default();
-        queue.push_back(unit);
+        let key = (unit.class, unit.team.clone());
+        let queue = self.waiting.entry(key).or_default();
+        queue.insert(number, unit);
         queue.len() == 1
     }
 
-    /// Returns the unit at a place in a queue.
+    /// Returns a unit to try: the oldest one of each need, in order of age.
     pub fn get(&self, class: Class, team: &TeamName, place: usize) -> Option<&Unit> {
         self.waiting.get(&(class, team.clone()))?.get(place)
     }
 
-    /// Removes the unit at a place in a queue.
+    /// Removes the unit that [`Queues::get`] returns for a place.
     pub fn remove(&mut self, class: Class, team: &TeamName, place: usize) -> Option<Unit> {
         let key = (class, team.clone());
         let queue = self.waiting.get_mut(&key)?;
@@ -41,6 +68,17 @@
         Some(unit)
     }
 
+    /// Returns what came last into a queue that is not empty.
+    pub fn newest(&self, class: Class, team: &TeamName) -> Option<&UnitKind> {
+        self.waiting.get(&(class, team.clone()))?.newest()
+    }
+
+    /// Notes that the head of a queue finds no room; returns since when it finds none.
+    pub fn block_head(&mut self, class: Class, team: &TeamName, now_ms: Millis) -> Millis {
+        let queue = self.waiting.get_mut(&(class, team.clone()));
+        queue.map_or(now_ms, |queue| queue.block_head(now_ms))
+    }
+
     /// Returns the teams that have units of a class waiting.
     pub fn teams(&self, class: Class) -> Vec<TeamName> {
         self.waiting
@@ -59,7 +97,7 @@
     pub fn len_of(&self, class: Class, team: &TeamName) -> usize {
         self.waiting
             .get(&(class, team.clone()))
-            .map_or(0, VecDeque::len)
+            .map_or(0, TeamQueue::len)
     }
 
     /// Says whether nothing waits.
@@ -67,12 +105,9 @@
         self.waiting.is_empty()
     }
 
-    /// Removes and returns everything.
-    pub fn drain(&mut self) -> Vec<Unit> {
+    /// Removes everything.
+    pub fn clear(&mut self) {
         self.count.clear();
-        std::mem::take(&mut self.waiting)
-            .into_values()
-            .flatten()
-            .collect()
+        self.waiting.clear();
     }
 }
--- a/core/src/reducer/config_feed.rs
+++ b/core/src/reducer/config_feed.rs
@@ -110,6 +110,9 @@
         self.config.apply(&note);
         self.limits
             .update(&self.config, &self.settings.domain, self.now_ms);
+        let question = self.config.largest_question();
+        self.fleet
+            .set_headroom(question.times(consts::HEADROOM_QUESTIONS));
         self.feed.recent.push_back(note);
         if self.feed.recent.len() > consts::RECENT_NOTES {
             self.feed.recent.pop_front();
--- a/core/src/reducer/jobs.rs
+++ b/core/src/reducer/jobs.rs
@@ -57,7 +57,9 @@
         if self.fleet.total() == Resources::default() {
             return Err(Refusal::NoKeeper);
         }
-        if !spec.need.fits(&self.fleet.largest()) || !together.fits(&self.fleet.total()) {
+        let gang = view.class == Class::Gang;
+        let apart = gang && self.fleet.copies(&spec.need) < u64::from(spec.tasks);
+        if !spec.need.fits(&self.fleet.largest()) || apart {
             return Err(Refusal::NeverFits);
         }
         if !self.commits_open() {
@@ -220,6 +222,7 @@
             need: record.row.spec.need,
             since_ms: self.now_ms,
             avoid,
+            blocked_ms: None,
         };
         self.tell_retry(&unit);
         self.enqueue(unit);
--- a/core/src/reducer/keeper.rs
+++ b/core/src/reducer/keeper.rs
@@ -143,7 +143,9 @@
     }
 
     fn forget_kept(&mut self) {
-        self.queues.drain();
+        self.queues.clear();
+        self.clear_reserved();
+        self.share_meter.clear();
         self.requests.clear();
         self.jobs.clear();
         self.orphans.clear();
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -16,6 +16,7 @@
 mod orphans;
 mod request_state;
 mod requests;
+mod reserve;
 mod schedule;
 mod snapshots;
 mod tells;
@@ -24,8 +25,8 @@
 
 use crate::{
     consts, CallId, Config, CoreSettings, DaemonId, Effect, Event, Fleet, Freshness, JobId, Limits,
-    Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, SnapshotRow,
-    TableReply, Told, Txn,
+    Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, ShareMeter,
+    SnapshotRow, TableReply, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -63,6 +64,8 @@
     fleet: Fleet,
     next_hosts_ms: Millis,
     queues: Queues,
+    reserved: Vec<reserve::Reservation>,
+    share_meter: ShareMeter,
     calls: BTreeMap<CallId, calls::Call>,
     requests: BTreeMap<RequestId, request_state::RequestState>,
     jobs: BTreeMap<JobId, job_record::JobRecord>,
@@ -126,6 +129,8 @@
             fleet: Fleet::default(),
             next_hosts_ms: Millis(0),
             queues: Queues::default(),
+            reserved: Vec::new(),
+            share_meter: ShareMeter::default(),
             calls: BTreeMap::new(),
             requests: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -204,6 +209,8 @@
         self.scan_calls();
         self.scan_notes();
         self.scan_health();
+        self.sample_shares();
+        self.start_reserved(None);
         self.schedule_rested();
     }
 
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -194,6 +194,7 @@
             need: view.need,
             since_ms: state.since_ms,
             avoid,
+            blocked_ms: None,
         };
         self.tell_retry(&unit);
         self.enqueue(unit);
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -2,14 +2,14 @@
 
 use super::Core;
 use crate::{
-    consts, Class, Millis, Resources, Running, TaskId, TaskName, TaskStart, TeamName, Told, Unit,
-    UnitKind, WaitCause, WorkerCommand, WorkerIx,
+    consts, Class, JobId, Millis, Resources, Running, TaskId, TaskName, TaskStart, TeamName, Told,
+    Unit, UnitKind, WaitCause, WorkerCommand, WorkerIx,
 };
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 /// What came of the attempt to start a unit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Outcome {
+pub(super) enum Outcome {
     /// It started.
     Started,
     /// Nobody wants it any more.
@@ -38,7 +38,7 @@
         let alone = self.queues.push(unit);
         let few = self.queues.len_of(class, &team) <= consts::BACKFILL_DEPTH;
         if alone || few {
-            self.start_first(class, &team, &Scope::Everywhere);
+            self.start_first(class, &team, &Scope::Everywhere, false);
         }
         if let Some(cause) = cause.filter(|_| self.is_wanted_kind(&kind)) {
             self.tell(Told::Waiting {
@@ -54,9 +54,8 @@
     /// Returns why a unit would wait; of the tasks of one job only the first is told of.
     fn wait_cause(&self, unit: &Unit) -> Option<WaitCause> {
         let ahead = self.queues.len_of(unit.class, &unit.team);
-        let last = ahead.checked_sub(1);
-        let last = last.and_then(|last| self.queues.get(unit.class, &unit.team, last));
-        if last.is_some_and(|last| last.kind.is_of_same_job(&unit.kind)) {
+        let last = self.queues.newest(unit.class, &unit.team);
+        if last.is_some_and(|last| last.is_of_same_job(&unit.kind)) {
             return None;
         }
         let together = unit.need.times(u64::from(unit.tasks()));
@@ -97,49 +96,71 @@
     }
 
     fn pass(&mut self, scope: &Scope) {
-        for (class, _) in Class::ALL {
-            if class == Class::Batch && self.gang_is_impatient() {
-                return;
-            }
-            self.pass_class(class, scope);
-        }
+        self.start_reserved(scope.worker());
+        self.pass_classes(&[Class::Small], scope);
+        self.pass_classes(&[Class::Service, Class::Gang, Class::Batch], scope);
     }
 
-    /// Starts units of one class, always of the team that is furthest below its share.
-    fn pass_class(&mut self, class: Class, scope: &Scope) {
-        let mut open: BTreeSet<TeamName> = self.queues.teams(class).into_iter().collect();
-        while let Some(team) = self.neediest(&open) {
-            match self.start_first(class, &team, scope) {
-                Outcome::Started | Outcome::Dropped => {}
-                Outcome::NoRoom | Outcome::OverLimit => {
-                    open.remove(&team);
-                }
+    /// Starts units of some classes, always of the team that is furthest below its share, and
+    /// within a team in order of the classes.
+    fn pass_classes(&mut self, classes: &[Class], scope: &Scope) {
+        let mut open: BTreeMap<TeamName, Vec<Class>> = BTreeMap::new();
+        for class in classes {
+            for team in self.queues.teams(*class) {
+                open.entry(team).or_default().push(*class);
             }
-            if self.queues.len_of(class, &team) == 0 {
-                open.remove(&team);
+        }
+        let neediest = self.neediest(&open).map(|(team, _)| team);
+        while let Some((team, class)) = self.neediest(&open) {
+            let may_reserve = class != Class::Small && neediest.as_ref() == Some(&team);
+            let outcome = self.start_first(class, &team, scope, may_reserve);
+            let spent = matches!(outcome, Outcome::NoRoom | Outcome::OverLimit);
+            if spent || self.queues.len_of(class, &team) == 0 {
+                close(&mut open, &team, class);
             }
         }
     }
 
-    fn neediest(&self, teams: &BTreeSet<TeamName>) -> Option<TeamName> {
-        teams
+    fn neediest(&self, open: &BTreeMap<TeamName, Vec<Class>>) -> Option<(TeamName, Class)> {
+        let (team, classes) = open
             .iter()
-            .min_by_key(|team| (self.weighted_share_ppm(team), *team))
-            .cloned()
+            .min_by_key(|(team, _)| (self.weighted_share_ppm(team), *team))?;
+        Some((team.clone(), *classes.first()?))
     }
 
-    /// Returns a team's dominant share of the failure domain divided by its weight.
+    /// Returns a team's dominant share of the failure domain divided by its weight. What it had
+    /// running lately counts beside what it has now, so that an excess is paid back.
     fn weighted_share_ppm(&self, team: &TeamName) -> u64 {
         let weight = self.config.team(team).map_or(1, |(share, _)| share.max(1));
-        self.fleet
-            .usage(team)
-            .dominant_share_ppm(&self.fleet.total())
-            * 1_000
-            / weight
+        let now_ppm = self.share_ppm(team);
+        let lately_ppm = self.share_meter.mean_ppm(team) * consts::SHARE_MEMORY;
+        (now_ppm + lately_ppm) * 1_000 / weight
     }
 
-    /// Starts the first unit of a queue that fits, looking a little way behind the head.
-    fn start_first(&mut self, class: Class, team: &TeamName, scope: &Scope) -> Outcome {
+    fn share_ppm(&self, team: &TeamName) -> u64 {
+        let held = self.fleet.usage(team).plus(self.reserved_for(team));
+        held.dominant_share_ppm(&self.fleet.total())
+    }
+
+    /// Takes in what each team has running.
+    pub(super) fn sample_shares(&mut self) {
+        let teams: Vec<TeamName> = self.config.teams().cloned().collect();
+        for team in teams {
+            let usage = self.fleet.usage(&team);
+            let share_ppm = usage.dominant_share_ppm(&self.fleet.total());
+            self.share_meter.sample(&team, share_ppm);
+        }
+    }
+
+    /// Starts the first unit of a queue that fits, looking a little way behind the head. Room is
+    /// kept for a head that does not fit, so that what is behind it can't starve it.
+    fn start_first(
+        &mut self,
+        class: Class,
+        team: &TeamName,
+        scope: &Scope,
+        may_reserve: bool,
+    ) -> Outcome {
         let mut place = 0;
         let mut first = None;
         while place < consts::BACKFILL_DEPTH {
@@ -151,12 +172,22 @@
                 self.queues.remove(class, team, place);
                 return outcome;
             }
+            let blocked = place == 0 && outcome == Outcome::NoRoom;
+            if blocked && may_reserve && self.reserve_head(class, team, &unit) {
+                self.queues.remove(class, team, place);
+                return Outcome::Dropped;
+            }
             first = first.or(Some(outcome));
             place += 1;
         }
         first.unwrap_or(Outcome::NoRoom)
     }
 
+    fn reserve_head(&mut self, class: Class, team: &TeamName, unit: &Unit) -> bool {
+        let since_ms = self.queues.block_head(class, team, self.now_ms);
+        self.now_ms.since(since_ms) >= consts::RESERVE_AFTER_MS && self.reserve(unit)
+    }
+
     fn try_start(&mut self, unit: &Unit, scope: &Scope) -> Outcome {
         if !self.is_wanted(unit) {
             return Outcome::Dropped;
@@ -174,7 +205,7 @@
         }
     }
 
-    fn is_wanted(&self, unit: &Unit) -> bool {
+    pub(super) fn is_wanted(&self, unit: &Unit) -> bool {
         self.is_wanted_kind(&unit.kind)
     }
 
@@ -188,7 +219,7 @@
 
     /// Says whether a team stays within its part of the limit. Workers that this term has not
     /// claimed count in full, since an older keeper may still start tasks there.
-    fn may_spend(&self, team: &TeamName, more: Resources) -> bool {
+    pub(super) fn may_spend(&self, team: &TeamName, more: Resources) -> bool {
         let used = self.fleet.usage(team).plus(self.fleet.unclaimed());
         used.plus(more).fits(&self.spendable(team))
     }
@@ -196,16 +227,29 @@
     fn find_place(&self, unit: &Unit, scope: &Scope) -> Option<WorkerIx> {
         match scope {
             Scope::At(ix, team) if team.as_ref() != Some(&unit.team) => {
-                let fits = self.fleet.fits_at(*ix, &unit.need, self.now_ms);
+                let fits = self.fleet.fits_at(*ix, unit.class, &unit.need, self.now_ms);
                 fits.then_some(*ix)
             }
-            _ => self
-                .fleet
-                .choose(unit.class, &unit.need, unit.avoid.as_ref(), self.now_ms),
+            _ => self.headroom_for(unit).or_else(|| {
+                let avoid = unit.avoid.as_ref();
+                self.fleet
+                    .choose(unit.class, &unit.need, avoid, self.now_ms)
+            }),
+        }
+    }
+
+    /// Finds headroom for a small question while larger work waits, so that questions do not
+    /// split the rest of the fleet into pieces that fit nothing else.
+    fn headroom_for(&self, unit: &Unit) -> Option<WorkerIx> {
+        let wanted = unit.class == Class::Small && unit.avoid.is_none();
+        let crowded = self.queues.len(Class::Batch) + self.queues.len(Class::Gang) > 0;
+        if !wanted || !crowded {
+            return None;
         }
+        self.fleet.choose_headroom(&unit.need, self.now_ms)
     }
 
-    fn start_at(&mut self, ix: WorkerIx, unit: &Unit) -> Outcome {
+    pub(super) fn start_at(&mut self, ix: WorkerIx, unit: &Unit) -> Outcome {
         let Some(term) = self.keeper_term() else {
             return Outcome::NoRoom;
         };
@@ -269,12 +313,18 @@
     }
 
     /// Starts all tasks of a gang, or none.
-    fn start_gang(&mut self, unit: &Unit, job: &crate::JobId, tasks: u32) -> Outcome {
+    fn start_gang(&mut self, unit: &Unit, job: &JobId, tasks: u32) -> Outcome {
         let Some(places) = self.find_gang_places(unit, tasks) else {
             return Outcome::NoRoom;
         };
+        self.start_gang_at(unit, job, &places);
+        Outcome::Started
+    }
+
+    /// Starts the tasks of a gang, each at its place.
+    pub(super) fn start_gang_at(&mut self, unit: &Unit, job: &JobId, places: &[WorkerIx]) {
         self.gang_placed(job);
-        for (index, ix) in (0..tasks).zip(places) {
+        for (index, ix) in (0..).zip(places) {
             let kind = UnitKind::Task {
                 job: job.clone(),
                 index,
@@ -283,9 +333,8 @@
                 kind,
                 ..unit.clone()
             };
-            self.start_at(ix, &task);
+            self.start_at(*ix, &task);
         }
-        Outcome::Started
     }
 
     /// Finds a place for each task of a gang, by counting them one by one and taking all back.
@@ -305,18 +354,24 @@
         }
         (places.len() == tasks as usize).then_some(places)
     }
+}
 
-    /// Says whether a gang that could run has waited so long that batch work must hold back.
-    fn gang_is_impatient(&self) -> bool {
-        let teams = self.queues.teams(Class::Gang);
-        let heads = teams
-            .iter()
-            .filter_map(|team| self.queues.get(Class::Gang, team, 0));
-        let mut runnable = heads.filter(|unit| {
-            let together = unit.need.times(u64::from(unit.tasks()));
-            self.is_wanted(unit) && self.may_spend(&unit.team, together)
-        });
-        runnable.any(|unit| self.now_ms.since(unit.since_ms) > consts::GANG_PATIENCE_MS)
+impl Scope {
+    const fn worker(&self) -> Option<WorkerIx> {
+        match self {
+            Scope::Everywhere => None,
+            Scope::At(ix, _) => Some(*ix),
+        }
+    }
+}
+
+fn close(open: &mut BTreeMap<TeamName, Vec<Class>>, team: &TeamName, class: Class) {
+    let Some(classes) = open.get_mut(team) else {
+        return;
+    };
+    classes.retain(|other| *other != class);
+    if classes.is_empty() {
+        open.remove(team);
     }
 }
 
--- a/core/src/resources.rs
+++ b/core/src/resources.rs
@@ -68,6 +68,11 @@
         self.zip(other, u64::min)
     }
 
+    /// Returns the larger amount of each kind.
+    pub fn max(self, other: Self) -> Self {
+        self.zip(other, u64::max)
+    }
+
     /// Says whether each amount is at most that of `room`.
     pub fn fits(&self, room: &Self) -> bool {
         let (a, b) = (self.parts(), room.parts());
@@ -80,6 +85,13 @@
         (0..KINDS).find(|&i| a[i] > b[i]).map(|i| Self::NAMES[i])
     }
 
+    /// Returns how many times the amount fits into `room`.
+    pub fn copies_in(&self, room: &Self) -> u64 {
+        let (a, b) = (self.parts(), room.parts());
+        let needed = (0..KINDS).filter(|&i| a[i] > 0);
+        needed.map(|i| b[i] / a[i]).min().unwrap_or(u64::MAX)
+    }
+
     /// Returns the largest share of `total` that any kind takes, in millionths.
     pub fn dominant_share_ppm(&self, total: &Self) -> u64 {
         let (a, b) = (self.parts(), total.parts());
--- /dev/null
+++ b/core/src/team_queue.rs
@@ -0,0 +1,85 @@
+//! The waiting work of one class and team.
+
+use crate::{Millis, Resources, Unit, UnitKind};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// What a unit needs at once; units of one shape fit or do not fit together.
+type Shape = (Resources, u32);
+
+/// Waiting units in order of age, with the oldest of each shape at hand: where one does not fit,
+/// none of its shape does.
+#[derive(Debug, Default)]
+pub struct TeamQueue {
+    shapes: HashMap<Shape, VecDeque<(u64, Unit)>>,
+    /// The oldest unit of each shape, by its number.
+    heads: BTreeMap<u64, Shape>,
+    newest: Option<UnitKind>,
+    len: usize,
+}
+
+impl TeamQueue {
+    /// Adds a unit under its number, which says how old it is.
+    pub fn insert(&mut self, number: u64, unit: Unit) {
+        let shape = (unit.need, unit.tasks());
+        let units = self.shapes.entry(shape).or_default();
+        self.newest = Some(unit.kind.clone());
+        let oldest = units.front().map(|(number, _)| *number);
+        match oldest {
+            Some(oldest) if oldest < number => units.push_back((number, unit)),
+            _ => {
+                units.push_front((number, unit));
+                oldest.map(|oldest| self.heads.remove(&oldest));
+                self.heads.insert(number, shape);
+            }
+        }
+        self.len += 1;
+    }
+
+    /// Returns the oldest unit of the shape at a place in the order of age.
+    pub fn get(&self, place: usize) -> Option<&Unit> {
+        let shape = self.heads.values().nth(place)?;
+        self.shapes.get(shape)?.front().map(|(_, unit)| unit)
+    }
+
+    /// Removes the oldest unit of the shape at a place in the order of age.
+    pub fn remove(&mut self, place: usize) -> Option<Unit> {
+        let (number, shape) = self.heads.iter().nth(place)?;
+        let (number, shape) = (*number, *shape);
+        self.heads.remove(&number);
+        let units = self.shapes.get_mut(&shape)?;
+        let removed = units.pop_front();
+        match units.front() {
+            Some((next, _)) => {
+                self.heads.insert(*next, shape);
+            }
+            None => {
+                self.shapes.remove(&shape);
+            }
+        }
+        self.len -= 1;
+        removed.map(|(_, unit)| unit)
+    }
+
+    /// Notes that the oldest unit finds no room; returns since when it finds none.
+    pub fn block_head(&mut self, now_ms: Millis) -> Millis {
+        let shape = self.heads.values().next();
+        let units = shape.and_then(|shape| self.shapes.get_mut(shape));
+        let head = units.and_then(|units| units.front_mut());
+        head.map_or(now_ms, |(_, unit)| *unit.blocked_ms.get_or_insert(now_ms))
+    }
+
+    /// Returns what came last.
+    pub const fn newest(&self) -> Option<&UnitKind> {
+        self.newest.as_ref()
+    }
+
+    /// Returns the number of waiting units.
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Says whether nothing waits.
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+}
--- a/core/src/unit.rs
+++ b/core/src/unit.rs
@@ -39,6 +39,8 @@
     pub since_ms: Millis,
     /// A worker that just failed it.
     pub avoid: Option<WorkerId>,
+    /// When it first found no room at the head of its queue.
+    pub blocked_ms: Option<Millis>,
 }
 
 impl UnitKind {
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -1,6 +1,6 @@
 //! What a keeper knows of one worker.
 
-use crate::{consts, Claim, Host, Millis, Resources, TaskId, TeamName, UnitKind};
+use crate::{consts, Claim, Class, Host, Millis, Resources, TaskId, TeamName, UnitKind};
 use std::collections::BTreeMap;
 
 /// The state of the connection to a worker.
@@ -59,6 +59,10 @@
     pub incarnation: Option<u64>,
     /// What the tasks take.
     pub used: Resources,
+    /// What is kept for work that does not fit yet.
+    pub held: Resources,
+    /// What the requests among the tasks take.
+    pub asked: Resources,
     /// The tasks that run or may run.
     pub tasks: BTreeMap<TaskId, Running>,
     /// The tasks among them for which a caller waits.
@@ -89,6 +93,8 @@
             claimed: false,
             incarnation: None,
             used: Resources::default(),
+            held: Resources::default(),
+            asked: Resources::default(),
             tasks: BTreeMap::new(),
             owed: 0,
             heard_ms: Millis(0),
@@ -114,9 +120,23 @@
         self.host.capacity.minus(self.used)
     }
 
+    /// Returns what is free for work of a class, where small questions have some headroom.
+    pub fn free_for(&self, class: Class, headroom: Resources) -> Resources {
+        match class {
+            Class::Small => self.free(),
+            _ => {
+                let kept = self.held.plus(headroom.minus(self.asked));
+                self.free().minus(kept)
+            }
+        }
+    }
+
     /// Adds a task.
     pub fn add(&mut self, task: TaskId, running: Running) {
         self.used = self.used.plus(running.need);
+        if running.owes_answer {
+            self.asked = self.asked.plus(running.need);
+        }
         self.owed += u32::from(running.owes_answer);
         self.tasks.insert(task, running);
     }
@@ -125,6 +145,9 @@
     pub fn remove(&mut self, task: &TaskId) -> Option<Running> {
         let running = self.tasks.remove(task)?;
         self.used = self.used.minus(running.need);
+        if running.owes_answer {
+            self.asked = self.asked.minus(running.need);
+        }
         self.owed -= u32::from(running.owes_answer);
         Some(running)
     }
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -74,6 +74,20 @@
     assert_eq!(starts_of(&cell, 1).len(), 4);
 }
 
+#[test]
+fn a_large_task_is_not_starved_by_small_ones() {
+    let mut cell = cell(2, &[("s", 1), ("t", 1)]);
+    let mut draw = Draw(2);
+    for label in 0..200 {
+        let plan = Plan::ok(1_000 + label, draw.within(1_000, 5_000));
+        cell.submit("s", "batch", 4, cpu(2_000, 1_024), plan);
+    }
+    cell.run_for(5_000);
+    cell.submit("t", "batch", 1, cpu(15_000, 1_024), Plan::ok(1, 1_000));
+    cell.run_for(60_000);
+    assert_eq!(starts_of(&cell, 1).len(), 1);
+}
+
 #[test]
 fn what_never_fits_is_refused_at_once_with_the_reason() {
     let mut cell = cell(2, &[("t", 1)]);
@@ -85,6 +99,15 @@
     assert_eq!(refusal(&cell, too_much), Some(Refusal::OverLimit));
 }
 
+/// Two workers of 16 processors hold two tasks of 9, though 3 tasks of 9 are less than their sum.
+#[test]
+fn a_gang_that_fits_the_sum_but_no_set_of_workers_is_refused_at_once() {
+    let mut cell = cell(2, &[("t", 1)]);
+    let call = cell.submit("t", "gang", 3, cpu(9_000, 1_024), Plan::ok(1, 1));
+    cell.run_for(100);
+    assert_eq!(refusal(&cell, call), Some(Refusal::NeverFits));
+}
+
 #[test]
 fn services_are_spread_over_racks() {
     let mut cell = cell(24, &[("t", 1)]);
@@ -117,6 +140,17 @@
     assert_eq!(workers.len(), 6);
 }
 
+#[test]
+fn a_small_question_starts_at_once_while_batch_fills_the_fleet() {
+    let mut cell = cell(4, &[("s", 1), ("t", 1)]);
+    cell.submit("s", "batch", 500, cpu(1_000, 1_024), Plan::ok(1, 60_000));
+    cell.run_for(5_000);
+    let asked_ms = cell.now_ms;
+    cell.ask("t", "small", Plan::ok(2, 100), 5_000);
+    cell.run_for(1_000);
+    assert_eq!(starts_of(&cell, 2), [asked_ms]);
+}
+
 #[test]
 fn no_team_runs_more_than_its_limit() {
     let limit = Resources {
@@ -156,3 +190,17 @@
     let share_permille = sums[0] * 1_000 / (sums[0] + sums[1]);
     assert!((712..=788).contains(&share_permille), "{share_permille}");
 }
+
+#[test]
+fn services_of_one_team_leave_another_team_its_share() {
+    let mut cell = cell(8, &[("s", 1), ("t", 1)]);
+    cell.submit("t", "batch", 1_000, cpu(1_000, 1_024), Plan::ok(1, 5_000));
+    cell.run_for(6_000);
+    for _ in 0..40 {
+        cell.submit("s", "service", 10, cpu(1_000, 1_024), Plan::ok(2, 20_000));
+        cell.run_for(1_000);
+    }
+    let (s, t) = (cell.used_by("s").cpu_milli, cell.used_by("t").cpu_milli);
+    let share_permille = t * 1_000 / (s + t);
+    assert!((475..=525).contains(&share_permille), "{share_permille}");
+}
