Blame a worker only for work that succeeds elsewhere

Cause: five failures in a row, of whatever work, sent a worker to rest. A burst of 2,000 questions that fail everywhere sent 5 good workers of 48 to rest, 100 bad jobs sent 5 good workers there 19 times, and a job packed onto a bad worker failed for good after four tasks failed there.

Now a failed request or task runs once more elsewhere: where it succeeds, the first worker is to blame (three times in a row and it rests); where it fails too, the work is. Failures that nobody can retry count only while the same team's requests succeed, and need twenty in a row. Several tasks that fail first at one worker count once against their job, up to 16.

Ruled out: a higher count of failures in a row, which only moves the burst's size.

--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -108,8 +108,14 @@
 pub const RETRY_PERCENT: u64 = 10;
 /// The retries that a fresh budget holds.
 pub const RETRY_BURST: u64 = 20;
-/// The failures in a row after which a worker is quarantined.
-pub const QUARANTINE_FAILURES: u32 = 5;
+/// The failures in a row of work that succeeded elsewhere, after which a worker is quarantined.
+pub const QUARANTINE_FAILURES: u32 = 3;
+/// The failures in a row of work that was not tried elsewhere, after which a worker is quarantined.
+pub const QUARANTINE_DOUBTS: u32 = 20;
+/// How long a team's success speaks for the rest of its requests.
+pub const SUCCESS_MEMORY_MS: Millis = Millis(1_000);
+/// The first failures of a job's tasks at one worker that do not count against the job.
+pub const FREE_FAILURES: usize = 16;
 /// How long a quarantined worker rests before a probe.
 pub const QUARANTINE_MS: Millis = Millis(30_000);
 /// One worker in so many keeps headroom for small questions.
--- a/core/src/reducer/job_record.rs
+++ b/core/src/reducer/job_record.rs
@@ -1,6 +1,6 @@
 //! What a keeper knows of one job.
 
-use crate::{Class, JobRow, JobState, Origin, RequestId, TaskId, WorkerId};
+use crate::{consts, Class, JobRow, JobState, Origin, RequestId, TaskId, WorkerId};
 use std::collections::BTreeMap;
 
 /// A state of a job's record on its way to the table, and what it settles.
@@ -21,6 +21,8 @@
     pub(super) request: Option<(RequestId, u64)>,
     pub(super) running: BTreeMap<u32, (TaskId, WorkerId)>,
     pub(super) attempts: u32,
+    /// The tasks that failed, each with the worker that failed it first.
+    pub(super) failed_at: BTreeMap<u32, WorkerId>,
     /// Whether the gang must start anew once all its tasks have ended.
     pub(super) gang_broken: bool,
     pub(super) gang_queued: bool,
@@ -51,6 +53,7 @@
             request: None,
             running: BTreeMap::new(),
             attempts: 0,
+            failed_at: BTreeMap::new(),
             gang_broken: false,
             gang_queued: false,
             origins: Vec::new(),
@@ -59,6 +62,15 @@
         }
     }
 
+    /// Notes that a task failed; says whether that counts against the job. A worker that fails
+    /// several tasks at once counts once, unless they fail elsewhere too.
+    pub(super) fn note_failure(&mut self, index: u32, worker: &WorkerId) -> bool {
+        let free = self.failed_at.len() < consts::FREE_FAILURES;
+        let known = self.failed_at.values().any(|other| other == worker);
+        let first = self.failed_at.insert(index, worker.clone()).is_none();
+        !(first && known && free)
+    }
+
     /// Becomes the record of a row that an earlier keeper wrote; returns who waits for it.
     pub(super) fn adopt(&mut self, row: JobRow, class: Class) -> Vec<Origin> {
         self.row = row;
--- a/core/src/reducer/jobs.rs
+++ b/core/src/reducer/jobs.rs
@@ -310,7 +310,11 @@
     }
 
     fn job_task_done(&mut self, ix: WorkerIx, job: &JobId, index: u32) {
-        self.judge_worker(ix, true);
+        let Some(record) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let failed_at = record.failed_at.remove(&index);
+        self.worker_succeeded(ix, failed_at);
         let Some(record) = self.jobs.get_mut(job) else {
             return;
         };
@@ -327,11 +331,11 @@
     }
 
     fn job_task_failed(&mut self, ix: WorkerIx, job: &JobId, index: u32, worker: WorkerId) {
-        self.judge_worker(ix, false);
+        self.worker_doubted(ix, false);
         let Some(record) = self.jobs.get_mut(job) else {
             return;
         };
-        record.row.failures += 1;
+        record.row.failures += u32::from(record.note_failure(index, &worker));
         if record.row.failures >= consts::MAX_ATTEMPTS {
             self.end_job(job, JobState::Failed);
         } else {
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod job_record;
 mod jobs;
+mod judge;
 mod keeper;
 mod members;
 mod moves;
@@ -26,7 +27,7 @@
 use crate::{
     consts, CallId, Config, CoreSettings, DaemonId, Effect, Event, Fleet, Freshness, JobId, Limits,
     Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, ShareMeter,
-    SnapshotRow, TableReply, Told, Txn,
+    SnapshotRow, TableReply, TeamName, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -73,6 +74,8 @@
     orphans: BTreeMap<RequestId, orphans::Orphan>,
     commits: commits::Commits,
     budget: RetryBudget,
+    /// When a request of each team last succeeded.
+    succeeded_ms: BTreeMap<TeamName, Millis>,
     drain: drain::Drain,
     health: health::Health,
 }
@@ -138,6 +141,7 @@
             orphans: BTreeMap::new(),
             commits: commits::Commits::default(),
             budget: RetryBudget::default(),
+            succeeded_ms: BTreeMap::new(),
             drain: drain::Drain::default(),
             health: health::Health::default(),
         }
--- a/core/src/reducer/orphans.rs
+++ b/core/src/reducer/orphans.rs
@@ -138,6 +138,7 @@
             stage,
             attempts: 1,
             doubtful: 1,
+            failed_at: None,
             admitted: running.request,
         };
         self.requests.insert(id, state);
--- a/core/src/reducer/request_state.rs
+++ b/core/src/reducer/request_state.rs
@@ -13,6 +13,8 @@
     pub(super) since_ms: Millis,
     pub(super) stage: Stage,
     pub(super) attempts: u32,
+    /// The worker that failed it first.
+    pub(super) failed_at: Option<WorkerId>,
     /// The attempts of which it is not known that they never started.
     pub(super) doubtful: u32,
 }
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -175,6 +175,7 @@
             stage,
             attempts: 0,
             doubtful: 0,
+            failed_at: None,
             admitted,
         }
     }
@@ -303,12 +304,14 @@
         let worker = self.fleet.get(ix).host.worker.clone();
         match ended.end {
             TaskEnd::Done => {
-                self.judge_worker(ix, true);
+                self.request_succeeded(ix, &id);
                 self.finish_request(&id, Answer::Done(ended.output));
             }
             TaskEnd::Failed => {
-                self.judge_worker(ix, false);
-                if !self.retry_request(&id, worker) {
+                let retried = self.retry_failed(&id, worker);
+                let is_doubtful = !retried && self.asker_succeeds(&id);
+                self.worker_doubted(ix, is_doubtful);
+                if !retried {
                     self.finish_request(&id, Answer::Failed(ended.output));
                 }
             }
@@ -320,6 +323,33 @@
         }
     }
 
+    fn request_succeeded(&mut self, ix: WorkerIx, id: &RequestId) {
+        let Some(state) = self.requests.get(id) else {
+            return;
+        };
+        let (team, failed_at) = (state.admitted.team.clone(), state.failed_at.clone());
+        self.team_succeeded(&team);
+        self.worker_succeeded(ix, failed_at);
+    }
+
+    /// Says whether requests of a request's team succeeded lately.
+    fn asker_succeeds(&self, id: &RequestId) -> bool {
+        let state = self.requests.get(id);
+        state.is_some_and(|state| self.team_succeeds(&state.admitted.team))
+    }
+
+    /// Runs a failed request once more, at another worker, to tell whose fault the failure is.
+    fn retry_failed(&mut self, id: &RequestId, worker: WorkerId) -> bool {
+        let Some(state) = self.requests.get_mut(id) else {
+            return false;
+        };
+        if state.failed_at.is_some() {
+            return false;
+        }
+        state.failed_at = Some(worker.clone());
+        self.retry_request(id, worker)
+    }
+
     /// Runs an idempotent request again, if the retry budget allows it.
     fn retry_request(&mut self, id: &RequestId, avoid: WorkerId) -> bool {
         let Some(state) = self.requests.get(id) else {
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -389,34 +389,6 @@
         }
         self.refill(ix, Some(running.team));
     }
-
-    /// Counts a success or a failure of a worker, and lets it rest after too many failures.
-    pub(super) fn judge_worker(&mut self, ix: WorkerIx, well: bool) {
-        if well {
-            self.fleet.get_mut(ix).failures = 0;
-            return;
-        }
-        let may_rest = self.may_rest_another();
-        let rest_until_ms = self.now_ms + consts::QUARANTINE_MS;
-        let worker = self.fleet.get_mut(ix);
-        worker.failures += 1;
-        if worker.failures >= consts::QUARANTINE_FAILURES && may_rest {
-            worker.rest_until_ms = rest_until_ms;
-            let worker = worker.host.worker.clone();
-            self.tell(Told::WorkerQuarantined { worker });
-        }
-    }
-
-    fn may_rest_another(&self) -> bool {
-        let now_ms = self.now_ms;
-        let resting = self
-            .fleet
-            .iter()
-            .filter(|worker| worker.rest_until_ms > now_ms)
-            .count();
-        let listed = self.fleet.iter().filter(|worker| worker.listed).count();
-        resting * 100 < listed * consts::QUARANTINE_PERCENT
-    }
 }
 
 const fn renew_span_ms(owed: u32) -> Millis {
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -73,8 +73,10 @@
     pub renewed_ms: Millis,
     /// When the oldest unanswered renewal was sent.
     pub asked_ms: Millis,
-    /// The failures in a row.
+    /// The failures of work that succeeded elsewhere, since the last success.
     pub failures: u32,
+    /// The failures since the last success of which nobody knows whether the work is to blame.
+    pub doubts: u32,
     /// Until when the worker gets no work.
     pub rest_until_ms: Millis,
 }
@@ -101,6 +103,7 @@
             renewed_ms: Millis(0),
             asked_ms: Millis(0),
             failures: 0,
+            doubts: 0,
             rest_until_ms: Millis(0),
         }
     }
