Refuse early by the observed service time, by team, and cancel at constant cost

Causes: (1) a refused caller was told one second whatever waited; (2) a question whose deadline would pass in the queue waited there until it did; (3) the bound on waiting questions was common to all, so that one team's flood of 2,000 had another team's questions refused; (4) each caller that went away had all requests looked through; (5) a whole-worker task beside an idle fleet waited for the next end of a task anywhere before room was kept for it.

Now: the mean run time of requests, the number that runs and the team's share among the teams that wait give the wait; a request that would wait past its deadline, or past its team's part of the bound, is refused at once with that time. An index from call to request makes a cancellation one look-up. Waiting work is looked over once a second.

--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -38,8 +38,10 @@
 pub const TASK_LEASE_MS: Millis = Millis(60_000);
 /// How long a keeper waits until a silent worker has stopped its tasks (lease plus 4% drift).
 pub const TASK_LAPSE_MS: Millis = Millis(62_400);
-/// The time after which a refused caller is asked to come back.
+/// The time after which a refused caller is asked to come back, where nothing better is known.
 pub const RETRY_AFTER_MS: Millis = Millis(1_000);
+/// The longest time after which a refused caller is asked to come back.
+pub const MAX_RETRY_AFTER_MS: Millis = Millis(60_000);
 /// How long the answer to a request is kept for a retry with the same id.
 pub const ANSWER_KEEP_MS: Millis = Millis(60_000);
 /// The span after which a call that was passed on without an answer is passed on again.
@@ -122,6 +124,8 @@
 pub const HEADROOM_EVERY: usize = 4;
 /// The questions that each of these workers keeps headroom for.
 pub const HEADROOM_QUESTIONS: u64 = 4;
+/// The span between two looks over all workers for work that waits.
+pub const LOOK_MS: Millis = Millis(1_000);
 /// How long the head of a queue finds no room before room is kept for it.
 pub const RESERVE_AFTER_MS: Millis = Millis(3_000);
 /// How long room is kept on the same workers before it is planned anew.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -24,6 +24,7 @@
     unclaimed: Resources,
     unclaimed_count: usize,
     headroom: Resources,
+    owed: u64,
 }
 
 impl Fleet {
@@ -135,6 +136,11 @@
         self.usage.get(team).copied().unwrap_or_default()
     }
 
+    /// Returns the number of running requests.
+    pub const fn owed(&self) -> u64 {
+        self.owed
+    }
+
     /// Returns what is free on all workers that take work.
     pub fn free(&self, now_ms: Millis) -> Resources {
         let open = self
@@ -148,12 +154,14 @@
     pub fn add(&mut self, ix: WorkerIx, task: TaskId, running: Running) {
         let usage = self.usage.entry(running.team.clone()).or_default();
         *usage = usage.plus(running.need);
+        self.owed += u64::from(running.owes_answer);
         self.workers[ix.0].add(task, running);
     }
 
     /// Stops counting a task on a worker.
     pub fn remove(&mut self, ix: WorkerIx, task: &TaskId) -> Option<Running> {
         let running = self.workers[ix.0].remove(task)?;
+        self.owed -= u64::from(running.owes_answer);
         if let Some(usage) = self.usage.get_mut(&running.team) {
             *usage = usage.minus(running.need);
         }
@@ -301,5 +309,6 @@
             worker.owed = 0;
         }
         self.usage.clear();
+        self.owed = 0;
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -29,6 +29,7 @@
 mod request;
 pub mod resources;
 mod retry_budget;
+mod service_time;
 mod settings;
 mod share_meter;
 pub mod split;
@@ -68,6 +69,7 @@
     request::Request,
     resources::Resources,
     retry_budget::RetryBudget,
+    service_time::ServiceTime,
     settings::CoreSettings,
     share_meter::ShareMeter,
     status::Status,
--- a/core/src/reducer/keeper.rs
+++ b/core/src/reducer/keeper.rs
@@ -147,6 +147,7 @@
         self.clear_reserved();
         self.share_meter.clear();
         self.requests.clear();
+        self.asked.clear();
         self.jobs.clear();
         self.orphans.clear();
         self.adoption = Default::default();
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 mod moves;
 mod notes;
 mod orphans;
+mod overload;
 mod request_state;
 mod requests;
 mod reserve;
@@ -26,8 +27,8 @@
 
 use crate::{
     consts, CallId, Config, CoreSettings, DaemonId, Effect, Event, Fleet, Freshness, JobId, Limits,
-    Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, ShareMeter,
-    SnapshotRow, TableReply, TeamName, Told, Txn,
+    Millis, ObjectReply, OpId, Origin, Query, Queues, RequestId, RetryBudget, Revision,
+    ServiceTime, ShareMeter, SnapshotRow, TableReply, TeamName, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -67,11 +68,15 @@
     queues: Queues,
     reserved: Vec<reserve::Reservation>,
     share_meter: ShareMeter,
+    next_look_ms: Millis,
+    service_time: ServiceTime,
     calls: BTreeMap<CallId, calls::Call>,
     requests: BTreeMap<RequestId, request_state::RequestState>,
     jobs: BTreeMap<JobId, job_record::JobRecord>,
     adoption: adoption::Adoption,
     orphans: BTreeMap<RequestId, orphans::Orphan>,
+    /// The unanswered request of each call.
+    asked: BTreeMap<Origin, RequestId>,
     commits: commits::Commits,
     budget: RetryBudget,
     /// When a request of each team last succeeded.
@@ -134,11 +139,14 @@
             queues: Queues::default(),
             reserved: Vec::new(),
             share_meter: ShareMeter::default(),
+            next_look_ms: Millis(0),
+            service_time: ServiceTime::default(),
             calls: BTreeMap::new(),
             requests: BTreeMap::new(),
             jobs: BTreeMap::new(),
             adoption: adoption::Adoption::default(),
             orphans: BTreeMap::new(),
+            asked: BTreeMap::new(),
             commits: commits::Commits::default(),
             budget: RetryBudget::default(),
             succeeded_ms: BTreeMap::new(),
@@ -215,6 +223,7 @@
         self.scan_health();
         self.sample_shares();
         self.start_reserved(None);
+        self.schedule_waiting();
         self.schedule_rested();
     }
 
@@ -281,7 +290,7 @@
     }
 
     /// Returns what a team may have running in this failure domain, at its keeper.
-    pub fn spendable_here(&self, team: &crate::TeamName) -> crate::Resources {
+    pub fn spendable_here(&self, team: &TeamName) -> crate::Resources {
         self.spendable(team)
     }
 
--- a/core/src/reducer/orphans.rs
+++ b/core/src/reducer/orphans.rs
@@ -79,6 +79,7 @@
         let now_ms = self.now_ms;
         let mut running = Vec::new();
         let mut waiting = Vec::new();
+        self.asked.clear();
         for (_, state) in std::mem::take(&mut self.requests) {
             for origin in state.origins {
                 let mut request = AdmittedRequest {
@@ -125,7 +126,8 @@
     pub(super) fn take_running(&mut self, running: RunningRequest) {
         let id = running.request.request.id.clone();
         if let Some(state) = self.requests.get_mut(&id) {
-            state.origins.insert(running.request.origin);
+            state.origins.insert(running.request.origin.clone());
+            self.asked.insert(running.request.origin, id);
             return;
         }
         let stage = Stage::Running(running.task, None);
@@ -141,6 +143,7 @@
             failed_at: None,
             admitted: running.request,
         };
+        self.asked.insert(state.admitted.origin.clone(), id.clone());
         self.requests.insert(id, state);
     }
 }
--- /dev/null
+++ b/core/src/reducer/overload.rs
@@ -0,0 +1,91 @@
+//! Refusing requests that the workers can't serve in time.
+
+use super::{requests::Entry, Core};
+use crate::{
+    consts, AdmittedRequest, Answer, Class, DaemonId, DomainName, Millis, Refusal, RequestId,
+    TeamName, Told,
+};
+use std::collections::BTreeSet;
+
+/// Shares are counted in thousandths.
+const PERMILLE: usize = 1_000;
+
+impl Core {
+    /// Estimates how long a team's next request waits: behind the team's own, served in its share
+    /// among the teams that wait, and never longer than all that waits takes.
+    fn queue_wait_ms(&self, team: &TeamName) -> Millis {
+        let waiting = self.queues.len(Class::Small);
+        let own = self.queues.len_of(Class::Small, team);
+        let behind = (own * PERMILLE / self.waiting_share_permille(team)).min(waiting);
+        self.service_time.wait_ms(behind, self.fleet.owed())
+    }
+
+    /// Returns a team's part of the weights of all teams whose requests wait, with its own.
+    fn waiting_share_permille(&self, team: &TeamName) -> usize {
+        let weight = |team: &TeamName| self.config.team(team).map_or(1, |(share, _)| share);
+        let own = weight(team).max(1);
+        let teams = self.queues.teams(Class::Small);
+        let others = teams.iter().filter(|other| *other != team).map(weight);
+        let all = own + others.sum::<u64>();
+        (own as usize * PERMILLE / all as usize).max(1)
+    }
+
+    /// Returns when a refused caller may come back: after an overload, when what waits is served.
+    pub(super) fn retry_after_ms(&self, team: &TeamName, reason: Refusal) -> Millis {
+        let wait_ms = self.queue_wait_ms(team).min(consts::MAX_RETRY_AFTER_MS);
+        match reason {
+            Refusal::Overloaded | Refusal::DeadlinePassed if wait_ms > Millis(0) => wait_ms,
+            _ => consts::RETRY_AFTER_MS,
+        }
+    }
+
+    /// Returns when the caller of a request that was given up on may come back.
+    pub(super) fn retry_after_of(&self, id: &RequestId, reason: Refusal) -> Millis {
+        let state = self.requests.get(id);
+        state.map_or(consts::RETRY_AFTER_MS, |state| {
+            self.retry_after_ms(&state.admitted.team, reason)
+        })
+    }
+
+    /// Says whether a request can't be served in time: its team has more waiting than its share of
+    /// what may wait, or what waits before it takes longer than its deadline.
+    pub(super) fn is_crowded(&self, team: &TeamName, deadline_ms: Millis) -> bool {
+        let slots = self.fleet.total().slots as usize;
+        let most = (slots * consts::WAITING_PER_SLOT).max(1);
+        let own = self.queues.len_of(Class::Small, team);
+        let own_most = (most * self.waiting_share_permille(team) / PERMILLE).max(1);
+        own >= own_most || self.queue_wait_ms(team) > deadline_ms
+    }
+
+    pub(super) fn elsewhere(&self, admitted: &AdmittedRequest) -> Entry {
+        let crowded = Entry::Refuse(Refusal::Overloaded);
+        if admitted.passed_on {
+            return crowded;
+        }
+        let roomy = self.roomiest_keeper();
+        roomy.map_or(crowded, Entry::PassOn)
+    }
+
+    /// Returns the keeper of another failure domain with the most free slots.
+    fn roomiest_keeper(&self) -> Option<DaemonId> {
+        let domains: BTreeSet<&DomainName> = self.config.domains().collect();
+        let far = domains
+            .into_iter()
+            .filter(|domain| **domain != self.settings.domain);
+        let keepers = far.filter_map(|domain| self.keeper_of(domain));
+        let rooms = keepers.filter_map(|(id, _)| {
+            let peer = self.members.peers.get(id)?;
+            (peer.waiting == 0 && peer.free.slots > 0).then_some((peer.free.slots, id))
+        });
+        rooms.max().map(|(_, id)| id.clone())
+    }
+
+    pub(super) fn refuse_request(&mut self, admitted: &AdmittedRequest, reason: Refusal) {
+        self.tell(Told::RequestRefused {
+            request: admitted.request.id.clone(),
+            reason,
+        });
+        let answer = Answer::refused(reason, self.retry_after_ms(&admitted.team, reason));
+        self.answer_origin(&admitted.origin, answer);
+    }
+}
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -7,9 +7,9 @@
     Core,
 };
 use crate::{
-    consts, AdmittedRequest, Answer, Class, DaemonId, DomainName, IntentRow, IntentState, Link,
-    Millis, Origin, PeerMessage, Refusal, RequestId, TaskEnd, TaskEnded, TaskId, Told, Unit,
-    UnitKind, WorkerCommand, WorkerId, WorkerIx,
+    consts, AdmittedRequest, Answer, Class, DaemonId, IntentRow, IntentState, Link, Millis, Origin,
+    PeerMessage, Refusal, RequestId, TaskEnd, TaskEnded, TaskId, Unit, UnitKind, WorkerCommand,
+    WorkerId, WorkerIx,
 };
 use std::collections::BTreeSet;
 
@@ -23,7 +23,7 @@
 }
 
 /// What to do with a request that came in.
-enum Entry {
+pub(super) enum Entry {
     Attach,
     Repeat(Answer),
     Refuse(Refusal),
@@ -42,7 +42,8 @@
         match self.entry_of(&admitted) {
             Entry::Attach => {
                 if let Some(state) = self.requests.get_mut(&admitted.request.id) {
-                    state.origins.insert(origin);
+                    state.origins.insert(origin.clone());
+                    self.asked.insert(origin, admitted.request.id);
                 }
             }
             Entry::Repeat(answer) => self.answer_origin(&origin, answer),
@@ -93,7 +94,7 @@
         {
             return Entry::Refuse(Refusal::NeverFits);
         }
-        if self.is_crowded() {
+        if self.is_crowded(&admitted.team, request.deadline_ms) {
             return self.elsewhere(admitted);
         }
         match (request.idempotent, self.commits_open()) {
@@ -114,49 +115,13 @@
         }
     }
 
-    fn is_crowded(&self) -> bool {
-        let slots = self.fleet.total().slots as usize;
-        self.queues.len(Class::Small) >= (slots * consts::WAITING_PER_SLOT).max(1)
-    }
-
-    fn elsewhere(&self, admitted: &AdmittedRequest) -> Entry {
-        let crowded = Entry::Refuse(Refusal::Overloaded);
-        if admitted.passed_on {
-            return crowded;
-        }
-        let roomy = self.roomiest_keeper();
-        roomy.map_or(crowded, Entry::PassOn)
-    }
-
-    /// Returns the keeper of another failure domain with the most free slots.
-    fn roomiest_keeper(&self) -> Option<DaemonId> {
-        let domains: BTreeSet<&DomainName> = self.config.domains().collect();
-        let far = domains
-            .into_iter()
-            .filter(|domain| **domain != self.settings.domain);
-        let keepers = far.filter_map(|domain| self.keeper_of(domain));
-        let rooms = keepers.filter_map(|(id, _)| {
-            let peer = self.members.peers.get(id)?;
-            (peer.waiting == 0 && peer.free.slots > 0).then_some((peer.free.slots, id))
-        });
-        rooms.max().map(|(_, id)| id.clone())
-    }
-
-    fn refuse_request(&mut self, admitted: &AdmittedRequest, reason: Refusal) {
-        self.tell(Told::RequestRefused {
-            request: admitted.request.id.clone(),
-            reason,
-        });
-        let answer = Answer::refused(reason, consts::RETRY_AFTER_MS);
-        self.answer_origin(&admitted.origin, answer);
-    }
-
     pub(super) fn open_request(&mut self, admitted: AdmittedRequest, stage: Stage) {
         self.budget.earn();
         let id = admitted.request.id.clone();
         let recording = stage == Stage::Recording;
         let state = self.new_state(admitted, stage);
         let nonce = state.nonce;
+        self.asked.insert(state.admitted.origin.clone(), id.clone());
         self.requests.insert(id.clone(), state);
         if recording {
             self.commit(CommitItem::Intent(id, nonce));
@@ -251,6 +216,7 @@
             return;
         };
         for origin in state.origins {
+            self.asked.remove(&origin);
             let admitted = state.admitted.clone();
             let passed_on = AdmittedRequest {
                 origin,
@@ -439,6 +405,7 @@
             self.commit(CommitItem::Withdraw(id.clone(), nonce));
         }
         for origin in origins {
+            self.asked.remove(&origin);
             self.answer_origin(&origin, answer.clone());
         }
         if let Some((task, worker)) = running {
@@ -458,16 +425,15 @@
 
     /// Lets waiting requests whose every caller went away end.
     pub(super) fn forget(&mut self, origin: &Origin) {
-        let mut left = Vec::new();
-        for (id, state) in &mut self.requests {
-            if state.origins.remove(origin) && state.origins.is_empty() {
-                left.push((id.clone(), state.stage == Stage::Waiting));
-            }
-        }
-        for (id, waiting) in left {
-            if waiting {
-                self.finish_request(&id, Answer::refused(Refusal::Cancelled, Millis(0)));
-            }
+        let Some(id) = self.asked.remove(origin) else {
+            return;
+        };
+        let Some(state) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let is_last = state.origins.remove(origin) && state.origins.is_empty();
+        if is_last && state.stage == Stage::Waiting {
+            self.finish_request(&id, Answer::refused(Refusal::Cancelled, Millis(0)));
         }
     }
 
@@ -498,7 +464,8 @@
             match stage {
                 Stage::Recording | Stage::Waiting => {
                     let reason = Refusal::DeadlinePassed;
-                    let answer = Answer::refused(reason, consts::RETRY_AFTER_MS);
+                    let retry_after_ms = self.retry_after_of(&id, reason);
+                    let answer = Answer::refused(reason, retry_after_ms);
                     self.finish_request(&id, answer);
                 }
                 Stage::Running(..) | Stage::Seeking | Stage::PassedOn(_) => {
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Looks for work everywhere now and then, so that work that waits for kept room is not left
+    /// waiting where nothing else happens.
+    pub(super) fn schedule_waiting(&mut self) {
+        let due = self.next_look_ms <= self.now_ms;
+        if due && !self.queues.is_empty() {
+            self.next_look_ms = self.now_ms + consts::LOOK_MS;
+            self.schedule_all();
+        }
+    }
+
     /// Looks for work for a worker that has room again.
     pub(super) fn refill(&mut self, ix: WorkerIx, team: Option<TeamName>) {
         if self.is_keeper() && !self.queues.is_empty() {
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -332,6 +332,7 @@
         let running = self.fleet.remove(ix, &ended.task);
         if let Some(running) = &running {
             self.tell_ended(ix, &ended, running);
+            self.observe_service(running);
         }
         match TaskName::parse(&ended.task) {
             Some(TaskName::Request { request, .. }) => self.request_ended(ix, request, ended),
@@ -341,6 +342,13 @@
         self.refill(ix, running.map(|running| running.team));
     }
 
+    fn observe_service(&mut self, running: &Running) {
+        if running.owes_answer {
+            let ran_ms = self.now_ms.since(running.since_ms);
+            self.service_time.observe(ran_ms);
+        }
+    }
+
     fn tell_ended(&mut self, ix: WorkerIx, ended: &TaskEnded, running: &Running) {
         let told = Told::Ended {
             task: ended.task.clone(),
