--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -124,7 +124,7 @@
 pub const HEADROOM_EVERY: usize = 4;
 /// The questions that each of these workers keeps headroom for.
 pub const HEADROOM_QUESTIONS: u64 = 4;
-/// The span between two looks over all workers for work that waits.
+/// The span without any look for work, after which all workers are looked over.
 pub const LOOK_MS: Millis = Millis(1_000);
 /// How long the head of a queue finds no room before room is kept for it.
 pub const RESERVE_AFTER_MS: Millis = Millis(3_000);
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -75,12 +75,11 @@
         }
     }
 
-    /// Looks for work everywhere now and then, so that work that waits for kept room is not left
-    /// waiting where nothing else happens.
+    /// Looks for work everywhere where nothing has caused a look for a while, so that work that
+    /// waits for kept room is not left waiting beside idle workers.
     pub(super) fn schedule_waiting(&mut self) {
-        let due = self.next_look_ms <= self.now_ms;
+        let due = self.now_ms.since(self.last_look_ms) >= consts::LOOK_MS;
         if due && !self.queues.is_empty() {
-            self.next_look_ms = self.now_ms + consts::LOOK_MS;
             self.schedule_all();
         }
     }
@@ -106,6 +105,7 @@
     }
 
     fn pass(&mut self, scope: &Scope) {
+        self.last_look_ms = self.now_ms;
         self.start_reserved(scope.worker());
         self.pass_classes(&[Class::Small], scope);
         self.pass_classes(&[Class::Service, Class::Gang, Class::Batch], scope);
