--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -187,9 +187,14 @@
             .filter(|ix| self.fits_at(*ix, class, need, now_ms));
         let avoided = |ix: &WorkerIx| avoid == Some(&self.get(*ix).host.worker);
         match class {
-            Class::Small => {
-                open.min_by_key(|ix| (avoided(ix), self.is_held(*ix), self.busy_slots(*ix), *ix))
-            }
+            Class::Small => open.min_by_key(|ix| {
+                (
+                    avoided(ix),
+                    self.is_reserved(*ix),
+                    self.busy_slots(*ix),
+                    *ix,
+                )
+            }),
             Class::Batch | Class::Gang => {
                 open.min_by_key(|ix| (avoided(ix), Reverse(self.fullness_ppm(*ix)), *ix))
             }
@@ -268,7 +273,7 @@
             .fold(0, u64::saturating_add)
     }
 
-    fn is_held(&self, ix: WorkerIx) -> bool {
+    fn is_reserved(&self, ix: WorkerIx) -> bool {
         self.get(ix).held != Resources::default()
     }
 
