--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -40,8 +40,10 @@
 pub const TASK_LEASE_MS: Millis = Millis(60_000);
 /// How long a keeper waits until a silent worker has stopped its tasks (lease plus 4% drift).
 pub const TASK_LAPSE_MS: Millis = Millis(62_400);
-/// The time after which a refused caller is asked to come back.
+/// The time after which a refused caller is asked to come back, where nothing better is known.
 pub const RETRY_AFTER_MS: Millis = Millis(1_000);
+/// The longest time after which a refused caller is asked to come back.
+pub const MAX_RETRY_AFTER_MS: Millis = Millis(60_000);
 /// How long the answer to a request is kept for a retry with the same id.
 pub const ANSWER_KEEP_MS: Millis = Millis(60_000);
 /// The span after which a call that was passed on without an answer is passed on again.
@@ -112,14 +114,34 @@
 pub const RETRY_PERCENT: u64 = 10;
 /// The retries that a fresh budget holds.
 pub const RETRY_BURST: u64 = 20;
-/// The failures in a row after which a worker is quarantined.
-pub const QUARANTINE_FAILURES: u32 = 5;
+/// The failures in a row of work that succeeded elsewhere, after which a worker is quarantined.
+pub const QUARANTINE_FAILURES: u32 = 3;
+/// The failures in a row of work that was not tried elsewhere, after which a worker is quarantined.
+pub const QUARANTINE_DOUBTS: u32 = 20;
+/// How long a team's success speaks for the rest of its requests.
+pub const SUCCESS_MEMORY_MS: Millis = Millis(1_000);
+/// The first failures of a job's tasks at one worker that do not count against the job.
+pub const FREE_FAILURES: usize = 16;
 /// How long a quarantined worker rests before a probe.
 pub const QUARANTINE_MS: Millis = Millis(30_000);
-/// The wait after which a gang holds capacity back from batch work.
-pub const GANG_PATIENCE_MS: Millis = Millis(15_000);
-/// The queued units that are tried behind a head that does not fit.
-pub const BACKFILL_DEPTH: usize = 4;
+/// One worker in so many keeps headroom for small questions.
+pub const HEADROOM_EVERY: usize = 4;
+/// The questions that each of these workers keeps headroom for.
+pub const HEADROOM_QUESTIONS: u64 = 4;
+/// The span without any look for work, after which all workers are looked over.
+pub const LOOK_MS: Millis = Millis(1_000);
+/// How long the head of a queue finds no room before room is kept for it.
+pub const RESERVE_AFTER_MS: Millis = Millis(3_000);
+/// How long room is kept on the same workers before it is planned anew.
+pub const REPLAN_MS: Millis = Millis(10_000);
+/// The workers for each unit that room may be kept for.
+pub const WORKERS_PER_RESERVATION: usize = 24;
+/// The samples, one each [`SCAN_MS`], over which a team's running share is averaged.
+pub const SHARE_SAMPLES: u64 = 600;
+/// How often the average counts beside what runs now, when teams are ordered.
+pub const SHARE_MEMORY: u64 = 4;
+/// The needs of a queue that are tried, in order of age, for want of room for the first.
+pub const BACKFILL_DEPTH: usize = 8;
 /// The largest request or task payload in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 262_144;
 /// The most tasks of one job.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The failure domain's workers and what runs on them.
 
 use crate::{
-    Class, Host, Link, Millis, RackName, Resources, Running, TaskId, TeamName, WorkerId,
+    consts, Class, Host, Link, Millis, RackName, Resources, Running, TaskId, TeamName, WorkerId,
     WorkerState,
 };
 use std::{
@@ -26,6 +26,8 @@
     largest: Resources,
     unclaimed: Resources,
     unclaimed_count: usize,
+    headroom: Resources,
+    owed: u64,
 }
 
 impl Fleet {
@@ -168,6 +170,11 @@
         self.usage.get(team).copied().unwrap_or_default()
     }
 
+    /// Returns the number of running requests.
+    pub const fn owed(&self) -> u64 {
+        self.owed
+    }
+
     /// Returns what is free on all workers that take work.
     pub fn free(&self, now_ms: Millis) -> Resources {
         let open = self
@@ -181,6 +188,7 @@
     pub fn add(&mut self, ix: WorkerIx, task: TaskId, running: Running) {
         let usage = self.usage.entry(running.team.clone()).or_default();
         *usage = usage.plus(running.need);
+        self.owed += u64::from(running.owes_answer);
         let worker = &mut self.workers[ix.0];
         let known = worker.tasks.len();
         worker.add(task, running);
@@ -192,6 +200,7 @@
         let worker = &mut self.workers[ix.0];
         let running = worker.remove(task)?;
         self.rack_loads[worker.rack] -= 1;
+        self.owed -= u64::from(running.owes_answer);
         if let Some(usage) = self.usage.get_mut(&running.team) {
             *usage = usage.minus(running.need);
         }
@@ -199,9 +208,9 @@
     }
 
     /// Says whether a worker takes a task now.
-    pub fn fits_at(&self, ix: WorkerIx, need: &Resources, now_ms: Millis) -> bool {
+    pub fn fits_at(&self, ix: WorkerIx, class: Class, need: &Resources, now_ms: Millis) -> bool {
         let worker = &self.workers[ix.0];
-        need.fits(&worker.free()) && worker.takes_work(now_ms)
+        need.fits(&worker.free_for(class, self.headroom_at(ix))) && worker.takes_work(now_ms)
     }
 
     /// Chooses a worker for a task by the policy of its class.
@@ -213,9 +222,11 @@
         now_ms: Millis,
     ) -> Option<WorkerIx> {
         let avoided = |worker: &WorkerState| avoid == Some(&worker.host.worker);
-        let fits = |ix: WorkerIx| self.fits_at(ix, need, now_ms);
+        let fits = |ix: WorkerIx| self.fits_at(ix, class, need, now_ms);
         match class {
-            Class::Small => self.least(fits, |worker| (avoided(worker), worker.used.slots)),
+            Class::Small => self.least(fits, |worker| {
+                (avoided(worker), worker.is_reserved(), worker.used.slots)
+            }),
             Class::Batch | Class::Gang => self.least(fits, |worker| {
                 (avoided(worker), Reverse(worker.fullness_ppm()))
             }),
@@ -226,6 +237,71 @@
         }
     }
 
+    /// Keeps room on some workers that only small questions may take.
+    pub fn set_headroom(&mut self, headroom: Resources) {
+        self.headroom = headroom;
+    }
+
+    fn headroom_at(&self, ix: WorkerIx) -> Resources {
+        match ix.0 % consts::HEADROOM_EVERY {
+            0 => self.headroom,
+            _ => Resources::default(),
+        }
+    }
+
+    /// Chooses the least busy worker that has headroom left for a small question.
+    pub fn choose_headroom(&self, need: &Resources, now_ms: Millis) -> Option<WorkerIx> {
+        let kept = self.places().step_by(consts::HEADROOM_EVERY);
+        let inside = |ix: &WorkerIx| {
+            let cpu_mem = Resources { slots: 0, ..*need };
+            let asked = self.get(*ix).asked.plus(cpu_mem);
+            Resources { slots: 0, ..asked }.fits(&self.headroom)
+        };
+        let open = kept.filter(|ix| inside(ix) && self.fits_at(*ix, Class::Small, need, now_ms));
+        open.min_by_key(|ix| (self.busy_slots(*ix), *ix))
+    }
+
+    /// Keeps room on a worker for work that does not fit yet.
+    pub fn hold(&mut self, ix: WorkerIx, need: Resources) {
+        let held = &mut self.workers[ix.0].held;
+        *held = held.plus(need);
+    }
+
+    /// Gives up kept room.
+    pub fn release(&mut self, ix: WorkerIx, need: Resources) {
+        let held = &mut self.workers[ix.0].held;
+        *held = held.minus(need);
+    }
+
+    /// Returns the worker that misses the least to take a task beside what is kept already.
+    pub fn roomiest(&self, need: &Resources, now_ms: Millis) -> Option<WorkerIx> {
+        let able = |ix: &WorkerIx| {
+            let worker = self.get(*ix);
+            let wanted = worker.held.plus(*need);
+            wanted.fits(&worker.host.capacity) && worker.takes_work(now_ms)
+        };
+        let missing_ppm = |ix: &WorkerIx| {
+            let worker = self.get(*ix);
+            let wanted = worker.used.plus(worker.held).plus(*need);
+            wanted.dominant_share_ppm(&worker.host.capacity)
+        };
+        self.places()
+            .filter(able)
+            .min_by_key(|ix| (missing_ppm(ix), *ix))
+    }
+
+    /// Returns how many tasks of a need the listed workers hold when they are empty.
+    pub fn copies(&self, need: &Resources) -> u64 {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        listed
+            .map(|worker| need.copies_in(&worker.host.capacity))
+            .fold(0, u64::saturating_add)
+    }
+
+    fn busy_slots(&self, ix: WorkerIx) -> u64 {
+        self.get(ix).used.slots
+    }
+
     /// Returns the first worker with the least key among those that fit. Whether one fits is asked
     /// last, and of few.
     fn least<K: Ord>(
@@ -262,5 +338,6 @@
         }
         self.usage.clear();
         self.rack_loads.fill(0);
+        self.owed = 0;
     }
 }
--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -9,13 +9,16 @@
 mod health;
 mod job_record;
 mod jobs;
+mod judge;
 mod keeper;
 mod members;
 mod moves;
 mod notes;
 mod orphans;
+mod overload;
 mod request_state;
 mod requests;
+mod reserve;
 mod schedule;
 mod snapshots;
 mod surplus;
@@ -25,8 +28,8 @@
 
 use crate::{
     consts, CallId, Config, CoreSettings, DaemonId, Effect, Event, Fleet, Freshness, JobId, Limits,
-    Millis, ObjectReply, OpId, Query, Queues, RequestId, RetryBudget, Revision, SnapshotRow,
-    TableReply, Told, Txn,
+    Millis, ObjectReply, OpId, Origin, Query, Queues, RequestId, RetryBudget, Revision,
+    ServiceTime, ShareMeter, SnapshotRow, TableReply, TeamName, Told, Txn,
 };
 use std::collections::BTreeMap;
 
@@ -65,13 +68,21 @@
     fleet: Fleet,
     next_hosts_ms: Millis,
     queues: Queues,
+    reserved: Vec<reserve::Reservation>,
+    share_meter: ShareMeter,
+    last_look_ms: Millis,
+    service_time: ServiceTime,
     calls: BTreeMap<CallId, calls::Call>,
     requests: BTreeMap<RequestId, request_state::RequestState>,
     jobs: BTreeMap<JobId, job_record::JobRecord>,
     adoption: adoption::Adoption,
     orphans: BTreeMap<RequestId, orphans::Orphan>,
+    /// The unanswered request of each call.
+    asked: BTreeMap<Origin, RequestId>,
     commits: commits::Commits,
     budget: RetryBudget,
+    /// When a request of each team last succeeded.
+    succeeded_ms: BTreeMap<TeamName, Millis>,
     drain: drain::Drain,
     health: health::Health,
 }
@@ -130,13 +141,19 @@
             fleet: Fleet::default(),
             next_hosts_ms: Millis(0),
             queues: Queues::default(),
+            reserved: Vec::new(),
+            share_meter: ShareMeter::default(),
+            last_look_ms: Millis(0),
+            service_time: ServiceTime::default(),
             calls: BTreeMap::new(),
             requests: BTreeMap::new(),
             jobs: BTreeMap::new(),
             adoption: adoption::Adoption::default(),
             orphans: BTreeMap::new(),
+            asked: BTreeMap::new(),
             commits: commits::Commits::default(),
             budget: RetryBudget::default(),
+            succeeded_ms: BTreeMap::new(),
             drain: drain::Drain::default(),
             health: health::Health::default(),
         }
@@ -210,6 +227,9 @@
         self.scan_notes();
         self.scan_surplus();
         self.scan_health();
+        self.sample_shares();
+        self.start_reserved(None);
+        self.schedule_waiting();
         self.schedule_rested();
     }
 
@@ -277,7 +297,7 @@
     }
 
     /// Returns what a team may have running in this failure domain, at its keeper.
-    pub fn spendable_here(&self, team: &crate::TeamName) -> crate::Resources {
+    pub fn spendable_here(&self, team: &TeamName) -> crate::Resources {
         self.spendable(team)
     }
 
--- a/core/src/reducer/workers.rs
+++ b/core/src/reducer/workers.rs
@@ -336,6 +336,7 @@
         let running = self.fleet.remove(ix, &ended.task);
         if let Some(running) = &running {
             self.tell_ended(ix, &ended, running);
+            self.observe_service(running);
         }
         match TaskName::parse(&ended.task) {
             Some(TaskName::Request { request, .. }) => self.request_ended(ix, request, ended),
@@ -345,6 +346,13 @@
         self.refill(ix, running.map(|running| running.team));
     }
 
+    fn observe_service(&mut self, running: &Running) {
+        if running.owes_answer {
+            let ran_ms = self.now_ms.since(running.since_ms);
+            self.service_time.observe(ran_ms);
+        }
+    }
+
     fn tell_ended(&mut self, ix: WorkerIx, ended: &TaskEnded, running: &Running) {
         let told = Told::Ended {
             task: ended.task.clone(),
@@ -393,34 +401,6 @@
         }
         self.refill(ix, Some(running.team));
     }
-
-    /// Counts a success or a failure of a worker, and lets it rest after too many failures.
-    pub(super) fn judge_worker(&mut self, ix: WorkerIx, well: bool) {
-        if well {
-            self.fleet.get_mut(ix).failures = 0;
-            return;
-        }
-        let may_rest = self.may_rest_another();
-        let rest_until_ms = self.now_ms + consts::QUARANTINE_MS;
-        let worker = self.fleet.get_mut(ix);
-        worker.failures += 1;
-        if worker.failures >= consts::QUARANTINE_FAILURES && may_rest {
-            worker.rest_until_ms = rest_until_ms;
-            let worker = worker.host.worker.clone();
-            self.tell(Told::WorkerQuarantined { worker });
-        }
-    }
-
-    fn may_rest_another(&self) -> bool {
-        let now_ms = self.now_ms;
-        let resting = self
-            .fleet
-            .iter()
-            .filter(|worker| worker.rest_until_ms > now_ms)
-            .count();
-        let listed = self.fleet.iter().filter(|worker| worker.listed).count();
-        resting * 100 < listed * consts::QUARANTINE_PERCENT
-    }
 }
 
 /// Says whether the leases need a renewal, or a worker that owes an answer a sign of life. A worker
--- a/core/src/worker_state.rs
+++ b/core/src/worker_state.rs
@@ -1,6 +1,6 @@
 //! What a keeper knows of one worker.
 
-use crate::{consts, Claim, Host, Millis, Resources, TaskId, TeamName, UnitKind};
+use crate::{consts, Claim, Class, Host, Millis, Resources, TaskId, TeamName, UnitKind};
 use std::collections::BTreeMap;
 
 /// The state of the connection to a worker.
@@ -63,6 +63,10 @@
     pub used: Resources,
     /// The dominant share of the capacity that the tasks take.
     fullness_ppm: u64,
+    /// What is kept for work that does not fit yet.
+    pub held: Resources,
+    /// What the requests among the tasks take.
+    pub asked: Resources,
     /// The tasks that run or may run.
     pub tasks: BTreeMap<TaskId, Running>,
     /// The tasks among them for which a caller waits.
@@ -73,8 +77,10 @@
     pub renewed_ms: Millis,
     /// When the oldest unanswered renewal was sent.
     pub asked_ms: Millis,
-    /// The failures in a row.
+    /// The failures of work that succeeded elsewhere, since the last success.
     pub failures: u32,
+    /// The failures since the last success of which nobody knows whether the work is to blame.
+    pub doubts: u32,
     /// Until when the worker gets no work.
     pub rest_until_ms: Millis,
 }
@@ -95,12 +101,15 @@
             incarnation: None,
             used: Resources::default(),
             fullness_ppm: 0,
+            held: Resources::default(),
+            asked: Resources::default(),
             tasks: BTreeMap::new(),
             owed: 0,
             heard_ms: Millis(0),
             renewed_ms: Millis(0),
             asked_ms: Millis(0),
             failures: 0,
+            doubts: 0,
             rest_until_ms: Millis(0),
         }
     }
@@ -142,9 +151,28 @@
         self.set_used(self.used);
     }
 
+    /// Says whether room is kept here for work that does not fit yet.
+    pub fn is_reserved(&self) -> bool {
+        self.held != Resources::default()
+    }
+
+    /// Returns what is free for work of a class, where small questions have some headroom.
+    pub fn free_for(&self, class: Class, headroom: Resources) -> Resources {
+        match class {
+            Class::Small => self.free(),
+            _ => {
+                let kept = self.held.plus(headroom.minus(self.asked));
+                self.free().minus(kept)
+            }
+        }
+    }
+
     /// Adds a task.
     pub fn add(&mut self, task: TaskId, running: Running) {
         self.set_used(self.used.plus(running.need));
+        if running.owes_answer {
+            self.asked = self.asked.plus(running.need);
+        }
         self.owed += u32::from(running.owes_answer);
         self.tasks.insert(task, running);
     }
@@ -153,6 +181,7 @@
     pub fn clear_tasks(&mut self) {
         self.tasks.clear();
         self.owed = 0;
+        self.asked = Resources::default();
         self.set_used(Resources::default());
     }
 
@@ -160,6 +189,9 @@
     pub fn remove(&mut self, task: &TaskId) -> Option<Running> {
         let running = self.tasks.remove(task)?;
         self.set_used(self.used.minus(running.need));
+        if running.owes_answer {
+            self.asked = self.asked.minus(running.need);
+        }
         self.owed -= u32::from(running.owes_answer);
         Some(running)
     }
