Ask for each team's share once a pass

Cause: a task's end with work of 120 teams waiting found the neediest team by a look over all of them, once for each of them (docs/CAPACITY.md, full fleet). Change: the teams stand in order; a team moves when it got something.

--- a/core/src/reducer/mod.rs
+++ b/core/src/reducer/mod.rs
@@ -23,6 +23,7 @@
 mod snapshots;
 mod surplus;
 mod tells;
+mod turns;
 mod views;
 mod workers;
 
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -1,11 +1,10 @@
 //! Which waiting work starts next, and where.
 
-use super::Core;
+use super::{turns::Turns, Core};
 use crate::{
     consts, Class, JobId, Millis, Resources, Running, TaskId, TaskName, TaskStart, TeamName, Told,
     Unit, UnitKind, WaitCause, WorkerCommand, WorkerIx,
 };
-use std::collections::BTreeMap;
 
 /// What came of the attempt to start a unit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -114,30 +113,28 @@
     /// Starts units of some classes, always of the team that is furthest below its share, and
     /// within a team in order of the classes.
     fn pass_classes(&mut self, classes: &[Class], scope: &Scope) {
-        let mut open: BTreeMap<TeamName, Vec<Class>> = BTreeMap::new();
+        let mut turns = Turns::default();
         for class in classes {
             for team in self.queues.teams(*class) {
-                open.entry(team).or_default().push(*class);
+                turns.open(team, *class);
             }
         }
-        let neediest = self.neediest(&open).map(|(team, _)| team);
-        while let Some((team, class)) = self.neediest(&open) {
+        turns.sort(|team| self.weighted_share_ppm(team));
+        let neediest = turns.next().map(|(team, _)| team);
+        while let Some((team, class)) = turns.next() {
             let may_reserve = class != Class::Small && neediest.as_ref() == Some(&team);
-            let outcome = self.start_first(class, &team, scope, may_reserve);
-            let spent = matches!(outcome, Outcome::NoRoom | Outcome::OverLimit);
-            if spent || self.queues.len_of(class, &team) == 0 {
-                close(&mut open, &team, class);
+            match self.start_first(class, &team, scope, may_reserve) {
+                Outcome::NoRoom | Outcome::OverLimit => turns.close(&team, class),
+                Outcome::Started | Outcome::Dropped => {
+                    if self.queues.len_of(class, &team) == 0 {
+                        turns.close(&team, class);
+                    }
+                    turns.moved(&team, self.weighted_share_ppm(&team));
+                }
             }
         }
     }
 
-    fn neediest(&self, open: &BTreeMap<TeamName, Vec<Class>>) -> Option<(TeamName, Class)> {
-        let (team, classes) = open
-            .iter()
-            .min_by_key(|(team, _)| (self.weighted_share_ppm(team), *team))?;
-        Some((team.clone(), *classes.first()?))
-    }
-
     /// Returns a team's dominant share of the failure domain divided by its weight. What it had
     /// running lately counts beside what it has now, so that an excess is paid back.
     fn weighted_share_ppm(&self, team: &TeamName) -> u64 {
@@ -375,16 +372,6 @@
     }
 }
 
-fn close(open: &mut BTreeMap<TeamName, Vec<Class>>, team: &TeamName, class: Class) {
-    let Some(classes) = open.get_mut(team) else {
-        return;
-    };
-    classes.retain(|other| *other != class);
-    if classes.is_empty() {
-        open.remove(team);
-    }
-}
-
 fn placeholder(index: u32) -> TaskId {
     TaskId::new(format!("placeholder {index}"))
 }
--- /dev/null
+++ b/core/src/reducer/turns.rs
@@ -0,0 +1,63 @@
+//! Whose turn it is in one pass over the queues.
+
+use crate::{Class, TeamName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The teams that still have work to try, the one furthest below its share first.
+///
+/// A pass asks for a team's share once, and again only after the team got something.
+#[derive(Debug, Default)]
+pub(super) struct Turns {
+    order: BTreeSet<(u64, TeamName)>,
+    teams: BTreeMap<TeamName, Turn>,
+}
+
+/// A team's share and the classes that are still to be tried, in order.
+#[derive(Debug, Default)]
+struct Turn {
+    share_ppm: u64,
+    classes: Vec<Class>,
+}
+
+impl Turns {
+    /// Adds a class of a team; a team's classes are tried in the order in which they are added.
+    pub(super) fn open(&mut self, team: TeamName, class: Class) {
+        self.teams.entry(team).or_default().classes.push(class);
+    }
+
+    /// Puts the teams in order by their shares.
+    pub(super) fn sort(&mut self, share_ppm: impl Fn(&TeamName) -> u64) {
+        for (team, turn) in &mut self.teams {
+            turn.share_ppm = share_ppm(team);
+            self.order.insert((turn.share_ppm, team.clone()));
+        }
+    }
+
+    /// Returns the team whose turn it is, and its class.
+    pub(super) fn next(&self) -> Option<(TeamName, Class)> {
+        let (_, team) = self.order.first()?;
+        let class = self.teams.get(team)?.classes.first()?;
+        Some((team.clone(), *class))
+    }
+
+    /// Ends the turns of a class of a team.
+    pub(super) fn close(&mut self, team: &TeamName, class: Class) {
+        let Some(turn) = self.teams.get_mut(team) else {
+            return;
+        };
+        turn.classes.retain(|other| *other != class);
+        if turn.classes.is_empty() {
+            self.order.remove(&(turn.share_ppm, team.clone()));
+            self.teams.remove(team);
+        }
+    }
+
+    /// Moves a team to its place by a share that changed.
+    pub(super) fn moved(&mut self, team: &TeamName, share_ppm: u64) {
+        if let Some(turn) = self.teams.get_mut(team) {
+            self.order.remove(&(turn.share_ppm, team.clone()));
+            turn.share_ppm = share_ppm;
+            self.order.insert((share_ppm, team.clone()));
+        }
+    }
+}
