End a pass when a worker is full, and keep idempotent answers for ten seconds

Change: the least need that waits ends a pass over a worker that has no room for it; the answer to an idempotent request, which may harmlessly run again, is kept for 10 s in place of 60.

--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -44,7 +44,9 @@
 pub const RETRY_AFTER_MS: Millis = Millis(1_000);
 /// The longest time after which a refused caller is asked to come back.
 pub const MAX_RETRY_AFTER_MS: Millis = Millis(60_000);
-/// How long the answer to a request is kept for a retry with the same id.
+/// How long the answer to an idempotent request is kept for a retry with the same id.
+pub const IDEMPOTENT_KEEP_MS: Millis = Millis(10_000);
+/// How long the answer to a non-idempotent request is kept for a retry with the same id.
 pub const ANSWER_KEEP_MS: Millis = Millis(60_000);
 /// The span after which a call that was passed on without an answer is passed on again.
 pub const RESEND_MS: Millis = Millis(2_000);
--- a/core/src/queues.rs
+++ b/core/src/queues.rs
@@ -1,6 +1,6 @@
 //! Waiting work by class and team.
 
-use crate::{Class, Millis, TeamName, TeamQueue, Unit, UnitKind};
+use crate::{Class, Millis, Resources, TeamName, TeamQueue, Unit, UnitKind};
 use std::collections::BTreeMap;
 
 /// Numbers of units that were put back lie below this one.
@@ -13,6 +13,8 @@
     count: BTreeMap<Class, usize>,
     next_number: u64,
     next_front: u64,
+    /// No waiting unit needs less of any resource.
+    least: Option<Resources>,
 }
 
 impl Default for Queues {
@@ -22,6 +24,7 @@
             count: BTreeMap::new(),
             next_number: FIRST_NUMBER,
             next_front: FIRST_NUMBER - 1,
+            least: None,
         }
     }
 }
@@ -43,12 +46,19 @@
 
     fn insert(&mut self, number: u64, unit: Unit) -> bool {
         *self.count.entry(unit.class).or_default() += 1;
+        let known = self.least.filter(|_| !self.waiting.is_empty());
+        self.least = Some(known.map_or(unit.need, |least| least.min(unit.need)));
         let key = (unit.class, unit.team.clone());
         let queue = self.waiting.entry(key).or_default();
         queue.insert(number, unit);
         queue.len() == 1
     }
 
+    /// Says whether room may be enough for some waiting unit; false only where it surely is not.
+    pub fn may_fit(&self, room: &Resources) -> bool {
+        self.least.is_some_and(|least| least.fits(room))
+    }
+
     /// Returns a unit to try: the oldest one of each need, in order of age.
     pub fn get(&self, class: Class, team: &TeamName, place: usize) -> Option<&Unit> {
         self.waiting.get(&(class, team.clone()))?.get(place)
--- a/core/src/reducer/request_state.rs
+++ b/core/src/reducer/request_state.rs
@@ -1,6 +1,6 @@
 //! What a keeper knows of one request.
 
-use crate::{AdmittedRequest, Answer, DaemonId, Millis, Origin, TaskId, WorkerId};
+use crate::{consts, AdmittedRequest, Answer, DaemonId, Millis, Origin, TaskId, WorkerId};
 use std::collections::BTreeSet;
 
 /// A request at the keeper.
@@ -41,6 +41,14 @@
         matches!(&self.stage, Stage::Running(running, _) if running == task)
     }
 
+    /// Returns how long the answer is kept: to run an idempotent request again does no harm.
+    pub(super) const fn keep_ms(&self) -> Millis {
+        match self.admitted.request.idempotent {
+            true => consts::IDEMPOTENT_KEEP_MS,
+            false => consts::ANSWER_KEEP_MS,
+        }
+    }
+
     pub(super) fn is_same(&self, other: &AdmittedRequest) -> bool {
         let (a, b) = (&self.admitted.request, &other.request);
         a.queue == b.queue && a.payload == b.payload && a.idempotent == b.idempotent
--- a/core/src/reducer/requests.rs
+++ b/core/src/reducer/requests.rs
@@ -389,7 +389,7 @@
             Answer::NotRun { .. } if state.doubtful > 0 => Answer::OutcomeUnknown,
             answer => answer,
         };
-        let until_ms = self.now_ms + consts::ANSWER_KEEP_MS;
+        let until_ms = self.now_ms + state.keep_ms();
         let running = match &state.stage {
             Stage::Running(task, Some(worker)) => Some((task.clone(), worker.clone())),
             _ => None,
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -132,6 +132,16 @@
                     turns.moved(&team, self.weighted_share_ppm(&team));
                 }
             }
+            self.end_if_full(&mut turns, scope);
+        }
+    }
+
+    /// Ends the turns that can come to nothing, once a worker has no room for anything that waits.
+    fn end_if_full(&self, turns: &mut Turns, scope: &Scope) {
+        if let Scope::At(ix, team) = scope {
+            if !self.queues.may_fit(&self.fleet.get(*ix).free()) {
+                turns.keep_only(team.as_ref());
+            }
         }
     }
 
--- a/core/src/reducer/turns.rs
+++ b/core/src/reducer/turns.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Ends the turns of all teams but one.
+    pub(super) fn keep_only(&mut self, kept: Option<&TeamName>) {
+        self.teams.retain(|team, _| Some(team) == kept);
+        self.order.retain(|(_, team)| Some(team) == kept);
+    }
+
     /// Moves a team to its place by a share that changed.
     pub(super) fn moved(&mut self, team: &TeamName, share_ppm: u64) {
         if let Some(turn) = self.teams.get_mut(team) {
