--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -298,6 +298,22 @@
             .fold(0, u64::saturating_add)
     }
 
+    /// Says whether the workers that take work have room for a number of tasks of a need now.
+    pub fn has_copies(&self, class: Class, need: &Resources, tasks: u64, now_ms: Millis) -> bool {
+        let mut missing = tasks;
+        for ix in self
+            .places()
+            .filter(|ix| self.fits_at(*ix, class, need, now_ms))
+        {
+            let free = self.get(ix).free_for(class, self.headroom_at(ix));
+            missing = missing.saturating_sub(need.copies_in(&free));
+            if missing == 0 {
+                return true;
+            }
+        }
+        missing == 0
+    }
+
     fn busy_slots(&self, ix: WorkerIx) -> u64 {
         self.get(ix).used.slots
     }
--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -356,6 +356,13 @@
 
     /// Finds a place for each task of a gang, by counting them one by one and taking all back.
     fn find_gang_places(&mut self, unit: &Unit, tasks: u32) -> Option<Vec<WorkerIx>> {
+        let (class, need) = (unit.class, unit.need);
+        if !self
+            .fleet
+            .has_copies(class, &need, u64::from(tasks), self.now_ms)
+        {
+            return None;
+        }
         let mut places = Vec::new();
         for index in 0..tasks {
             let found = self.fleet.choose(unit.class, &unit.need, None, self.now_ms);
