--- a/core/src/reducer/schedule.rs
+++ b/core/src/reducer/schedule.rs
@@ -132,15 +132,17 @@
                     turns.moved(&team, self.weighted_share_ppm(&team));
                 }
             }
-            self.end_if_full(&mut turns, scope);
+            self.end_if_full(&mut turns, scope, neediest.as_ref());
         }
     }
 
-    /// Ends the turns that can come to nothing, once a worker has no room for anything that waits.
-    fn end_if_full(&self, turns: &mut Turns, scope: &Scope) {
+    /// Ends the turns that can come to nothing, once a worker has no room for anything that waits;
+    /// the neediest team may still have room kept for it.
+    fn end_if_full(&self, turns: &mut Turns, scope: &Scope, neediest: Option<&TeamName>) {
         if let Scope::At(ix, team) = scope {
             if !self.queues.may_fit(&self.fleet.get(*ix).free()) {
-                turns.keep_only(team.as_ref());
+                let kept: Vec<&TeamName> = team.iter().chain(neediest).collect();
+                turns.keep_only(&kept);
             }
         }
     }
--- a/core/src/reducer/turns.rs
+++ b/core/src/reducer/turns.rs
@@ -52,10 +52,10 @@
         }
     }
 
-    /// Ends the turns of all teams but one.
-    pub(super) fn keep_only(&mut self, kept: Option<&TeamName>) {
-        self.teams.retain(|team, _| Some(team) == kept);
-        self.order.retain(|(_, team)| Some(team) == kept);
+    /// Ends the turns of all teams but some.
+    pub(super) fn keep_only(&mut self, kept: &[&TeamName]) {
+        self.teams.retain(|team, _| kept.contains(&team));
+        self.order.retain(|(_, team)| kept.contains(&team));
     }
 
     /// Moves a team to its place by a share that changed.
