Let a request run on that the next keeper is just recording

Change: a run of a request that is being recorded goes on until the record tells. Before: scenario request_runs_through_a_takeover got OutcomeUnknown.

--- a/core/src/reducer/orphans.rs
+++ b/core/src/reducer/orphans.rs
@@ -66,7 +66,10 @@
                 state.stage = Stage::Running(task.clone(), Some(worker));
                 (Some(UnitKind::Request(id)), true)
             }
-            Some(state) if state.stage != Stage::Seeking => (None, false),
+            // One that is being recorded may turn out to be this very run.
+            Some(state) if !matches!(state.stage, Stage::Recording | Stage::Seeking) => {
+                (None, false)
+            }
             _ => {
                 self.orphans.insert(id, Orphan::Running(ix, task.clone()));
                 (None, true)
--- a/proofs/tests/scenarios.rs
+++ b/proofs/tests/scenarios.rs
@@ -54,6 +54,7 @@
     platform_down_for_all,
     racing_operators,
     refused_may_come_back,
+    request_runs_through_a_takeover,
     retry_at_another_domain,
     serves_every_kind_of_work,
     silent_connection,
