Ask in one way whether the table is silent

Cause: a read of the whole change: health and commits spelled out what table_is_silent already says. Change: both call it; behaviour is as it was. Ruled out: merging it with table_failing, which asks for a failed write.

--- a/core/src/reducer/commits.rs
+++ b/core/src/reducer/commits.rs
@@ -61,7 +61,7 @@
 
     /// Says whether new rows are accepted now.
     pub(super) fn commits_open(&self) -> bool {
-        let reached = !self.table_failing() && self.own_silent_ms().is_none();
+        let reached = !self.table_failing() && !self.table_is_silent();
         reached && self.commits.items.len() < consts::COMMIT_BACKLOG
     }
 
--- a/core/src/reducer/health.rs
+++ b/core/src/reducer/health.rs
@@ -38,7 +38,7 @@
     }
 
     pub(super) fn scan_health(&mut self) {
-        let silent = self.own_silent_ms().is_some();
+        let silent = self.table_is_silent();
         if std::mem::replace(&mut self.health.table_silent, silent) != silent {
             self.tell(Told::TableSilent { silent });
         }
