--- /dev/null
+++ b/core/src/cell/config_feed.rs
@@ -0,0 +1,136 @@
+//! Following the desired state: which version holds, and until when keys may be honoured by it.
+
+use crate::{
+    cell::{
+        consts, node::Ctx, node::Owner, DesiredState, Line, OrderId, RowValue, RowVersion,
+        StoreCall, StoreReply, Table,
+    },
+    Millis,
+};
+use std::rc::Rc;
+
+/// The desired state as this daemon knows it.
+#[derive(Debug, Default)]
+pub struct ConfigFeed {
+    current: Option<Rc<DesiredState>>,
+    /// The version of the row that holds it.
+    row: RowVersion,
+    /// Up to which version the table has been read; `None` where it has to be read whole.
+    read_to: Option<RowVersion>,
+    /// When it was last certain that nothing newer was on record.
+    confirmed_at: Option<Millis>,
+    in_flight: Option<(OrderId, Millis)>,
+    next_at: Millis,
+}
+
+impl ConfigFeed {
+    /// Returns the desired state that holds.
+    pub fn current(&self) -> Option<&Rc<DesiredState>> {
+        self.current.as_ref()
+    }
+
+    /// Returns the version that holds, 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.current.as_ref().map_or(0, |state| state.version)
+    }
+
+    /// Returns when the desired state was last confirmed.
+    pub(crate) fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
+    /// Says whether keys may be honoured by the desired state at hand.
+    pub(crate) fn is_fresh(&self, now: Millis, revoke_ms: Millis) -> bool {
+        let hold = revoke_ms.since(consts::FRESH_MARGIN_MS);
+        self.confirmed_at.is_some_and(|at| now.since(at) < hold)
+    }
+
+    /// Takes a confirmation that the leader passed on.
+    pub(crate) fn confirm(&mut self, version: u64, at: Millis) {
+        if version == self.version() && self.current.is_some() {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Takes a desired state that the leader passed on, if it is newer.
+    pub(crate) fn adopt(&mut self, state: DesiredState, ctx: &mut Ctx, source: &'static str) {
+        if state.version <= self.version() {
+            return;
+        }
+        let line = Line::info("config_applied").with("version", state.version);
+        let line = line.with("before", self.version()).with("source", source);
+        ctx.log(
+            line.with("queues", state.queues.len())
+                .with("teams", state.teams.len()),
+        );
+        self.current = Some(Rc::new(state));
+    }
+
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx) {
+        if self.in_flight.is_some() || ctx.now < self.next_at {
+            return;
+        }
+        let (call, wait_ms) = match self.read_to {
+            Some(after) => {
+                let wait_ms = consts::FOLLOW_WAIT_MS;
+                let table = Table::DesiredState;
+                (
+                    StoreCall::Follow {
+                        table,
+                        after,
+                        wait_ms,
+                    },
+                    wait_ms,
+                )
+            }
+            None => (
+                StoreCall::Read {
+                    table: Table::DesiredState,
+                    part: "".into(),
+                    from: "".into(),
+                    limit: 0,
+                },
+                Millis(0),
+            ),
+        };
+        let limit_ms = wait_ms + consts::STORE_LIMIT_MS;
+        let order = ctx.store(Owner::Config, call, limit_ms);
+        self.in_flight = Some((order, ctx.now));
+    }
+
+    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) {
+        let Some((_, sent_at)) = self.in_flight.take_if(|(open, _)| *open == order) else {
+            return;
+        };
+        match reply {
+            StoreReply::Rows { rows, version, .. } => {
+                for row in rows {
+                    self.take_row(ctx, row.version, row.value);
+                }
+                self.read_to = Some(version);
+                self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+                self.next_at = ctx.now;
+            }
+            StoreReply::HistoryLost => {
+                ctx.log(Line::warn("config_history_lost").with("after", self.row));
+                self.read_to = None;
+                self.next_at = ctx.now;
+            }
+            _ => self.next_at = ctx.now + consts::STORE_RETRY_MS,
+        }
+        self.tick(ctx);
+    }
+
+    fn take_row(&mut self, ctx: &mut Ctx, version: RowVersion, value: RowValue) {
+        match value {
+            RowValue::DesiredState(state) if version > self.row => {
+                self.row = version;
+                self.adopt(*state, ctx, "store");
+            }
+            RowValue::Unusable(reason) => {
+                ctx.log(Line::warn("config_unusable").with("reason", reason));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/core/src/cell/door.rs
@@ -0,0 +1,433 @@
+//! Clients' calls at one daemon: routed, checked against a fresh desired state, answered once.
+
+use crate::{
+    cell::{
+        consts,
+        node::{Ctx, Owner, OWN_LINK},
+        submits::{job_key, Submits},
+        AdviceReply, AskId, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobRow,
+        JobState, Line, LinkId, OrderId, Queue, RowKey, RowValue, RowVersion, StateView,
+        StoreCall, StoreReply, Submission, Table, ToLeader, ToMember,
+    },
+    CallId, JobId, Millis, QueueName, TeamName,
+};
+use std::collections::BTreeMap;
+
+/// The number of hexadecimal digits of a job's id.
+const JOB_ID_DIGITS: usize = 16;
+
+/// What a question to the leader is about.
+#[derive(Clone, Debug)]
+struct Ask {
+    call: CallId,
+    job: JobId,
+    team: Option<TeamName>,
+    cancels: bool,
+    since: Millis,
+    /// Whether the job's row was already looked up for this call.
+    looked_up: bool,
+}
+
+/// A row that is looked up in the store for a call.
+#[derive(Debug)]
+enum Lookup {
+    Job(Ask),
+    Progress(Ask),
+}
+
+/// What the leader said last.
+#[derive(Debug, Default)]
+struct LeaderWord {
+    counts: BTreeMap<QueueName, u64>,
+    closed: BTreeMap<QueueName, Millis>,
+    at: Option<Millis>,
+    ready: bool,
+}
+
+/// The open calls of one daemon.
+#[derive(Debug, Default)]
+pub(crate) struct Door {
+    open: BTreeMap<CallId, Millis>,
+    asks: BTreeMap<AskId, Ask>,
+    lookups: BTreeMap<OrderId, Lookup>,
+    advice: BTreeMap<OrderId, AskId>,
+    leader: Option<LinkId>,
+    word: LeaderWord,
+    last_ask: u64,
+}
+
+impl Door {
+    /// Returns how many calls are open.
+    pub(crate) fn open_calls(&self) -> usize {
+        self.open.len()
+    }
+
+    pub(crate) fn set_leader(&mut self, link: Option<LinkId>) {
+        self.leader = link;
+    }
+
+    pub(crate) fn on_hangup(&mut self, call: CallId) {
+        self.open.remove(&call);
+    }
+
+    /// Answers a call, once.
+    pub(crate) fn answer(&mut self, ctx: &mut Ctx, call: CallId, answer: ClientAnswer) {
+        if self.open.remove(&call).is_some() {
+            ctx.push(Effect::Answer(call, answer));
+        }
+    }
+
+    fn refuse(&mut self, ctx: &mut Ctx, call: CallId, reason: &'static str) {
+        ctx.log(Line::warn("call_refused").with("call", call).with("reason", reason));
+        let retry_after_ms = consts::RETRY_AFTER_MS;
+        let answer = ClientAnswer::NotRun {
+            reason,
+            retry_after_ms,
+        };
+        self.answer(ctx, call, answer);
+    }
+
+    pub(crate) fn on_call(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &ConfigFeed,
+        submits: &mut Submits,
+        call: CallId,
+        request: ClientCall,
+    ) {
+        self.open.insert(call, ctx.now);
+        submits.leader = self.leader;
+        let Some(state) = config.current().cloned() else {
+            return self.refuse(ctx, call, "no configuration yet");
+        };
+        if !config.is_fresh(ctx.now, ctx.settings.revoke_ms) {
+            return self.refuse(ctx, call, "the configuration at hand may be outdated");
+        }
+        let Some(queue) = state.route(&request.host, &request.path) else {
+            let line = Line::warn("call_unrouted").with("call", call).with("host", request.host);
+            ctx.log(line.with("path", request.path).with("version", state.version));
+            return self.answer(ctx, call, ClientAnswer::NoQueue);
+        };
+        let team = request.key.as_ref().and_then(|key| state.team_of(key));
+        if team.is_none() && !queue.open {
+            let line = Line::warn("key_refused").with("call", call).with("queue", &queue.name);
+            ctx.log(line.with("version", state.version));
+            return self.answer(ctx, call, ClientAnswer::BadKey);
+        }
+        let team = team.map(|team| team.name.clone());
+        let rest = &request.path[queue.path_prefix.len()..];
+        self.on_routed(ctx, submits, call, queue, team, rest, request.verb);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_routed(
+        &mut self,
+        ctx: &mut Ctx,
+        submits: &mut Submits,
+        call: CallId,
+        queue: &Queue,
+        team: Option<TeamName>,
+        rest: &str,
+        verb: ClientVerb,
+    ) {
+        if rest.is_empty() && verb == ClientVerb::Get {
+            return self.count(ctx, call, queue);
+        }
+        let job = match job_id(rest) {
+            Ok(job) => job,
+            Err(answer) => return self.answer(ctx, call, answer),
+        };
+        match verb {
+            ClientVerb::Submit(work) => self.submit(ctx, submits, call, queue, team, job, *work),
+            ClientVerb::Malformed(reason) => {
+                let line = Line::warn("job_malformed").with("job", job);
+                ctx.log(line.with("queue", &queue.name).with("reason", &reason));
+                self.answer(ctx, call, ClientAnswer::Malformed(reason));
+            }
+            ClientVerb::Get => self.ask(ctx, call, job, team, false, false),
+            ClientVerb::Cancel => self.ask(ctx, call, job, team, true, false),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn submit(
+        &mut self,
+        ctx: &mut Ctx,
+        submits: &mut Submits,
+        call: CallId,
+        queue: &Queue,
+        team: Option<TeamName>,
+        id: JobId,
+        work: Submission,
+    ) {
+        if let Some(fault) = work.fault() {
+            ctx.log(Line::warn("job_malformed").with("job", &id).with("reason", fault));
+            return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
+        }
+        if let Some(retry_after_ms) = self.closed_for(ctx.now, &queue.name) {
+            let line = Line::warn("job_refused").with("job", &id).with("queue", &queue.name);
+            let line = line.with("reason", "overload").with("retry_ms", retry_after_ms.0);
+            ctx.log(line);
+            let answer = ClientAnswer::NotRun {
+                reason: "the fleet is full",
+                retry_after_ms,
+            };
+            return self.answer(ctx, call, answer);
+        }
+        let job = JobRow {
+            id,
+            queue: queue.name.clone(),
+            team,
+            work,
+            accepted_unix_ms: ctx.unix_ms,
+        };
+        submits.add_client(ctx, call, job);
+    }
+
+    fn closed_for(&self, now: Millis, queue: &QueueName) -> Option<Millis> {
+        let at = self.word.at?;
+        let current = now.since(at) < consts::COUNTS_AGE_MS;
+        self.word.closed.get(queue).copied().filter(|_| current)
+    }
+
+    fn count(&mut self, ctx: &mut Ctx, call: CallId, queue: &Queue) {
+        let current = |at: Millis| ctx.now.since(at) < consts::COUNTS_AGE_MS;
+        if !self.word.ready || !self.word.at.is_some_and(current) {
+            return self.refuse(ctx, call, "no leader is heard");
+        }
+        let count = self.word.counts.get(&queue.name).copied().unwrap_or(0);
+        self.answer(ctx, call, ClientAnswer::Count(count));
+    }
+
+    fn ask(
+        &mut self,
+        ctx: &mut Ctx,
+        call: CallId,
+        job: JobId,
+        team: Option<TeamName>,
+        cancels: bool,
+        looked_up: bool,
+    ) {
+        let since = ctx.now;
+        let ask = Ask {
+            call,
+            job,
+            team,
+            cancels,
+            since,
+            looked_up,
+        };
+        let Some(link) = self.leader else {
+            return self.without_leader(ctx, ask);
+        };
+        self.last_ask += 1;
+        let id = AskId(self.last_ask);
+        let (job, team) = (ask.job.clone(), ask.team.clone());
+        let message = match cancels {
+            true => ToLeader::Cancel { ask: id, job, team },
+            false => ToLeader::State { ask: id, job, team },
+        };
+        self.asks.insert(id, ask);
+        send(ctx, link, message);
+    }
+
+    fn without_leader(&mut self, ctx: &mut Ctx, ask: Ask) {
+        if ask.cancels {
+            let line = Line::warn("cancel_refused").with("job", &ask.job);
+            ctx.log(line.with("reason", "no leader"));
+            return self.refuse(ctx, ask.call, "no leader is heard");
+        }
+        self.look_up(ctx, ask);
+    }
+
+    /// Looks a job up in the store.
+    fn look_up(&mut self, ctx: &mut Ctx, ask: Ask) {
+        let call = read_one(job_key(&ask.job));
+        let order = ctx.store(Owner::Door, call, consts::STORE_LIMIT_MS);
+        self.lookups.insert(order, Lookup::Job(ask));
+    }
+
+    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) {
+        let Some(lookup) = self.lookups.remove(&order) else {
+            return;
+        };
+        let StoreReply::Rows { rows, .. } = reply else {
+            let (Lookup::Job(ask) | Lookup::Progress(ask)) = lookup;
+            return self.refuse(ctx, ask.call, "the store does not answer");
+        };
+        match lookup {
+            Lookup::Job(ask) => {
+                let key = job_key(&ask.job);
+                let row = rows.into_iter().find(|row| row.key == key);
+                let found = row.and_then(|row| match row.value {
+                    RowValue::Job(job) => Some((*job, row.version)),
+                    _ => None,
+                });
+                self.on_job_row(ctx, ask, found);
+            }
+            Lookup::Progress(ask) => {
+                let key = progress_key(&ask.job);
+                let row = rows.into_iter().find(|row| row.key == key);
+                let state = row.map_or(JobState::Pending, |row| match row.value {
+                    RowValue::Progress(progress) => progress.state,
+                    _ => JobState::Pending,
+                });
+                self.answer(ctx, ask.call, ClientAnswer::State(state));
+            }
+        }
+    }
+
+    fn on_job_row(&mut self, ctx: &mut Ctx, ask: Ask, found: Option<(JobRow, RowVersion)>) {
+        let own = found.filter(|(row, _)| row.team.is_none() || row.team == ask.team);
+        let Some((row, version)) = own else {
+            return self.answer(ctx, ask.call, ClientAnswer::NoJob);
+        };
+        if ask.cancels {
+            self.hand_over(ctx, row, version);
+            return self.ask(ctx, ask.call, ask.job, ask.team, true, true);
+        }
+        let call = read_one(progress_key(&ask.job));
+        let order = ctx.store(Owner::Door, call, consts::STORE_LIMIT_MS);
+        self.lookups.insert(order, Lookup::Progress(ask));
+    }
+
+    /// Tells the leader of a job that is on record.
+    pub(crate) fn hand_over(&mut self, ctx: &mut Ctx, job: JobRow, version: RowVersion) {
+        let Some(link) = self.leader else { return };
+        let job = Box::new(job);
+        send(ctx, link, ToLeader::Accepted { job, version });
+    }
+
+    pub(crate) fn on_message(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &mut ConfigFeed,
+        submits: &mut Submits,
+        message: ToMember,
+    ) {
+        match message {
+            ToMember::Heartbeat {
+                version,
+                confirmed_ms,
+                queued,
+                ready,
+                closed,
+                ..
+            } => {
+                self.word = LeaderWord {
+                    counts: queued.into_iter().collect(),
+                    closed: closed.into_iter().collect(),
+                    at: Some(ctx.now),
+                    ready,
+                };
+                if version > config.version() {
+                    if let Some(link) = self.leader.filter(|link| *link != OWN_LINK) {
+                        send(ctx, link, ToLeader::Behind);
+                    }
+                }
+                if let Some(at) = confirmed_ms {
+                    config.confirm(version, at);
+                }
+                if let Some(link) = self.leader.filter(|link| *link != OWN_LINK) {
+                    send(ctx, link, ToLeader::Ping { sent_ms: ctx.now });
+                }
+            }
+            ToMember::Config(state) => config.adopt(*state, ctx, "leader"),
+            ToMember::State { ask, view } => self.on_state(ctx, ask, view),
+            ToMember::Submitted { ask, view } => submits.on_relayed(ctx, self, ask, view),
+            ToMember::Advise {
+                ask,
+                step,
+                workers,
+                limit_ms,
+            } => {
+                let order = ctx.order(Owner::Door);
+                self.advice.insert(order, ask);
+                ctx.push(Effect::Advise {
+                    order,
+                    step,
+                    workers,
+                    limit_ms,
+                });
+            }
+        }
+    }
+
+    fn on_state(&mut self, ctx: &mut Ctx, id: AskId, view: StateView) {
+        let Some(ask) = self.asks.remove(&id) else {
+            return;
+        };
+        match (view, ask.cancels) {
+            (StateView::Known(state), false) => {
+                self.answer(ctx, ask.call, ClientAnswer::State(state));
+            }
+            (StateView::Known(_), true) => self.answer(ctx, ask.call, ClientAnswer::Cancelled),
+            (StateView::Loading, true) => self.refuse(ctx, ask.call, "the leader is starting"),
+            (StateView::Unheard, true) if ask.looked_up => {
+                self.answer(ctx, ask.call, ClientAnswer::NoJob);
+            }
+            (StateView::Unheard | StateView::Loading, _) => self.look_up(ctx, ask),
+        }
+    }
+
+    pub(crate) fn on_advice(&mut self, ctx: &mut Ctx, order: OrderId, reply: AdviceReply) {
+        let Some(ask) = self.advice.remove(&order) else {
+            return;
+        };
+        if let Some(link) = self.leader {
+            send(ctx, link, ToLeader::Advice { ask, reply });
+        }
+    }
+
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let limit = |ask: &Ask| match ask.cancels {
+            true => consts::CANCEL_LIMIT_MS,
+            false => consts::ASK_LIMIT_MS,
+        };
+        let late = |(id, ask): (&AskId, &Ask)| (now.since(ask.since) >= limit(ask)).then_some(*id);
+        let late: Vec<AskId> = self.asks.iter().filter_map(late).collect();
+        for id in late {
+            let Some(ask) = self.asks.remove(&id) else {
+                continue;
+            };
+            ctx.log(Line::warn("ask_unanswered").with("job", &ask.job).with("cancels", ask.cancels));
+            self.without_leader(ctx, ask);
+        }
+    }
+}
+
+fn send(ctx: &mut Ctx, link: LinkId, message: ToLeader) {
+    if link == OWN_LINK {
+        ctx.inbox.push(message);
+    } else {
+        ctx.push(Effect::ToLeader(link, message));
+    }
+}
+
+/// Returns the row of a job's progress.
+pub(crate) fn progress_key(job: &JobId) -> RowKey {
+    RowKey::new(Table::Progress, consts::CELL_PART, job.as_str())
+}
+
+fn read_one(key: RowKey) -> StoreCall {
+    StoreCall::Read {
+        table: key.table,
+        part: key.part,
+        from: key.key,
+        limit: 1,
+    }
+}
+
+fn job_id(rest: &str) -> Result<JobId, ClientAnswer> {
+    if rest.contains('/') || rest.is_empty() {
+        return Err(ClientAnswer::NoQueue);
+    }
+    let hex = rest.len() == JOB_ID_DIGITS && rest.bytes().all(|c| c.is_ascii_hexdigit());
+    match hex {
+        true => Ok(JobId::new(rest)),
+        false => Err(ClientAnswer::Malformed(
+            "the job's id: expected 16 hexadecimal digits".into(),
+        )),
+    }
+}
--- /dev/null
+++ b/core/src/cell/election.rs
@@ -0,0 +1,371 @@
+//! Who leads: a conditional write on one row, kept by a lease that others watch.
+
+use crate::{
+    cell::{
+        consts,
+        node::{Ctx, Owner},
+        CellSettings, FencingToken, Line, LinkId, MemberRow, OrderId, Row, RowKey, RowValue,
+        RowVersion, StoreCall, StoreReply, Table, TermRow, Write,
+    },
+    Millis,
+};
+use compact_str::CompactString;
+
+#[derive(Debug)]
+enum Open {
+    Register,
+    Read,
+    Acquire { nonce: u64, generation: u32 },
+    Renew { sent_at: Millis },
+    Resign,
+}
+
+/// What follows from an answer of the store.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Turn {
+    /// Nothing changes.
+    Stay,
+    /// This daemon leads from now on.
+    Lead {
+        token: FencingToken,
+        generation: u32,
+    },
+    /// Another daemon leads.
+    StepDown,
+}
+
+/// The daemon's view of who leads.
+#[derive(Debug)]
+pub(crate) struct Election {
+    host: CompactString,
+    member: MemberRow,
+    registered: bool,
+    /// The version of the term row and what it says.
+    term: RowVersion,
+    term_row: TermRow,
+    lease: RowVersion,
+    lease_seen_at: Millis,
+    read_once: bool,
+    weak_wait_ms: Millis,
+    pub(crate) own: Option<FencingToken>,
+    /// Until when this daemon's own lease is certain.
+    pub(crate) valid_until: Millis,
+    next_renew_at: Millis,
+    next_read_at: Millis,
+    open: Vec<(OrderId, Open)>,
+    /// The leader's connection, its token and its latest heartbeat.
+    pub(crate) link: Option<LinkId>,
+    pub(crate) leader_token: FencingToken,
+    pub(crate) heard_at: Option<Millis>,
+    resigning: bool,
+    nonce: u64,
+}
+
+fn term_key() -> RowKey {
+    RowKey::new(Table::Leadership, consts::CELL_PART, "term")
+}
+
+fn lease_key() -> RowKey {
+    RowKey::new(Table::Leadership, consts::CELL_PART, "lease")
+}
+
+/// Returns the check that `token` still leads.
+pub(crate) fn fence(token: FencingToken) -> (RowKey, RowVersion) {
+    (term_key(), RowVersion(token.0))
+}
+
+impl Election {
+    pub(crate) fn new(settings: &CellSettings, nonce: u64) -> Self {
+        let missing = 1_000u64.saturating_sub(settings.cpu_milli);
+        let row = MemberRow {
+            address: settings.address.clone(),
+        };
+        Self {
+            host: settings.host.clone(),
+            member: row,
+            registered: false,
+            term: RowVersion(0),
+            term_row: TermRow::default(),
+            lease: RowVersion(0),
+            lease_seen_at: Millis(0),
+            read_once: false,
+            weak_wait_ms: Millis(missing * consts::WEAK_HOST_WAIT_US / 1_000),
+            own: None,
+            valid_until: Millis(0),
+            next_renew_at: Millis(0),
+            next_read_at: Millis(0),
+            open: Vec::new(),
+            link: None,
+            leader_token: FencingToken(0),
+            heard_at: None,
+            resigning: false,
+            nonce,
+        }
+    }
+
+    /// Says whether this daemon may still give orders.
+    pub(crate) fn is_valid(&self, now: Millis) -> bool {
+        self.own.is_some() && now < self.valid_until
+    }
+
+    /// Says whether the leader was heard lately over a connection that still stands.
+    pub(crate) fn hears_leader(&self, now: Millis) -> bool {
+        let heard = |at: Millis| now.since(at) < consts::LEADER_SILENCE_MS;
+        self.link.is_some() && self.heard_at.is_some_and(heard)
+    }
+
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx, stopping: bool) {
+        self.register(ctx);
+        if self.own.is_some() {
+            self.renew(ctx);
+        } else if !stopping && !self.hears_leader(ctx.now) {
+            self.look(ctx);
+        }
+    }
+
+    fn call(&mut self, ctx: &mut Ctx, open: Open, call: StoreCall, limit_ms: Millis) {
+        let order = ctx.store(Owner::Election, call, limit_ms);
+        self.open.push((order, open));
+    }
+
+    fn is_open(&self, wanted: impl Fn(&Open) -> bool) -> bool {
+        self.open.iter().any(|(_, open)| wanted(open))
+    }
+
+    fn register(&mut self, ctx: &mut Ctx) {
+        if self.registered || self.is_open(|open| matches!(open, Open::Register)) {
+            return;
+        }
+        let key = RowKey::new(Table::Members, consts::MEMBERS_PART, &self.host);
+        let write = Write {
+            put: vec![(key, RowValue::Member(self.member.clone()))],
+            ..Write::default()
+        };
+        let call = StoreCall::Write(write);
+        self.call(ctx, Open::Register, call, consts::STORE_LIMIT_MS);
+    }
+
+    fn renew(&mut self, ctx: &mut Ctx) {
+        let Some(token) = self.own.filter(|_| ctx.now >= self.next_renew_at) else {
+            return;
+        };
+        self.next_renew_at = ctx.now + consts::LEADER_RENEW_MS;
+        if self.resigning {
+            return;
+        }
+        let write = Write {
+            expect: vec![fence(token)],
+            put: vec![(lease_key(), RowValue::Lease)],
+            remove: Vec::new(),
+        };
+        let open = Open::Renew { sent_at: ctx.now };
+        self.call(ctx, open, StoreCall::Write(write), consts::RENEW_LIMIT_MS);
+    }
+
+    fn look(&mut self, ctx: &mut Ctx) {
+        let busy = self.is_open(|open| matches!(open, Open::Read | Open::Acquire { .. }));
+        if busy || ctx.now < self.next_read_at {
+            return;
+        }
+        if self.may_acquire(ctx.now) {
+            self.acquire(ctx);
+            return;
+        }
+        self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
+        let call = StoreCall::Read {
+            table: Table::Leadership,
+            part: consts::CELL_PART.into(),
+            from: "".into(),
+            limit: 0,
+        };
+        self.call(ctx, Open::Read, call, consts::STORE_LIMIT_MS);
+    }
+
+    fn may_acquire(&self, now: Millis) -> bool {
+        let waited = now.since(self.lease_seen_at);
+        let free = self.term_row.holder.is_none();
+        let needed = if free {
+            self.weak_wait_ms
+        } else {
+            consts::LEADER_LEASE_MS + self.weak_wait_ms
+        };
+        self.read_once && waited >= needed
+    }
+
+    fn acquire(&mut self, ctx: &mut Ctx) {
+        self.nonce += 1;
+        let generation = self.term_row.generation + 1;
+        let row = TermRow {
+            holder: Some(self.host.clone()),
+            nonce: self.nonce,
+            generation,
+        };
+        let write = Write {
+            expect: vec![(term_key(), self.term), (lease_key(), self.lease)],
+            put: vec![
+                (term_key(), RowValue::Term(row)),
+                (lease_key(), RowValue::Lease),
+            ],
+            remove: Vec::new(),
+        };
+        let line = Line::info("lead_wanted").with("generation", generation);
+        let line = line.with("lease_age_ms", ctx.now.since(self.lease_seen_at).0);
+        ctx.log(line.with("lease_version", self.lease));
+        let open = Open::Acquire {
+            nonce: self.nonce,
+            generation,
+        };
+        self.call(ctx, open, StoreCall::Write(write), consts::STORE_LIMIT_MS);
+    }
+
+    /// Gives the lead up, so that another daemon takes it at once.
+    pub(crate) fn resign(&mut self, ctx: &mut Ctx) {
+        let Some(token) = self.own.filter(|_| !self.resigning) else {
+            return;
+        };
+        self.resigning = true;
+        let row = TermRow {
+            holder: None,
+            nonce: 0,
+            generation: self.term_row.generation,
+        };
+        let write = Write {
+            expect: vec![fence(token)],
+            put: vec![(term_key(), RowValue::Term(row))],
+            remove: Vec::new(),
+        };
+        ctx.log(Line::info("lead_resigned").with("token", token));
+        let call = StoreCall::Write(write);
+        self.call(ctx, Open::Resign, call, consts::STORE_LIMIT_MS);
+    }
+
+    pub(crate) fn on_store(
+        &mut self,
+        ctx: &mut Ctx,
+        order: OrderId,
+        reply: StoreReply,
+    ) -> Turn {
+        let Some(at) = self.open.iter().position(|(open, _)| *open == order) else {
+            return Turn::Stay;
+        };
+        let (_, open) = self.open.swap_remove(at);
+        match (open, reply) {
+            (Open::Register, reply) => self.registered = matches!(reply, StoreReply::Written(_)),
+            (Open::Read, StoreReply::Rows { rows, .. }) => return self.take_rows(ctx, rows),
+            (Open::Acquire { generation, .. }, StoreReply::Written(version)) => {
+                return self.lead(ctx, version, generation)
+            }
+            (Open::Acquire { .. }, StoreReply::Conflict(rows)) => return self.take_rows(ctx, rows),
+            (Open::Acquire { nonce, .. }, _) => {
+                ctx.log(Line::warn("lead_unsure").with("nonce", nonce));
+            }
+            (Open::Renew { sent_at }, StoreReply::Written(version)) => {
+                self.lease = self.lease.max(version);
+                let span = consts::LEADER_LEASE_MS.since(consts::LEADER_MARGIN_MS);
+                self.valid_until = self.valid_until.max(sent_at + span);
+            }
+            (Open::Renew { .. } | Open::Resign, StoreReply::Conflict(_))
+            | (Open::Resign, StoreReply::Written(_)) => return self.step_down(ctx),
+            _ => {}
+        }
+        Turn::Stay
+    }
+
+    fn lead(&mut self, ctx: &mut Ctx, version: RowVersion, generation: u32) -> Turn {
+        let token = FencingToken(version.0);
+        self.own = Some(token);
+        self.term = version;
+        self.term_row.generation = generation;
+        self.lease = version;
+        self.leader_token = token;
+        self.resigning = false;
+        self.link = None;
+        // The lease is certain only once it has been renewed: the first write's send time is gone.
+        self.valid_until = ctx.now + consts::LEADER_RENEW_MS;
+        self.next_renew_at = ctx.now;
+        ctx.log(
+            Line::warn("lead_taken")
+                .with("token", token)
+                .with("generation", generation),
+        );
+        Turn::Lead { token, generation }
+    }
+
+    /// Ends this daemon's lead.
+    pub(crate) fn step_down(&mut self, ctx: &mut Ctx) -> Turn {
+        let Some(token) = self.own.take() else {
+            return Turn::Stay;
+        };
+        ctx.log(Line::warn("lead_lost").with("token", token));
+        self.resigning = false;
+        self.read_once = false;
+        self.lease_seen_at = ctx.now;
+        self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
+        Turn::StepDown
+    }
+
+    fn take_rows(&mut self, ctx: &mut Ctx, rows: Vec<Row>) -> Turn {
+        let mut lease = RowVersion(0);
+        let mut term = (RowVersion(0), TermRow::default());
+        for row in rows {
+            if row.key == lease_key() {
+                lease = row.version;
+            } else if row.key == term_key() {
+                let RowValue::Term(value) = row.value else {
+                    ctx.log(Line::warn("term_row_unreadable").with("version", row.version));
+                    return Turn::Stay;
+                };
+                term = (row.version, value);
+            }
+        }
+        let known = self.read_once || self.term > RowVersion(0);
+        let changed = lease != self.lease || term.0 != self.term || !known;
+        if changed {
+            self.lease_seen_at = ctx.now;
+        }
+        self.lease = lease;
+        self.term = term.0;
+        self.term_row = term.1;
+        self.read_once = true;
+        let mine = self.term_row.holder.as_ref() == Some(&self.host);
+        if mine && self.term_row.nonce == self.nonce && self.own.is_none() {
+            return self.lead(ctx, self.term, self.term_row.generation);
+        }
+        Turn::Stay
+    }
+
+    /// Takes a leader's heartbeat; says whether its token is the highest known.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now: Millis,
+        link: LinkId,
+        token: FencingToken,
+        lease: RowVersion,
+    ) -> bool {
+        if token < self.leader_token || self.own.is_some_and(|own| own >= token) {
+            return false;
+        }
+        self.leader_token = token;
+        self.link = Some(link);
+        self.heard_at = Some(now);
+        if lease > self.lease || self.term.0 != token.0 {
+            self.lease = lease;
+            self.lease_seen_at = now;
+            self.term = RowVersion(token.0);
+            // What the rows say must be read before this daemon may try to lead.
+            self.read_once = false;
+        }
+        true
+    }
+
+    pub(crate) fn on_link_down(&mut self, link: LinkId) {
+        if self.link == Some(link) {
+            self.link = None;
+        }
+    }
+
+    /// Returns the latest version of the own lease row.
+    pub(crate) fn lease(&self) -> RowVersion {
+        self.lease
+    }
+}
--- /dev/null
+++ b/core/src/cell/leader/commits.rs
@@ -0,0 +1,165 @@
+//! Writing progress: all jobs that have changed go into one transaction that checks the lead.
+
+use crate::{
+    cell::{
+        consts,
+        door::progress_key,
+        election::fence,
+        leader::{fleet::WorkerIx, Leader},
+        node::{Ctx, Owner},
+        submits::{job_key, part_of},
+        FencingToken, Line, OrderId, Progress, Row, RowKey, RowValue, RowVersion, StoreCall,
+        StoreReply, Write,
+    },
+    JobId, Millis,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The progress that has to be written.
+#[derive(Debug, Default)]
+pub(crate) struct Commits {
+    dirty: BTreeSet<JobId>,
+    in_flight: Option<(OrderId, Vec<(JobId, u64)>)>,
+    retry_at: Millis,
+    /// The workers that wait for a write before their ends may be acknowledged.
+    waiting: BTreeSet<WorkerIx>,
+    /// Progress rows that were read before their jobs.
+    loaded: BTreeMap<JobId, (RowVersion, Progress)>,
+}
+
+impl Commits {
+    pub(crate) fn holds(&self, order: OrderId) -> bool {
+        self.in_flight.as_ref().is_some_and(|(open, _)| *open == order)
+    }
+
+    pub(crate) fn mark(&mut self, job: &JobId) {
+        self.dirty.insert(job.clone());
+    }
+
+    pub(crate) fn wait(&mut self, ix: WorkerIx) {
+        self.waiting.insert(ix);
+    }
+
+    pub(crate) fn keep_loaded(&mut self, key: &RowKey, version: RowVersion, progress: Progress) {
+        self.loaded.insert(JobId::new(&key.key), (version, progress));
+    }
+
+    pub(crate) fn take_loaded(&mut self) -> BTreeMap<JobId, (RowVersion, Progress)> {
+        std::mem::take(&mut self.loaded)
+    }
+
+    /// Removes the rows of jobs that nobody may ask for any more; a lost removal only leaves a row.
+    pub(crate) fn remove_rows(&mut self, ctx: &mut Ctx, token: FencingToken, jobs: &[JobId]) {
+        let progress = Write {
+            expect: vec![fence(token)],
+            put: Vec::new(),
+            remove: jobs.iter().map(progress_key).collect(),
+        };
+        let mut writes = vec![progress];
+        for part in 0..consts::JOB_PARTS {
+            let own = jobs.iter().filter(|job| part_of(job) == part);
+            let remove: Vec<RowKey> = own.map(job_key).collect();
+            if !remove.is_empty() {
+                writes.push(Write {
+                    remove,
+                    ..Write::default()
+                });
+            }
+        }
+        for write in writes {
+            ctx.store(Owner::Leader, StoreCall::Write(write), consts::STORE_LIMIT_MS);
+        }
+    }
+}
+
+impl Leader {
+    /// Says whether conflicting rows still show this leader's term.
+    pub(crate) fn is_leader_row(&self, rows: &[Row]) -> bool {
+        let (key, version) = fence(self.token);
+        let row = rows.iter().find(|row| row.key == key);
+        row.is_none_or(|row| row.version == version)
+    }
+
+    pub(crate) fn flush_commits(&mut self, ctx: &mut Ctx) {
+        let commits = &mut self.commits;
+        let idle = commits.in_flight.is_none() && ctx.now >= commits.retry_at;
+        if !idle || commits.dirty.is_empty() {
+            return;
+        }
+        let ids: Vec<JobId> = commits.dirty.iter().take(consts::BATCH_ROWS).cloned().collect();
+        let mut write = Write {
+            expect: vec![fence(self.token)],
+            ..Write::default()
+        };
+        let mut batch = Vec::with_capacity(ids.len());
+        for id in ids {
+            commits.dirty.remove(&id);
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let key = progress_key(&id);
+            write.expect.push((key.clone(), job.progress_version));
+            let progress = Box::new(job.progress.clone());
+            write.put.push((key, RowValue::Progress(progress)));
+            batch.push((id, job.edits));
+        }
+        let call = StoreCall::Write(write);
+        let order = ctx.store(Owner::Leader, call, consts::STORE_LIMIT_MS);
+        self.commits.in_flight = Some((order, batch));
+    }
+
+    /// Handles the answer to a write of progress; says whether another daemon leads by now.
+    pub(crate) fn on_commit(&mut self, ctx: &mut Ctx, _: OrderId, reply: StoreReply) -> bool {
+        let Some((_, batch)) = self.commits.in_flight.take() else {
+            return false;
+        };
+        match reply {
+            StoreReply::Written(version) => {
+                for (id, edits) in batch {
+                    self.on_stored(ctx, &id, edits, version);
+                }
+                self.acknowledge(ctx);
+            }
+            StoreReply::Conflict(rows) => {
+                if !self.is_leader_row(&rows) {
+                    return true;
+                }
+                // An earlier write without an answer took effect.
+                for (id, _) in &batch {
+                    let key = progress_key(id);
+                    let found = rows.iter().find(|row| row.key == key);
+                    if let (Some(row), Some(job)) = (found, self.jobs.get_mut(id)) {
+                        job.progress_version = row.version;
+                    }
+                }
+                self.commits.dirty.extend(batch.into_iter().map(|(id, _)| id));
+            }
+            _ => {
+                self.commits.retry_at = ctx.now + consts::STORE_RETRY_MS;
+                let line = Line::warn("progress_unwritten").with("jobs", batch.len());
+                ctx.log(line.with("reply", format_args!("{reply:?}")));
+                self.commits.dirty.extend(batch.into_iter().map(|(id, _)| id));
+            }
+        }
+        false
+    }
+
+    /// Lets workers forget the ends that are on record by now.
+    fn acknowledge(&mut self, ctx: &mut Ctx) {
+        let mut done = Vec::new();
+        for &ix in &self.commits.waiting {
+            let worker = self.fleet.get_mut(ix);
+            let jobs = &self.jobs;
+            worker.unstored.retain(|(id, edits)| {
+                jobs.get(id).is_some_and(|job| job.stored_edits < *edits)
+            });
+            if worker.unstored.is_empty() {
+                worker.stored = worker.seen;
+                worker.next_look_at = ctx.now;
+                done.push(ix);
+            }
+        }
+        for ix in done {
+            self.commits.waiting.remove(&ix);
+            self.look_at(ctx, ix);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/cell/leader/mod.rs
@@ -0,0 +1,171 @@
+//! The leader: it learns of accepted jobs, commits workers and records what ended.
+
+mod advice;
+mod commits;
+mod fleet;
+mod jobs;
+mod load;
+mod members;
+mod orders;
+mod placement;
+mod roster;
+mod runs;
+mod schedule;
+mod views;
+mod worker;
+
+use crate::{
+    cell::{
+        consts,
+        leader::{
+            advice::AdviceDesk, commits::Commits, fleet::Fleet, jobs::Job, load::Load,
+            members::Members, orders::OpenOrder, roster::Roster,
+        },
+        node::Ctx,
+        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, StepKey, StoreReply,
+        ToLeader,
+    },
+    JobId, Millis, QueueName, Resources, TeamName,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+/// The state of a daemon that leads its cell.
+#[derive(Debug)]
+pub struct Leader {
+    token: FencingToken,
+    generation: u32,
+    since: Millis,
+    state: Option<Rc<DesiredState>>,
+    load: Load,
+    jobs: BTreeMap<JobId, Job>,
+    fleet: Fleet,
+    /// The steps of which a task may start now.
+    ready: BTreeSet<StepKey>,
+    /// What each team has running.
+    used: BTreeMap<TeamName, Resources>,
+    /// How many jobs of each queue have started no task.
+    queued: BTreeMap<QueueName, u64>,
+    advice: AdviceDesk,
+    commits: Commits,
+    roster: Roster,
+    members: Members,
+    orders: BTreeMap<OrderId, OpenOrder>,
+    wants_pass: bool,
+    sweep_at: Millis,
+}
+
+impl Leader {
+    pub(crate) fn new(ctx: &mut Ctx, token: FencingToken, generation: u32) -> Self {
+        let mut leader = Self {
+            token,
+            generation,
+            since: ctx.now,
+            state: None,
+            load: Load::default(),
+            jobs: BTreeMap::new(),
+            fleet: Fleet::default(),
+            ready: BTreeSet::new(),
+            used: BTreeMap::new(),
+            queued: BTreeMap::new(),
+            advice: AdviceDesk::default(),
+            commits: Commits::default(),
+            roster: Roster::default(),
+            members: Members::default(),
+            orders: BTreeMap::new(),
+            wants_pass: false,
+            sweep_at: ctx.now + consts::SWEEP_MS,
+        };
+        leader.load_tick(ctx);
+        leader
+    }
+
+    /// Returns the fencing token.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Returns the connections to the other daemons.
+    pub(crate) fn links(&self) -> Vec<LinkId> {
+        self.members.links()
+    }
+
+    pub(crate) fn tick(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &ConfigFeed,
+        election: &crate::cell::election::Election,
+    ) {
+        self.load_tick(ctx);
+        self.members_tick(ctx, config, election);
+        if !self.load.is_done() || !election.is_valid(ctx.now) {
+            return;
+        }
+        self.look_at_workers(ctx);
+        self.retry_stops(ctx);
+        self.expire_leases(ctx);
+        self.sweep(ctx);
+        self.wants_pass |= !self.ready.is_empty();
+    }
+
+    /// Handles an answer of the store; says whether another daemon leads by now.
+    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) -> bool {
+        if self.commits.holds(order) {
+            return self.on_commit(ctx, order, reply);
+        }
+        if self.roster.holds(order) {
+            return self.on_roster(ctx, reply);
+        }
+        self.on_load(ctx, order, reply);
+        false
+    }
+
+    pub(crate) fn on_message(&mut self, ctx: &mut Ctx, link: LinkId, message: ToLeader) {
+        match message {
+            ToLeader::Accepted { job, version } => self.learn(ctx, *job, version),
+            ToLeader::State { ask, job, team } => self.tell_state(ctx, link, ask, &job, team),
+            ToLeader::Cancel { ask, job, team } => self.cancel(ctx, link, ask, &job, team),
+            ToLeader::Advice { ask, reply } => self.on_advice(ctx, ask, reply),
+            ToLeader::Ping { sent_ms } => self.members.on_ping(ctx.now, link, sent_ms),
+            ToLeader::Submit { .. } | ToLeader::Behind => {}
+        }
+    }
+
+    /// Acts on what has changed: places work, asks for advice, writes progress.
+    pub(crate) fn settle(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>, valid: bool) {
+        self.state = Some(state.clone());
+        if !self.load.is_done() {
+            return;
+        }
+        self.write_roster(ctx);
+        if valid && std::mem::take(&mut self.wants_pass) {
+            self.pass(ctx, state);
+        }
+        if valid {
+            self.dispatch_advice(ctx);
+        }
+        self.flush_commits(ctx);
+    }
+
+    /// Removes ended jobs that are past their retention.
+    fn sweep(&mut self, ctx: &mut Ctx) {
+        if ctx.now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = ctx.now + consts::SWEEP_MS;
+        let retention_ms = ctx.settings.retention_ms;
+        let over = |job: &&Job| job.is_settled() && ctx.now.since(job.ended_at) > retention_ms;
+        let ids: Vec<JobId> = self.jobs.values().filter(over).map(|job| job.row.id.clone()).collect();
+        for chunk in ids.chunks(consts::BATCH_ROWS) {
+            self.commits.remove_rows(ctx, self.token, chunk);
+        }
+        for id in &ids {
+            self.jobs.remove(id);
+        }
+        if !ids.is_empty() {
+            ctx.log(Line::info("jobs_swept").with("count", ids.len()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/cell/leader/orders.rs
@@ -0,0 +1,335 @@
+//! Calls to workers: when they are made and what their answers mean.
+
+use crate::{
+    cell::{
+        consts,
+        leader::{
+            fleet::WorkerIx,
+            worker::{Run, RunPhase},
+            Leader,
+        },
+        node::{Ctx, Owner},
+        Effect, Line, OrderId, RefusedStart, StartOrder, TaskKey, Ticket, WorkerAnswer, WorkerCall,
+    },
+    Millis,
+};
+
+/// The drift that a worker's clock may have, in percent.
+const CLOCK_DRIFT_PERCENT: u64 = 2;
+
+/// A call to a worker that is not answered yet.
+#[derive(Debug)]
+pub(crate) enum OpenOrder {
+    Look {
+        ix: WorkerIx,
+        sent_at: Millis,
+    },
+    Start {
+        ix: WorkerIx,
+        task: TaskKey,
+        run: u32,
+    },
+    Stop {
+        ix: WorkerIx,
+        task: TaskKey,
+        run: u32,
+    },
+}
+
+impl Leader {
+    fn send(&mut self, ctx: &mut Ctx, ix: WorkerIx, call: WorkerCall, limit_ms: Millis) -> OrderId {
+        let order = ctx.order(Owner::Leader);
+        let renews = !matches!(call, WorkerCall::Stop { .. });
+        let worker = self.fleet.get_mut(ix);
+        if renews {
+            let lease_ms = ctx.settings.max_lease_ms.0;
+            let span = Millis(lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100);
+            worker.lease_over_at = ctx.now + span + consts::LEASE_MARGIN_MS;
+        }
+        ctx.push(Effect::Worker {
+            order,
+            worker: worker.entry.id.clone(),
+            address: worker.entry.address.clone(),
+            token: self.token,
+            call,
+            limit_ms,
+        });
+        order
+    }
+
+    /// Looks at the workers whose time has come.
+    pub(crate) fn look_at_workers(&mut self, ctx: &mut Ctx) {
+        for ix in self.fleet.ixs().collect::<Vec<_>>() {
+            self.look_at(ctx, ix);
+        }
+    }
+
+    /// Renews a worker's lease and asks for its lists, unless a call is open or it is too early.
+    pub(crate) fn look_at(&mut self, ctx: &mut Ctx, ix: WorkerIx) {
+        let now = ctx.now;
+        let lease_ms = ctx.settings.max_lease_ms;
+        let worker = self.fleet.get_mut(ix);
+        let known = worker.listed || !worker.runs.is_empty();
+        if worker.look.is_some() || now < worker.next_look_at || !known || worker.entry.address.is_empty()
+        {
+            return;
+        }
+        // Ends that are listed again would let the worker answer at once.
+        let idle = worker.runs.is_empty() || !worker.unstored.is_empty() || worker.lost_looks > 0;
+        let wait_ms = match idle || !worker.contact || worker.clock.is_none() {
+            true => Millis(0),
+            false => consts::LOOK_WAIT_MS,
+        };
+        let current = now.since(worker.answered_at) < consts::ACK_AGE_MS && worker.contact;
+        let call = WorkerCall::Renew {
+            lease_until_ms: worker.clock_at(now).map(|clock| clock + lease_ms),
+            acknowledge: if current { worker.stored } else { 0 },
+            wait_ms,
+        };
+        let order = self.send(ctx, ix, call, wait_ms + consts::WORKER_LIMIT_MS);
+        self.fleet.get_mut(ix).look = Some(order);
+        self.orders.insert(order, OpenOrder::Look { ix, sent_at: now });
+    }
+
+    pub(crate) fn on_worker(&mut self, ctx: &mut Ctx, order: OrderId, answer: WorkerAnswer) {
+        match self.orders.remove(&order) {
+            Some(OpenOrder::Look { ix, sent_at }) => self.on_look(ctx, ix, sent_at, answer),
+            Some(OpenOrder::Start { ix, task, run }) => self.on_start(ctx, ix, &task, run, answer),
+            Some(OpenOrder::Stop { ix, task, run }) => self.on_stop(ctx, ix, &task, run, answer),
+            None => {}
+        }
+    }
+
+    fn on_look(&mut self, ctx: &mut Ctx, ix: WorkerIx, sent_at: Millis, answer: WorkerAnswer) {
+        self.fleet.get_mut(ix).look = None;
+        match answer {
+            WorkerAnswer::Listed(clock, view) => {
+                self.on_listed(ctx, ix, sent_at, clock, view);
+                let worker = self.fleet.get_mut(ix);
+                let pause_ms = match (worker.runs.is_empty(), worker.unstored.is_empty()) {
+                    (_, false) => consts::UNSTORED_LOOK_MS,
+                    (true, true) => consts::IDLE_LOOK_MS,
+                    (false, true) => Millis(0),
+                };
+                worker.next_look_at = ctx.now + pause_ms;
+                // Ends that need no record can be acknowledged at once.
+                self.look_at(ctx, ix);
+            }
+            other => {
+                let worker = self.fleet.get_mut(ix);
+                worker.lost_looks += 1;
+                worker.next_look_at = ctx.now + consts::LOOK_RETRY_MS;
+                if worker.lost_looks == 1 {
+                    let line = Line::warn("worker_silent").with("worker", &worker.entry.id);
+                    let line = line.with("answer", format_args!("{other:?}"));
+                    let age_ms = ctx.now.since(worker.answered_at);
+                    ctx.log(line.with("age_ms", age_ms.0).with("runs", worker.runs.len()));
+                }
+            }
+        }
+    }
+
+    /// Orders a task to start; its room was found free.
+    pub(crate) fn start(
+        &mut self,
+        ctx: &mut Ctx,
+        ix: WorkerIx,
+        task: TaskKey,
+        number: u32,
+        ticket: Option<Ticket>,
+    ) {
+        let at = usize::from(task.step.step);
+        let worker = self.fleet.get(ix);
+        let Some(clock) = worker.clock_at(ctx.now) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let spec = &job.row.work.steps[at];
+        let index = if spec.gang { 0 } else { task.index };
+        let checkpoint = job.progress.steps[at].checkpoints.get(&index).cloned();
+        let run = Run {
+            number,
+            need: spec.need,
+            team: job.row.team.clone(),
+            phase: RunPhase::Ordered,
+            settled_at: None,
+            started_at: ctx.now,
+            percent: 0,
+            checkpoint: checkpoint.clone(),
+        };
+        let line = Line::info("run_ordered").with("task", &task).with("run", number);
+        let line = line.with("worker", &worker.entry.id).with("free", worker.free());
+        let waited_ms = ctx.now.since(job.accepted_at);
+        let clock_age_ms = worker.clock.map_or(0, |(_, at)| ctx.now.since(at).0);
+        ctx.log(line.with("clock_age_ms", clock_age_ms).with("job_age_ms", waited_ms.0));
+        let order = StartOrder {
+            task: task.clone(),
+            run: number,
+            payload: job.row.work.payload.clone(),
+            lease_until_ms: clock + ctx.settings.max_lease_ms,
+            checkpoint,
+            ticket,
+        };
+        let step = &mut job.steps[at];
+        step.tasks[task.index as usize].worker = Some(ix);
+        step.tasks[task.index as usize].run = number;
+        step.running += 1;
+        self.hold_room(ix, &task, run);
+        self.mark_started(&task.step.job);
+        let id = self.send(ctx, ix, WorkerCall::Start(order), consts::WORKER_LIMIT_MS);
+        let run = number;
+        self.orders.insert(id, OpenOrder::Start { ix, task, run });
+        let worker = self.fleet.get_mut(ix);
+        worker.next_look_at = worker.next_look_at.min(ctx.now + consts::STORE_RETRY_MS);
+    }
+
+    fn on_start(
+        &mut self,
+        ctx: &mut Ctx,
+        ix: WorkerIx,
+        task: &TaskKey,
+        number: u32,
+        answer: WorkerAnswer,
+    ) {
+        let now = ctx.now;
+        let worker = self.fleet.get_mut(ix);
+        let held = worker.runs.get_mut(task).filter(|run| run.number == number);
+        match answer {
+            WorkerAnswer::Carried(clock) => {
+                worker.clock = Some((clock, now));
+                if let Some(run) = held {
+                    if matches!(run.phase, RunPhase::Ordered | RunPhase::Unsure(_)) {
+                        run.phase = RunPhase::Active;
+                    }
+                    run.settled_at = run.settled_at.or(Some(now));
+                }
+                self.look_at(ctx, ix);
+            }
+            WorkerAnswer::Lost | WorkerAnswer::Listed(..) => {
+                if let Some(run) = held.filter(|run| run.phase == RunPhase::Ordered) {
+                    run.phase = RunPhase::Unsure(now);
+                }
+                worker.rest_until = now + consts::WORKER_REST_MS;
+                worker.next_look_at = now;
+                let line = Line::warn("order_unanswered").with("task", task).with("run", number);
+                ctx.log(line.with("worker", &worker.entry.id));
+                self.look_at(ctx, ix);
+            }
+            WorkerAnswer::NotSent => self.on_not_started(ctx, ix, task, number, None),
+            WorkerAnswer::Refused(why, _) => {
+                self.on_not_started(ctx, ix, task, number, Some(why));
+            }
+        }
+    }
+
+    /// Takes back a start that was certainly not carried out.
+    fn on_not_started(
+        &mut self,
+        ctx: &mut Ctx,
+        ix: WorkerIx,
+        task: &TaskKey,
+        number: u32,
+        why: Option<RefusedStart>,
+    ) {
+        let worker = self.fleet.get_mut(ix);
+        let line = Line::warn("start_refused").with("task", task).with("run", number);
+        let line = line.with("worker", &worker.entry.id).with("why", format_args!("{why:?}"));
+        ctx.log(line.with("used", worker.used).with("room", worker.entry.room));
+        match why {
+            Some(RefusedStart::BadTicket) => self.drop_ticket(task, ix),
+            Some(RefusedStart::Late) => {
+                worker.clock = None;
+                worker.next_look_at = ctx.now;
+            }
+            Some(RefusedStart::OldRun) => {}
+            _ => {
+                worker.rest_until = ctx.now + consts::WORKER_REST_MS;
+                worker.next_look_at = worker.next_look_at.min(ctx.now);
+            }
+        }
+        let held = self.fleet.get(ix).runs.get(task);
+        if !held.is_some_and(|run| run.number == number) {
+            return;
+        }
+        self.release(ix, task);
+        let job = self.jobs.get(&task.step.job);
+        let at = usize::from(task.step.step);
+        if job.is_some_and(|job| job.row.work.steps[at].gang) {
+            self.abort_gang(ctx, task);
+        }
+        self.refresh_job(&task.step.job);
+    }
+
+    /// Orders a run to stop, until it is known to be over.
+    pub(crate) fn stop_run(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey) {
+        let worker = self.fleet.get_mut(ix);
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        if matches!(run.phase, RunPhase::Stopping(_)) {
+            return;
+        }
+        run.phase = RunPhase::Stopping(ctx.now + consts::STOP_RETRY_MS);
+        run.settled_at = None;
+        let number = run.number;
+        self.send_stop(ctx, ix, task, number);
+    }
+
+    pub(crate) fn send_stop(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey, run: u32) {
+        let line = Line::info("stop_ordered").with("task", task).with("run", run);
+        ctx.log(line.with("worker", &self.fleet.get(ix).entry.id));
+        let task = task.clone();
+        let call = WorkerCall::Stop {
+            task: task.clone(),
+            run,
+        };
+        let order = self.send(ctx, ix, call, consts::WORKER_LIMIT_MS);
+        self.orders.insert(order, OpenOrder::Stop { ix, task, run });
+    }
+
+    fn on_stop(
+        &mut self,
+        ctx: &mut Ctx,
+        ix: WorkerIx,
+        task: &TaskKey,
+        number: u32,
+        answer: WorkerAnswer,
+    ) {
+        let now = ctx.now;
+        let worker = self.fleet.get_mut(ix);
+        let held = worker.runs.get_mut(task).filter(|run| run.number == number);
+        let Some(run) = held else { return };
+        let settled = match answer {
+            WorkerAnswer::Carried(_) => true,
+            WorkerAnswer::Refused(RefusedStart::OldRun, _) => true,
+            _ => false,
+        };
+        if settled {
+            run.settled_at = Some(now);
+            worker.next_look_at = worker.next_look_at.min(now + Millis(1));
+        } else {
+            run.phase = RunPhase::Stopping(now + consts::STOP_RETRY_MS);
+        }
+    }
+
+    /// Repeats the orders to stop that were not answered.
+    pub(crate) fn retry_stops(&mut self, ctx: &mut Ctx) {
+        let mut due = Vec::new();
+        for (ix, worker) in self.fleet.iter() {
+            for (task, run) in &worker.runs {
+                let waits = run.settled_at.is_none();
+                if waits && matches!(run.phase, RunPhase::Stopping(at) if ctx.now >= at) {
+                    due.push((ix, task.clone(), run.number));
+                }
+            }
+        }
+        for (ix, task, number) in due {
+            if let Some(run) = self.fleet.get_mut(ix).runs.get_mut(&task) {
+                run.phase = RunPhase::Stopping(ctx.now + consts::WORKER_LIMIT_MS);
+            }
+            self.send_stop(ctx, ix, &task, number);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/cell/leader/schedule.rs
@@ -0,0 +1,470 @@
+//! Which waiting step starts next, and where: by the latest time at which it can still be done in
+//! time, over the whole fleet.
+
+use crate::{
+    cell::{
+        consts,
+        leader::{
+            fleet::WorkerIx,
+            placement::{best_fit, place_gang, Candidate},
+            Leader,
+        },
+        node::Ctx,
+        AdviceCost, DesiredState, Line, Queue, StepKey, TaskKey,
+    },
+    JobId, Millis, Resources, TeamName,
+};
+use std::collections::BTreeMap;
+
+/// How old the estimate of a worker's clock may be when work is started on it.
+const CLOCK_AGE_MS: Millis = Millis(6_000);
+/// What speaks against a worker on which a run of the step has failed.
+const FAILED_PENALTY: u32 = 4;
+/// What speaks against a worker without the step's data nearby.
+const FAR_PENALTY: u32 = 2;
+/// What speaks against a worker whose last runs have all failed.
+const SICK_PENALTY: u32 = 8;
+/// From how many failures in a row on a worker is shunned where others have room.
+const SICK_FAILURES: u32 = 3;
+/// The most gangs for which room is kept at a time.
+const KEPT_GANGS: usize = 2;
+
+/// What can still be earned by a step that starts now.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Worth {
+    /// It can be done within its objective.
+    InTime,
+    /// It can be done while its end is still of some use.
+    Late,
+    /// Only the record needs its end.
+    None,
+}
+
+/// A waiting step with its rank.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Turn {
+    worth: Worth,
+    latest_start_ms: u64,
+    key: StepKey,
+}
+
+/// Until when what an earlier leader started may still run on workers that were not reached.
+#[derive(Clone, Copy, Debug)]
+struct Gate {
+    old_jobs: bool,
+    new_jobs: bool,
+}
+
+/// What a pass over the waiting steps keeps in mind.
+struct Pass {
+    gate: Gate,
+    /// The room kept on workers for gangs that come first.
+    kept: BTreeMap<WorkerIx, Resources>,
+    kept_gangs: usize,
+}
+
+impl Leader {
+    /// Starts all that can start, in order.
+    pub(crate) fn pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
+        self.void_tickets();
+        let mut pass = Pass {
+            gate: self.gate(ctx),
+            kept: BTreeMap::new(),
+            kept_gangs: 0,
+        };
+        if !pass.gate.new_jobs {
+            return;
+        }
+        for turn in self.turns(ctx.now, state) {
+            let Some(job) = self.jobs.get(&turn.key.job) else {
+                continue;
+            };
+            let open = pass.gate.old_jobs || job.version.0 > self.token.0;
+            let Some(queue) = state.queue(&job.row.queue) else {
+                continue;
+            };
+            if open {
+                self.place_step(ctx, state, queue, &turn, &mut pass);
+            }
+        }
+    }
+
+    /// Says which jobs may start: not those that may run where an earlier leader started them.
+    fn gate(&self, ctx: &Ctx) -> Gate {
+        let unreached = |worker: &super::worker::Worker| worker.on_roster && !worker.contact;
+        let all = !self.fleet.iter().any(|(_, worker)| unreached(worker));
+        let first = self.generation == 1;
+        let waited = ctx.now.since(self.since);
+        let drift_ms = Millis(ctx.settings.max_lease_ms.0 / 50);
+        let lease_ms = ctx.settings.max_lease_ms + drift_ms + consts::LEASE_MARGIN_MS;
+        Gate {
+            new_jobs: first || all || waited > consts::LEADER_LEASE_MS,
+            old_jobs: first || all || waited > consts::LEADER_LEASE_MS + lease_ms,
+        }
+    }
+
+    fn turns(&self, now: Millis, state: &DesiredState) -> Vec<Turn> {
+        let turn = |key: &StepKey| {
+            let job = self.jobs.get(&key.job)?;
+            let queue = state.queue(&job.row.queue)?;
+            let left_ms = job.row.work.path_from_ms(usize::from(key.step));
+            let objective_ms = job.objective_ms(queue);
+            let due = |factor: u64| {
+                let end = job.accepted_at.0 + objective_ms * factor;
+                end.saturating_sub(left_ms)
+            };
+            let (in_time, late) = (due(1), due(consts::WORTHLESS_FACTOR));
+            let (worth, latest_start_ms) = match now.0 {
+                now if now <= in_time => (Worth::InTime, in_time),
+                now if now <= late => (Worth::Late, late),
+                _ => (Worth::None, late),
+            };
+            Some(Turn {
+                worth,
+                latest_start_ms,
+                key: key.clone(),
+            })
+        };
+        let mut turns: Vec<Turn> = self.ready.iter().filter_map(turn).collect();
+        turns.sort_unstable();
+        turns
+    }
+
+    fn place_step(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        queue: &Queue,
+        turn: &Turn,
+        pass: &mut Pass,
+    ) {
+        let key = &turn.key;
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let gang = job.row.work.steps[at].gang;
+        if let Some(cost) = queue.advice {
+            let advice = &job.steps[at].advice;
+            if advice.verdicts.is_empty() {
+                let workers = self.unasked(ctx.now, queue, key, gang);
+                return self.ask_advice(ctx.now, key, workers, turn.latest_start_ms, cost);
+            }
+        }
+        if gang {
+            self.place_whole(ctx, state, queue, turn, pass);
+        } else {
+            self.place_singles(ctx, state, queue, turn, pass);
+        }
+    }
+
+    /// Returns the workers to ask for advice about, those with most room first.
+    fn unasked(&self, now: Millis, queue: &Queue, key: &StepKey, gang: bool) -> Vec<WorkerIx> {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Vec::new();
+        };
+        let at = usize::from(key.step);
+        let (spec, advice) = (&job.row.work.steps[at], &job.steps[at].advice);
+        let mut workers: Vec<(u64, WorkerIx)> = self
+            .fleet
+            .iter()
+            .filter(|(ix, own)| {
+                let serves = own.entry.service == queue.service && own.is_usable(now, CLOCK_AGE_MS);
+                let label = spec.requirement.as_ref();
+                let labelled = label.is_none_or(|label| own.has_label(label));
+                let fits = spec.need.fits(&own.entry.room);
+                serves && labelled && fits && !advice.verdicts.contains_key(ix)
+            })
+            .map(|(ix, own)| (u64::MAX - own.free().cpu_milli, ix))
+            .collect();
+        workers.sort_unstable();
+        let most = match gang {
+            true => consts::ADVICE_WORKERS,
+            false => consts::ADVICE_SINGLES,
+        };
+        workers.into_iter().take(most).map(|(_, ix)| ix).collect()
+    }
+
+    /// Returns the workers that may run a step, with their free room less what is kept on them.
+    fn candidates(
+        &self,
+        now: Millis,
+        queue: &Queue,
+        key: &StepKey,
+        kept: &BTreeMap<WorkerIx, Resources>,
+    ) -> Vec<Candidate> {
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Vec::new();
+        };
+        let (spec, step) = (&job.row.work.steps[at], &job.steps[at]);
+        let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut list = Vec::new();
+        for (ix, own) in self.fleet.iter() {
+            let serves = own.entry.service == queue.service && own.is_usable(now, CLOCK_AGE_MS);
+            let allowed = queue.advice.is_none() || step.advice.allows(ix);
+            let label = spec.requirement.as_ref();
+            if !serves || !allowed || !label.is_none_or(|label| own.has_label(label)) {
+                continue;
+            }
+            let free = own.free().minus(kept.get(&ix).copied().unwrap_or_default());
+            if !spec.need.fits(&free) {
+                continue;
+            }
+            let here = step.tasks.iter().filter(|task| task.worker == Some(ix)).count() as u32;
+            let far = spec.affinity.as_ref().is_some_and(|rack| own.rack() != Some(rack));
+            let count = racks.len() as u32;
+            let rack = own.rack().map_or(0, |rack| *racks.entry(rack).or_insert(count + 1));
+            let failed = u32::from(step.failed_on.contains(&ix)) * FAILED_PENALTY;
+            let sick = u32::from(own.failures >= SICK_FAILURES) * SICK_PENALTY;
+            list.push(Candidate {
+                ix,
+                free,
+                left: spec.per_worker.map_or(u32::MAX, |most| most.saturating_sub(here)),
+                penalty: u32::from(far) * FAR_PENALTY + failed + sick,
+                rack,
+            });
+        }
+        list
+    }
+
+    /// Returns how many more tasks of this size a team may have running.
+    fn team_room(&self, state: &DesiredState, team: Option<&TeamName>, need: &Resources) -> u64 {
+        let Some(team) = team.and_then(|name| state.team(name)) else {
+            return u64::MAX;
+        };
+        let used = self.used.get(&team.name).copied().unwrap_or_default();
+        let parts = team.cap.parts().into_iter().zip(used.parts()).zip(need.parts());
+        let room = parts.filter(|((cap, _), need)| *cap > 0 && *need > 0);
+        room.map(|((cap, used), need)| cap.saturating_sub(used) / need)
+            .min()
+            .unwrap_or(u64::MAX)
+    }
+
+    fn place_singles(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        queue: &Queue,
+        turn: &Turn,
+        pass: &mut Pass,
+    ) {
+        let key = &turn.key;
+        let at = usize::from(key.step);
+        let now = ctx.now;
+        let mut candidates = self.candidates(now, queue, key, &pass.kept);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let need = job.row.work.steps[at].need;
+        let room = self.team_room(state, job.row.team.as_ref(), &need);
+        let advice = &job.steps[at].advice;
+        let (mut ready, stale): (Vec<Candidate>, Vec<Candidate>) = candidates
+            .drain(..)
+            .partition(|own| queue.advice.is_none() || advice.ticket(own.ix, now).is_some());
+        let tasks = job.steps[at].tasks.iter().enumerate();
+        let waiting = tasks.filter(|(index, task)| {
+            task.worker.is_none() && !job.is_done(at, *index as u32)
+        });
+        let waiting: Vec<u32> = waiting.map(|(index, _)| index as u32).collect();
+        let mut left = 0;
+        for index in waiting.into_iter().take(usize::try_from(room).unwrap_or(usize::MAX)) {
+            let Some(place) = best_fit(&ready, &need) else {
+                left += 1;
+                continue;
+            };
+            ready[place].take(&need);
+            self.start_one(ctx, queue, key, index, ready[place].ix);
+        }
+        self.refresh_job(&key.job);
+        if let (Some(cost), true) = (queue.advice, left > 0) {
+            self.ask_more(now, queue, turn, stale, cost);
+        }
+    }
+
+    /// Asks for new tickets where there is room, or else about workers that were not asked about.
+    fn ask_more(
+        &mut self,
+        now: Millis,
+        queue: &Queue,
+        turn: &Turn,
+        stale: Vec<Candidate>,
+        cost: AdviceCost,
+    ) {
+        let mut workers: Vec<WorkerIx> = stale.iter().map(|own| own.ix).collect();
+        workers.truncate(consts::ADVICE_SINGLES);
+        if workers.is_empty() {
+            workers = self.unasked(now, queue, &turn.key, false);
+            workers.retain(|ix| !self.fleet.get(*ix).free().fits(&Resources::default()));
+        }
+        self.ask_advice(now, &turn.key, workers, turn.latest_start_ms, cost);
+    }
+
+    fn start_one(&mut self, ctx: &mut Ctx, queue: &Queue, key: &StepKey, index: u32, ix: WorkerIx) {
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let number = self.next_run(job.steps[at].tasks[index as usize].run);
+        let ticket = job.steps[at].advice.ticket(ix, ctx.now).cloned();
+        let ticket = ticket.filter(|_| queue.advice.is_some());
+        let task = TaskKey {
+            step: key.clone(),
+            index,
+        };
+        self.start(ctx, ix, task, number, ticket);
+    }
+
+    /// Returns a run number above all that this and earlier leaders may have used.
+    fn next_run(&self, last: u32) -> u32 {
+        let first = (self.generation - 1) * consts::RUNS_A_LEADER + 1;
+        first.max(last + 1)
+    }
+
+    /// Starts a gang if there is room for all of it, or keeps room for it.
+    fn place_whole(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        queue: &Queue,
+        turn: &Turn,
+        pass: &mut Pass,
+    ) {
+        let key = &turn.key;
+        let at = usize::from(key.step);
+        let now = ctx.now;
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let (need, count) = (job.row.work.steps[at].need, job.row.work.steps[at].count);
+        let one_rack = job.row.work.steps[at].same_rack;
+        if self.team_room(state, job.row.team.as_ref(), &need) < u64::from(count) {
+            return;
+        }
+        if job.steps[at].advice.asking.is_some() {
+            return;
+        }
+        self.drop_plan(key);
+        let candidates = self.candidates(now, queue, key, &pass.kept);
+        let Some(places) = place_gang(&candidates, &need, count, one_rack) else {
+            if let Some(cost) = queue.advice {
+                let workers = self.unasked(now, queue, key, true);
+                self.ask_advice(now, key, workers, turn.latest_start_ms, cost);
+            }
+            return self.keep_room(now, queue, turn, pass);
+        };
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let advice = &job.steps[at].advice;
+        let mut stale = places.clone();
+        stale.retain(|ix| queue.advice.is_some() && advice.ticket(*ix, now).is_none());
+        stale.dedup();
+        match queue.advice {
+            Some(cost) if !stale.is_empty() => {
+                self.plan(key, places, need);
+                self.ask_advice(now, key, stale, turn.latest_start_ms, cost);
+            }
+            _ => self.start_gang(ctx, queue, key, &places),
+        }
+    }
+
+    fn start_gang(&mut self, ctx: &mut Ctx, queue: &Queue, key: &StepKey, places: &[WorkerIx]) {
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let last = job.steps[at].tasks.iter().map(|task| task.run).max();
+        let number = self.next_run(last.unwrap_or(0));
+        let line = Line::info("gang_placed").with("step", key).with("members", places.len());
+        ctx.log(line.with("run", number));
+        for (index, &ix) in places.iter().enumerate() {
+            let Some(job) = self.jobs.get(&key.job) else {
+                return;
+            };
+            let ticket = job.steps[at].advice.ticket(ix, ctx.now).cloned();
+            let ticket = ticket.filter(|_| queue.advice.is_some());
+            let task = TaskKey {
+                step: key.clone(),
+                index: index as u32,
+            };
+            self.start(ctx, ix, task, number, ticket);
+        }
+        self.refresh_job(&key.job);
+    }
+
+    /// Keeps the room of a gang's members while their tickets are fetched.
+    fn plan(&mut self, key: &StepKey, places: Vec<WorkerIx>, need: Resources) {
+        for &ix in &places {
+            let worker = self.fleet.get_mut(ix);
+            worker.reserved = worker.reserved.plus(need);
+        }
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.steps[usize::from(key.step)].plan = Some(places);
+        }
+    }
+
+    fn drop_plan(&mut self, key: &StepKey) {
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let need = job.row.work.steps[at].need;
+        for ix in job.steps[at].plan.take().unwrap_or_default() {
+            let worker = self.fleet.get_mut(ix);
+            worker.reserved = worker.reserved.minus(need);
+        }
+    }
+
+    /// Drops all plans of a job that has ended.
+    pub(crate) fn drop_plans(&mut self, id: &JobId) {
+        let count = self.jobs.get(id).map_or(0, |job| job.steps.len());
+        for step in 0..count as u16 {
+            let job = id.clone();
+            let occurrence = 0;
+            self.drop_plan(&StepKey {
+                job,
+                occurrence,
+                step,
+            });
+        }
+    }
+
+    /// Keeps workers for a gang that comes first and finds no room: those with most room.
+    fn keep_room(&mut self, now: Millis, queue: &Queue, turn: &Turn, pass: &mut Pass) {
+        if pass.kept_gangs >= KEPT_GANGS || turn.worth != Worth::InTime {
+            return;
+        }
+        let key = &turn.key;
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let (spec, advice) = (&job.row.work.steps[at], &job.steps[at].advice);
+        let mut allowed: Vec<(u64, WorkerIx)> = self
+            .fleet
+            .iter()
+            .filter(|(ix, own)| {
+                let serves = own.entry.service == queue.service && own.is_usable(now, CLOCK_AGE_MS);
+                let open = queue.advice.is_none() || advice.allows(*ix);
+                serves && open && !pass.kept.contains_key(ix) && spec.need.fits(&own.entry.room)
+            })
+            .map(|(ix, own)| (u64::MAX - own.free().cpu_milli, ix))
+            .collect();
+        allowed.sort_unstable();
+        let mut missing = u64::from(spec.count);
+        let mut kept = Vec::new();
+        for (_, ix) in allowed {
+            if missing == 0 {
+                break;
+            }
+            let room = self.fleet.get(ix).entry.room;
+            missing = missing.saturating_sub(spec.need.copies_in(&room));
+            kept.push((ix, room));
+        }
+        if missing == 0 {
+            pass.kept.extend(kept);
+            pass.kept_gangs += 1;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/cell/leader/views.rs
@@ -0,0 +1,65 @@
+//! What callers learn from the leader.
+
+use crate::{
+    cell::{leader::Leader, node::Ctx, AskId, JobState, Line, LinkId, StateView, ToMember},
+    JobId, Millis, QueueName, TeamName,
+};
+
+impl Leader {
+    pub(crate) fn tell_state(
+        &mut self,
+        ctx: &mut Ctx,
+        link: LinkId,
+        ask: AskId,
+        id: &JobId,
+        team: Option<TeamName>,
+    ) {
+        let job = self.jobs.get(id);
+        let own = job.filter(|job| job.row.team.is_none() || job.row.team == team);
+        let view = match own {
+            _ if !self.load.is_done() => StateView::Loading,
+            Some(job) => StateView::Known(job.shown()),
+            None => StateView::Unheard,
+        };
+        ctx.to_member(link, ToMember::State { ask, view });
+    }
+
+    pub(crate) fn cancel(
+        &mut self,
+        ctx: &mut Ctx,
+        link: LinkId,
+        ask: AskId,
+        id: &JobId,
+        team: Option<TeamName>,
+    ) {
+        if !self.load.is_done() {
+            let view = StateView::Loading;
+            return ctx.to_member(link, ToMember::State { ask, view });
+        }
+        let job = self.jobs.get_mut(id);
+        let Some(job) = job.filter(|job| job.row.team.is_none() || job.row.team == team) else {
+            let view = StateView::Unheard;
+            return ctx.to_member(link, ToMember::State { ask, view });
+        };
+        if job.shown().is_final() {
+            let view = StateView::Known(job.shown());
+            return ctx.to_member(link, ToMember::State { ask, view });
+        }
+        job.cancel_asks.push((link, ask));
+        if !job.progress.state.is_final() {
+            ctx.log(Line::info("job_cancelled").with("job", id));
+            self.end_job(ctx, id, JobState::Cancelled);
+        }
+    }
+
+    /// Returns how many jobs wait, for the queues where some do.
+    pub(crate) fn waiting_counts(&self) -> Vec<(QueueName, u64)> {
+        let waiting = self.queued.iter().filter(|(_, count)| **count > 0);
+        waiting.map(|(name, count)| (name.clone(), *count)).collect()
+    }
+
+    /// Returns the queues that should be refused at present, with the time to come back.
+    pub(crate) fn closed_queues(&self, _: &Ctx) -> Vec<(QueueName, Millis)> {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/core/src/cell/message.rs
@@ -0,0 +1,131 @@
+//! Messages between the leader and the other daemons of a cell.
+
+use crate::{
+    cell::{
+        AdviceReply, AskId, DesiredState, FencingToken, JobRow, JobState, RowVersion, StepKey,
+    },
+    JobId, Millis, QueueName, TeamName, WorkerId,
+};
+use serde::{Deserialize, Serialize};
+
+/// What the leader knows of a job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StateView {
+    /// The job's state.
+    Known(JobState),
+    /// The leader has not heard of it; the store may have.
+    Unheard,
+    /// The leader is still reading what is on record.
+    Loading,
+}
+
+/// What became of a submission that was passed on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SubmitView {
+    /// It is on record.
+    Accepted,
+    /// It is not on record and never will be.
+    NotRun,
+    /// Nobody can tell.
+    Unknown,
+}
+
+/// A message to the leader.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ToLeader {
+    /// Hands over a job that is on record.
+    Accepted {
+        /// The job.
+        job: Box<JobRow>,
+        /// The transaction that recorded it.
+        version: RowVersion,
+    },
+    /// Asks the leader to put a job on record, since the sender does not reach the store.
+    Submit {
+        /// The question.
+        ask: AskId,
+        /// The job.
+        job: Box<JobRow>,
+    },
+    /// Asks for a job's state.
+    State {
+        /// The question.
+        ask: AskId,
+        /// The job.
+        job: JobId,
+        /// The team that asks; `None` on an open queue.
+        team: Option<TeamName>,
+    },
+    /// Gives a job up.
+    Cancel {
+        /// The question.
+        ask: AskId,
+        /// The job.
+        job: JobId,
+        /// The team that asks; `None` on an open queue.
+        team: Option<TeamName>,
+    },
+    /// Returns advice.
+    Advice {
+        /// The question.
+        ask: AskId,
+        /// What the service said.
+        reply: AdviceReply,
+    },
+    /// Asks for a newer desired state than the sender's.
+    Behind,
+    /// Asks the leader to say when the desired state was confirmed after this ping.
+    Ping {
+        /// The time on the sender's clock.
+        sent_ms: Millis,
+    },
+}
+
+/// A message from the leader.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ToMember {
+    /// Says that the leader lives and what it knows.
+    Heartbeat {
+        /// The leader's token.
+        token: FencingToken,
+        /// The latest version of its lease row.
+        lease: RowVersion,
+        /// The version of its desired state.
+        version: u64,
+        /// The latest ping of the receiver after which this version was still the newest.
+        confirmed_ms: Option<Millis>,
+        /// How many jobs wait, for the queues where some do.
+        queued: Vec<(QueueName, u64)>,
+        /// Whether the leader has read all that is on record.
+        ready: bool,
+        /// Jobs of these queues can't be served in time at present; come back after the span.
+        closed: Vec<(QueueName, Millis)>,
+    },
+    /// Passes on a desired state.
+    Config(Box<DesiredState>),
+    /// Answers [`ToLeader::State`].
+    State {
+        /// The question.
+        ask: AskId,
+        /// The answer.
+        view: StateView,
+    },
+    /// Answers [`ToLeader::Submit`].
+    Submitted {
+        /// The question.
+        ask: AskId,
+        /// The answer.
+        view: SubmitView,
+    },
+    /// Asks the member to call the advice service.
+    Advise {
+        /// The question.
+        ask: AskId,
+        /// The step.
+        step: StepKey,
+        /// The workers to ask about.
+        workers: Vec<WorkerId>,
+        /// How long the call may take.
+        limit_ms: Millis,
+    },
+}
--- /dev/null
+++ b/core/src/cell/mod.rs
@@ -0,0 +1,51 @@
+//! The cell: one leader places the work of a whole fleet, and every daemon accepts it.
+//!
+//! [`Node`] is the reducer of one daemon. It takes one [`Event`] at a time and returns [`Effect`]s as
+//! data, without any I/O, like [`crate::Core`]. The store decides who leads; workers compare the
+//! leader's fencing token; a job is on record before it is accepted, and an end before it is
+//! acknowledged. See docs/decisions/11-one-leader-a-cell.md.
+
+mod client;
+mod config_feed;
+pub mod consts;
+mod desired;
+mod door;
+mod effect;
+mod election;
+mod event;
+mod job;
+mod leader;
+mod line;
+mod message;
+mod node;
+mod numbers;
+mod progress;
+mod settings;
+mod store;
+mod submits;
+mod task_key;
+mod worker_call;
+mod worker_entry;
+
+pub use crate::cell::{
+    client::{ClientAnswer, ClientCall, ClientVerb},
+    config_feed::ConfigFeed,
+    desired::{AdviceCost, DesiredState, FrontLimits, Queue, Team},
+    effect::Effect,
+    event::Event,
+    job::{JobRow, StepSpec, Submission},
+    leader::Leader,
+    line::{Level, Line},
+    message::{StateView, SubmitView, ToLeader, ToMember},
+    node::Node,
+    numbers::{AskId, FencingToken, Incarnation, LinkId, OrderId, RowVersion},
+    progress::{JobState, Progress, StepProgress},
+    settings::{CellSettings, CellSettingsBuilder},
+    store::{MemberRow, Row, RowKey, RowValue, StoreCall, StoreReply, Table, TermRow, Write},
+    task_key::{StepKey, TaskKey},
+    worker_call::{
+        ActiveRun, AdviceReply, FinishedRun, How, RefusedStart, RunView, StartOrder, Ticket,
+        WorkerAnswer, WorkerCall,
+    },
+    worker_entry::WorkerEntry,
+};
--- /dev/null
+++ b/core/src/cell/task_key.rs
@@ -0,0 +1,37 @@
+//! Names of steps and tasks.
+
+use crate::JobId;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Names one step of one occurrence of a job.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence, from 0; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// The step, from 0.
+    pub step: u16,
+}
+
+impl fmt::Display for StepKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// Names one task of a step.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TaskKey {
+    /// The step.
+    pub step: StepKey,
+    /// The task, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! trace of events replays to the same effects.
 
 mod answer;
+pub mod cell;
 mod class;
 mod config;
 mod config_parts;
--- /dev/null
+++ b/daemon/src/cell/front.rs
@@ -0,0 +1,187 @@
+//! HTTP for clients, the balancer and whoever reads the metrics.
+
+use crate::cell::input::Input;
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::Incoming,
+    header,
+    server::conn::http1,
+    service::service_fn,
+    Request, Response, StatusCode,
+};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use pomelotide_core::{
+    cell::{ClientAnswer, Event},
+    CallId,
+};
+use pomelotide_platform::{client_call, client_reply, ready_reply, FrontReply, FrontRequest};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    convert::Infallible,
+    rc::Rc,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+    task::spawn_local,
+};
+
+/// The longest body that is read, in bytes; the desired state's limit is at most this.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// The calls that wait for the reducer, and whether the daemon is ready.
+pub(crate) struct Front {
+    inputs: Sender<Input>,
+    open: RefCell<HashMap<CallId, oneshot::Sender<ClientAnswer>>>,
+    last: Cell<u64>,
+    ready: Cell<bool>,
+    draining: Cell<bool>,
+    metrics: PrometheusHandle,
+}
+
+/// Says that a client left when its call is dropped without an answer.
+struct OpenCall<'a> {
+    front: &'a Front,
+    call: CallId,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        if self.front.open.borrow_mut().remove(&self.call).is_some() {
+            self.front.send(Event::Hangup(self.call));
+        }
+    }
+}
+
+impl Front {
+    pub(crate) fn new(inputs: Sender<Input>, metrics: PrometheusHandle) -> Self {
+        Self {
+            inputs,
+            metrics,
+            open: RefCell::default(),
+            last: Cell::new(0),
+            ready: Cell::new(false),
+            draining: Cell::new(false),
+        }
+    }
+
+    fn send(&self, event: Event) {
+        // The control thread ends only with the process.
+        let _ = self.inputs.send(Input::Event(event));
+    }
+
+    pub(crate) fn answer(&self, call: CallId, answer: ClientAnswer) {
+        if let Some(waiter) = self.open.borrow_mut().remove(&call) {
+            // A client that has just left needs no answer.
+            let _ = waiter.send(answer);
+        }
+    }
+
+    pub(crate) fn set_ready(&self, ready: bool) {
+        self.ready.set(ready);
+        self.draining.set(!ready);
+    }
+
+    async fn serve_client(&self, request: Request<Incoming>) -> FrontReply {
+        let (parts, body) = request.into_parts();
+        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                let reason = format!("body: {error}");
+                return client_reply(&ClientAnswer::Malformed(reason.into()));
+            }
+        };
+        let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let request = FrontRequest {
+            method: parts.method.as_str(),
+            path: parts.uri.path(),
+            host: text(header::HOST.as_str()).unwrap_or(""),
+            authorization: text(header::AUTHORIZATION.as_str()),
+            deadline: text("deadline-ms"),
+            body: &body,
+        };
+        let Some(asked) = client_call(request) else {
+            return FrontReply {
+                status: StatusCode::METHOD_NOT_ALLOWED.as_u16(),
+                headers: Vec::new(),
+                body: Vec::new(),
+            };
+        };
+        self.last.set(self.last.get() + 1);
+        let call = CallId(self.last.get());
+        let (waiter, answer) = oneshot::channel();
+        self.open.borrow_mut().insert(call, waiter);
+        let _open = OpenCall { front: self, call };
+        self.send(Event::Call(call, Box::new(asked)));
+        client_reply(&answer.await.unwrap_or(ClientAnswer::Unknown))
+    }
+}
+
+fn response(reply: FrontReply, close: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+    if let Ok(status) = StatusCode::from_u16(reply.status) {
+        *response.status_mut() = status;
+    }
+    let headers = response.headers_mut();
+    let json = header::HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    for (name, value) in reply.headers {
+        if let Ok(value) = value.parse() {
+            headers.insert(name, value);
+        }
+    }
+    if close {
+        let close = header::HeaderValue::from_static("close");
+        headers.insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Served {
+    Clients,
+    Readiness,
+    Metrics,
+}
+
+/// Accepts connections for as long as the process runs.
+pub(crate) async fn accept(front: Rc<Front>, listener: TcpListener, served: Served) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Without it answers only come later.
+                let _ = stream.set_nodelay(true);
+                spawn_local(serve(front.clone(), stream, served));
+            }
+            // Out of descriptors, or a connection that ended at once: others may succeed.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn serve(front: Rc<Front>, stream: TcpStream, served: Served) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let front = front.clone();
+        async move {
+            let reply = match served {
+                Served::Clients => front.serve_client(request).await,
+                Served::Readiness => ready_reply(front.ready.get()),
+                Served::Metrics => FrontReply {
+                    status: 200,
+                    headers: vec![("Content-Type", "text/plain".into())],
+                    body: front.metrics.render().into_bytes(),
+                },
+            };
+            let close = served == Served::Clients && front.draining.get();
+            Ok::<_, Infallible>(response(reply, close))
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // A client that breaks off is seen by its open call.
+    let _ = connection.await;
+}
--- /dev/null
+++ b/daemon/src/cell/log_writer.rs
@@ -0,0 +1,143 @@
+//! The log: a bounded queue to a thread that writes to standard output, and a limit for each event.
+
+use crossbeam::channel::{self, Receiver, Sender, TrySendError};
+use metrics::counter;
+use pomelotide_core::cell::{Level, Line};
+use std::{
+    collections::BTreeMap,
+    io::{self, Write},
+    sync::Mutex,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// How many lines may wait for the writer: two seconds of a full log.
+const QUEUE_LINES: usize = 4_096;
+/// How many lines of one event and level info are written a second: a leader's usual starts twice.
+const INFO_LINES_A_SECOND: u32 = 400;
+/// How many lines of one event and level warn are.
+const WARN_LINES_A_SECOND: u32 = 800;
+/// How long lines are gathered before they are written together.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Counts the lines of each event in the second at hand.
+#[derive(Debug, Default)]
+pub struct LogBudget {
+    second: u64,
+    counts: BTreeMap<&'static str, u32>,
+}
+
+/// What to do with a line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Allowance {
+    /// Write it.
+    Write,
+    /// Leave it out; it will be counted.
+    Drop,
+}
+
+impl LogBudget {
+    /// Says whether a line may be written in this second.
+    pub fn admit(&mut self, second: u64, line: &Line) -> (Allowance, Vec<Line>) {
+        let mut left_out = Vec::new();
+        if second != self.second {
+            self.second = second;
+            for (event, count) in std::mem::take(&mut self.counts) {
+                let most = limit_of(event, Level::Info);
+                if count > most {
+                    let line = Line::warn("lines_left_out").with("of", event);
+                    left_out.push(line.with("count", count - most));
+                }
+            }
+        }
+        let count = self.counts.entry(line.event).or_default();
+        *count += 1;
+        let allowance = match *count <= limit_of(line.event, line.level) {
+            true => Allowance::Write,
+            false => Allowance::Drop,
+        };
+        (allowance, left_out)
+    }
+}
+
+const fn limit_of(_: &str, level: Level) -> u32 {
+    match level {
+        Level::Info => INFO_LINES_A_SECOND,
+        Level::Warn => WARN_LINES_A_SECOND,
+    }
+}
+
+/// The log of a process.
+#[derive(Debug)]
+pub(crate) struct LogWriter {
+    daemon: String,
+    lines: Sender<String>,
+    budget: Mutex<LogBudget>,
+    thread: JoinHandle<()>,
+}
+
+impl LogWriter {
+    pub(crate) fn spawn(daemon: String) -> io::Result<Self> {
+        let (lines, received) = channel::bounded(QUEUE_LINES);
+        let work = move || write_lines(&received);
+        let thread = thread::Builder::new().name("log".into()).spawn(work)?;
+        Ok(Self {
+            daemon,
+            lines,
+            budget: Mutex::default(),
+            thread,
+        })
+    }
+
+    /// Queues a line; never waits.
+    pub(crate) fn write(&self, line: &Line) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let (allowance, left_out) = match self.budget.lock() {
+            Ok(mut budget) => budget.admit(unix.as_secs(), line),
+            Err(_) => return,
+        };
+        for line in left_out {
+            self.queue(unix, &line);
+        }
+        match allowance {
+            Allowance::Write => self.queue(unix, line),
+            Allowance::Drop => counter!("pomelotide_log_lines_left_out_total").increment(1),
+        }
+    }
+
+    fn queue(&self, unix: Duration, line: &Line) {
+        let level = match line.level {
+            Level::Info => "info",
+            Level::Warn => "warn",
+        };
+        let at = format!("{}.{:03}", unix.as_secs(), unix.subsec_millis());
+        let text = format!("time={at} level={level} daemon={} {line}\n", self.daemon);
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(text) {
+            counter!("pomelotide_log_lines_dropped_total").increment(1);
+        }
+    }
+
+    /// Writes what is queued and ends.
+    pub(crate) fn close(self) {
+        drop(self.lines);
+        // A writer that panicked has nothing left to write.
+        let _ = self.thread.join();
+    }
+}
+
+fn write_lines(lines: &Receiver<String>) {
+    let mut last = Instant::now();
+    while let Ok(first) = lines.recv() {
+        let pause = GATHER.saturating_sub(last.elapsed());
+        if !pause.is_zero() {
+            thread::sleep(pause);
+        }
+        last = Instant::now();
+        let mut text = first;
+        for line in lines.try_iter() {
+            text.push_str(&line);
+        }
+        // Nobody is left to be told of a standard output that is closed.
+        let _ = io::stdout().lock().write_all(text.as_bytes());
+    }
+}
--- /dev/null
+++ b/daemon/src/cell/measures.rs
@@ -0,0 +1,51 @@
+//! Metrics of a cell's daemon.
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use pomelotide_core::cell::{Line, Node};
+
+/// The upper bounds of the histograms of milliseconds.
+const MILLIS: [f64; 12] = [
+    5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 10_000.0, 30_000.0,
+];
+
+/// Installs the recorder of metrics and returns what renders them.
+pub(crate) fn install() -> PrometheusHandle {
+    let builder = PrometheusBuilder::new();
+    // The bounds are constants that are not empty.
+    let builder = builder
+        .set_buckets_for_metric(Matcher::Suffix("_ms".into()), &MILLIS)
+        .unwrap_or_default();
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    // Only a second daemon in the same process finds a recorder installed.
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+}
+
+/// Counts a decision.
+pub(crate) fn count(line: &Line) {
+    counter!("pomelotide_decisions_total", "event" => line.event).increment(1);
+    let name = match line.event {
+        "job_ended" => "pomelotide_job_ms",
+        "advice_given" => "pomelotide_advice_ms",
+        "job_accepted" => "pomelotide_accept_ms",
+        _ => return,
+    };
+    let spans = ["took_ms", "waited_ms"];
+    let span = line.fields.iter().find(|(field, _)| spans.contains(field));
+    if let Some(span_ms) = span.and_then(|(_, text)| text.parse::<f64>().ok()) {
+        histogram!(name).record(span_ms);
+    }
+}
+
+/// Shows what a daemon has in hand.
+pub(crate) fn show(node: &Node) {
+    gauge!("pomelotide_config_version").set(node.config().version() as f64);
+    let Some(leader) = node.leader() else {
+        gauge!("pomelotide_leads").set(0.0);
+        return;
+    };
+    gauge!("pomelotide_leads").set(1.0);
+    gauge!("pomelotide_token").set(leader.token().0 as f64);
+}
--- /dev/null
+++ b/daemon/src/cell/pool.rs
@@ -0,0 +1,133 @@
+//! HTTP calls over connections that are kept open.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{client::conn::http1, header, Request};
+use hyper_util::rt::TokioIo;
+use pomelotide_platform::{HttpAnswer, HttpCall};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// How long a connection to another host may take to open: one lost packet is sent again within it.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_200);
+/// How many unused connections to one address are kept.
+const MAX_IDLE: usize = 8;
+/// After which time unused connections are not used again: servers close them.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
+
+/// The open connections that no call uses.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<(Sender, Instant)>>>,
+}
+
+/// Why a call has no answer.
+enum Failure {
+    NotSent,
+    Lost,
+}
+
+impl Pool {
+    /// Makes a call and returns its answer, or says how it failed, within `limit`.
+    pub(crate) async fn call(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        call: &HttpCall,
+        limit: Duration,
+    ) -> HttpAnswer {
+        match timeout(limit, self.try_call(address, call)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(Failure::NotSent)) => HttpAnswer::NotSent,
+            Ok(Err(Failure::Lost)) => HttpAnswer::Lost,
+            Err(_) => {
+                // Other open connections may have gone silent with this one.
+                self.idle.borrow_mut().remove(&address);
+                HttpAnswer::Lost
+            }
+        }
+    }
+
+    async fn try_call(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        call: &HttpCall,
+    ) -> Result<HttpAnswer, Failure> {
+        let mut request = request(address, call).ok_or(Failure::NotSent)?;
+        loop {
+            let (mut sender, reused) = match self.take(address) {
+                Some(sender) => (sender, true),
+                None => (connect(address).await?, false),
+            };
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    let status = response.status().as_u16();
+                    let body = response.into_body().collect().await;
+                    let body = body.map_err(|_| Failure::Lost)?.to_bytes().to_vec();
+                    self.put(address, sender).await;
+                    return Ok(HttpAnswer::Whole { status, body });
+                }
+                Err(mut error) => match error.take_message() {
+                    // The server had closed the connection before anything was sent.
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(Failure::NotSent),
+                    None => return Err(Failure::Lost),
+                },
+            }
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some((sender, since)) = kept.pop() {
+            if sender.is_ready() && since.elapsed() < MAX_IDLE_AGE {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn put(&self, address: SocketAddr, mut sender: Sender) {
+        if sender.ready().await.is_err() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push((sender, Instant::now()));
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, Failure> {
+    let opened = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let stream = opened.ok().and_then(Result::ok).ok_or(Failure::NotSent)?;
+    // Without it answers only come later; the call goes on.
+    let _ = stream.set_nodelay(true);
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.map_err(|_| Failure::NotSent)?;
+    spawn_local(async move {
+        // How a connection ends is seen by the call that uses it.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+fn request(address: SocketAddr, call: &HttpCall) -> Option<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method)
+        .uri(&call.target)
+        .header(header::HOST, address.to_string());
+    for (name, value) in &call.headers {
+        builder = builder.header(*name, value);
+    }
+    builder.body(Full::new(Bytes::from(call.body.clone()))).ok()
+}
--- /dev/null
+++ b/daemon/src/cell/traffic.rs
@@ -0,0 +1,200 @@
+//! The thread of the sockets: it carries effects out and turns answers into events.
+
+use crate::cell::{
+    front::{self, Front, Served},
+    input::{Input, Output},
+    links::Links,
+    pool::Pool,
+};
+use crossbeam::channel::Sender;
+use metrics::counter;
+use metrics_exporter_prometheus::PrometheusHandle;
+use pomelotide_core::{
+    cell::{AdviceReply, Effect, Event, OrderId, StoreCall, StoreReply, WorkerAnswer, WorkerCall},
+    Millis,
+};
+use pomelotide_platform::{
+    advice_call, advice_reply, store_call, store_reply, worker_answer, worker_call, HttpAnswer,
+    HttpCall,
+};
+use std::{io, net::SocketAddr, rc::Rc, thread, time::Duration};
+use tokio::{
+    net::TcpListener,
+    runtime,
+    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    task::{spawn_local, LocalSet},
+};
+
+/// The addresses that a daemon serves and calls.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ports {
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: Option<SocketAddr>,
+    pub(crate) metrics: Option<SocketAddr>,
+    pub(crate) peers: SocketAddr,
+    pub(crate) store: SocketAddr,
+    pub(crate) advice: Option<SocketAddr>,
+}
+
+struct Traffic {
+    ports: Ports,
+    inputs: Sender<Input>,
+    front: Rc<Front>,
+    links: Rc<Links>,
+    pool: Rc<Pool>,
+}
+
+/// Binds all listeners and starts the thread.
+pub(crate) fn spawn(
+    ports: Ports,
+    inputs: Sender<Input>,
+    metrics: PrometheusHandle,
+) -> io::Result<UnboundedSender<Output>> {
+    let (outputs, received) = mpsc::unbounded_channel();
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let bound = runtime.block_on(bind(ports))?;
+    let work = move || {
+        let local = LocalSet::new();
+        local.block_on(&runtime, serve(ports, bound, inputs, metrics, received));
+    };
+    thread::Builder::new().name("traffic".into()).spawn(work)?;
+    Ok(outputs)
+}
+
+struct Bound {
+    served: Vec<(TcpListener, Served)>,
+    peers: TcpListener,
+}
+
+async fn bind(ports: Ports) -> io::Result<Bound> {
+    let mut served = vec![(TcpListener::bind(ports.callers).await?, Served::Clients)];
+    let others = [
+        (ports.readiness, Served::Readiness),
+        (ports.metrics, Served::Metrics),
+    ];
+    for (address, kind) in others {
+        if let Some(address) = address {
+            served.push((TcpListener::bind(address).await?, kind));
+        }
+    }
+    let peers = TcpListener::bind(ports.peers).await?;
+    Ok(Bound { served, peers })
+}
+
+async fn serve(
+    ports: Ports,
+    bound: Bound,
+    inputs: Sender<Input>,
+    metrics: PrometheusHandle,
+    mut outputs: UnboundedReceiver<Output>,
+) {
+    let traffic = Traffic {
+        ports,
+        front: Rc::new(Front::new(inputs.clone(), metrics)),
+        links: Rc::new(Links::new(inputs.clone())),
+        pool: Rc::default(),
+        inputs,
+    };
+    for (listener, served) in bound.served {
+        spawn_local(front::accept(traffic.front.clone(), listener, served));
+    }
+    spawn_local(traffic.links.clone().accept(bound.peers));
+    while let Some(effects) = outputs.recv().await {
+        for effect in effects {
+            traffic.carry_out(effect);
+        }
+    }
+}
+
+impl Traffic {
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Answer(call, answer) => self.front.answer(call, answer),
+            Effect::Store {
+                order,
+                call,
+                limit_ms,
+            } => self.call_store(order, call, limit_ms),
+            Effect::Worker {
+                order,
+                worker,
+                address,
+                token,
+                call,
+                limit_ms,
+            } => {
+                let kind = match &call {
+                    WorkerCall::Start(_) => "start",
+                    WorkerCall::Stop { .. } => "stop",
+                    WorkerCall::Renew { .. } => "look",
+                };
+                let http = worker_call(&call, token, &worker).ok();
+                let to = address.parse().ok();
+                self.call(kind, to, http, limit_ms, move |answer| {
+                    let read = |answer| worker_answer(&call, answer);
+                    Event::Worker(order, answer.map_or(WorkerAnswer::NotSent, read))
+                });
+            }
+            Effect::Advise {
+                order,
+                step,
+                workers,
+                limit_ms,
+            } => {
+                let http = advice_call(&step, &workers).ok();
+                self.call("advise", self.ports.advice, http, limit_ms, move |answer| {
+                    Event::Advice(order, answer.map_or(AdviceReply::Lost, advice_reply))
+                });
+            }
+            Effect::Dial(address) => {
+                spawn_local(self.links.clone().dial(address.to_string()));
+            }
+            Effect::Close(link) => self.links.close(link),
+            Effect::ToMember(link, message) => self.links.send(link, &message),
+            Effect::ToLeader(link, message) => self.links.send(link, &message),
+            Effect::Ready(ready) => self.front.set_ready(ready),
+            // The control thread keeps these.
+            Effect::Log(_) | Effect::Exit => {}
+        }
+    }
+
+    fn call_store(&self, order: OrderId, call: StoreCall, limit_ms: Millis) {
+        let kind = match &call {
+            StoreCall::Write(_) => "store_write",
+            StoreCall::Read { .. } => "store_read",
+            StoreCall::Follow { .. } => "store_follow",
+        };
+        let http = store_call(&call);
+        if let Err(reason) = &http {
+            log::error!("event=store_call_unwritable order={order} reason={reason:?}");
+        }
+        let to = Some(self.ports.store);
+        self.call(kind, to, http.ok(), limit_ms, move |answer| {
+            let reply = answer.map(|answer| store_reply(&call, answer));
+            Event::Store(order, reply.unwrap_or(StoreReply::Refused(0)))
+        });
+    }
+
+    /// Makes a call and sends the event that follows from its answer; a call that can't be made at
+    /// all has none.
+    fn call(
+        &self,
+        kind: &'static str,
+        to: Option<SocketAddr>,
+        http: Option<HttpCall>,
+        limit_ms: Millis,
+        event: impl FnOnce(Option<HttpAnswer>) -> Event + 'static,
+    ) {
+        counter!("pomelotide_calls_total", "kind" => kind).increment(1);
+        let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
+        let limit = Duration::from_millis(limit_ms.0);
+        spawn_local(async move {
+            let answer = match (to, http) {
+                (Some(to), Some(http)) => Some(pool.call(to, &http, limit).await),
+                _ => None,
+            };
+            // The control thread ends only with the process.
+            let _ = inputs.send(Input::Event(event(answer)));
+        });
+    }
+}
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -1,6 +1,6 @@
 //! Reading a settings file and checking it whole.
 
-use crate::{Settings, SettingsBuilder};
+use crate::{CellPart, Settings, SettingsBuilder};
 use pomelotide_core::{DomainName, KeyDigest, Millis};
 use pomelotide_wire::{nearest, IniField, IniSection, IniText, Problem, Problems};
 use std::{fmt::Display, net::SocketAddr, str::FromStr};
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldRule; 8] = [
+const FIELDS: [FieldRule; 15] = [
     FieldRule {
         section: "daemon",
         name: "name",
@@ -74,6 +74,55 @@
         default: Some("127.0.0.1:7000"),
         meaning: "where the platform's table service and host list are",
     },
+    FieldRule {
+        section: "cell",
+        name: "readiness",
+        form: "IP:port",
+        default: Some("not served"),
+        meaning: "where the balancer asks whether new clients are taken; with any field of [cell] the daemon joins a cell",
+    },
+    FieldRule {
+        section: "cell",
+        name: "metrics",
+        form: "IP:port",
+        default: Some("not served"),
+        meaning: "where metrics are served as text",
+    },
+    FieldRule {
+        section: "cell",
+        name: "advice",
+        form: "IP:port",
+        default: Some("no advice"),
+        meaning: "where the advice service is",
+    },
+    FieldRule {
+        section: "cell",
+        name: "cpu_share",
+        form: "a number above 0",
+        default: Some("1.0"),
+        meaning: "the host's processor share in cores; strong hosts lead",
+    },
+    FieldRule {
+        section: "cell",
+        name: "max_lease",
+        form: "span",
+        default: Some("10s"),
+        meaning: "the longest lease that workers grant",
+    },
+    FieldRule {
+        section: "cell",
+        name: "revoke",
+        form: "span",
+        default: Some("5s"),
+        meaning: "how long a withdrawn key may at most be honoured",
+    },
+    FieldRule {
+        section: "cell",
+        name: "retention",
+        form: "span",
+        default: Some("120s"),
+        meaning: "how long an ended job can be asked for",
+    },
 ];
 
 /// Returns the settings reference as a table in Markdown.
@@ -233,9 +282,45 @@
         if let Some(field) = self.find("daemon", "trace") {
             builder = builder.trace(field.value);
         }
+        if let Some(part) = self.cell() {
+            builder = builder.cell(part);
+        }
         Some(builder.build())
     }
 
+    /// Reads the section of a daemon of a cell, where there is one.
+    fn cell(&mut self) -> Option<CellPart> {
+        if !self.ini.sections.iter().any(|found| found.name == "cell") {
+            return None;
+        }
+        let span = |own: &mut Self, name, default: u64| {
+            own.get::<Millis>("cell", name).unwrap_or(Millis(default))
+        };
+        Some(CellPart {
+            readiness: self.address("cell", "readiness"),
+            metrics: self.address("cell", "metrics"),
+            advice: self.address("cell", "advice"),
+            cpu_milli: self.cpu_milli(),
+            max_lease_ms: span(self, "max_lease", 10_000),
+            revoke_ms: span(self, "revoke", 5_000),
+            retention_ms: span(self, "retention", 120_000),
+        })
+    }
+
+    fn cpu_milli(&mut self) -> u64 {
+        const WHOLE_CORE_MILLI: u64 = 1_000;
+        match self.get::<f64>("cell", "cpu_share") {
+            Some(share) if share > 0.0 && share.is_finite() => (share * 1_000.0) as u64,
+            Some(share) => {
+                let line = self.find("cell", "cpu_share").map_or(1, |field| field.line);
+                let text = format!("cpu_share = {share}: expected a number above 0");
+                self.problems.push(Problem::new(line, text));
+                WHOLE_CORE_MILLI
+            }
+            None => WHOLE_CORE_MILLI,
+        }
+    }
+
     fn address(&mut self, section: &str, name: &str) -> Option<SocketAddr> {
         let field = self.find(section, name)?;
         let address: Option<SocketAddr> = field.value.parse().ok();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! carry out effects.
 
 mod callers;
+mod cell;
 mod check;
 pub mod cli;
 mod consts;
@@ -17,9 +18,10 @@
 mod telemetry;
 
 pub use crate::{
+    cell::{run_cell, LogBudget},
     check::{read_settings, settings_reference},
     control::run,
     journal::Journal,
     log_line::log_line,
-    settings::{Settings, SettingsBuilder},
+    settings::{CellPart, Settings, SettingsBuilder},
 };
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use env_logger::fmt::Formatter;
 use log::Record;
 use miette::Report;
-use pomelotide_daemon::{cli, read_settings, run, Settings};
+use pomelotide_daemon::{cli, read_settings, run, run_cell, Settings};
 use pomelotide_wire::FileReport;
 use std::{fs, io::Write, process::ExitCode};
 
@@ -26,7 +26,11 @@
         return ExitCode::SUCCESS;
     }
     start_log(settings.name.clone());
-    match run(settings) {
+    let ended = match &settings.cell {
+        Some(part) => run_cell(&settings, part),
+        None => run(settings),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=failed error={:?}", error.to_string());
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -25,6 +25,27 @@
     pub operator: Option<KeyDigest>,
     /// Where to record all events, for a replay.
     pub trace: Option<String>,
+    /// What a daemon of a cell needs; without it, the failure domain's own protocol is spoken.
+    pub cell: Option<CellPart>,
+}
+
+/// What a daemon of a cell is told beside.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CellPart {
+    /// Where the balancer asks whether new clients are taken.
+    pub readiness: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// Where the advice service is.
+    pub advice: Option<SocketAddr>,
+    /// The host's processor share, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// The longest lease that workers grant.
+    pub max_lease_ms: Millis,
+    /// How long a withdrawn key may at most be honoured.
+    pub revoke_ms: Millis,
+    /// How long an ended job can be asked for.
+    pub retention_ms: Millis,
 }
 
 /// Builds [`Settings`] from defaults.
@@ -44,6 +65,7 @@
             drain_grace_ms: Millis(5_000),
             operator: None,
             trace: None,
+            cell: None,
         })
     }
 
@@ -83,6 +105,12 @@
         self
     }
 
+    /// Makes it a daemon of a cell.
+    pub fn cell(mut self, part: CellPart) -> Self {
+        self.0.cell = Some(part);
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.0
