Bound a pass over waiting work and pace attempts to lead

Cause: after a takeover with 1,495 jobs each of 48 lists caused a pass over all waiting steps, and the control thread stood still for 2 s; daemons without a leader tried to acquire it every 50 ms while the store refused. Still red: takeovers in a row.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -99,3 +99,5 @@
 pub const WORTHLESS_FACTOR: u64 = 3;
 /// Which part of the grace of a planned stop is left over for the last answers' way: an eighth.
 pub const STOP_RESERVE_DIVISOR: u64 = 8;
+/// The least span between two passes over the waiting work: what ends meanwhile is placed together.
+pub const PASS_GAP_MS: Millis = Millis(8);
--- a/core/src/cell/desired.rs
+++ b/core/src/cell/desired.rs
@@ -65,7 +65,7 @@
 pub struct DesiredState {
     /// Its version; versions rise.
     pub version: u64,
-    /// All queues.
+    /// All queues, in the order of their names.
     pub queues: Vec<Queue>,
     /// All teams.
     pub teams: Vec<Team>,
@@ -74,6 +74,12 @@
 }
 
 impl DesiredState {
+    /// Brings the queues into the order that [`DesiredState::queue`] relies on.
+    pub fn sorted(mut self) -> Self {
+        self.queues.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
     /// Finds the queue with the longest prefix that a call's path begins with.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
         let fits = |queue: &&Queue| queue.host == host && path.starts_with(&*queue.path_prefix);
@@ -89,7 +95,8 @@
 
     /// Finds a queue by name.
     pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.name == *name)
+        let at = self.queues.binary_search_by(|queue| queue.name.cmp(name));
+        at.ok().map(|at| &self.queues[at])
     }
 
     /// Finds a team by name.
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -167,11 +167,11 @@
         if busy || ctx.now < self.next_read_at {
             return;
         }
+        self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
         if self.may_acquire(ctx.now) {
             self.acquire(ctx);
             return;
         }
-        self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
         let call = StoreCall::Read {
             table: Table::Leadership,
             part: consts::CELL_PART.into(),
@@ -256,8 +256,12 @@
                 return self.lead(ctx, version, generation)
             }
             (Open::Acquire { .. }, StoreReply::Conflict(rows)) => return self.take_rows(ctx, rows),
+            (Open::Acquire { .. }, StoreReply::Refused(_)) => {}
             (Open::Acquire { nonce, .. }, _) => {
                 ctx.log(Line::warn("lead_unsure").with("nonce", nonce));
+                // The rows tell whether the write took effect.
+                self.read_once = false;
+                self.next_read_at = ctx.now;
             }
             (Open::Renew { sent_at }, StoreReply::Written(version)) => {
                 self.lease = self.lease.max(version);
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -35,6 +35,8 @@
     pub(crate) plan: Option<Vec<WorkerIx>>,
     /// Whether an earlier member could not start, so that all have to end first.
     pub(crate) aborted: bool,
+    /// The estimated work from the step's start to the job's end.
+    pub(crate) path_ms: u64,
 }
 
 /// A job.
@@ -59,8 +61,9 @@
     fn new(ctx: &Ctx, row: JobRow, version: RowVersion) -> Self {
         let age_ms = ctx.unix_ms.saturating_sub(row.accepted_unix_ms).min(MAX_AGE_MS);
         let tasks = |count: u32| vec![Task::default(); count as usize];
-        let steps = row.work.steps.iter().map(|spec| Step {
+        let steps = row.work.steps.iter().enumerate().map(|(at, spec)| Step {
             tasks: tasks(spec.count),
+            path_ms: row.work.path_from_ms(at),
             ..Step::default()
         });
         let steps: Vec<Step> = steps.collect();
@@ -121,7 +124,7 @@
 
     /// Returns by when it should be done, and the span that its queue allows.
     pub(crate) fn objective_ms(&self, queue: &Queue) -> u64 {
-        let path_ms = self.row.work.critical_path_ms();
+        let path_ms = self.steps.iter().map(|step| step.path_ms).max().unwrap_or(0);
         path_ms * queue.slack_permille / 1_000 + queue.target_latency_ms.0
     }
 }
@@ -137,7 +140,9 @@
         let job = Job::new(ctx, row, version);
         let line = Line::info("job_learned").with("job", &id).with("version", version);
         let age_ms = ctx.now.since(job.accepted_at);
-        ctx.log(line.with("age_ms", age_ms.0).with("steps", job.steps.len()));
+        if self.load.is_done() {
+            ctx.log(line.with("age_ms", age_ms.0).with("steps", job.steps.len()));
+        }
         *self.queued.entry(queue).or_default() += 1;
         self.jobs.insert(id.clone(), job);
         if self.load.is_done() {
--- a/core/src/cell/leader/load.rs
+++ b/core/src/cell/leader/load.rs
@@ -173,6 +173,8 @@
     fn after_load(&mut self, ctx: &mut Ctx) {
         let line = Line::info("leader_loaded").with("token", self.token);
         let line = line.with("jobs", self.jobs.len()).with("workers", self.fleet.len());
+        let missing = self.fleet.iter().filter(|(_, worker)| !worker.listed).count();
+        let line = line.with("workers_missing", missing);
         ctx.log(line.with("took_ms", ctx.now.since(self.since).0));
         self.attach_progress(ctx);
         self.look_at_workers(ctx);
@@ -220,7 +222,7 @@
             }
             RowValue::Worker(entry) => self.on_entry(ctx, *entry),
             RowValue::Member(member) => self.on_member(ctx, &row.key.key, member),
-            RowValue::Roster(ids) => self.on_roster_row(ctx, row.version, ids),
+            RowValue::Roster(ids) => self.on_roster_row(row.version, ids),
             RowValue::Gone if table == Table::Workers => self.on_entry_gone(ctx, &row.key.key),
             RowValue::Gone if table == Table::Members => self.members.remove(&row.key.key),
             RowValue::Unusable(reason) => {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -54,6 +54,7 @@
     members: Members,
     orders: BTreeMap<OrderId, OpenOrder>,
     wants_pass: bool,
+    next_pass_at: Millis,
     sweep_at: Millis,
 }
 
@@ -76,6 +77,7 @@
             members: Members::default(),
             orders: BTreeMap::new(),
             wants_pass: false,
+            next_pass_at: ctx.now,
             sweep_at: ctx.now + consts::SWEEP_MS,
         };
         leader.load_tick(ctx);
@@ -140,7 +142,9 @@
             return;
         }
         self.write_roster(ctx);
-        if valid && std::mem::take(&mut self.wants_pass) {
+        if valid && self.wants_pass && ctx.now >= self.next_pass_at {
+            self.wants_pass = false;
+            self.next_pass_at = ctx.now + consts::PASS_GAP_MS;
             self.pass(ctx, state);
         }
         if valid {
--- a/core/src/cell/leader/roster.rs
+++ b/core/src/cell/leader/roster.rs
@@ -38,20 +38,19 @@
 }
 
 impl Leader {
-    pub(crate) fn on_roster_row(&mut self, ctx: &mut Ctx, version: RowVersion, ids: Vec<WorkerId>) {
+    pub(crate) fn on_roster_row(&mut self, version: RowVersion, ids: Vec<WorkerId>) {
         self.roster.version = version;
         self.roster.stored = ids.iter().cloned().collect();
         for id in ids {
             match self.fleet.ix(&id) {
                 Some(ix) => self.fleet.get_mut(ix).on_roster = true,
-                None => self.add_unlisted(ctx, id),
+                None => self.add_unlisted(id),
             }
         }
     }
 
     /// Keeps a worker in mind that an earlier leader used and that is not listed.
-    fn add_unlisted(&mut self, ctx: &mut Ctx, id: WorkerId) {
-        ctx.log(Line::warn("worker_missing").with("worker", &id).with("roster", self.roster.version));
+    fn add_unlisted(&mut self, id: WorkerId) {
         let entry = WorkerEntry {
             id,
             service: "".into(),
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -26,6 +26,8 @@
 const SICK_PENALTY: u32 = 8;
 /// From how many failures in a row on a worker is shunned where others have room.
 const SICK_FAILURES: u32 = 3;
+/// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
+const MOST_TURNS: usize = 150;
 /// The most gangs for which room is kept at a time.
 const KEPT_GANGS: usize = 2;
 
@@ -61,6 +63,8 @@
     /// The room kept on workers for gangs that come first.
     kept: BTreeMap<WorkerIx, Resources>,
     kept_gangs: usize,
+    /// The workers on which work may start, with room left.
+    open: Vec<WorkerIx>,
 }
 
 impl Leader {
@@ -71,11 +75,15 @@
             gate: self.gate(ctx),
             kept: BTreeMap::new(),
             kept_gangs: 0,
+            open: Vec::new(),
         };
         if !pass.gate.new_jobs {
             return;
         }
-        for turn in self.turns(ctx.now, state) {
+        let room = |own: &super::worker::Worker| own.free().cpu_milli > 0;
+        let open = self.fleet.iter().filter(|(_, own)| own.is_usable(ctx.now, CLOCK_AGE_MS) && room(own));
+        pass.open = open.map(|(ix, _)| ix).collect();
+        for turn in self.turns(ctx.now, state).into_iter().take(MOST_TURNS) {
             let Some(job) = self.jobs.get(&turn.key.job) else {
                 continue;
             };
@@ -107,7 +115,7 @@
         let turn = |key: &StepKey| {
             let job = self.jobs.get(&key.job)?;
             let queue = state.queue(&job.row.queue)?;
-            let left_ms = job.row.work.path_from_ms(usize::from(key.step));
+            let left_ms = job.steps[usize::from(key.step)].path_ms;
             let objective_ms = job.objective_ms(queue);
             let due = |factor: u64| {
                 let end = job.accepted_at.0 + objective_ms * factor;
@@ -191,7 +199,7 @@
         now: Millis,
         queue: &Queue,
         key: &StepKey,
-        kept: &BTreeMap<WorkerIx, Resources>,
+        pass: &Pass,
     ) -> Vec<Candidate> {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
@@ -200,18 +208,19 @@
         let (spec, step) = (&job.row.work.steps[at], &job.steps[at]);
         let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
         let mut list = Vec::new();
-        for (ix, own) in self.fleet.iter() {
+        for &ix in &pass.open {
+            let own = self.fleet.get(ix);
             let serves = own.entry.service == queue.service && own.is_usable(now, CLOCK_AGE_MS);
             let allowed = queue.advice.is_none() || step.advice.allows(ix);
             let label = spec.requirement.as_ref();
             if !serves || !allowed || !label.is_none_or(|label| own.has_label(label)) {
                 continue;
             }
-            let free = own.free().minus(kept.get(&ix).copied().unwrap_or_default());
+            let free = own.free().minus(pass.kept.get(&ix).copied().unwrap_or_default());
             if !spec.need.fits(&free) {
                 continue;
             }
-            let here = step.tasks.iter().filter(|task| task.worker == Some(ix)).count() as u32;
+            let here = || step.tasks.iter().filter(|task| task.worker == Some(ix)).count() as u32;
             let far = spec.affinity.as_ref().is_some_and(|rack| own.rack() != Some(rack));
             let count = racks.len() as u32;
             let rack = own.rack().map_or(0, |rack| *racks.entry(rack).or_insert(count + 1));
@@ -220,7 +229,7 @@
             list.push(Candidate {
                 ix,
                 free,
-                left: spec.per_worker.map_or(u32::MAX, |most| most.saturating_sub(here)),
+                left: spec.per_worker.map_or(u32::MAX, |most| most.saturating_sub(here())),
                 penalty: u32::from(far) * FAR_PENALTY + failed + sick,
                 rack,
             });
@@ -252,7 +261,7 @@
         let key = &turn.key;
         let at = usize::from(key.step);
         let now = ctx.now;
-        let mut candidates = self.candidates(now, queue, key, &pass.kept);
+        let mut candidates = self.candidates(now, queue, key, pass);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -345,7 +354,7 @@
             return;
         }
         self.drop_plan(key);
-        let candidates = self.candidates(now, queue, key, &pass.kept);
+        let candidates = self.candidates(now, queue, key, pass);
         let Some(places) = place_gang(&candidates, &need, count, one_rack) else {
             if let Some(cost) = queue.advice {
                 let workers = self.unasked(now, queue, key, true);
