Renew the lease with commits and relay submissions while the store is slow

Cause: at 78 times its usual time a partition takes 4 transactions a second; renewals, commits and nine daemons' submissions queued for each other (429).

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -8,8 +8,8 @@
 pub const LEADER_MARGIN_MS: Millis = Millis(300);
 /// How often a leader renews its lease: a fifth of the lease.
 pub const LEADER_RENEW_MS: Millis = Millis(500);
-/// How long one renewal may take before the next is sent beside it: twice the slowest cross-domain call.
-pub const RENEW_LIMIT_MS: Millis = Millis(900);
+/// How long one renewal may take: an answer that comes later says nothing about the lease any more.
+pub const RENEW_LIMIT_MS: Millis = Millis(1_500);
 /// How often a leader sends heartbeats: two are missed before its silence counts.
 pub const HEARTBEAT_MS: Millis = Millis(400);
 /// After which silence of the leader a daemon reads the store: two missed heartbeats.
@@ -17,12 +17,12 @@
 /// How often a daemon without a leader reads who leads; bounded by the store's rate of reads.
 pub const ELECTION_READ_MS: Millis = Millis(300);
 /// How much longer a host waits to lead for each thousandth of a core that it lacks to a whole one.
-pub const WEAK_HOST_WAIT_US: u64 = 600;
+pub const WEAK_HOST_WAIT_US: u64 = 150;
 
 /// How long a following read waits at the store: bounds the age of the desired state.
 pub const FOLLOW_WAIT_MS: Millis = Millis(1_000);
 /// How long the store may take on top of a wait: 60 times its usual answer and a cross-domain trip.
-pub const STORE_LIMIT_MS: Millis = Millis(1_000);
+pub const STORE_LIMIT_MS: Millis = Millis(1_500);
 /// How soon a failed call to the store is repeated: a tenth of a second keeps well below its rates.
 pub const STORE_RETRY_MS: Millis = Millis(120);
 /// What is taken off the span for which a withdrawn key may be honoured: 2% of drift and a call.
@@ -101,3 +101,10 @@
 pub const STOP_RESERVE_DIVISOR: u64 = 8;
 /// The least span between two passes over the waiting work: what ends meanwhile is placed together.
 pub const PASS_GAP_MS: Millis = Millis(8);
+/// From which time of a write on the store counts as slow: ten times its usual answer.
+pub const SLOW_WRITE_MS: Millis = Millis(150);
+/// How long submissions go through the leader after a slow or refused write, so that one batch
+/// takes the place of one from each daemon: longer than a slow call.
+pub const RELAY_MS: Millis = Millis(2_000);
+/// After which time without an answer the store counts as down: shorter than a slow call's limit.
+pub const STORE_DOWN_MS: Millis = Millis(1_200);
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -15,7 +15,11 @@
 enum Open {
     Register,
     Read,
-    Acquire { nonce: u64, generation: u32 },
+    Acquire {
+        nonce: u64,
+        generation: u32,
+        sent_at: Millis,
+    },
     Renew { sent_at: Millis },
     Resign,
 }
@@ -65,7 +69,8 @@
     RowKey::new(Table::Leadership, consts::CELL_PART, "term")
 }
 
-fn lease_key() -> RowKey {
+/// Returns the row whose version shows that the leader lives.
+pub(crate) fn lease_key() -> RowKey {
     RowKey::new(Table::Leadership, consts::CELL_PART, "lease")
 }
 
@@ -214,6 +219,7 @@
         let open = Open::Acquire {
             nonce: self.nonce,
             generation,
+            sent_at: ctx.now,
         };
         self.call(ctx, open, StoreCall::Write(write), consts::STORE_LIMIT_MS);
     }
@@ -252,8 +258,17 @@
         match (open, reply) {
             (Open::Register, reply) => self.registered = matches!(reply, StoreReply::Written(_)),
             (Open::Read, StoreReply::Rows { rows, .. }) => return self.take_rows(ctx, rows),
-            (Open::Acquire { generation, .. }, StoreReply::Written(version)) => {
-                return self.lead(ctx, version, generation)
+            (
+                Open::Acquire {
+                    generation,
+                    sent_at,
+                    ..
+                },
+                StoreReply::Written(version),
+            ) => {
+                let turn = self.lead(ctx, version, generation);
+                self.on_renewed(sent_at, version);
+                return turn;
             }
             (Open::Acquire { .. }, StoreReply::Conflict(rows)) => return self.take_rows(ctx, rows),
             (Open::Acquire { .. }, StoreReply::Refused(_)) => {}
@@ -264,9 +279,7 @@
                 self.next_read_at = ctx.now;
             }
             (Open::Renew { sent_at }, StoreReply::Written(version)) => {
-                self.lease = self.lease.max(version);
-                let span = consts::LEADER_LEASE_MS.since(consts::LEADER_MARGIN_MS);
-                self.valid_until = self.valid_until.max(sent_at + span);
+                self.on_renewed(sent_at, version);
             }
             (Open::Renew { .. } | Open::Resign, StoreReply::Conflict(_))
             | (Open::Resign, StoreReply::Written(_)) => return self.step_down(ctx),
@@ -275,6 +288,14 @@
         Turn::Stay
     }
 
+    /// Takes a write of the lease row that was sent at `sent_at`.
+    pub(crate) fn on_renewed(&mut self, sent_at: Millis, version: RowVersion) {
+        self.lease = self.lease.max(version);
+        let span = consts::LEADER_LEASE_MS.since(consts::LEADER_MARGIN_MS);
+        self.valid_until = self.valid_until.max(sent_at + span);
+        self.next_renew_at = self.next_renew_at.max(sent_at + consts::LEADER_RENEW_MS);
+    }
+
     fn lead(&mut self, ctx: &mut Ctx, version: RowVersion, generation: u32) -> Turn {
         let token = FencingToken(version.0);
         self.own = Some(token);
@@ -284,8 +305,8 @@
         self.leader_token = token;
         self.resigning = false;
         self.link = None;
-        // The lease is certain only once it has been renewed: the first write's send time is gone.
-        self.valid_until = ctx.now + consts::LEADER_RENEW_MS;
+        // Where the term row was only found to be this daemon's, the lease has yet to be renewed.
+        self.valid_until = ctx.now;
         self.next_renew_at = ctx.now;
         ctx.log(
             Line::warn("lead_taken")
--- a/core/src/cell/leader/commits.rs
+++ b/core/src/cell/leader/commits.rs
@@ -4,8 +4,8 @@
     cell::{
         consts,
         door::progress_key,
-        election::fence,
-        leader::{fleet::WorkerIx, Leader},
+        election::{fence, lease_key},
+        leader::{fleet::WorkerIx, Follow, Leader},
         node::{Ctx, Owner},
         submits::{job_key, part_of},
         FencingToken, Line, OrderId, Progress, Row, RowKey, RowValue, RowVersion, StoreCall,
@@ -15,11 +15,19 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A write on its way: the jobs with the edits that it holds.
+#[derive(Debug)]
+struct Sent {
+    order: OrderId,
+    at: Millis,
+    jobs: Vec<(JobId, u64)>,
+}
+
 /// The progress that has to be written.
 #[derive(Debug, Default)]
 pub(crate) struct Commits {
     dirty: BTreeSet<JobId>,
-    in_flight: Option<(OrderId, Vec<(JobId, u64)>)>,
+    in_flight: Option<Sent>,
     retry_at: Millis,
     /// The workers that wait for a write before their ends may be acknowledged.
     waiting: BTreeSet<WorkerIx>,
@@ -29,7 +37,7 @@
 
 impl Commits {
     pub(crate) fn holds(&self, order: OrderId) -> bool {
-        self.in_flight.as_ref().is_some_and(|(open, _)| *open == order)
+        self.in_flight.as_ref().is_some_and(|sent| sent.order == order)
     }
 
     pub(crate) fn mark(&mut self, job: &JobId) {
@@ -87,9 +95,11 @@
             return;
         }
         let ids: Vec<JobId> = commits.dirty.iter().take(consts::BATCH_ROWS).cloned().collect();
+        // The write shows that the leader lives: it renews the lease as well.
         let mut write = Write {
             expect: vec![fence(self.token)],
-            ..Write::default()
+            put: vec![(lease_key(), RowValue::Lease)],
+            remove: Vec::new(),
         };
         let mut batch = Vec::with_capacity(ids.len());
         for id in ids {
@@ -103,24 +113,30 @@
         }
         let call = StoreCall::Write(write);
         let order = ctx.store(Owner::Leader, call, consts::STORE_LIMIT_MS);
-        self.commits.in_flight = Some((order, batch));
+        self.commits.in_flight = Some(Sent {
+            order,
+            at: ctx.now,
+            jobs: batch,
+        });
     }
 
-    /// Handles the answer to a write of progress; says whether another daemon leads by now.
-    pub(crate) fn on_commit(&mut self, ctx: &mut Ctx, _: OrderId, reply: StoreReply) -> bool {
-        let Some((_, batch)) = self.commits.in_flight.take() else {
-            return false;
+    /// Handles the answer to a write of progress.
+    pub(crate) fn on_commit(&mut self, ctx: &mut Ctx, reply: StoreReply) -> Follow {
+        let Some(sent) = self.commits.in_flight.take() else {
+            return Follow::Nothing;
         };
+        let (sent_at, batch) = (sent.at, sent.jobs);
         match reply {
             StoreReply::Written(version) => {
                 for (id, edits) in batch {
                     self.on_stored(ctx, &id, edits, version);
                 }
                 self.acknowledge(ctx);
+                return Follow::Renewed { sent_at, version };
             }
             StoreReply::Conflict(rows) => {
                 if !self.is_leader_row(&rows) {
-                    return true;
+                    return Follow::Deposed;
                 }
                 // An earlier write without an answer took effect.
                 for (id, _) in &batch {
@@ -139,7 +155,7 @@
                 self.commits.dirty.extend(batch.into_iter().map(|(id, _)| id));
             }
         }
-        false
+        Follow::Nothing
     }
 
     /// Lets workers forget the ends that are on record by now.
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -22,8 +22,8 @@
             members::Members, orders::OpenOrder, roster::Roster,
         },
         node::Ctx,
-        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, StepKey, StoreReply,
-        ToLeader,
+        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, RowVersion, StepKey,
+        StoreReply, ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
@@ -32,6 +32,17 @@
     rc::Rc,
 };
 
+/// What follows from an answer of the store for the lead itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Follow {
+    /// Nothing.
+    Nothing,
+    /// The lease was renewed by a write that was sent at this time.
+    Renewed { sent_at: Millis, version: RowVersion },
+    /// Another daemon leads by now.
+    Deposed,
+}
+
 /// The state of a daemon that leads its cell.
 #[derive(Debug)]
 pub struct Leader {
@@ -112,16 +123,16 @@
         self.wants_pass |= !self.ready.is_empty();
     }
 
-    /// Handles an answer of the store; says whether another daemon leads by now.
-    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) -> bool {
+    /// Handles an answer of the store.
+    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) -> Follow {
         if self.commits.holds(order) {
-            return self.on_commit(ctx, order, reply);
+            return self.on_commit(ctx, reply);
         }
         if self.roster.holds(order) {
             return self.on_roster(ctx, reply);
         }
         self.on_load(ctx, order, reply);
-        false
+        Follow::Nothing
     }
 
     pub(crate) fn on_message(&mut self, ctx: &mut Ctx, link: LinkId, message: ToLeader) {
--- a/core/src/cell/leader/roster.rs
+++ b/core/src/cell/leader/roster.rs
@@ -5,7 +5,7 @@
     cell::{
         consts,
         election::fence,
-        leader::{worker::Worker, Leader},
+        leader::{worker::Worker, Follow, Leader},
         node::{Ctx, Owner},
         Line, OrderId, RowKey, RowValue, RowVersion, StoreCall, StoreReply, Table, WorkerEntry,
         Write,
@@ -91,9 +91,9 @@
         self.roster.in_flight = Some((order, ids));
     }
 
-    pub(crate) fn on_roster(&mut self, ctx: &mut Ctx, reply: StoreReply) -> bool {
+    pub(crate) fn on_roster(&mut self, ctx: &mut Ctx, reply: StoreReply) -> Follow {
         let Some((_, ids)) = self.roster.in_flight.take() else {
-            return false;
+            return Follow::Nothing;
         };
         match reply {
             StoreReply::Written(version) => {
@@ -108,13 +108,13 @@
             }
             StoreReply::Conflict(rows) => {
                 if !self.is_leader_row(&rows) {
-                    return true;
+                    return Follow::Deposed;
                 }
                 let own = rows.into_iter().find(|row| row.key == roster_key());
                 self.roster.version = own.map_or(RowVersion(0), |row| row.version);
             }
             _ => self.roster.retry_at = ctx.now + consts::STORE_RETRY_MS,
         }
-        false
+        Follow::Nothing
     }
 }
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -5,7 +5,7 @@
         consts,
         door::Door,
         election::{Election, Turn},
-        leader::Leader,
+        leader::{Follow, Leader},
         submits::Submits,
         CellSettings, ConfigFeed, Effect, Event, FencingToken, Line, LinkId, OrderId, StoreCall,
         StoreReply, ToLeader, ToMember,
@@ -41,6 +41,7 @@
     pub(crate) outbox: Vec<ToMember>,
     store_ok_at: Millis,
     store_failures: u32,
+    store_down: bool,
 }
 
 impl Ctx {
@@ -80,29 +81,41 @@
 
     /// Says whether the store has not answered lately.
     pub(crate) fn store_is_down(&self) -> bool {
-        self.store_failures >= 2 && self.now.since(self.store_ok_at) > consts::STORE_LIMIT_MS
+        self.store_failures >= 2 && self.now.since(self.store_ok_at) > consts::STORE_DOWN_MS
     }
 
     fn note_store(&mut self, reply: &StoreReply) {
-        let was_down = self.store_failures >= 2;
         match reply {
             StoreReply::Refused(_) | StoreReply::Lost => self.store_failures += 1,
             _ => {
-                let away_ms = self.now.since(self.store_ok_at);
                 self.store_failures = 0;
                 self.store_ok_at = self.now;
-                if was_down {
-                    self.log(Line::warn("store_regained").with("away_ms", away_ms.0));
-                }
             }
         }
-        if self.store_failures == 2 && !was_down {
-            let line = Line::warn("store_lost").with("ok_age_ms", self.now.since(self.store_ok_at).0);
-            self.log(line.with("reply", format_args!("{reply:?}")));
+        let down = self.store_is_down();
+        if down != self.store_down {
+            self.store_down = down;
+            let ok_age_ms = self.now.since(self.store_ok_at).0;
+            let line = match down {
+                true => Line::warn("store_lost").with("ok_age_ms", ok_age_ms),
+                false => Line::warn("store_regained"),
+            };
+            self.log(line.with("reply", reply_word(reply)));
         }
     }
 }
 
+const fn reply_word(reply: &StoreReply) -> &'static str {
+    match reply {
+        StoreReply::Written(_) => "written",
+        StoreReply::Conflict(_) => "conflict",
+        StoreReply::Rows { .. } => "rows",
+        StoreReply::HistoryLost => "history_lost",
+        StoreReply::Refused(_) => "refused",
+        StoreReply::Lost => "lost",
+    }
+}
+
 /// One daemon of a cell.
 #[derive(Debug)]
 pub struct Node {
@@ -140,6 +153,7 @@
                 outbox: Vec::new(),
                 store_ok_at: now,
                 store_failures: 0,
+                store_down: false,
             },
         }
     }
@@ -240,8 +254,13 @@
             Owner::Door => self.door.on_store(ctx, order, reply),
             Owner::Submits => self.submits.on_store(ctx, &mut self.door, order, reply),
             Owner::Leader => {
-                if let Some(leader) = &mut self.leader {
-                    if leader.on_store(ctx, order, reply) {
+                let Some(leader) = &mut self.leader else {
+                    return;
+                };
+                match leader.on_store(ctx, order, reply) {
+                    Follow::Nothing => {}
+                    Follow::Renewed { sent_at, version } => self.election.on_renewed(sent_at, version),
+                    Follow::Deposed => {
                         self.election.step_down(ctx);
                         self.stop_leading();
                     }
--- a/core/src/cell/submits.rs
+++ b/core/src/cell/submits.rs
@@ -35,6 +35,7 @@
 struct Part {
     waiting: BTreeMap<JobId, Pending>,
     in_flight: Option<(OrderId, Vec<Pending>)>,
+    sent_at: Millis,
     retry_at: Millis,
 }
 
@@ -45,6 +46,8 @@
     /// The connection to the leader, where another daemon leads.
     pub(crate) leader: Option<LinkId>,
     last_ask: u64,
+    /// Until when submissions go through the leader, since the store is slow for this daemon.
+    relay_until: Millis,
 }
 
 /// What becomes of a pending submission.
@@ -90,13 +93,17 @@
             pending.waiters.push(waiter);
             return;
         }
-        let pending = Pending {
+        let mut pending = Pending {
             waiters: vec![waiter],
             since: ctx.now,
             unknown: false,
             relayed: None,
             job,
         };
+        if ctx.now < self.relay_until {
+            self.relay(ctx, &mut pending);
+        }
+        let part = self.parts.entry(number).or_default();
         part.waiting.insert(pending.job.id.clone(), pending);
         self.flush(ctx, number);
     }
@@ -126,6 +133,7 @@
         let call = StoreCall::Write(write);
         let order = ctx.store(Owner::Submits, call, consts::STORE_LIMIT_MS);
         part.in_flight = Some((order, batch));
+        part.sent_at = ctx.now;
     }
 
     pub(crate) fn on_store(
@@ -141,6 +149,11 @@
             .iter_mut()
             .find_map(|(number, part)| Some((*number, part.in_flight.take_if(sent)?.1)));
         let Some((number, batch)) = found else { return };
+        let sent_at = self.parts.get(&number).map_or(ctx.now, |part| part.sent_at);
+        let refused = matches!(reply, StoreReply::Refused(_) | StoreReply::Lost);
+        if refused || ctx.now.since(sent_at) >= consts::SLOW_WRITE_MS {
+            self.relay_until = ctx.now + consts::RELAY_MS;
+        }
         for pending in batch {
             let verdict = verdict_of(&pending, &reply);
             self.settle(ctx, door, number, pending, verdict);
