Place only in room that is left and hand the lead over when the store is lost

Cause: under a backlog each pass looked at every step and worker, and waiting steps kept renewing tickets for room that earlier steps took.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -12,6 +12,8 @@
 pub const RENEW_LIMIT_MS: Millis = Millis(1_500);
 /// How often a leader sends heartbeats: two are missed before its silence counts.
 pub const HEARTBEAT_MS: Millis = Millis(400);
+/// How soon after a heartbeat the next is sent where the lease was renewed meanwhile.
+pub const EARLY_BEAT_MS: Millis = Millis(250);
 /// After which silence of the leader a daemon reads the store: two missed heartbeats.
 pub const LEADER_SILENCE_MS: Millis = Millis(1_000);
 /// How often a daemon without a leader reads who leads; bounded by the store's rate of reads.
--- a/core/src/cell/door.rs
+++ b/core/src/cell/door.rs
@@ -329,9 +329,14 @@
                     config.confirm(version, at);
                 }
                 if let Some(link) = self.leader.filter(|link| *link != OWN_LINK) {
-                    send(ctx, link, ToLeader::Ping { sent_ms: ctx.now });
+                    let ping = ToLeader::Ping {
+                        sent_ms: ctx.now,
+                        store_ok: !ctx.store_is_down(),
+                    };
+                    send(ctx, link, ping);
                 }
             }
+            ToMember::Resigned { .. } => {}
             ToMember::Config(state) => config.adopt(*state, ctx, "leader"),
             ToMember::State { ask, view } => self.on_state(ctx, ask, view),
             ToMember::Submitted { ask, view } => submits.on_relayed(ctx, self, ask, view),
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -62,6 +62,8 @@
     pub(crate) leader_token: FencingToken,
     pub(crate) heard_at: Option<Millis>,
     resigning: bool,
+    /// The token of a leader that has said that it leads no more.
+    resigned: FencingToken,
     nonce: u64,
 }
 
@@ -104,6 +106,7 @@
             leader_token: FencingToken(0),
             heard_at: None,
             resigning: false,
+            resigned: FencingToken(0),
             nonce,
         }
     }
@@ -188,7 +191,7 @@
 
     fn may_acquire(&self, now: Millis) -> bool {
         let waited = now.since(self.lease_seen_at);
-        let free = self.term_row.holder.is_none();
+        let free = self.term_row.holder.is_none() || self.resigned.0 == self.term.0;
         let needed = if free {
             self.weak_wait_ms
         } else {
@@ -383,6 +386,12 @@
         true
     }
 
+    /// Takes a leader's word that it leads no more.
+    pub(crate) fn on_resigned(&mut self, now: Millis, token: FencingToken) {
+        self.resigned = self.resigned.max(token);
+        self.next_read_at = now;
+    }
+
     pub(crate) fn on_link_down(&mut self, link: LinkId) {
         if self.link == Some(link) {
             self.link = None;
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -194,15 +194,21 @@
 
     /// Brings the steps that may start up to date.
     pub(crate) fn refresh_job(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get(id) else { return };
-        for at in 0..job.steps.len() {
+        let count = self.jobs.get(id).map_or(0, |job| job.steps.len());
+        for at in 0..count {
+            let Some(job) = self.jobs.get(id) else { return };
             let key = StepKey {
                 job: id.clone(),
                 occurrence: 0,
                 step: at as u16,
             };
             if job.is_ready(at) {
-                self.wants_pass |= self.ready.insert(key);
+                self.wants_pass |= self.ready.insert(key.clone());
+                let asked = |advice: &StepAdvice| !advice.verdicts.is_empty() || advice.asking.is_some();
+                let asked = asked(&job.steps[at].advice);
+                if let (Some(state), false) = (self.state.clone(), asked) {
+                    self.ask_first(self.now, &state, &key);
+                }
             } else {
                 self.ready.remove(&key);
             }
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -3,7 +3,7 @@
 use crate::{
     cell::{
         consts, election::Election, leader::Leader, node::Ctx, node::OWN_LINK, ConfigFeed, Effect,
-        Line, LinkId, MemberRow, ToMember,
+        Line, LinkId, MemberRow, RowVersion, ToMember,
     },
     Millis, QueueName,
 };
@@ -21,6 +21,7 @@
     next_dial_at: Millis,
     failures: u32,
     heard_at: Millis,
+    store_ok: bool,
     /// Pings by the member's clock with the time at which they came.
     pings: Vec<(Millis, Millis)>,
 }
@@ -30,6 +31,8 @@
 pub(crate) struct Members {
     by_host: BTreeMap<CompactString, Member>,
     next_beat_at: Millis,
+    beat_lease: RowVersion,
+    beat_at: Millis,
 }
 
 impl Members {
@@ -37,15 +40,22 @@
         self.by_host.values().filter_map(|own| own.link).collect()
     }
 
+    /// Says whether a connected daemon reaches the store.
+    pub(crate) fn has_sound(&self) -> bool {
+        let mut members = self.by_host.values();
+        members.any(|own| own.link.is_some() && own.store_ok)
+    }
+
     pub(crate) fn remove(&mut self, host: &str) {
         self.by_host.remove(host);
     }
 
-    pub(crate) fn on_ping(&mut self, now: Millis, link: LinkId, sent_ms: Millis) {
+    pub(crate) fn on_ping(&mut self, now: Millis, link: LinkId, sent_ms: Millis, store_ok: bool) {
         let mut members = self.by_host.values_mut();
         if let Some(member) = members.find(|own| own.link == Some(link)) {
             member.pings.push((sent_ms, now));
             member.heard_at = now;
+            member.store_ok = store_ok;
         }
     }
 }
@@ -131,10 +141,15 @@
                 ctx.push(Effect::Dial(member.address.clone()));
             }
         }
-        if ctx.now < self.members.next_beat_at || !election.is_valid(ctx.now) {
+        // A new lease is passed on early, so that the others count from its latest renewal.
+        let news = election.lease() > self.members.beat_lease;
+        let early = news && now.since(self.members.beat_at) >= consts::EARLY_BEAT_MS;
+        if now < self.members.next_beat_at && !early || !election.is_valid(now) {
             return;
         }
-        self.members.next_beat_at = ctx.now + consts::HEARTBEAT_MS;
+        self.members.beat_lease = election.lease();
+        self.members.beat_at = now;
+        self.members.next_beat_at = now + consts::HEARTBEAT_MS;
         let queued: Vec<(QueueName, u64)> = self.waiting_counts();
         let closed = self.closed_queues(ctx);
         let beat = |confirmed_ms| ToMember::Heartbeat {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -49,6 +49,8 @@
     token: FencingToken,
     generation: u32,
     since: Millis,
+    /// The time of the event at hand.
+    now: Millis,
     state: Option<Rc<DesiredState>>,
     load: Load,
     jobs: BTreeMap<JobId, Job>,
@@ -75,6 +77,7 @@
             token,
             generation,
             since: ctx.now,
+            now: ctx.now,
             state: None,
             load: Load::default(),
             jobs: BTreeMap::new(),
@@ -100,6 +103,11 @@
         self.token
     }
 
+    /// Says whether another daemon reaches the store.
+    pub(crate) fn has_sound_member(&self) -> bool {
+        self.members.has_sound()
+    }
+
     /// Returns the connections to the other daemons.
     pub(crate) fn links(&self) -> Vec<LinkId> {
         self.members.links()
@@ -141,13 +149,16 @@
             ToLeader::State { ask, job, team } => self.tell_state(ctx, link, ask, &job, team),
             ToLeader::Cancel { ask, job, team } => self.cancel(ctx, link, ask, &job, team),
             ToLeader::Advice { ask, reply } => self.on_advice(ctx, ask, reply),
-            ToLeader::Ping { sent_ms } => self.members.on_ping(ctx.now, link, sent_ms),
+            ToLeader::Ping { sent_ms, store_ok } => {
+                self.members.on_ping(ctx.now, link, sent_ms, store_ok);
+            }
             ToLeader::Submit { .. } | ToLeader::Behind => {}
         }
     }
 
     /// Acts on what has changed: places work, asks for advice, writes progress.
     pub(crate) fn settle(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>, valid: bool) {
+        self.now = ctx.now;
         self.state = Some(state.clone());
         if !self.load.is_done() {
             return;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -63,8 +63,33 @@
     /// The room kept on workers for gangs that come first.
     kept: BTreeMap<WorkerIx, Resources>,
     kept_gangs: usize,
-    /// The workers on which work may start, with room left.
-    open: Vec<WorkerIx>,
+    /// The workers on which work may start, with the room that is left for what comes next.
+    open: Vec<(WorkerIx, Resources)>,
+    /// The most of each resource that one of them has left.
+    most: Resources,
+}
+
+impl Pass {
+    /// Takes room that a step will use, so that later steps do not count on it.
+    fn take(&mut self, ix: WorkerIx, need: &Resources) {
+        if let Ok(at) = self.open.binary_search_by_key(&ix, |(own, _)| *own) {
+            self.open[at].1 = self.open[at].1.minus(*need);
+        }
+        self.note_most();
+    }
+
+    /// Gives room back that was kept for a step.
+    fn give(&mut self, ix: WorkerIx, need: &Resources) {
+        if let Ok(at) = self.open.binary_search_by_key(&ix, |(own, _)| *own) {
+            self.open[at].1 = self.open[at].1.plus(*need);
+            self.most = self.most.max(self.open[at].1);
+        }
+    }
+
+    fn note_most(&mut self) {
+        let rooms = self.open.iter().map(|(_, room)| *room);
+        self.most = rooms.fold(Resources::default(), Resources::max);
+    }
 }
 
 impl Leader {
@@ -76,14 +101,17 @@
             kept: BTreeMap::new(),
             kept_gangs: 0,
             open: Vec::new(),
+            most: Resources::default(),
         };
         if !pass.gate.new_jobs {
             return;
         }
-        let room = |own: &super::worker::Worker| own.free().cpu_milli > 0;
-        let open = self.fleet.iter().filter(|(_, own)| own.is_usable(ctx.now, CLOCK_AGE_MS) && room(own));
-        pass.open = open.map(|(ix, _)| ix).collect();
-        for turn in self.turns(ctx.now, state).into_iter().take(MOST_TURNS) {
+        let workers = self.fleet.iter();
+        let open = workers.filter(|(_, own)| own.is_usable(ctx.now, CLOCK_AGE_MS));
+        pass.open = open.map(|(ix, own)| (ix, own.free())).collect();
+        pass.note_most();
+        let mut looked_at = 0;
+        for turn in self.turns(ctx.now, state) {
             let Some(job) = self.jobs.get(&turn.key.job) else {
                 continue;
             };
@@ -91,8 +119,15 @@
             let Some(queue) = state.queue(&job.row.queue) else {
                 continue;
             };
-            if open {
-                self.place_step(ctx, state, queue, &turn, &mut pass);
+            let need = job.row.work.steps[usize::from(turn.key.step)].need;
+            let planned = job.steps[usize::from(turn.key.step)].plan.is_some();
+            if !open || !(planned || need.fits(&pass.most)) {
+                continue;
+            }
+            self.place_step(ctx, state, queue, &turn, &mut pass);
+            looked_at += 1;
+            if looked_at == MOST_TURNS {
+                break;
             }
         }
     }
@@ -152,12 +187,12 @@
             return;
         };
         let gang = job.row.work.steps[at].gang;
-        if let Some(cost) = queue.advice {
-            let advice = &job.steps[at].advice;
-            if advice.verdicts.is_empty() {
-                let workers = self.unasked(ctx.now, queue, key, gang);
-                return self.ask_advice(ctx.now, key, workers, turn.latest_start_ms, cost);
+        let advice = &job.steps[at].advice;
+        if queue.advice.is_some() && advice.verdicts.is_empty() {
+            if advice.asking.is_none() && ctx.now >= advice.retry_at {
+                self.ask_first(ctx.now, state, key);
             }
+            return;
         }
         if gang {
             self.place_whole(ctx, state, queue, turn, pass);
@@ -166,6 +201,22 @@
         }
     }
 
+    /// Asks for advice on a step for the first time, as soon as its turn has come.
+    pub(crate) fn ask_first(&mut self, now: Millis, state: &DesiredState, key: &StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let at = usize::from(key.step);
+        let queue = state.queue(&job.row.queue);
+        let Some((queue, cost)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
+            return;
+        };
+        let due_ms = job.accepted_at.0 + job.objective_ms(queue);
+        let rank = due_ms.saturating_sub(job.steps[at].path_ms);
+        let workers = self.unasked(now, queue, key, job.row.work.steps[at].gang);
+        self.ask_advice(now, key, workers, rank, cost);
+    }
+
     /// Returns the workers to ask for advice about, those with most room first.
     fn unasked(&self, now: Millis, queue: &Queue, key: &StepKey, gang: bool) -> Vec<WorkerIx> {
         let Some(job) = self.jobs.get(&key.job) else {
@@ -196,7 +247,6 @@
     /// Returns the workers that may run a step, with their free room less what is kept on them.
     fn candidates(
         &self,
-        now: Millis,
         queue: &Queue,
         key: &StepKey,
         pass: &Pass,
@@ -208,27 +258,24 @@
         let (spec, step) = (&job.row.work.steps[at], &job.steps[at]);
         let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
         let mut list = Vec::new();
-        for &ix in &pass.open {
+        for &(ix, room) in pass.open.iter().filter(|(_, room)| spec.need.fits(room)) {
             let own = self.fleet.get(ix);
-            let serves = own.entry.service == queue.service && own.is_usable(now, CLOCK_AGE_MS);
+            let serves = own.entry.service == queue.service;
             let allowed = queue.advice.is_none() || step.advice.allows(ix);
             let label = spec.requirement.as_ref();
             if !serves || !allowed || !label.is_none_or(|label| own.has_label(label)) {
                 continue;
             }
-            let free = own.free().minus(pass.kept.get(&ix).copied().unwrap_or_default());
-            if !spec.need.fits(&free) {
-                continue;
-            }
             let here = || step.tasks.iter().filter(|task| task.worker == Some(ix)).count() as u32;
             let far = spec.affinity.as_ref().is_some_and(|rack| own.rack() != Some(rack));
             let count = racks.len() as u32;
-            let rack = own.rack().map_or(0, |rack| *racks.entry(rack).or_insert(count + 1));
+            let named = own.rack().filter(|_| spec.same_rack);
+            let rack = named.map_or(0, |rack| *racks.entry(rack).or_insert(count + 1));
             let failed = u32::from(step.failed_on.contains(&ix)) * FAILED_PENALTY;
             let sick = u32::from(own.failures >= SICK_FAILURES) * SICK_PENALTY;
             list.push(Candidate {
                 ix,
-                free,
+                free: room,
                 left: spec.per_worker.map_or(u32::MAX, |most| most.saturating_sub(here())),
                 penalty: u32::from(far) * FAR_PENALTY + failed + sick,
                 rack,
@@ -261,14 +308,14 @@
         let key = &turn.key;
         let at = usize::from(key.step);
         let now = ctx.now;
-        let mut candidates = self.candidates(now, queue, key, pass);
+        let mut candidates = self.candidates(queue, key, pass);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
         let need = job.row.work.steps[at].need;
         let room = self.team_room(state, job.row.team.as_ref(), &need);
         let advice = &job.steps[at].advice;
-        let (mut ready, stale): (Vec<Candidate>, Vec<Candidate>) = candidates
+        let (mut ready, mut stale): (Vec<Candidate>, Vec<Candidate>) = candidates
             .drain(..)
             .partition(|own| queue.advice.is_none() || advice.ticket(own.ix, now).is_some());
         let tasks = job.steps[at].tasks.iter().enumerate();
@@ -276,18 +323,24 @@
             task.worker.is_none() && !job.is_done(at, *index as u32)
         });
         let waiting: Vec<u32> = waiting.map(|(index, _)| index as u32).collect();
+        let mut renewed = Vec::new();
         let mut left = 0;
         for index in waiting.into_iter().take(usize::try_from(room).unwrap_or(usize::MAX)) {
-            let Some(place) = best_fit(&ready, &need) else {
+            if let Some(place) = best_fit(&ready, &need) {
+                ready[place].take(&need);
+                pass.take(ready[place].ix, &need);
+                self.start_one(ctx, queue, key, index, ready[place].ix);
+            } else if let Some(place) = best_fit(&stale, &need) {
+                stale[place].take(&need);
+                pass.take(stale[place].ix, &need);
+                renewed.push(stale[place].ix);
+            } else {
                 left += 1;
-                continue;
-            };
-            ready[place].take(&need);
-            self.start_one(ctx, queue, key, index, ready[place].ix);
+            }
         }
         self.refresh_job(&key.job);
-        if let (Some(cost), true) = (queue.advice, left > 0) {
-            self.ask_more(now, queue, turn, stale, cost);
+        if let (Some(cost), true) = (queue.advice, left > 0 || !renewed.is_empty()) {
+            self.ask_more(now, queue, turn, renewed, cost);
         }
     }
 
@@ -297,14 +350,21 @@
         now: Millis,
         queue: &Queue,
         turn: &Turn,
-        stale: Vec<Candidate>,
+        mut workers: Vec<WorkerIx>,
         cost: AdviceCost,
     ) {
-        let mut workers: Vec<WorkerIx> = stale.iter().map(|own| own.ix).collect();
-        workers.truncate(consts::ADVICE_SINGLES);
+        let advice = |leader: &Self| {
+            let job = leader.jobs.get(&turn.key.job)?;
+            Some(job.steps[usize::from(turn.key.step)].advice.asking.is_some())
+        };
+        if advice(self).unwrap_or(true) {
+            return;
+        }
+        workers.sort_unstable();
+        workers.dedup();
         if workers.is_empty() {
             workers = self.unasked(now, queue, &turn.key, false);
-            workers.retain(|ix| !self.fleet.get(*ix).free().fits(&Resources::default()));
+            workers.retain(|ix| self.fleet.get(*ix).free().cpu_milli > 0);
         }
         self.ask_advice(now, &turn.key, workers, turn.latest_start_ms, cost);
     }
@@ -353,8 +413,10 @@
         if job.steps[at].advice.asking.is_some() {
             return;
         }
-        self.drop_plan(key);
-        let candidates = self.candidates(now, queue, key, pass);
+        for ix in self.drop_plan(key) {
+            pass.give(ix, &need);
+        }
+        let candidates = self.candidates(queue, key, pass);
         let Some(places) = place_gang(&candidates, &need, count, one_rack) else {
             if let Some(cost) = queue.advice {
                 let workers = self.unasked(now, queue, key, true);
@@ -365,6 +427,9 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
+        for ix in &places {
+            pass.take(*ix, &need);
+        }
         let advice = &job.steps[at].advice;
         let mut stale = places.clone();
         stale.retain(|ix| queue.advice.is_some() && advice.ticket(*ix, now).is_none());
@@ -413,16 +478,19 @@
         }
     }
 
-    fn drop_plan(&mut self, key: &StepKey) {
+    /// Gives the room of a plan back and returns where it was.
+    fn drop_plan(&mut self, key: &StepKey) -> Vec<WorkerIx> {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
+            return Vec::new();
         };
         let need = job.row.work.steps[at].need;
-        for ix in job.steps[at].plan.take().unwrap_or_default() {
+        let places = job.steps[at].plan.take().unwrap_or_default();
+        for &ix in &places {
             let worker = self.fleet.get_mut(ix);
             worker.reserved = worker.reserved.minus(need);
         }
+        places
     }
 
     /// Drops all plans of a job that has ended.
@@ -474,6 +542,9 @@
         if missing == 0 {
             pass.kept.extend(kept);
             pass.kept_gangs += 1;
+            let kept = &pass.kept;
+            pass.open.retain(|(ix, _)| !kept.contains_key(ix));
+            pass.note_most();
         }
     }
 }
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -78,6 +78,8 @@
     Ping {
         /// The time on the sender's clock.
         sent_ms: Millis,
+        /// Whether the store answers the sender.
+        store_ok: bool,
     },
 }
 
@@ -101,6 +103,11 @@
         /// Jobs of these queues can't be served in time at present; come back after the span.
         closed: Vec<(QueueName, Millis)>,
     },
+    /// Says that the sender leads no more, since it does not reach the store: another may lead now.
+    Resigned {
+        /// The token under which it led.
+        token: FencingToken,
+    },
     /// Passes on a desired state.
     Config(Box<DesiredState>),
     /// Answers [`ToLeader::State`].
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -240,7 +240,23 @@
         self.door.tick(ctx);
         if let Some(leader) = &mut self.leader {
             leader.tick(ctx, &self.config, &self.election);
+            if ctx.store_is_down() && leader.has_sound_member() {
+                self.hand_over();
+            }
+        }
+    }
+
+    /// Leaves the lead to a daemon that reaches the store.
+    fn hand_over(&mut self) {
+        let ctx = &mut self.ctx;
+        let Some(leader) = &self.leader else { return };
+        let token = leader.token();
+        ctx.log(Line::warn("lead_handed_over").with("token", token));
+        for link in leader.links() {
+            ctx.push(Effect::ToMember(link, ToMember::Resigned { token }));
         }
+        self.election.step_down(ctx);
+        self.stop_leading();
     }
 
     fn on_store(&mut self, order: OrderId, reply: StoreReply) {
@@ -319,7 +335,11 @@
             }
         }
         let known = Some(link) == self.election.link;
-        if known {
+        if let (ToMember::Resigned { token }, true) = (&message, known) {
+            self.ctx.log(Line::info("leader_resigned").with("token", token));
+            self.election.on_resigned(self.ctx.now, *token);
+            self.election.on_link_down(link);
+        } else if known {
             self.door
                 .on_message(&mut self.ctx, &mut self.config, &mut self.submits, message);
         }
