Keep waiting steps in order, look quickly after lost orders, take the lead back after a restart

Cause: each pass looked up and sorted all waiting steps; a lost first packet made a start unsure and a long look hid for 2 s what became of it, so a gang's member ended alone; a killed leader's own host waited out its own lease.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -97,8 +97,6 @@
 pub const SWEEP_MS: Millis = Millis(5_000);
 /// The step between the run numbers of two leaders: more than one leader's starts of a task.
 pub const RUNS_A_LEADER: u32 = 100;
-/// How many times its objective after which a job's end is worth nothing to its caller.
-pub const WORTHLESS_FACTOR: u64 = 3;
 /// Which part of the grace of a planned stop is left over for the last answers' way: an eighth.
 pub const STOP_RESERVE_DIVISOR: u64 = 8;
 /// The least span between two passes over the waiting work: what ends meanwhile is placed together.
@@ -110,3 +108,6 @@
 pub const RELAY_MS: Millis = Millis(2_000);
 /// After which time without an answer the store counts as down: shorter than a slow call's limit.
 pub const STORE_DOWN_MS: Millis = Millis(1_200);
+/// How much later than a leader another daemon must have reached the store for the leader to hand
+/// over: longer than a following read waits.
+pub const HAND_OVER_MS: Millis = Millis(1_200);
--- a/core/src/cell/door.rs
+++ b/core/src/cell/door.rs
@@ -331,7 +331,7 @@
                 if let Some(link) = self.leader.filter(|link| *link != OWN_LINK) {
                     let ping = ToLeader::Ping {
                         sent_ms: ctx.now,
-                        store_ok: !ctx.store_is_down(),
+                        store_age_ms: ctx.store_age_ms(),
                     };
                     send(ctx, link, ping);
                 }
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -64,6 +64,8 @@
     resigning: bool,
     /// The token of a leader that has said that it leads no more.
     resigned: FencingToken,
+    /// The first and the latest number of this process's attempts to lead.
+    first_nonce: u64,
     nonce: u64,
 }
 
@@ -107,6 +109,7 @@
             heard_at: None,
             resigning: false,
             resigned: FencingToken(0),
+            first_nonce: nonce,
             nonce,
         }
     }
@@ -191,7 +194,9 @@
 
     fn may_acquire(&self, now: Millis) -> bool {
         let waited = now.since(self.lease_seen_at);
-        let free = self.term_row.holder.is_none() || self.resigned.0 == self.term.0;
+        let free = self.term_row.holder.is_none()
+            || self.resigned.0 == self.term.0
+            || self.is_own_earlier_life();
         let needed = if free {
             self.weak_wait_ms
         } else {
@@ -200,6 +205,12 @@
         self.read_once && waited >= needed
     }
 
+    /// Says whether the leader was an earlier process on this host: it runs no more.
+    fn is_own_earlier_life(&self) -> bool {
+        let own = self.term_row.holder.as_ref() == Some(&self.host);
+        own && !(self.first_nonce..=self.nonce).contains(&self.term_row.nonce)
+    }
+
     fn acquire(&mut self, ctx: &mut Ctx) {
         self.nonce += 1;
         let generation = self.term_row.generation + 1;
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -203,7 +203,9 @@
                 step: at as u16,
             };
             if job.is_ready(at) {
-                self.wants_pass |= self.ready.insert(key.clone());
+                let latest = self.latest_start_ms(&key).unwrap_or(u64::MAX);
+                self.wants_pass |= self.ready.insert(&key, latest);
+                let Some(job) = self.jobs.get(id) else { return };
                 let asked = |advice: &StepAdvice| !advice.verdicts.is_empty() || advice.asking.is_some();
                 let asked = asked(&job.steps[at].advice);
                 if let (Some(state), false) = (self.state.clone(), asked) {
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -21,7 +21,7 @@
     next_dial_at: Millis,
     failures: u32,
     heard_at: Millis,
-    store_ok: bool,
+    store_ok_at: Millis,
     /// Pings by the member's clock with the time at which they came.
     pings: Vec<(Millis, Millis)>,
 }
@@ -40,22 +40,22 @@
         self.by_host.values().filter_map(|own| own.link).collect()
     }
 
-    /// Says whether a connected daemon reaches the store.
-    pub(crate) fn has_sound(&self) -> bool {
+    /// Says whether a connected daemon has reached the store since `at`.
+    pub(crate) fn has_sound(&self, at: Millis) -> bool {
         let mut members = self.by_host.values();
-        members.any(|own| own.link.is_some() && own.store_ok)
+        members.any(|own| own.link.is_some() && own.store_ok_at >= at)
     }
 
     pub(crate) fn remove(&mut self, host: &str) {
         self.by_host.remove(host);
     }
 
-    pub(crate) fn on_ping(&mut self, now: Millis, link: LinkId, sent_ms: Millis, store_ok: bool) {
+    pub(crate) fn on_ping(&mut self, now: Millis, link: LinkId, sent_ms: Millis, store_ok_at: Millis) {
         let mut members = self.by_host.values_mut();
         if let Some(member) = members.find(|own| own.link == Some(link)) {
             member.pings.push((sent_ms, now));
             member.heard_at = now;
-            member.store_ok = store_ok;
+            member.store_ok_at = store_ok_at;
         }
     }
 }
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -8,6 +8,7 @@
 mod members;
 mod orders;
 mod placement;
+mod ready;
 mod roster;
 mod runs;
 mod schedule;
@@ -19,18 +20,14 @@
         consts,
         leader::{
             advice::AdviceDesk, commits::Commits, fleet::Fleet, jobs::Job, load::Load,
-            members::Members, orders::OpenOrder, roster::Roster,
+            members::Members, orders::OpenOrder, ready::Ready, roster::Roster,
         },
         node::Ctx,
-        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, RowVersion, StepKey,
-        StoreReply, ToLeader,
+        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, RowVersion, StoreReply, ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-};
+use std::{collections::BTreeMap, rc::Rc};
 
 /// What follows from an answer of the store for the lead itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,7 +53,7 @@
     jobs: BTreeMap<JobId, Job>,
     fleet: Fleet,
     /// The steps of which a task may start now.
-    ready: BTreeSet<StepKey>,
+    ready: Ready,
     /// What each team has running.
     used: BTreeMap<TeamName, Resources>,
     /// How many jobs of each queue have started no task.
@@ -82,7 +79,7 @@
             load: Load::default(),
             jobs: BTreeMap::new(),
             fleet: Fleet::default(),
-            ready: BTreeSet::new(),
+            ready: Ready::default(),
             used: BTreeMap::new(),
             queued: BTreeMap::new(),
             advice: AdviceDesk::default(),
@@ -103,9 +100,9 @@
         self.token
     }
 
-    /// Says whether another daemon reaches the store.
-    pub(crate) fn has_sound_member(&self) -> bool {
-        self.members.has_sound()
+    /// Says whether another daemon has reached the store since `at`.
+    pub(crate) fn has_sound_member(&self, at: Millis) -> bool {
+        self.members.has_sound(at)
     }
 
     /// Returns the connections to the other daemons.
@@ -149,8 +146,12 @@
             ToLeader::State { ask, job, team } => self.tell_state(ctx, link, ask, &job, team),
             ToLeader::Cancel { ask, job, team } => self.cancel(ctx, link, ask, &job, team),
             ToLeader::Advice { ask, reply } => self.on_advice(ctx, ask, reply),
-            ToLeader::Ping { sent_ms, store_ok } => {
-                self.members.on_ping(ctx.now, link, sent_ms, store_ok);
+            ToLeader::Ping {
+                sent_ms,
+                store_age_ms,
+            } => {
+                let store_ok_at = ctx.now.since(store_age_ms);
+                self.members.on_ping(ctx.now, link, sent_ms, store_ok_at);
             }
             ToLeader::Submit { .. } | ToLeader::Behind => {}
         }
--- a/core/src/cell/leader/orders.rs
+++ b/core/src/cell/leader/orders.rs
@@ -23,6 +23,7 @@
     Look {
         ix: WorkerIx,
         sent_at: Millis,
+        quick: bool,
     },
     Start {
         ix: WorkerIx,
@@ -67,19 +68,31 @@
     /// Renews a worker's lease and asks for its lists, unless a call is open or it is too early.
     pub(crate) fn look_at(&mut self, ctx: &mut Ctx, ix: WorkerIx) {
         let now = ctx.now;
-        let lease_ms = ctx.settings.max_lease_ms;
         let worker = self.fleet.get_mut(ix);
         let known = worker.listed || !worker.runs.is_empty();
-        if worker.look.is_some() || now < worker.next_look_at || !known || worker.entry.address.is_empty()
-        {
+        if !known || worker.entry.address.is_empty() {
             return;
         }
-        // Ends that are listed again would let the worker answer at once.
-        let idle = worker.runs.is_empty() || !worker.unstored.is_empty() || worker.lost_looks > 0;
-        let wait_ms = match idle || !worker.contact || worker.clock.is_none() {
-            true => Millis(0),
-            false => consts::LOOK_WAIT_MS,
-        };
+        if worker.look.is_none() && now >= worker.next_look_at {
+            // Ends that are listed again would let the worker answer at once.
+            let idle = worker.runs.is_empty() || !worker.unstored.is_empty();
+            let unsure = worker.lost_looks > 0 || !worker.contact || worker.clock.is_none();
+            let wait_ms = match idle || unsure || worker.wants_quick_look {
+                true => Millis(0),
+                false => consts::LOOK_WAIT_MS,
+            };
+            worker.wants_quick_look = false;
+            self.send_look(ctx, ix, wait_ms, false);
+        } else if worker.wants_quick_look && worker.quick_look.is_none() {
+            worker.wants_quick_look = false;
+            self.send_look(ctx, ix, Millis(0), true);
+        }
+    }
+
+    fn send_look(&mut self, ctx: &mut Ctx, ix: WorkerIx, wait_ms: Millis, quick: bool) {
+        let now = ctx.now;
+        let lease_ms = ctx.settings.max_lease_ms;
+        let worker = self.fleet.get(ix);
         let current = now.since(worker.answered_at) < consts::ACK_AGE_MS && worker.contact;
         let call = WorkerCall::Renew {
             lease_until_ms: worker.clock_at(now).map(|clock| clock + lease_ms),
@@ -87,21 +100,39 @@
             wait_ms,
         };
         let order = self.send(ctx, ix, call, wait_ms + consts::WORKER_LIMIT_MS);
-        self.fleet.get_mut(ix).look = Some(order);
-        self.orders.insert(order, OpenOrder::Look { ix, sent_at: now });
+        let worker = self.fleet.get_mut(ix);
+        match quick {
+            true => worker.quick_look = Some(order),
+            false => worker.look = Some(order),
+        }
+        let sent_at = now;
+        self.orders.insert(order, OpenOrder::Look { ix, sent_at, quick });
     }
 
     pub(crate) fn on_worker(&mut self, ctx: &mut Ctx, order: OrderId, answer: WorkerAnswer) {
         match self.orders.remove(&order) {
-            Some(OpenOrder::Look { ix, sent_at }) => self.on_look(ctx, ix, sent_at, answer),
+            Some(OpenOrder::Look { ix, sent_at, quick }) => {
+                self.on_look(ctx, ix, sent_at, quick, answer);
+            }
             Some(OpenOrder::Start { ix, task, run }) => self.on_start(ctx, ix, &task, run, answer),
             Some(OpenOrder::Stop { ix, task, run }) => self.on_stop(ctx, ix, &task, run, answer),
             None => {}
         }
     }
 
-    fn on_look(&mut self, ctx: &mut Ctx, ix: WorkerIx, sent_at: Millis, answer: WorkerAnswer) {
-        self.fleet.get_mut(ix).look = None;
+    fn on_look(
+        &mut self,
+        ctx: &mut Ctx,
+        ix: WorkerIx,
+        sent_at: Millis,
+        quick: bool,
+        answer: WorkerAnswer,
+    ) {
+        let worker = self.fleet.get_mut(ix);
+        match quick {
+            true => worker.quick_look = None,
+            false => worker.look = None,
+        }
         match answer {
             WorkerAnswer::Listed(clock, view) => {
                 self.on_listed(ctx, ix, sent_at, clock, view);
@@ -212,7 +243,7 @@
                     run.phase = RunPhase::Unsure(now);
                 }
                 worker.rest_until = now + consts::WORKER_REST_MS;
-                worker.next_look_at = now;
+                worker.wants_quick_look = true;
                 let line = Line::warn("order_unanswered").with("task", task).with("run", number);
                 ctx.log(line.with("worker", &worker.entry.id));
                 self.look_at(ctx, ix);
@@ -308,7 +339,8 @@
         };
         if settled {
             run.settled_at = Some(now);
-            worker.next_look_at = worker.next_look_at.min(now + Millis(1));
+            // An end that is listed by then wakes the look that waits; a run that never began does not.
+            worker.wants_quick_look = true;
         } else {
             run.phase = RunPhase::Stopping(now + consts::STOP_RETRY_MS);
         }
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -27,25 +27,15 @@
 /// From how many failures in a row on a worker is shunned where others have room.
 const SICK_FAILURES: u32 = 3;
 /// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
-const MOST_TURNS: usize = 150;
+const MOST_TURNS: usize = 100;
+/// The most waiting steps of which one pass finds out whether they could start at all.
+const MOST_READY: usize = 600;
 /// The most gangs for which room is kept at a time.
 const KEPT_GANGS: usize = 2;
 
-/// What can still be earned by a step that starts now.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Worth {
-    /// It can be done within its objective.
-    InTime,
-    /// It can be done while its end is still of some use.
-    Late,
-    /// Only the record needs its end.
-    None,
-}
-
-/// A waiting step with its rank.
+/// A waiting step with the latest time at which it can start and still end in time.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Turn {
-    worth: Worth,
     latest_start_ms: u64,
     key: StepKey,
 }
@@ -111,7 +101,11 @@
         pass.open = open.map(|(ix, own)| (ix, own.free())).collect();
         pass.note_most();
         let mut looked_at = 0;
-        for turn in self.turns(ctx.now, state) {
+        for (latest_start_ms, key) in self.ready.in_order(ctx.now.0, MOST_READY) {
+            let turn = Turn {
+                latest_start_ms,
+                key,
+            };
             let Some(job) = self.jobs.get(&turn.key.job) else {
                 continue;
             };
@@ -119,7 +113,12 @@
             let Some(queue) = state.queue(&job.row.queue) else {
                 continue;
             };
-            let need = job.row.work.steps[usize::from(turn.key.step)].need;
+            let spec = &job.row.work.steps[usize::from(turn.key.step)];
+            let need = spec.need;
+            let least = if spec.gang { u64::from(spec.count) } else { 1 };
+            if self.team_room(state, job.row.team.as_ref(), &need) < least {
+                continue;
+            }
             let planned = job.steps[usize::from(turn.key.step)].plan.is_some();
             if !open || !(planned || need.fits(&pass.most)) {
                 continue;
@@ -146,31 +145,12 @@
         }
     }
 
-    fn turns(&self, now: Millis, state: &DesiredState) -> Vec<Turn> {
-        let turn = |key: &StepKey| {
-            let job = self.jobs.get(&key.job)?;
-            let queue = state.queue(&job.row.queue)?;
-            let left_ms = job.steps[usize::from(key.step)].path_ms;
-            let objective_ms = job.objective_ms(queue);
-            let due = |factor: u64| {
-                let end = job.accepted_at.0 + objective_ms * factor;
-                end.saturating_sub(left_ms)
-            };
-            let (in_time, late) = (due(1), due(consts::WORTHLESS_FACTOR));
-            let (worth, latest_start_ms) = match now.0 {
-                now if now <= in_time => (Worth::InTime, in_time),
-                now if now <= late => (Worth::Late, late),
-                _ => (Worth::None, late),
-            };
-            Some(Turn {
-                worth,
-                latest_start_ms,
-                key: key.clone(),
-            })
-        };
-        let mut turns: Vec<Turn> = self.ready.iter().filter_map(turn).collect();
-        turns.sort_unstable();
-        turns
+    /// Returns the latest time at which a step can start so that its job ends in time.
+    pub(crate) fn latest_start_ms(&self, key: &StepKey) -> Option<u64> {
+        let job = self.jobs.get(&key.job)?;
+        let queue = self.state.as_ref()?.queue(&job.row.queue)?;
+        let due_ms = job.accepted_at.0 + job.objective_ms(queue);
+        Some(due_ms.saturating_sub(job.steps[usize::from(key.step)].path_ms))
     }
 
     fn place_step(
@@ -211,8 +191,7 @@
         let Some((queue, cost)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
             return;
         };
-        let due_ms = job.accepted_at.0 + job.objective_ms(queue);
-        let rank = due_ms.saturating_sub(job.steps[at].path_ms);
+        let rank = self.latest_start_ms(key).unwrap_or(u64::MAX);
         let workers = self.unasked(now, queue, key, job.row.work.steps[at].gang);
         self.ask_advice(now, key, workers, rank, cost);
     }
@@ -509,7 +488,7 @@
 
     /// Keeps workers for a gang that comes first and finds no room: those with most room.
     fn keep_room(&mut self, now: Millis, queue: &Queue, turn: &Turn, pass: &mut Pass) {
-        if pass.kept_gangs >= KEPT_GANGS || turn.worth != Worth::InTime {
+        if pass.kept_gangs >= KEPT_GANGS || turn.latest_start_ms < now.0 {
             return;
         }
         let key = &turn.key;
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -47,6 +47,9 @@
     /// A time of its clock and of the leader's.
     pub(crate) clock: Option<(Millis, Millis)>,
     pub(crate) look: Option<OrderId>,
+    /// A second look that does not wait, where the first may wait for long.
+    pub(crate) quick_look: Option<OrderId>,
+    pub(crate) wants_quick_look: bool,
     pub(crate) next_look_at: Millis,
     pub(crate) lost_looks: u32,
     pub(crate) answered_at: Millis,
@@ -77,6 +80,8 @@
             contact: false,
             clock: None,
             look: None,
+            quick_look: None,
+            wants_quick_look: false,
             next_look_at: Millis(0),
             lost_looks: 0,
             answered_at: Millis(0),
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -78,8 +78,8 @@
     Ping {
         /// The time on the sender's clock.
         sent_ms: Millis,
-        /// Whether the store answers the sender.
-        store_ok: bool,
+        /// How long ago the store answered the sender.
+        store_age_ms: Millis,
     },
 }
 
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -84,6 +84,17 @@
         self.store_failures >= 2 && self.now.since(self.store_ok_at) > consts::STORE_DOWN_MS
     }
 
+    /// Returns how long ago the store answered.
+    pub(crate) fn store_age_ms(&self) -> Millis {
+        self.now.since(self.store_ok_at)
+    }
+
+    /// Returns since when another daemon must have reached the store for this one to hand over.
+    fn hand_over_after(&self) -> Option<Millis> {
+        let failing = self.store_failures >= 2;
+        failing.then_some(self.store_ok_at + consts::HAND_OVER_MS)
+    }
+
     fn note_store(&mut self, reply: &StoreReply) {
         match reply {
             StoreReply::Refused(_) | StoreReply::Lost => self.store_failures += 1,
@@ -240,7 +251,8 @@
         self.door.tick(ctx);
         if let Some(leader) = &mut self.leader {
             leader.tick(ctx, &self.config, &self.election);
-            if ctx.store_is_down() && leader.has_sound_member() {
+            let after = ctx.hand_over_after();
+            if after.is_some_and(|at| leader.has_sound_member(at)) {
                 self.hand_over();
             }
         }
--- a/daemon/src/cell/pool.rs
+++ b/daemon/src/cell/pool.rs
@@ -6,7 +6,7 @@
 use hyper_util::rt::TokioIo;
 use pomelotide_platform::{HttpAnswer, HttpCall};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -16,8 +16,9 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
-/// How long a connection to another host may take to open: one lost packet is sent again within it.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_200);
+/// How long one attempt to open a connection may take: the system sends a lost first packet again
+/// only after a second, a new attempt does so at once.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// How many unused connections to one address are kept.
 const MAX_IDLE: usize = 8;
 /// After which time unused connections are not used again: servers close them.
@@ -43,10 +44,12 @@
         call: &HttpCall,
         limit: Duration,
     ) -> HttpAnswer {
-        match timeout(limit, self.try_call(address, call)).await {
+        let sent = Cell::new(false);
+        match timeout(limit, self.try_call(address, call, &sent)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(Failure::NotSent)) => HttpAnswer::NotSent,
             Ok(Err(Failure::Lost)) => HttpAnswer::Lost,
+            Err(_) if !sent.get() => HttpAnswer::NotSent,
             Err(_) => {
                 // Other open connections may have gone silent with this one.
                 self.idle.borrow_mut().remove(&address);
@@ -59,6 +62,7 @@
         self: &Rc<Self>,
         address: SocketAddr,
         call: &HttpCall,
+        sent: &Cell<bool>,
     ) -> Result<HttpAnswer, Failure> {
         let mut request = request(address, call).ok_or(Failure::NotSent)?;
         loop {
@@ -66,6 +70,7 @@
                 Some(sender) => (sender, true),
                 None => (connect(address).await?, false),
             };
+            sent.set(true);
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let status = response.status().as_u16();
@@ -76,7 +81,10 @@
                 }
                 Err(mut error) => match error.take_message() {
                     // The server had closed the connection before anything was sent.
-                    Some(unsent) if reused => request = unsent,
+                    Some(unsent) if reused => {
+                        sent.set(false);
+                        request = unsent;
+                    }
                     Some(_) => return Err(Failure::NotSent),
                     None => return Err(Failure::Lost),
                 },
@@ -108,8 +116,13 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Sender, Failure> {
-    let opened = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
-    let stream = opened.ok().and_then(Result::ok).ok_or(Failure::NotSent)?;
+    let stream = loop {
+        match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
+            Ok(opened) => break opened.map_err(|_| Failure::NotSent)?,
+            // The call's own limit ends the attempts.
+            Err(_) => continue,
+        }
+    };
     // Without it answers only come later; the call goes on.
     let _ = stream.set_nodelay(true);
     let shaken = http1::handshake(TokioIo::new(stream)).await;
