--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -33,6 +33,8 @@
     pub(crate) failed_on: Vec<WorkerIx>,
     /// Where the members of a gang will start once their tickets are there.
     pub(crate) plan: Option<Vec<WorkerIx>>,
+    /// Where single tasks will start once the tickets that are asked for are there.
+    pub(crate) renewing: Vec<WorkerIx>,
     /// Whether an earlier member could not start, so that all have to end first.
     pub(crate) aborted: bool,
     /// The estimated work from the step's start to the job's end.
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -123,6 +123,14 @@
             if !open || !(planned || need.fits(&pass.most)) {
                 continue;
             }
+            let step = &job.steps[usize::from(turn.key.step)];
+            if step.advice.asking.is_some() {
+                // Its room stays its own until the tickets come.
+                for ix in step.renewing.clone() {
+                    pass.take(ix, &need);
+                }
+                continue;
+            }
             self.place_step(ctx, state, queue, &turn, &mut pass);
             looked_at += 1;
             if looked_at == MOST_TURNS {
@@ -339,6 +347,9 @@
         if advice(self).unwrap_or(true) {
             return;
         }
+        if let Some(job) = self.jobs.get_mut(&turn.key.job) {
+            job.steps[usize::from(turn.key.step)].renewing.clone_from(&workers);
+        }
         workers.sort_unstable();
         workers.dedup();
         if workers.is_empty() {
@@ -389,8 +400,9 @@
         if self.team_room(state, job.row.team.as_ref(), &need) < u64::from(count) {
             return;
         }
-        if job.steps[at].advice.asking.is_some() {
-            return;
+        if let Some(places) = self.planned(ctx.now, queue, key) {
+            self.drop_plan(key);
+            return self.start_gang(ctx, queue, key, &places);
         }
         for ix in self.drop_plan(key) {
             pass.give(ix, &need);
@@ -457,6 +469,17 @@
         }
     }
 
+    /// Returns the places of a plan, if the gang can start on them now.
+    fn planned(&self, now: Millis, queue: &Queue, key: &StepKey) -> Option<Vec<WorkerIx>> {
+        let step = &self.jobs.get(&key.job)?.steps[usize::from(key.step)];
+        let places = step.plan.as_ref()?;
+        let open = |ix: &WorkerIx| {
+            let ticket = queue.advice.is_none() || step.advice.ticket(*ix, now).is_some();
+            ticket && self.fleet.get(*ix).is_usable(now, CLOCK_AGE_MS)
+        };
+        places.iter().all(open).then(|| places.clone())
+    }
+
     /// Gives the room of a plan back and returns where it was.
     fn drop_plan(&mut self, key: &StepKey) -> Vec<WorkerIx> {
         let at = usize::from(key.step);
