Choose the next call for advice at constant cost

Cause: each event looked at all waiting calls times all daemons times all calls; with 300 waiting calls a step of the control thread took seconds.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -13,7 +13,7 @@
     },
     Millis, WorkerId,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What is known of one worker for one step.
 #[derive(Clone, Debug)]
@@ -71,13 +71,23 @@
     }
 }
 
+/// A daemon that can call the service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lane {
+    /// The call that is on its way, with whether it is long and when it counts as lost.
+    busy: Option<(AskId, bool, Millis)>,
+    /// Until when it rests after a failure.
+    rests_until: Millis,
+}
+
 /// The calls for advice that wait or are on their way.
 #[derive(Debug)]
 pub(crate) struct AdviceDesk {
     asks: BTreeMap<AskId, Ask>,
+    /// The asks that wait, by rank: short calls and long ones.
+    waiting: [BTreeSet<(u64, AskId)>; 2],
     last: u64,
-    /// The daemons that can call, with the time until which one rests after a failure.
-    lanes: BTreeMap<LinkId, Millis>,
+    lanes: BTreeMap<LinkId, Lane>,
     /// Workers whose tickets of an earlier life are void.
     void: Vec<WorkerIx>,
 }
@@ -86,8 +96,9 @@
     fn default() -> Self {
         Self {
             asks: BTreeMap::new(),
+            waiting: [BTreeSet::new(), BTreeSet::new()],
             last: 0,
-            lanes: BTreeMap::from([(OWN_LINK, Millis(0))]),
+            lanes: BTreeMap::from([(OWN_LINK, Lane::default())]),
             void: Vec::new(),
         }
     }
@@ -95,15 +106,16 @@
 
 impl AdviceDesk {
     pub(crate) fn add_lane(&mut self, link: LinkId) {
-        self.lanes.insert(link, Millis(0));
+        self.lanes.insert(link, Lane::default());
     }
 
-    /// Takes a daemon out; its calls are made again by another.
-    pub(crate) fn drop_lane(&mut self, _: Millis, link: LinkId) {
-        self.lanes.remove(&link);
-        for ask in self.asks.values_mut() {
-            if ask.sent.is_some_and(|(lane, _)| lane == link) {
+    /// Takes a daemon out; its call is made again by another.
+    pub(crate) fn drop_lane(&mut self, link: LinkId) {
+        let lane = self.lanes.remove(&link);
+        if let Some((id, long, _)) = lane.and_then(|lane| lane.busy) {
+            if let Some(ask) = self.asks.get_mut(&id) {
                 ask.sent = None;
+                self.waiting[usize::from(long)].insert((ask.rank, id));
             }
         }
     }
@@ -116,30 +128,55 @@
     fn add(&mut self, ask: Ask) -> AskId {
         self.last += 1;
         let id = AskId(self.last);
+        self.waiting[usize::from(ask.is_long())].insert((ask.rank, id));
         self.asks.insert(id, ask);
         id
     }
 
-    /// Chooses the daemon for a call: an idle one, and for a long call one of the first two thirds.
-    fn lane_for(&self, now: Millis, long: bool) -> Option<LinkId> {
-        let busy = |link: &LinkId| {
-            let mut sent = self.asks.values().filter_map(|ask| ask.sent);
-            sent.any(|(lane, _)| lane == *link)
-        };
-        let most = match (long, self.lanes.len()) {
-            (true, count) if count > 1 => count - (count / 3).max(1),
-            (_, count) => count,
-        };
-        let long_sent = |ask: &&Ask| ask.sent.is_some() && ask.is_long();
-        if long && self.asks.values().filter(long_sent).count() >= most {
-            return None;
+    /// Takes an ask out, with the daemon that was to call.
+    fn take(&mut self, id: AskId) -> Option<Ask> {
+        let ask = self.asks.remove(&id)?;
+        match ask.sent {
+            None => {
+                self.waiting[usize::from(ask.is_long())].remove(&(ask.rank, id));
+            }
+            Some((link, _)) => {
+                if let Some(lane) = self.lanes.get_mut(&link) {
+                    lane.busy = lane.busy.filter(|(busy, ..)| *busy != id);
+                }
+            }
         }
-        let free = |(link, rests): &(&LinkId, &Millis)| now >= **rests && !busy(link);
-        let mut lanes = self.lanes.iter().filter(free).map(|(link, _)| *link);
-        // The leader's own daemon comes last for long calls: it has most to do.
-        match long {
-            true => lanes.next_back(),
-            false => lanes.next(),
+        Some(ask)
+    }
+
+    /// Returns the calls that are not answered in time.
+    fn lost(&self, now: Millis) -> Vec<AskId> {
+        let busy = self.lanes.values().filter_map(|lane| lane.busy);
+        let late = busy.filter(|(.., until)| now > *until);
+        late.map(|(id, ..)| id).collect()
+    }
+
+    /// Chooses the next call and the daemon that makes it. Long calls leave a third of the daemons to
+    /// short ones, and the leader's own daemon, which has most to do, comes last for them.
+    fn next(&self, now: Millis) -> Option<(AskId, LinkId)> {
+        let count = self.lanes.len();
+        let most_long = if count > 1 { count - (count / 3).max(1) } else { count };
+        let long = |lane: &&Lane| matches!(lane.busy, Some((_, true, _)));
+        let long_sent = self.lanes.values().filter(long).count();
+        let mut free = self
+            .lanes
+            .iter()
+            .filter(|(_, lane)| lane.busy.is_none() && now >= lane.rests_until)
+            .map(|(link, _)| *link);
+        let [short, longs] = &self.waiting;
+        let short = short.first();
+        let longs = longs.first().filter(|_| long_sent < most_long);
+        match (short, longs) {
+            (Some((_, id)), None) => free.next().map(|lane| (*id, lane)),
+            (None, Some((_, id))) => free.next_back().map(|lane| (*id, lane)),
+            (Some(short), Some(long)) if short <= long => free.next().map(|lane| (short.1, lane)),
+            (_, Some((_, id))) => free.next_back().map(|lane| (*id, lane)),
+            (None, None) => None,
         }
     }
 }
@@ -174,25 +211,15 @@
     /// Sends the calls that wait to daemons that are free, and gives lost ones up.
     pub(crate) fn dispatch_advice(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
-        let late = |ask: &Ask| {
-            let at = ask.sent.map(|(_, at)| at + ask.limit_ms());
-            at.is_some_and(|at| now > at + consts::STORE_RETRY_MS)
-        };
-        let lost = self.advice.asks.iter().filter(|(_, ask)| late(ask));
-        let lost: Vec<AskId> = lost.map(|(id, _)| *id).collect();
-        for id in lost {
+        for id in self.advice.lost(now) {
             self.on_advice(ctx, id, AdviceReply::Lost);
         }
-        let waiting = self.advice.asks.iter().filter(|(_, ask)| ask.sent.is_none());
-        let mut waiting: Vec<(u64, AskId)> = waiting.map(|(id, ask)| (ask.rank, *id)).collect();
-        waiting.sort_unstable();
-        for (_, id) in waiting {
-            let Some(ask) = self.advice.asks.get(&id) else {
-                continue;
-            };
-            let Some(lane) = self.advice.lane_for(now, ask.is_long()) else {
-                continue;
+        while let Some((id, lane)) = self.advice.next(now) {
+            let Some(ask) = self.advice.asks.get_mut(&id) else {
+                return;
             };
+            let long = ask.is_long();
+            ask.sent = Some((lane, now));
             let name = |ix: &WorkerIx| self.fleet.get(*ix).entry.id.clone();
             let message = ToMember::Advise {
                 ask: id,
@@ -200,15 +227,17 @@
                 workers: ask.workers.iter().map(name).collect(),
                 limit_ms: ask.limit_ms(),
             };
-            ctx.to_member(lane, message);
-            if let Some(ask) = self.advice.asks.get_mut(&id) {
-                ask.sent = Some((lane, now));
+            let until = now + ask.limit_ms() + consts::STORE_RETRY_MS;
+            self.advice.waiting[usize::from(long)].remove(&(ask.rank, id));
+            if let Some(lane) = self.advice.lanes.get_mut(&lane) {
+                lane.busy = Some((id, long, until));
             }
+            ctx.to_member(lane, message);
         }
     }
 
     pub(crate) fn on_advice(&mut self, ctx: &mut Ctx, id: AskId, reply: AdviceReply) {
-        let Some(ask) = self.advice.asks.remove(&id) else {
+        let Some(ask) = self.advice.take(id) else {
             return;
         };
         self.wants_pass = true;
@@ -235,8 +264,9 @@
             }
             AdviceReply::Busy | AdviceReply::Lost => {
                 advice.retry_at = ctx.now + consts::ADVICE_RETRY_MS;
-                if let Some(rests) = ask.sent.and_then(|(link, _)| self.advice.lanes.get_mut(&link)) {
-                    *rests = ctx.now + consts::ADVICE_RETRY_MS;
+                let lane = ask.sent.and_then(|(link, _)| self.advice.lanes.get_mut(&link));
+                if let Some(lane) = lane {
+                    lane.rests_until = ctx.now + consts::ADVICE_RETRY_MS;
                 }
                 let line = Line::warn("advice_missing").with("step", &ask.step);
                 ctx.log(line.with("reply", format_args!("{reply:?}")).with("took_ms", took_ms.0));
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -123,7 +123,7 @@
             member.link = None;
             member.next_dial_at = ctx.now + consts::REDIAL_MS;
         }
-        self.advice.drop_lane(ctx.now, link);
+        self.advice.drop_lane(link);
     }
 
     pub(crate) fn members_tick(&mut self, ctx: &mut Ctx, config: &ConfigFeed, election: &Election) {
