--- a/core/src/cell/leader/load.rs
+++ b/core/src/cell/leader/load.rs
@@ -35,6 +35,16 @@
     Follow(Table),
 }
 
+impl Open {
+    /// Returns the table that is read whole.
+    fn scanned(&self) -> Option<Table> {
+        match self {
+            Open::Scan(scan) => Some(scan.table),
+            Open::Follow(_) => None,
+        }
+    }
+}
+
 /// The reads of a leader.
 #[derive(Debug)]
 pub(crate) struct Load {
@@ -108,8 +118,11 @@
                 load.open.insert(order, Open::Scan(scan));
             }
         }
+        let scanned: Vec<Table> = load.open.values().filter_map(Open::scanned).collect();
         for (&table, feed) in &mut load.feeds {
-            if feed.in_flight || ctx.now < feed.next_at {
+            // The oldest of all scans of a table says from where on its changes are missing.
+            let scanning = scanned.contains(&table) || load.todo.iter().any(|own| own.table == table);
+            if feed.in_flight || ctx.now < feed.next_at || scanning {
                 continue;
             }
             let (wait_ms, _) = pace_of(table);
