--- a/core/src/cell/leader/orders.rs
+++ b/core/src/cell/leader/orders.rs
@@ -40,7 +40,11 @@
 impl Leader {
     fn send(&mut self, ctx: &mut Ctx, ix: WorkerIx, call: WorkerCall, limit_ms: Millis) -> OrderId {
         let order = ctx.order(Owner::Leader);
-        let renews = !matches!(call, WorkerCall::Stop { .. });
+        let renews = match &call {
+            WorkerCall::Start(_) => true,
+            WorkerCall::Stop { .. } => false,
+            WorkerCall::Renew { lease_until_ms, .. } => lease_until_ms.is_some(),
+        };
         let worker = self.fleet.get_mut(ix);
         if renews {
             let lease_ms = ctx.settings.max_lease_ms.0;
@@ -94,8 +98,11 @@
         let lease_ms = ctx.settings.max_lease_ms;
         let worker = self.fleet.get(ix);
         let current = now.since(worker.answered_at) < consts::ACK_AGE_MS && worker.contact;
+        // A worker that does not answer is only looked at: otherwise its leases would never be over.
+        let answers = worker.lost_looks == 0;
+        let clock = worker.clock_at(now).filter(|_| answers);
         let call = WorkerCall::Renew {
-            lease_until_ms: worker.clock_at(now).map(|clock| clock + lease_ms),
+            lease_until_ms: clock.map(|clock| clock + lease_ms),
             acknowledge: if current { worker.stored } else { 0 },
             wait_ms,
         };
