--- /dev/null
+++ b/core/tests/cell.rs
@@ -0,0 +1,403 @@
+//! A cell of daemons under failure, in virtual time.
+
+#![allow(clippy::unwrap_used)]
+
+mod cell_world;
+
+use cell_world::{desired, queue, step, World};
+use pomelotide_core::{
+    cell::{AdviceCost, ClientAnswer, How, JobState, StepSpec},
+    Millis, Resources,
+};
+
+fn world(daemons: usize, workers: usize) -> World {
+    let mut world = World::new(daemons, workers, desired(1, queue()));
+    world.run(3_000);
+    assert!(world.leader().is_some(), "nobody leads");
+    world
+}
+
+fn gang(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, cpu)
+    }
+}
+
+fn after(earlier: u16, step: StepSpec) -> StepSpec {
+    StepSpec {
+        after: vec![earlier],
+        ..step
+    }
+}
+
+
+#[test]
+fn a_job_of_two_steps_runs_in_order_and_is_shown_at_every_daemon() {
+    let mut world = world(3, 4);
+    let call = world.submit(1, 7, vec![step(3, 1_000), after(0, step(2, 2_000))]);
+    world.run(4_000);
+    assert_eq!(world.answers[&call], ClientAnswer::Accepted);
+    for at in 0..3 {
+        world.assert_state(at, 7, JobState::Completed);
+    }
+    let starts = world.starts();
+    assert_eq!(starts.len(), 5);
+    let second = starts.iter().filter(|start| start.1.contains(".0.1.")).map(|start| start.3);
+    assert!(second.min().unwrap() >= starts[0].3 + 1_000, "the second step began early");
+    world.assert_once();
+}
+
+#[test]
+fn a_submission_that_comes_twice_is_one_job() {
+    let mut world = world(3, 4);
+    let first = world.submit(0, 7, vec![step(2, 1_000)]);
+    let second = world.submit(1, 7, vec![step(2, 1_000)]);
+    world.run(3_000);
+    assert_eq!(world.answers[&first], ClientAnswer::Accepted);
+    assert_eq!(world.answers[&second], ClientAnswer::Accepted);
+    assert_eq!(world.starts().len(), 2);
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_one_job() {
+    let mut world = world(3, 4);
+    world.store.lose_answers = 1;
+    let call = world.submit(2, 7, vec![step(2, 1_000)]);
+    world.run(5_000);
+    assert_eq!(world.answers[&call], ClientAnswer::Accepted);
+    world.assert_state(0, 7, JobState::Completed);
+    assert_eq!(world.starts().len(), 2);
+    world.assert_once();
+}
+
+#[test]
+fn a_store_that_is_down_refuses_at_once_and_truthfully() {
+    let mut world = world(2, 2);
+    world.store.down = true;
+    let before = world.now;
+    let call = world.submit(1, 7, vec![step(1, 1_000)]);
+    world.run(600);
+    assert!(matches!(world.answers[&call], ClientAnswer::NotRun { .. }));
+    assert!(world.now <= before + 600);
+    world.store.down = false;
+    world.run(8_000);
+    assert!(world.starts().is_empty(), "a job ran that was said not to run");
+}
+
+#[test]
+fn a_new_leader_takes_running_tasks_over() {
+    let mut world = world(3, 4);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 6_000;
+    }
+    let leader = world.leader().unwrap();
+    let door = (leader + 1) % 3;
+    world.submit(door, 7, vec![step(4, 1_000)]);
+    world.run(1_000);
+    assert_eq!(world.starts().len(), 4);
+    world.kill(leader);
+    world.run(12_000);
+    world.assert_state(door, 7, JobState::Completed);
+    assert_eq!(world.starts().len(), 4, "a running task was started again");
+    world.assert_once();
+}
+
+#[test]
+fn a_killed_leader_takes_its_lead_back_without_waiting_for_its_lease() {
+    let mut world = world(3, 4);
+    let leader = world.leader().unwrap();
+    for at in 0..3 {
+        world.kill(at);
+    }
+    world.run(500);
+    for at in 0..3 {
+        world.start(at);
+    }
+    world.run(800);
+    assert_eq!(world.leader(), Some(leader));
+}
+
+#[test]
+fn a_leader_that_loses_the_store_hands_over_to_one_that_has_it() {
+    let mut world = world(3, 4);
+    let leader = world.leader().unwrap();
+    world.refuse_store(leader, true);
+    world.run(2_600);
+    let next = world.leader().unwrap();
+    assert_ne!(next, leader);
+    let call = world.submit(leader, 7, vec![step(2, 1_000)]);
+    world.run(3_000);
+    assert_eq!(world.answers[&call], ClientAnswer::Accepted, "not relayed");
+    world.assert_state(leader, 7, JobState::Completed);
+    world.assert_once();
+}
+
+#[test]
+fn a_daemon_without_the_store_serves_on_by_its_leader() {
+    let mut world = world(3, 4);
+    let door = (world.leader().unwrap() + 1) % 3;
+    world.refuse_store(door, true);
+    world.run(12_000);
+    assert!(world.is_ready(door), "the configuration was not confirmed by the leader");
+    let call = world.submit(door, 7, vec![step(1, 1_000)]);
+    world.run(3_000);
+    assert_eq!(world.answers[&call], ClientAnswer::Accepted);
+    world.assert_state(door, 7, JobState::Completed);
+}
+
+#[test]
+fn a_withdrawn_key_dies_at_a_daemon_that_is_cut_from_all() {
+    let mut world = world(3, 2);
+    let door = (world.leader().unwrap() + 1) % 3;
+    world.refuse_store(door, true);
+    world.cut(door, true);
+    let mut state = desired(2, queue());
+    state.teams[0].keys.clear();
+    world.store.put_state(state);
+    world.run(5_000);
+    let call = world.submit(door, 7, vec![step(1, 1_000)]);
+    world.run(3_000);
+    assert!(matches!(world.answers[&call], ClientAnswer::NotRun { .. }));
+    assert!(!world.is_ready(door));
+    let call = world.submit((door + 1) % 3, 8, vec![step(1, 1_000)]);
+    world.run(500);
+    assert_eq!(world.answers[&call], ClientAnswer::BadKey);
+}
+
+#[test]
+fn orders_that_are_carried_out_late_run_each_task_once_at_a_time() {
+    let mut world = world(2, 4);
+    for worker in world.workers.values_mut().take(2) {
+        worker.late_starts_ms = Some(2_500);
+    }
+    for job in 0..6 {
+        world.submit(1, job, vec![step(4, 1_000)]);
+    }
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.late_starts_ms = None;
+    }
+    world.run(20_000);
+    for job in 0..6 {
+        world.assert_state(0, job, JobState::Completed);
+    }
+    world.assert_once();
+}
+
+#[test]
+fn a_worker_that_starts_again_under_its_id_loses_its_runs_only() {
+    let mut world = world(2, 1);
+    world.submit(0, 7, vec![step(3, 1_000)]);
+    world.run(500);
+    let now = world.now;
+    let worker = world.workers.values_mut().next().unwrap();
+    assert_eq!(worker.running(), 3);
+    worker.restart(now);
+    let worker = worker.clone();
+    world.store.put_worker(&worker);
+    world.run(6_000);
+    world.assert_state(1, 7, JobState::Completed);
+    assert_eq!(world.starts().len(), 6);
+    world.assert_once();
+}
+
+#[test]
+fn runs_of_a_silent_worker_start_elsewhere_after_their_lease_and_not_before() {
+    let mut world = world(2, 2);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 30_000;
+    }
+    world.submit(0, 7, vec![step(1, 4_000)]);
+    world.run(500);
+    let (first, _, _, begin) = world.starts()[0].clone();
+    world.workers.get_mut(&first).unwrap().silent = true;
+    world.store.remove_worker(first.as_str());
+    world.run(9_000);
+    assert_eq!(world.starts().len(), 1, "started again while it may still run");
+    world.run(6_000);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 2, "its lease never counted as over");
+    assert!(starts[1].3 >= begin + 10_000);
+    world.assert_once();
+}
+
+#[test]
+fn a_gang_starts_again_when_one_of_its_workers_is_gone() {
+    let mut world = world(2, 4);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 4_000;
+    }
+    world.submit(0, 7, vec![gang(3, 3_000)]);
+    world.run(500);
+    let first = world.starts()[0].0.clone();
+    world.workers.get_mut(&first).unwrap().silent = true;
+    world.store.remove_worker(first.as_str());
+    for worker in world.workers.values_mut().filter(|own| !own.silent) {
+        worker.how = How::Broken;
+    }
+    world.run(5_000);
+    for worker in world.workers.values_mut() {
+        worker.how = How::Done;
+    }
+    world.run(25_000);
+    world.assert_state(0, 7, JobState::Completed);
+    let runs: Vec<u32> = world.starts().iter().map(|start| start.2).collect();
+    assert_eq!(runs, [1, 1, 1, 2, 2, 2]);
+}
+
+#[test]
+fn a_member_whose_start_is_lost_does_not_leave_the_others_alone() {
+    let mut world = world(2, 3);
+    let late = world.workers.keys().next().unwrap().clone();
+    world.workers.get_mut(&late).unwrap().late_starts_ms = Some(60_000);
+    let begin = world.now;
+    world.submit(0, 7, vec![gang(3, 3_000)]);
+    world.run(1_900);
+    // Alone for 3 s they would end so: they have to be stopped well before.
+    let ended = world.workers.values().flat_map(|own| &own.spans).all(|span| span.end.is_some());
+    assert!(ended, "members still wait {} ms after the start", world.now - begin);
+}
+
+#[test]
+fn a_job_that_fails_too_often_fails_once_also_over_a_takeover() {
+    let mut world = world(3, 4);
+    for worker in world.workers.values_mut() {
+        worker.how = How::Failed;
+        worker.work_ms = 3_000;
+    }
+    let leader = world.leader().unwrap();
+    let door = (leader + 1) % 3;
+    world.submit(door, 7, vec![step(1, 1_000)]);
+    world.run(3_200);
+    world.kill(leader);
+    world.run(15_000);
+    world.assert_state(door, 7, JobState::Failed);
+    assert_eq!(world.starts().len(), 2, "the budget of two attempts was not kept");
+}
+
+#[test]
+fn nothing_starts_of_a_cancelled_job() {
+    let mut world = world(2, 1);
+    let job = 7;
+    world.submit(0, job, vec![step(4, 1_000), after(0, step(4, 1_000))]);
+    world.run(500);
+    let call = world.cancel(1, job);
+    world.run(1_500);
+    assert_eq!(world.answers[&call], ClientAnswer::Cancelled);
+    let before = world.starts().len();
+    world.run(5_000);
+    assert_eq!(world.starts().len(), before);
+    assert!(world.workers.values().all(|own| own.running() == 0));
+    world.assert_state(0, job, JobState::Cancelled);
+}
+
+#[test]
+fn jobs_accepted_while_leaders_change_all_run() {
+    let mut world = world(3, 8);
+    let mut accepted = Vec::new();
+    for round in 0..6 {
+        let leader = world.leader();
+        for at in 0..10u64 {
+            let door = (leader.unwrap_or(0) + 1) % 3;
+            let job = round * 10 + at;
+            accepted.push((job, world.submit(door, job, vec![step(2, 500)])));
+            world.run(40);
+        }
+        if let Some(leader) = world.leader() {
+            world.kill(leader);
+            world.run(700);
+            world.start(leader);
+        }
+        world.run(900);
+    }
+    world.run(15_000);
+    for (job, call) in accepted {
+        if world.answers.get(&call) == Some(&ClientAnswer::Accepted) {
+            world.assert_state(0, job, JobState::Completed);
+        }
+    }
+    world.assert_once();
+}
+
+#[test]
+fn the_room_of_a_worker_is_never_exceeded() {
+    let mut world = world(2, 2);
+    for job in 0..20 {
+        world.submit(0, job, vec![step(3, 1_500)]);
+    }
+    for _ in 0..100 {
+        world.run(100);
+        for worker in world.workers.values() {
+            assert!(worker.running() <= 2, "more than four cores are taken");
+        }
+    }
+}
+
+#[test]
+fn a_team_never_runs_more_than_its_cap() {
+    let mut state = desired(1, queue());
+    state.teams[0].cap = Resources {
+        cpu_milli: 3_000,
+        ..Resources::default()
+    };
+    let mut world = World::new(2, 4, state);
+    world.run(3_000);
+    for job in 0..5 {
+        world.submit(0, job, vec![step(3, 1_000)]);
+    }
+    for _ in 0..80 {
+        world.run(100);
+        let running: usize = world.workers.values().map(|own| own.running()).sum();
+        assert!(running <= 3, "{running} cores run against a cap of 3");
+    }
+}
+
+/// The load: many jobs wait for advice at once, and each call takes long.
+#[test]
+fn waiting_calls_for_advice_are_spread_over_all_daemons() {
+    let mut slow = queue();
+    slow.advice = Some(AdviceCost {
+        base_us: 100_000,
+        per_worker_us: 0,
+        valid_ms: Millis(2_000),
+    });
+    let mut world = World::new(4, 8, desired(1, slow));
+    world.advice_ms = 100;
+    world.run(3_000);
+    for job in 0..40 {
+        world.submit(0, job, vec![step(1, 500)]);
+    }
+    world.run(1_000);
+    let given = world.count("advice_given");
+    assert!(given >= 24, "only {given} of about 32 possible answers in a second");
+    world.run(4_000);
+    for job in 0..40 {
+        world.assert_state(1, job, JobState::Completed);
+    }
+}
+
+/// The load: a gang waits for tickets while small work takes and frees room around it.
+#[test]
+fn a_gang_starts_on_the_places_that_its_tickets_were_fetched_for() {
+    let mut slow = queue();
+    slow.advice = Some(AdviceCost {
+        base_us: 500_000,
+        per_worker_us: 0,
+        valid_ms: Millis(1_000),
+    });
+    let mut world = World::new(3, 6, desired(1, slow));
+    world.advice_ms = 500;
+    world.run(3_000);
+    world.submit(0, 1, vec![step(12, 2_000)]);
+    world.run(600);
+    world.submit(0, 2, vec![gang(6, 3_000)]);
+    for job in 3..20 {
+        world.run(150);
+        world.submit(0, job, vec![step(1, 1_000)]);
+    }
+    world.run(6_000);
+    world.assert_state(0, 2, JobState::Completed);
+    let calls = world.advice_calls;
+    assert!(calls <= 60, "{calls} calls for advice for 20 jobs");
+}
--- /dev/null
+++ b/core/tests/cell_world/mod.rs
@@ -0,0 +1,414 @@
+//! A cell in virtual time: daemons, a store, workers and an advice service that answer at once or
+//! misbehave on demand.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+mod store;
+mod workers;
+
+pub use store::FakeStore;
+pub use workers::{FakeWorker, Order};
+
+use pomelotide_core::{
+    cell::{
+        AdviceReply, ClientAnswer, ClientCall, ClientVerb, DesiredState, Effect, Event,
+        FrontLimits, JobState, Line, LinkId, Node, OrderId, Queue, StepSpec, Submission, Team,
+        Ticket, WorkerAnswer, CellSettingsBuilder,
+    },
+    CallId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
+};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The host name that clients name.
+pub const HOST: &str = "desk.example";
+/// The beginning of the queue's paths.
+pub const PREFIX: &str = "/q/";
+/// The key that every client shows.
+pub const KEY: &str = "secret";
+/// The Unix time at which the clocks begin.
+const UNIX_BASE_MS: u64 = 1_700_000_000_000;
+/// How long a call to the store takes.
+const STORE_MS: u64 = 10;
+/// How long a call to a worker or a message takes.
+const HOP_MS: u64 = 4;
+
+/// What is on its way.
+#[derive(Debug)]
+enum Due {
+    Event(usize, Event),
+    StoreCall(usize, OrderId, pomelotide_core::cell::StoreCall),
+    WorkerCall(usize, OrderId, Order),
+}
+
+struct Daemon {
+    node: Option<Node>,
+    address: String,
+    ready: bool,
+    /// The other end of each link: daemon and link there.
+    links: BTreeMap<LinkId, (usize, LinkId)>,
+    last_link: u64,
+    /// Whether the store refuses this daemon's calls.
+    store_refuses: bool,
+    /// Whether messages to and from other daemons are lost.
+    cut: bool,
+}
+
+/// The cell.
+pub struct World {
+    pub now: u64,
+    queue: BTreeMap<(u64, u64), Due>,
+    sequence: u64,
+    daemons: Vec<Daemon>,
+    pub store: FakeStore,
+    pub workers: BTreeMap<WorkerId, FakeWorker>,
+    /// The answers of calls, by call.
+    pub answers: BTreeMap<u64, ClientAnswer>,
+    pub lines: Vec<(u64, usize, Line)>,
+    last_call: u64,
+    /// How long advice takes; no advice is asked for where the queue needs none.
+    pub advice_ms: u64,
+    pub advice_calls: usize,
+}
+
+/// Returns a queue of the given priority without advice.
+pub fn queue() -> Queue {
+    Queue {
+        name: QueueName::new("q"),
+        host: HOST.into(),
+        path_prefix: PREFIX.into(),
+        service: "desk".into(),
+        priority: 1,
+        open: false,
+        max_attempts: 2,
+        slack_permille: 2_000,
+        target_latency_ms: Millis(1_000),
+        advice: None,
+    }
+}
+
+/// Returns a desired state with one queue and one team.
+pub fn desired(version: u64, queue: Queue) -> DesiredState {
+    DesiredState {
+        version,
+        queues: vec![queue],
+        teams: vec![Team {
+            name: TeamName::new("growers"),
+            keys: vec![KeyName::new(KEY)],
+            weight: 10,
+            cap: Resources::default(),
+        }],
+        limits: FrontLimits { body_bytes: 1 << 18 },
+    }
+    .sorted()
+}
+
+/// Returns a step of `count` tasks that need `cpu` thousandths and run for a second.
+pub fn step(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: Resources {
+            cpu_milli: cpu,
+            memory_mib: 100,
+            ..Resources::default()
+        },
+        estimated_ms: Millis(1_000),
+        ..StepSpec::default()
+    }
+}
+
+impl World {
+    /// Starts `daemons` daemons and `workers` workers of four cores.
+    pub fn new(daemons: usize, workers: usize, state: DesiredState) -> Self {
+        let mut world = Self {
+            now: 1_000,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            daemons: Vec::new(),
+            store: FakeStore::new(state),
+            workers: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            lines: Vec::new(),
+            last_call: 0,
+            advice_ms: 20,
+            advice_calls: 0,
+        };
+        for at in 0..workers {
+            let worker = FakeWorker::new(at);
+            world.store.put_worker(&worker);
+            world.workers.insert(worker.id(), worker);
+        }
+        for at in 0..daemons {
+            world.daemons.push(Daemon {
+                node: None,
+                address: format!("10.0.0.{at}:7"),
+                ready: false,
+                links: BTreeMap::new(),
+                last_link: 0,
+                store_refuses: false,
+                cut: false,
+            });
+            world.start(at);
+        }
+        world
+    }
+
+    /// Starts a daemon's process anew.
+    pub fn start(&mut self, at: usize) {
+        let settings = CellSettingsBuilder::new(
+            &format!("host-{at}"),
+            "saiss",
+            &self.daemons[at].address,
+        );
+        let unix = UNIX_BASE_MS + self.now;
+        let node = Node::new(settings.build(), Millis(self.now), unix);
+        self.daemons[at].node = Some(node);
+    }
+
+    /// Kills a daemon's process: its links break, its calls are lost.
+    pub fn kill(&mut self, at: usize) {
+        self.daemons[at].node = None;
+        for (_, (peer, link)) in std::mem::take(&mut self.daemons[at].links) {
+            self.daemons[peer].links.remove(&link);
+            self.later(HOP_MS, Due::Event(peer, Event::LinkDown(link)));
+        }
+    }
+
+    /// Lets the store refuse a daemon's calls.
+    pub fn refuse_store(&mut self, at: usize, refuses: bool) {
+        self.daemons[at].store_refuses = refuses;
+    }
+
+    /// Cuts a daemon from the others without a reset.
+    pub fn cut(&mut self, at: usize, cut: bool) {
+        self.daemons[at].cut = cut;
+    }
+
+    /// Returns the daemon that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |own: &Daemon| own.node.as_ref().is_some_and(Node::leads);
+        self.daemons.iter().position(leads)
+    }
+
+    /// Returns whether a daemon is ready.
+    pub fn is_ready(&self, at: usize) -> bool {
+        self.daemons[at].ready
+    }
+
+    fn later(&mut self, delay_ms: u64, due: Due) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay_ms, self.sequence), due);
+    }
+
+    /// Hands an event to a daemon now.
+    pub fn tell(&mut self, at: usize, event: Event) {
+        let (now, unix) = (Millis(self.now), UNIX_BASE_MS + self.now);
+        let Some(node) = &mut self.daemons[at].node else {
+            return;
+        };
+        for effect in node.step(now, unix, event) {
+            self.carry_out(at, effect);
+        }
+    }
+
+    /// Runs for a span of virtual time.
+    pub fn run(&mut self, span_ms: u64) {
+        let end = self.now + span_ms;
+        while self.now < end {
+            let next_tick = (self.now / 25 + 1) * 25;
+            let next = self.queue.keys().next().map_or(next_tick, |key| key.0.min(next_tick));
+            self.now = next.max(self.now).min(end);
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let due = entry.remove();
+                self.deliver(due);
+            }
+            if self.now == next_tick {
+                self.run_workers();
+                for at in 0..self.daemons.len() {
+                    self.tell(at, Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn run_workers(&mut self) {
+        let mut answers = Vec::new();
+        for worker in self.workers.values_mut() {
+            answers.append(&mut worker.tick(self.now));
+        }
+        for (at, order, answer) in answers {
+            self.later(HOP_MS, Due::Event(at, Event::Worker(order, answer)));
+        }
+    }
+
+    fn deliver(&mut self, due: Due) {
+        match due {
+            Due::Event(at, event) => self.tell(at, event),
+            Due::StoreCall(at, order, call) => {
+                let refuses = self.daemons[at].store_refuses;
+                let replies = self.store.call(refuses, at, order, call, self.now);
+                for (at, order, wait_ms, reply) in replies {
+                    self.later(STORE_MS + wait_ms, Due::Event(at, Event::Store(order, reply)));
+                }
+            }
+            Due::WorkerCall(at, order, call) => {
+                let worker = self.workers.get_mut(&call.worker);
+                let answer = match worker {
+                    Some(worker) => worker.call(self.now, at, order, call),
+                    None => Some((0, WorkerAnswer::NotSent)),
+                };
+                if let Some((delay_ms, answer)) = answer {
+                    self.later(HOP_MS + delay_ms, Due::Event(at, Event::Worker(order, answer)));
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Answer(call, answer) => {
+                self.answers.insert(call.0, answer);
+            }
+            Effect::Store { order, call, .. } => {
+                self.later(STORE_MS, Due::StoreCall(at, order, call));
+            }
+            Effect::Worker {
+                order,
+                worker,
+                token,
+                call,
+                limit_ms,
+                ..
+            } => {
+                let call = Order {
+                    worker,
+                    token,
+                    call,
+                    limit_ms,
+                };
+                self.later(HOP_MS, Due::WorkerCall(at, order, call));
+            }
+            Effect::Advise { order, workers, .. } => {
+                self.advice_calls += 1;
+                let rows = workers.into_iter().map(|id| (id, Ticket("t".into())));
+                let reply = AdviceReply::Allowed(rows.collect());
+                self.later(self.advice_ms, Due::Event(at, Event::Advice(order, reply)));
+            }
+            Effect::Dial(address) => self.dial(at, &address),
+            Effect::Close(link) => {
+                if let Some((peer, other)) = self.daemons[at].links.remove(&link) {
+                    self.daemons[peer].links.remove(&other);
+                    self.later(HOP_MS, Due::Event(peer, Event::LinkDown(other)));
+                }
+            }
+            Effect::ToMember(link, message) => {
+                self.pass(at, link, |link| Event::ToMember(link, message));
+            }
+            Effect::ToLeader(link, message) => {
+                self.pass(at, link, |link| Event::ToLeader(link, message));
+            }
+            Effect::Ready(ready) => self.daemons[at].ready = ready,
+            Effect::Log(line) => self.lines.push((self.now, at, line)),
+            Effect::Exit => self.daemons[at].node = None,
+        }
+    }
+
+    fn pass(&mut self, at: usize, link: LinkId, event: impl FnOnce(LinkId) -> Event) {
+        let Some(&(peer, other)) = self.daemons[at].links.get(&link) else {
+            return;
+        };
+        if !self.daemons[at].cut && !self.daemons[peer].cut {
+            self.later(HOP_MS, Due::Event(peer, event(other)));
+        }
+    }
+
+    fn dial(&mut self, at: usize, address: &str) {
+        let found = self.daemons.iter().position(|own| own.address == address);
+        let open = |own: &Daemon| own.node.is_some() && !own.cut;
+        let peer = found.filter(|&peer| open(&self.daemons[peer]) && open(&self.daemons[at]));
+        let link = peer.map(|peer| {
+            let ends = [at, peer].map(|end| {
+                self.daemons[end].last_link += 1;
+                LinkId(self.daemons[end].last_link)
+            });
+            self.daemons[at].links.insert(ends[0], (peer, ends[1]));
+            self.daemons[peer].links.insert(ends[1], (at, ends[0]));
+            ends[0]
+        });
+        let address = address.into();
+        self.later(HOP_MS, Due::Event(at, Event::Dialed { address, link }));
+    }
+
+    fn call(&mut self, at: usize, path: String, verb: ClientVerb) -> u64 {
+        self.last_call += 1;
+        let request = ClientCall {
+            host: HOST.into(),
+            path: path.into(),
+            key: Some(KEY.into()),
+            deadline_ms: None,
+            verb,
+        };
+        self.tell(at, Event::Call(CallId(self.last_call), Box::new(request)));
+        self.last_call
+    }
+
+    /// Hands a job in at a daemon; returns the call.
+    pub fn submit(&mut self, at: usize, job: u64, steps: Vec<StepSpec>) -> u64 {
+        let work = Submission {
+            payload: "payload".into(),
+            steps,
+            ..Submission::default()
+        };
+        self.call(at, format!("{PREFIX}{job:016x}"), ClientVerb::Submit(Box::new(work)))
+    }
+
+    /// Asks for a job's state at a daemon and waits for the answer.
+    pub fn state(&mut self, at: usize, job: u64) -> ClientAnswer {
+        let call = self.call(at, format!("{PREFIX}{job:016x}"), ClientVerb::Get);
+        self.run(2_000);
+        self.answers.remove(&call).unwrap()
+    }
+
+    /// Gives a job up at a daemon; returns the call.
+    pub fn cancel(&mut self, at: usize, job: u64) -> u64 {
+        self.call(at, format!("{PREFIX}{job:016x}"), ClientVerb::Cancel)
+    }
+
+    /// Asserts that a job has ended in a state.
+    pub fn assert_state(&mut self, at: usize, job: u64, state: JobState) {
+        assert_eq!(self.state(at, job), ClientAnswer::State(state), "job {job}");
+    }
+
+    /// Returns how many lines of an event were written.
+    pub fn count(&self, event: &str) -> usize {
+        self.lines.iter().filter(|(_, _, line)| line.event == event).count()
+    }
+
+    /// Returns all starts that workers carried out: worker, task, run, begin.
+    pub fn starts(&self) -> Vec<(WorkerId, String, u32, u64)> {
+        let mut all: Vec<_> = self.workers.values().flat_map(|own| own.starts.clone()).collect();
+        all.sort_by_key(|start| start.3);
+        all
+    }
+
+    /// Asserts that no task ran twice at the same time and none after it was done.
+    pub fn assert_once(&self) {
+        let mut spans: BTreeMap<&str, Vec<(u64, u64, bool)>> = BTreeMap::new();
+        for span in self.workers.values().flat_map(|own| &own.spans) {
+            let end = span.end.unwrap_or(u64::MAX);
+            spans.entry(&span.task).or_default().push((span.begin, end, span.done));
+        }
+        for (task, mut list) in spans {
+            list.sort_unstable();
+            for pair in list.windows(2) {
+                assert!(pair[0].1 <= pair[1].0, "{task} ran twice: {list:?}");
+                assert!(!pair[0].2, "{task} started after it was done: {list:?}");
+            }
+        }
+    }
+}
+
+/// A queue of answers, for tests that hold answers back.
+pub type Held = VecDeque<(usize, OrderId)>;
--- /dev/null
+++ b/core/tests/cell_world/store.rs
@@ -0,0 +1,170 @@
+//! The store: rows with versions, transactions that check them, and a feed of changes.
+
+use super::FakeWorker;
+use pomelotide_core::{
+    cell::{
+        DesiredState, OrderId, Row, RowKey, RowValue, RowVersion, StoreCall, StoreReply, Table,
+        Write,
+    },
+    Millis,
+};
+use std::collections::BTreeMap;
+
+/// A store that is up unless it is told otherwise.
+pub struct FakeStore {
+    pub rows: BTreeMap<RowKey, (RowVersion, RowValue)>,
+    /// All changes in order.
+    changes: Vec<Row>,
+    version: u64,
+    /// Whether all calls are refused.
+    pub down: bool,
+    /// How many of the next writes take effect without an answer.
+    pub lose_answers: usize,
+    /// The version up to which the history is gone.
+    pub history_gone: u64,
+    pub writes: usize,
+}
+
+type Replies = Vec<(usize, OrderId, u64, StoreReply)>;
+
+impl FakeStore {
+    pub fn new(state: DesiredState) -> Self {
+        let mut store = Self {
+            rows: BTreeMap::new(),
+            changes: Vec::new(),
+            version: 0,
+            down: false,
+            lose_answers: 0,
+            history_gone: 0,
+            writes: 0,
+        };
+        store.put_state(state);
+        store
+    }
+
+    fn put(&mut self, key: RowKey, value: RowValue) {
+        let version = RowVersion(self.version);
+        let row = Row {
+            key: key.clone(),
+            version,
+            value: value.clone(),
+        };
+        self.changes.push(row);
+        self.rows.insert(key, (version, value));
+    }
+
+    /// Writes a desired state as an operator does.
+    pub fn put_state(&mut self, state: DesiredState) {
+        self.version += 1;
+        let key = RowKey::new(Table::DesiredState, "", "config");
+        self.put(key, RowValue::DesiredState(Box::new(state)));
+    }
+
+    /// Writes a worker's entry as the worker does.
+    pub fn put_worker(&mut self, worker: &FakeWorker) {
+        self.version += 1;
+        let key = RowKey::new(Table::Workers, "", worker.entry.id.as_str());
+        self.put(key, RowValue::Worker(Box::new(worker.entry.clone())));
+    }
+
+    /// Removes a worker's entry.
+    pub fn remove_worker(&mut self, id: &str) {
+        self.version += 1;
+        let key = RowKey::new(Table::Workers, "", id);
+        self.rows.remove(&key);
+        self.changes.push(Row {
+            key,
+            version: RowVersion(self.version),
+            value: RowValue::Gone,
+        });
+    }
+
+    fn write(&mut self, write: Write) -> StoreReply {
+        let has = |key: &RowKey| self.rows.get(key).map_or(RowVersion(0), |row| row.0);
+        if write.expect.iter().any(|(key, version)| has(key) != *version) {
+            let rows = write.expect.iter().filter_map(|(key, _)| {
+                let (version, value) = self.rows.get(key)?;
+                Some(Row {
+                    key: key.clone(),
+                    version: *version,
+                    value: value.clone(),
+                })
+            });
+            return StoreReply::Conflict(rows.collect());
+        }
+        self.writes += 1;
+        self.version += 1;
+        for (key, value) in write.put {
+            self.put(key, value);
+        }
+        for key in write.remove {
+            self.rows.remove(&key);
+        }
+        StoreReply::Written(RowVersion(self.version))
+    }
+
+    pub fn call(
+        &mut self,
+        refuses: bool,
+        at: usize,
+        order: OrderId,
+        call: StoreCall,
+        _: u64,
+    ) -> Replies {
+        if self.down || refuses {
+            return vec![(at, order, 0, StoreReply::Refused(503))];
+        }
+        let (wait_ms, reply) = match call {
+            StoreCall::Write(write) => {
+                let reply = self.write(write);
+                if self.lose_answers > 0 {
+                    self.lose_answers -= 1;
+                    (1_500, StoreReply::Lost)
+                } else {
+                    (0, reply)
+                }
+            }
+            StoreCall::Read {
+                table,
+                part,
+                from,
+                limit,
+            } => {
+                let own = |key: &RowKey| key.table == table && key.part == part && key.key >= from;
+                let most = if limit == 0 { 500 } else { limit as usize };
+                let found = self.rows.iter().filter(|(key, _)| own(key));
+                let rows: Vec<Row> = found
+                    .clone()
+                    .take(most)
+                    .map(|(key, (version, value))| Row {
+                        key: key.clone(),
+                        version: *version,
+                        value: value.clone(),
+                    })
+                    .collect();
+                let more = found.count() > most;
+                let version = RowVersion(self.version);
+                (0, StoreReply::Rows { rows, more, version })
+            }
+            StoreCall::Follow {
+                table,
+                after,
+                wait_ms,
+            } => self.follow(table, after, wait_ms),
+        };
+        vec![(at, order, wait_ms, reply)]
+    }
+
+    /// A change that comes while a call waits is seen by the next call only: bounded by the wait.
+    fn follow(&self, table: Table, after: RowVersion, wait_ms: Millis) -> (u64, StoreReply) {
+        if after.0 < self.history_gone {
+            return (0, StoreReply::HistoryLost);
+        }
+        let newer = |row: &&Row| row.key.table == table && row.version > after;
+        let rows: Vec<Row> = self.changes.iter().filter(newer).cloned().collect();
+        let wait_ms = if rows.is_empty() { wait_ms.0.min(200) } else { 0 };
+        let version = RowVersion(self.version);
+        let more = false;
+        (wait_ms, StoreReply::Rows { rows, more, version })
+    }
+}
