Let the strongest daemon lead and keep steps without advice out of the order

Cause: on the grown site a host of 0.12 core and 10 Mbit/s led, since all tried within a reading's pace; calls for advice went to late steps first, while passes preferred those in time.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -18,8 +18,11 @@
 pub const LEADER_SILENCE_MS: Millis = Millis(1_000);
 /// How often a daemon without a leader reads who leads; bounded by the store's rate of reads.
 pub const ELECTION_READ_MS: Millis = Millis(300);
-/// How much longer a host waits to lead for each thousandth of a core that it lacks to a whole one.
-pub const WEAK_HOST_WAIT_US: u64 = 150;
+/// How much longer a host waits to lead for each thousandth of a core that it lacks to the
+/// strongest: half a core less makes up for a late look at the store.
+pub const WEAK_HOST_WAIT_US: u64 = 600;
+/// The processor share that the strongest daemon is taken to have before a leader has said so.
+pub const WHOLE_CORE_MILLI: u64 = 1_000;
 
 /// How long a following read waits at the store: bounds the age of the desired state.
 pub const FOLLOW_WAIT_MS: Millis = Millis(1_000);
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -50,7 +50,10 @@
     lease: RowVersion,
     lease_seen_at: Millis,
     read_once: bool,
-    weak_wait_ms: Millis,
+    cpu_milli: u64,
+    /// The processor share of the strongest daemon, as the last leader said.
+    pub(crate) strongest_milli: u64,
+    next_acquire_at: Millis,
     pub(crate) own: Option<FencingToken>,
     /// Until when this daemon's own lease is certain.
     pub(crate) valid_until: Millis,
@@ -85,9 +88,9 @@
 
 impl Election {
     pub(crate) fn new(settings: &CellSettings, nonce: u64) -> Self {
-        let missing = 1_000u64.saturating_sub(settings.cpu_milli);
         let row = MemberRow {
             address: settings.address.clone(),
+            cpu_milli: settings.cpu_milli,
         };
         Self {
             host: settings.host.clone(),
@@ -98,7 +101,9 @@
             lease: RowVersion(0),
             lease_seen_at: Millis(0),
             read_once: false,
-            weak_wait_ms: Millis(missing * consts::WEAK_HOST_WAIT_US / 1_000),
+            cpu_milli: settings.cpu_milli,
+            strongest_milli: settings.cpu_milli.max(consts::WHOLE_CORE_MILLI),
+            next_acquire_at: Millis(0),
             own: None,
             valid_until: Millis(0),
             next_renew_at: Millis(0),
@@ -174,15 +179,17 @@
     }
 
     fn look(&mut self, ctx: &mut Ctx) {
-        let busy = self.is_open(|open| matches!(open, Open::Read | Open::Acquire { .. }));
-        if busy || ctx.now < self.next_read_at {
+        if self.is_open(|open| matches!(open, Open::Acquire { .. })) {
             return;
         }
-        self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
-        if self.may_acquire(ctx.now) {
-            self.acquire(ctx);
+        if self.may_acquire(ctx.now) && ctx.now >= self.next_acquire_at {
+            self.next_acquire_at = ctx.now + consts::ELECTION_READ_MS;
+            return self.acquire(ctx);
+        }
+        if self.is_open(|open| matches!(open, Open::Read)) || ctx.now < self.next_read_at {
             return;
         }
+        self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
         let call = StoreCall::Read {
             table: Table::Leadership,
             part: consts::CELL_PART.into(),
@@ -194,13 +201,13 @@
 
     fn may_acquire(&self, now: Millis) -> bool {
         let waited = now.since(self.lease_seen_at);
-        let free = self.term_row.holder.is_none()
-            || self.resigned.0 == self.term.0
-            || self.is_own_earlier_life();
-        let needed = if free {
-            self.weak_wait_ms
-        } else {
-            consts::LEADER_LEASE_MS + self.weak_wait_ms
+        let missing = self.strongest_milli.saturating_sub(self.cpu_milli);
+        let weak_ms = Millis(missing * consts::WEAK_HOST_WAIT_US / 1_000);
+        let free = self.term_row.holder.is_none() || self.resigned.0 == self.term.0;
+        let needed = match (free, self.is_own_earlier_life()) {
+            (_, true) => Millis(0),
+            (true, false) => weak_ms,
+            (false, false) => consts::LEADER_LEASE_MS + weak_ms,
         };
         self.read_once && waited >= needed
     }
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -169,18 +169,25 @@
             .filter(|(_, lane)| lane.busy.is_none() && now >= lane.rests_until)
             .map(|(link, _)| *link);
         let [short, longs] = &self.waiting;
-        let short = short.first();
-        let longs = longs.first().filter(|_| long_sent < most_long);
+        let short = first_in_time(short, now);
+        let longs = first_in_time(longs, now).filter(|_| long_sent < most_long);
         match (short, longs) {
-            (Some((_, id)), None) => free.next().map(|lane| (*id, lane)),
-            (None, Some((_, id))) => free.next_back().map(|lane| (*id, lane)),
+            (Some((_, id)), None) => free.next().map(|lane| (id, lane)),
+            (None, Some((_, id))) => free.next_back().map(|lane| (id, lane)),
             (Some(short), Some(long)) if short <= long => free.next().map(|lane| (short.1, lane)),
-            (_, Some((_, id))) => free.next_back().map(|lane| (*id, lane)),
+            (_, Some((_, id))) => free.next_back().map(|lane| (id, lane)),
             (None, None) => None,
         }
     }
 }
 
+/// Returns the first ask whose step can still end in time, or else the least late one.
+fn first_in_time(asks: &BTreeSet<(u64, AskId)>, now: Millis) -> Option<(u64, AskId)> {
+    let bound = (now.0, AskId(0));
+    let late = || asks.range(..bound).next_back();
+    asks.range(bound..).next().or_else(late).copied()
+}
+
 impl Leader {
     /// Asks for advice on a step, unless a call for it is open or was just refused.
     pub(crate) fn ask_advice(
@@ -261,6 +268,7 @@
                     };
                     advice.verdicts.insert(ix, verdict);
                 }
+                self.refresh_job(&ask.step.job);
             }
             AdviceReply::Busy | AdviceReply::Lost => {
                 advice.retry_at = ctx.now + consts::ADVICE_RETRY_MS;
@@ -268,6 +276,7 @@
                 if let Some(lane) = lane {
                     lane.rests_until = ctx.now + consts::ADVICE_RETRY_MS;
                 }
+                self.refresh_job(&ask.step.job);
                 let line = Line::warn("advice_missing").with("step", &ask.step);
                 ctx.log(line.with("reply", format_args!("{reply:?}")).with("took_ms", took_ms.0));
             }
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -205,14 +205,20 @@
                 step: at as u16,
             };
             if job.is_ready(at) {
-                let latest = self.latest_start_ms(&key).unwrap_or(u64::MAX);
-                self.wants_pass |= self.ready.insert(&key, latest);
-                let Some(job) = self.jobs.get(id) else { return };
-                let asked = |advice: &StepAdvice| !advice.verdicts.is_empty() || advice.asking.is_some();
-                let asked = asked(&job.steps[at].advice);
-                if let (Some(state), false) = (self.state.clone(), asked) {
+                let advice = &job.steps[at].advice;
+                let unasked = advice.verdicts.is_empty() && advice.asking.is_none();
+                if let (Some(state), true) = (self.state.clone(), unasked) {
                     self.ask_first(self.now, &state, &key);
                 }
+                let Some(job) = self.jobs.get(id) else { return };
+                let advice = &job.steps[at].advice;
+                if advice.verdicts.is_empty() && advice.asking.is_some() {
+                    // Nothing can be decided before the first answer.
+                    self.ready.remove(&key);
+                    continue;
+                }
+                let latest = self.latest_start_ms(&key).unwrap_or(u64::MAX);
+                self.wants_pass |= self.ready.insert(&key, latest);
             } else {
                 self.ready.remove(&key);
             }
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -20,6 +20,7 @@
     dialing: bool,
     next_dial_at: Millis,
     failures: u32,
+    cpu_milli: u64,
     heard_at: Millis,
     store_ok_at: Millis,
     /// Pings by the member's clock with the time at which they came.
@@ -84,6 +85,7 @@
             }
         }
         member.address = row.address;
+        member.cpu_milli = row.cpu_milli;
         member.next_dial_at = ctx.now;
         member.failures = 0;
     }
@@ -152,6 +154,8 @@
         self.members.next_beat_at = now + consts::HEARTBEAT_MS;
         let queued: Vec<(QueueName, u64)> = self.waiting_counts();
         let closed = self.closed_queues(ctx);
+        let shares = self.members.by_host.values().map(|own| own.cpu_milli);
+        let strongest_milli = shares.fold(ctx.settings.cpu_milli, u64::max);
         let beat = |confirmed_ms| ToMember::Heartbeat {
             token: self.token,
             lease: election.lease(),
@@ -159,6 +163,7 @@
             confirmed_ms,
             queued: queued.clone(),
             ready: self.load.is_done(),
+            strongest_milli,
             closed: closed.clone(),
         };
         ctx.to_member(OWN_LINK, beat(None));
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -336,11 +336,18 @@
 
     fn on_to_member(&mut self, link: LinkId, message: ToMember) {
         let ctx = &mut self.ctx;
-        if let ToMember::Heartbeat { token, lease, .. } = &message {
+        if let ToMember::Heartbeat {
+            token,
+            lease,
+            strongest_milli,
+            ..
+        } = &message
+        {
             if !self.election.on_heartbeat(ctx.now, link, *token, *lease) {
                 ctx.push(Effect::Close(link));
                 return;
             }
+            self.election.strongest_milli = *strongest_milli;
             if self.leader.as_ref().is_some_and(|own| own.token() < *token) {
                 self.election.step_down(ctx);
                 self.stop_leading();
--- a/core/src/cell/store.rs
+++ b/core/src/cell/store.rs
@@ -62,6 +62,8 @@
 pub struct MemberRow {
     /// Where it accepts connections, as `IP:port`.
     pub address: CompactString,
+    /// Its processor share, in thousandths of a core.
+    pub cpu_milli: u64,
 }
 
 /// What a row holds.
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -68,6 +68,8 @@
     /// How long advice takes; no advice is asked for where the queue needs none.
     pub advice_ms: u64,
     pub advice_calls: usize,
+    /// The time that the reducers took, in seconds.
+    pub step_s: f64,
 }
 
 /// Returns a queue of the given priority without advice.
@@ -131,6 +133,7 @@
             last_call: 0,
             advice_ms: 20,
             advice_calls: 0,
+            step_s: 0.0,
         };
         for at in 0..workers {
             let worker = FakeWorker::new(at);
@@ -216,7 +219,10 @@
         let Some(node) = &mut self.daemons[at].node else {
             return;
         };
-        for effect in node.step(now, unix, event) {
+        let begin = std::time::Instant::now();
+        let effects = node.step(now, unix, event);
+        self.step_s += begin.elapsed().as_secs_f64();
+        for effect in effects {
             self.carry_out(at, effect);
         }
     }
