Prune the roster and let a new leader start at once

Change: workers without runs get no lease and leave the roster with their entry; no wait for new jobs, since the earlier leader's lease is over by then; lease 2.0 s, hand-over after 0.7 s.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -3,11 +3,11 @@
 use crate::Millis;
 
 /// How long a leader's lease lasts after its row was last written: four renewals may be lost.
-pub const LEADER_LEASE_MS: Millis = Millis(2_500);
+pub const LEADER_LEASE_MS: Millis = Millis(2_000);
 /// What a leader takes off its own lease: 2% of clock drift and the send time of a last order.
 pub const LEADER_MARGIN_MS: Millis = Millis(300);
 /// How often a leader renews its lease: a fifth of the lease.
-pub const LEADER_RENEW_MS: Millis = Millis(500);
+pub const LEADER_RENEW_MS: Millis = Millis(400);
 /// How long one renewal may take: an answer that comes later says nothing about the lease any more.
 pub const RENEW_LIMIT_MS: Millis = Millis(1_500);
 /// How often a leader sends heartbeats: two are missed before its silence counts.
@@ -112,5 +112,7 @@
 /// After which time without an answer the store counts as down: shorter than a slow call's limit.
 pub const STORE_DOWN_MS: Millis = Millis(1_200);
 /// How much later than a leader another daemon must have reached the store for the leader to hand
-/// over: longer than a following read waits.
-pub const HAND_OVER_MS: Millis = Millis(1_200);
+/// over: longer than the pause between two renewals, so that an outage for all never looks like it.
+pub const HAND_OVER_MS: Millis = Millis(700);
+/// The least span between two writes of the roster: workers that come or go together share one.
+pub const ROSTER_GAP_MS: Millis = Millis(200);
--- a/core/src/cell/leader/orders.rs
+++ b/core/src/cell/leader/orders.rs
@@ -99,8 +99,9 @@
         let worker = self.fleet.get(ix);
         let current = now.since(worker.answered_at) < consts::ACK_AGE_MS && worker.contact;
         // A worker that does not answer is only looked at: otherwise its leases would never be over.
-        let answers = worker.lost_looks == 0;
-        let clock = worker.clock_at(now).filter(|_| answers);
+        // One without runs needs no lease.
+        let renews = worker.lost_looks == 0 && !worker.runs.is_empty();
+        let clock = worker.clock_at(now).filter(|_| renews);
         let call = WorkerCall::Renew {
             lease_until_ms: clock.map(|clock| clock + lease_ms),
             acknowledge: if current { worker.stored } else { 0 },
--- a/core/src/cell/leader/roster.rs
+++ b/core/src/cell/leader/roster.rs
@@ -72,14 +72,18 @@
         if self.roster.in_flight.is_some() || ctx.now < self.roster.retry_at {
             return;
         }
-        let listed = |worker: &Worker| worker.listed && !worker.on_roster;
-        if !self.fleet.iter().any(|(_, worker)| listed(worker)) {
-            return;
-        }
         let now = ctx.now;
+        // Runs of earlier leaders on workers that never answered end with their leases.
+        let unknown = now.since(self.since) < self.longest_lease_ms(ctx);
         let kept = |worker: &&Worker| {
-            worker.listed || !worker.runs.is_empty() || now < worker.lease_over_at || !worker.contact
+            let alive = !worker.runs.is_empty() || now < worker.lease_over_at;
+            worker.listed || alive || (!worker.contact && unknown)
         };
+        let changed = |worker: &Worker| worker.on_roster != kept(&worker);
+        if !self.fleet.iter().any(|(_, worker)| changed(worker)) {
+            return;
+        }
+        self.roster.retry_at = now + consts::ROSTER_GAP_MS;
         let workers = self.fleet.iter().map(|(_, worker)| worker);
         let ids: BTreeSet<WorkerId> = workers.filter(kept).map(|own| own.entry.id.clone()).collect();
         let write = Write {
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -7,6 +7,7 @@
         leader::{
             fleet::WorkerIx,
             placement::{best_fit, place_gang, Candidate},
+            worker::Worker,
             Leader,
         },
         node::Ctx,
@@ -26,6 +27,8 @@
 const SICK_PENALTY: u32 = 8;
 /// From how many failures in a row on a worker is shunned where others have room.
 const SICK_FAILURES: u32 = 3;
+/// The part of a span by which a worker's clock may be slow: 2%.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
 /// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
 const MOST_TURNS: usize = 100;
 /// The most waiting steps of which one pass finds out whether they could start at all.
@@ -40,16 +43,10 @@
     key: StepKey,
 }
 
-/// Until when what an earlier leader started may still run on workers that were not reached.
-#[derive(Clone, Copy, Debug)]
-struct Gate {
-    old_jobs: bool,
-    new_jobs: bool,
-}
-
 /// What a pass over the waiting steps keeps in mind.
 struct Pass {
-    gate: Gate,
+    /// Whether jobs that an earlier leader may have started can start.
+    old_jobs: bool,
     /// The room kept on workers for gangs that come first.
     kept: BTreeMap<WorkerIx, Resources>,
     kept_gangs: usize,
@@ -87,15 +84,12 @@
     pub(crate) fn pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
         self.void_tickets();
         let mut pass = Pass {
-            gate: self.gate(ctx),
+            old_jobs: self.may_start_old(ctx),
             kept: BTreeMap::new(),
             kept_gangs: 0,
             open: Vec::new(),
             most: Resources::default(),
         };
-        if !pass.gate.new_jobs {
-            return;
-        }
         let workers = self.fleet.iter();
         let open = workers.filter(|(_, own)| own.is_usable(ctx.now, CLOCK_AGE_MS));
         pass.open = open.map(|(ix, own)| (ix, own.free())).collect();
@@ -109,7 +103,7 @@
             let Some(job) = self.jobs.get(&turn.key.job) else {
                 continue;
             };
-            let open = pass.gate.old_jobs || job.version.0 > self.token.0;
+            let open = pass.old_jobs || job.version.0 > self.token.0;
             let Some(queue) = state.queue(&job.row.queue) else {
                 continue;
             };
@@ -139,18 +133,19 @@
         }
     }
 
-    /// Says which jobs may start: not those that may run where an earlier leader started them.
-    fn gate(&self, ctx: &Ctx) -> Gate {
-        let unreached = |worker: &super::worker::Worker| worker.on_roster && !worker.contact;
+    /// Says whether a job that an earlier leader may have started can start: all workers that it may
+    /// run on have listed their runs, or their leases are over. That leader gave no order after this
+    /// one took the lead.
+    fn may_start_old(&self, ctx: &Ctx) -> bool {
+        let unreached = |worker: &Worker| worker.on_roster && !worker.contact;
         let all = !self.fleet.iter().any(|(_, worker)| unreached(worker));
-        let first = self.generation == 1;
-        let waited = ctx.now.since(self.since);
-        let drift_ms = Millis(ctx.settings.max_lease_ms.0 / 50);
-        let lease_ms = ctx.settings.max_lease_ms + drift_ms + consts::LEASE_MARGIN_MS;
-        Gate {
-            new_jobs: first || all || waited > consts::LEADER_LEASE_MS,
-            old_jobs: first || all || waited > consts::LEADER_LEASE_MS + lease_ms,
-        }
+        self.generation == 1 || all || ctx.now.since(self.since) > self.longest_lease_ms(ctx)
+    }
+
+    /// Returns after which time the leases of earlier leaders are over.
+    pub(crate) fn longest_lease_ms(&self, ctx: &Ctx) -> Millis {
+        let lease_ms = ctx.settings.max_lease_ms;
+        lease_ms + Millis(lease_ms.0 / CLOCK_DRIFT_DIVISOR) + consts::LEASE_MARGIN_MS
     }
 
     /// Returns the latest time at which a step can start so that its job ends in time.
