--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -116,3 +116,8 @@
 pub const HAND_OVER_MS: Millis = Millis(700);
 /// The least span between two writes of the roster: workers that come or go together share one.
 pub const ROSTER_GAP_MS: Millis = Millis(200);
+/// How many times a daemon's processor share is a leader's for the leader to yield to it: less is
+/// not worth the pause of a takeover.
+pub const STRONGER_FACTOR: u64 = 2;
+/// How long a leader and a stronger daemon must have stood for that: longer than a takeover.
+pub const STEADY_MS: Millis = Millis(4_000);
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -67,6 +67,7 @@
     resigning: bool,
     /// The token of a leader that has said that it leads no more.
     resigned: FencingToken,
+    resigned_at: Millis,
     /// The first and the latest number of this process's attempts to lead.
     first_nonce: u64,
     nonce: u64,
@@ -114,6 +115,7 @@
             heard_at: None,
             resigning: false,
             resigned: FencingToken(0),
+            resigned_at: Millis(0),
             first_nonce: nonce,
             nonce,
         }
@@ -203,13 +205,16 @@
         let waited = now.since(self.lease_seen_at);
         let missing = self.strongest_milli.saturating_sub(self.cpu_milli);
         let weak_ms = Millis(missing * consts::WEAK_HOST_WAIT_US / 1_000);
-        let free = self.term_row.holder.is_none() || self.resigned.0 == self.term.0;
-        let needed = match (free, self.is_own_earlier_life()) {
-            (_, true) => Millis(0),
-            (true, false) => weak_ms,
-            (false, false) => consts::LEADER_LEASE_MS + weak_ms,
+        let over = if self.is_own_earlier_life() {
+            true
+        } else if self.resigned.0 == self.term.0 {
+            now.since(self.resigned_at) >= weak_ms
+        } else if self.term_row.holder.is_none() {
+            waited >= weak_ms
+        } else {
+            waited >= consts::LEADER_LEASE_MS + weak_ms
         };
-        self.read_once && waited >= needed
+        self.read_once && over
     }
 
     /// Says whether the leader was an earlier process on this host: it runs no more.
@@ -407,6 +412,7 @@
     /// Takes a leader's word that it leads no more.
     pub(crate) fn on_resigned(&mut self, now: Millis, token: FencingToken) {
         self.resigned = self.resigned.max(token);
+        self.resigned_at = now;
         self.next_read_at = now;
     }
 
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -21,6 +21,7 @@
     next_dial_at: Millis,
     failures: u32,
     cpu_milli: u64,
+    joined_at: Millis,
     heard_at: Millis,
     store_ok_at: Millis,
     /// Pings by the member's clock with the time at which they came.
@@ -47,6 +48,15 @@
         members.any(|own| own.link.is_some() && own.store_ok_at >= at)
     }
 
+    /// Says whether a much stronger daemon has been connected for a while and reaches the store.
+    fn has_stronger(&self, now: Millis, own_milli: u64) -> bool {
+        let strong = |own: &Member| own.cpu_milli >= own_milli * consts::STRONGER_FACTOR;
+        let steady = |own: &Member| now.since(own.joined_at) >= consts::STEADY_MS;
+        let sound = |own: &Member| now.since(own.store_ok_at) < consts::STORE_DOWN_MS;
+        let mut members = self.by_host.values();
+        members.any(|own| own.link.is_some() && strong(own) && steady(own) && sound(own))
+    }
+
     pub(crate) fn remove(&mut self, host: &str) {
         self.by_host.remove(host);
     }
@@ -73,6 +83,12 @@
 }
 
 impl Leader {
+    /// Says whether a much stronger daemon should lead instead.
+    pub(crate) fn should_yield(&self, ctx: &Ctx) -> bool {
+        let steady = ctx.now.since(self.since) >= consts::STEADY_MS;
+        steady && self.members.has_stronger(ctx.now, ctx.settings.cpu_milli)
+    }
+
     pub(crate) fn on_member(&mut self, ctx: &mut Ctx, host: &str, row: MemberRow) {
         if row.address == ctx.settings.address {
             return;
@@ -105,6 +121,7 @@
                 ctx.log(Line::info("member_joined").with("host", host).with("link", link));
                 member.link = Some(link);
                 member.heard_at = ctx.now;
+                member.joined_at = ctx.now;
                 member.failures = 0;
                 member.pings.clear();
                 self.advice.add_lane(link);
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -253,17 +253,21 @@
             leader.tick(ctx, &self.config, &self.election);
             let after = ctx.hand_over_after();
             if after.is_some_and(|at| leader.has_sound_member(at)) {
-                self.hand_over();
+                self.hand_over("store lost");
+            } else if leader.should_yield(ctx) {
+                self.hand_over("weak host");
             }
         }
     }
 
-    /// Leaves the lead to a daemon that reaches the store.
-    fn hand_over(&mut self) {
+    /// Leaves the lead to another daemon, which takes it at once.
+    fn hand_over(&mut self, reason: &str) {
         let ctx = &mut self.ctx;
         let Some(leader) = &self.leader else { return };
         let token = leader.token();
-        ctx.log(Line::warn("lead_handed_over").with("token", token));
+        let line = Line::warn("lead_handed_over").with("token", token);
+        let line = line.with("reason", reason).with("cpu_milli", ctx.settings.cpu_milli);
+        ctx.log(line.with("store_age_ms", ctx.store_age_ms().0));
         for link in leader.links() {
             ctx.push(Effect::ToMember(link, ToMember::Resigned { token }));
         }
