--- a/daemon/tests/pages.rs
+++ b/daemon/tests/pages.rs
@@ -41,3 +41,36 @@
         assert!(page.contains(&format!("`pomelotide_{name}`")), "{name}");
     }
 }
+
+/// Returns the sources of a cell, of the reducer and of the daemon.
+fn cell_sources() -> Vec<String> {
+    let folders = ["../core/src/cell", "../core/src/cell/leader", "src/cell"];
+    let mut all = Vec::new();
+    for folder in folders {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+        for entry in fs::read_dir(folder).expect("a folder of sources").flatten() {
+            if entry.path().is_file() {
+                all.push(fs::read_to_string(entry.path()).expect("a source"));
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn the_page_on_cells_explains_every_event_and_metric() {
+    let page = read("../docs/OPERATIONS.md");
+    let mut events = 0;
+    for code in cell_sources() {
+        for mark in ["Line::info(\"", "Line::warn(\""] {
+            for event in quoted(&code, mark) {
+                assert!(page.contains(&format!("`{event}`")), "{event}");
+                events += 1;
+            }
+        }
+        for name in quoted(&code, "\"pomelotide_") {
+            assert!(page.contains(&format!("`pomelotide_{name}")), "{name}");
+        }
+    }
+    assert!(events > 50, "{events}");
+}
