Let workers rest whose runs fail in a row

Cause: a worker that fails all it starts always has room, so a full fleet's work went there and used up its attempts.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -121,3 +121,9 @@
 pub const STRONGER_FACTOR: u64 = 2;
 /// How long a leader and a stronger daemon must have stood for that: longer than a takeover.
 pub const STEADY_MS: Millis = Millis(4_000);
+/// After how many failed runs in a row a worker rests: work that fails anywhere rarely comes thrice.
+pub const QUARANTINE_FAILURES: u32 = 3;
+/// How long it rests before it gets work again; one more failure sends it back.
+pub const QUARANTINE_MS: Millis = Millis(4_000);
+/// At most one worker in so many rests at a time.
+pub const QUARANTINE_SHARE: usize = 8;
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     cell::{
+        consts,
         leader::{
             fleet::WorkerIx,
             jobs::Step,
-            worker::{Run, RunPhase},
+            worker::{Run, RunPhase, Worker},
             Leader,
         },
         node::Ctx,
@@ -118,7 +119,7 @@
                 let limit = queue.map_or(usize::MAX, |queue| queue.max_attempts as usize);
                 self.keep_checkpoint(&end.task, gang, end.checkpoint.clone());
                 let edits = self.edit(id);
-                self.fleet.get_mut(ix).failures += 1;
+                self.blame(ctx, ix);
                 if failed >= limit {
                     self.end_job(ctx, id, JobState::Failed);
                     return self.jobs.get(id).map(|job| job.edits);
@@ -132,6 +133,21 @@
         }
     }
 
+    /// Counts a failure against a worker; after several in a row it rests, as long as few others do.
+    fn blame(&mut self, ctx: &mut Ctx, ix: WorkerIx) {
+        let now = ctx.now;
+        let rests = |worker: &Worker| worker.listed && now < worker.quarantined_until;
+        let resting = self.fleet.iter().filter(|(_, worker)| rests(worker)).count();
+        let most = self.fleet.len() / consts::QUARANTINE_SHARE;
+        let worker = self.fleet.get_mut(ix);
+        worker.failures += 1;
+        if worker.failures >= consts::QUARANTINE_FAILURES && resting < most {
+            worker.quarantined_until = now + consts::QUARANTINE_MS;
+            let line = Line::warn("worker_quarantined").with("worker", &worker.entry.id);
+            ctx.log(line.with("failures", worker.failures).with("resting", resting));
+        }
+    }
+
     /// Marks a task as done; one end of a gang stands for all its members.
     fn mark_done(&mut self, ctx: &mut Ctx, task: &TaskKey, gang: bool) -> Option<u64> {
         let id = &task.step.job;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -25,8 +25,6 @@
 const FAR_PENALTY: u32 = 2;
 /// What speaks against a worker whose last runs have all failed.
 const SICK_PENALTY: u32 = 8;
-/// From how many failures in a row on a worker is shunned where others have room.
-const SICK_FAILURES: u32 = 3;
 /// The part of a span by which a worker's clock may be slow: 2%.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 /// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
@@ -254,7 +252,7 @@
             let named = own.rack().filter(|_| spec.same_rack);
             let rack = named.map_or(0, |rack| *racks.entry(rack).or_insert(count + 1));
             let failed = u32::from(step.failed_on.contains(&ix)) * FAILED_PENALTY;
-            let sick = u32::from(own.failures >= SICK_FAILURES) * SICK_PENALTY;
+            let sick = u32::from(own.failures >= consts::QUARANTINE_FAILURES) * SICK_PENALTY;
             list.push(Candidate {
                 ix,
                 free: room,
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -68,6 +68,8 @@
     pub(crate) foreign_since: Option<Millis>,
     /// How many runs in a row have failed on it.
     pub(crate) failures: u32,
+    /// Until when it gets no work, since all that it ran has failed.
+    pub(crate) quarantined_until: Millis,
 }
 
 impl Worker {
@@ -95,6 +97,7 @@
             rest_until: Millis(0),
             foreign_since: None,
             failures: 0,
+            quarantined_until: Millis(0),
         }
     }
 
@@ -107,7 +110,8 @@
     pub(crate) fn is_usable(&self, now: Millis, clock_age_ms: Millis) -> bool {
         let clock = self.clock.is_some_and(|(_, at)| now.since(at) < clock_age_ms);
         let sound = self.listed && self.on_roster && self.contact && self.lost_looks == 0;
-        let willing = !self.entry.draining && now >= self.rest_until;
+        let rests = now < self.rest_until || now < self.quarantined_until;
+        let willing = !self.entry.draining && !rests;
         clock && sound && willing && self.foreign_since.is_none()
     }
 
