Let a team's surplus wait behind the others

The load: one team sends 3 to 5 times its usual. A bucket for each team, filled by its weight in jobs a second; what exceeds it stands with the late work.

--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -54,6 +54,8 @@
     pub(crate) stored_state: JobState,
     pub(crate) steps: Vec<Step>,
     pub(crate) started: bool,
+    /// Whether its team sent more than its share when it came.
+    pub(crate) surplus: bool,
     pub(crate) accepted_at: Millis,
     pub(crate) ended_at: Millis,
     pub(crate) cancel_asks: Vec<(LinkId, AskId)>,
@@ -81,6 +83,7 @@
             stored_state: JobState::Pending,
             steps,
             started: false,
+            surplus: false,
             accepted_at: ctx.now.since(Millis(age_ms)),
             ended_at: Millis(0),
             cancel_asks: Vec::new(),
@@ -139,10 +142,12 @@
         }
         let id = row.id.clone();
         let queue = row.queue.clone();
-        let job = Job::new(ctx, row, version);
+        let mut job = Job::new(ctx, row, version);
+        job.surplus = !self.is_within_share(ctx.now, &job.row);
         let line = Line::info("job_learned").with("job", &id).with("version", version);
         let age_ms = ctx.now.since(job.accepted_at);
         if self.load.is_done() {
+            let line = line.with("surplus", job.surplus);
             ctx.log(line.with("age_ms", age_ms.0).with("steps", job.steps.len()));
         }
         *self.queued.entry(queue).or_default() += 1;
@@ -152,6 +157,16 @@
         }
     }
 
+    /// Counts a job that has just come against its team's share; jobs found on record do not count.
+    fn is_within_share(&mut self, now: Millis, row: &JobRow) -> bool {
+        let team = row.team.as_ref().filter(|_| self.load.is_done());
+        let weight = team.and_then(|team| Some(self.state.as_ref()?.team(team)?.weight));
+        match (team, weight) {
+            (Some(team), Some(weight)) if weight > 0 => self.intake.admit(now, team, weight),
+            _ => true,
+        }
+    }
+
     /// Gives the jobs that were read their progress, once everything is read.
     pub(crate) fn attach_progress(&mut self, ctx: &mut Ctx) {
         for (id, (version, progress)) in self.commits.take_loaded() {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod commits;
 mod fleet;
+mod intake;
 mod jobs;
 mod load;
 mod members;
@@ -19,7 +20,7 @@
     cell::{
         consts,
         leader::{
-            advice::AdviceDesk, commits::Commits, fleet::Fleet, jobs::Job, load::Load,
+            advice::AdviceDesk, commits::Commits, fleet::Fleet, intake::Intake, jobs::Job, load::Load,
             members::Members, orders::OpenOrder, ready::Ready, roster::Roster,
         },
         node::Ctx,
@@ -58,6 +59,7 @@
     used: BTreeMap<TeamName, Resources>,
     /// How many jobs of each queue have started no task.
     queued: BTreeMap<QueueName, u64>,
+    intake: Intake,
     advice: AdviceDesk,
     commits: Commits,
     roster: Roster,
@@ -82,6 +84,7 @@
             ready: Ready::default(),
             used: BTreeMap::new(),
             queued: BTreeMap::new(),
+            intake: Intake::default(),
             advice: AdviceDesk::default(),
             commits: Commits::default(),
             roster: Roster::default(),
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -150,6 +150,10 @@
     pub(crate) fn latest_start_ms(&self, key: &StepKey) -> Option<u64> {
         let job = self.jobs.get(&key.job)?;
         let queue = self.state.as_ref()?.queue(&job.row.queue)?;
+        if job.surplus {
+            // It stands with what is late, before what is later.
+            return Some(job.accepted_at.0.saturating_sub(1));
+        }
         let due_ms = job.accepted_at.0 + job.objective_ms(queue);
         Some(due_ms.saturating_sub(job.steps[usize::from(key.step)].path_ms))
     }
