--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -7,7 +7,7 @@
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
     cell::{AdviceCost, ClientAnswer, How, JobState, StepSpec},
-    Millis, Resources,
+    KeyName, Millis, Resources, TeamName,
 };
 
 fn world(daemons: usize, workers: usize) -> World {
@@ -398,3 +398,160 @@
     let calls = world.advice_calls;
     assert!(calls <= 60, "{calls} calls for advice for 20 jobs");
 }
+
+/// The load: one team sends many times its share, another sends as usual.
+#[test]
+fn the_flood_of_one_team_waits_behind_another_teams_jobs() {
+    let mut state = desired(1, queue());
+    state.teams[0].weight = 5;
+    let mut other = state.teams[0].clone();
+    other.name = TeamName::new("weavers");
+    other.keys = vec![KeyName::new("other")];
+    state.teams.push(other);
+    let mut world = World::new(2, 2, state);
+    world.run(3_000);
+    for job in 0..60 {
+        world.submit(0, job, vec![step(1, 2_000)]);
+    }
+    world.run(200);
+    world.key = "other".into();
+    for job in 100..104 {
+        world.submit(0, job, vec![step(1, 2_000)]);
+    }
+    world.run(3_500);
+    for job in 100..104 {
+        world.assert_state(0, job, JobState::Completed);
+    }
+}
+
+/// The load: one worker fails all that it starts, while the fleet is full.
+#[test]
+fn a_worker_that_fails_all_it_starts_does_not_draw_the_work_of_a_full_fleet() {
+    let mut many = queue();
+    many.max_attempts = 3;
+    let mut world = World::new(2, 10, desired(1, many));
+    world.run(3_000);
+    let sick = world.workers.keys().next().unwrap().clone();
+    let worker = world.workers.get_mut(&sick).unwrap();
+    worker.how = How::Failed;
+    worker.work_ms = 50;
+    for job in 0..40 {
+        world.submit(0, job, vec![step(4, 1_000)]);
+        world.run(50);
+    }
+    world.run(8_000);
+    let starts = world.starts();
+    let drawn = starts.iter().filter(|start| start.0 == sick).count();
+    assert!(drawn <= 24, "{drawn} of {} starts went to it", starts.len());
+    assert!(world.count("worker_quarantined") > 0);
+}
+
+#[test]
+fn a_weak_leader_yields_to_a_much_stronger_daemon() {
+    let mut world = World::with_cpu(&[120, 120, 500], 2, desired(1, queue()));
+    world.kill(2);
+    world.run(3_000);
+    assert_ne!(world.leader(), Some(2));
+    world.start(2);
+    world.run(12_000);
+    assert_eq!(world.leader(), Some(2));
+    assert!(world.count("lead_taken") <= 3, "the lead goes to and fro");
+}
+
+#[test]
+fn the_strongest_daemon_leads_after_a_resignation() {
+    let mut world = World::with_cpu(&[500, 120, 120, 120, 500], 2, desired(1, queue()));
+    world.run(4_000);
+    let leader = world.leader().unwrap();
+    assert!(leader == 0 || leader == 4);
+    world.refuse_store(leader, true);
+    world.run(3_000);
+    let next = world.leader().unwrap();
+    assert_eq!(next, 4 - leader);
+}
+
+#[test]
+fn a_worker_that_has_left_does_not_hold_a_new_leader_up() {
+    let mut world = world(2, 3);
+    world.submit(0, 1, vec![step(12, 1_000)]);
+    world.run(3_000);
+    world.assert_state(0, 1, JobState::Completed);
+    let gone = world.workers.keys().next().unwrap().clone();
+    world.workers.remove(&gone);
+    world.store.remove_worker(gone.as_str());
+    world.run(16_000);
+    let leader = world.leader().unwrap();
+    let door = 1 - leader;
+    world.submit(door, 2, vec![step(16, 1_000)]);
+    world.run(400);
+    world.kill(leader);
+    world.run(8_000);
+    world.assert_state(door, 2, JobState::Completed);
+    world.assert_once();
+}
+
+#[test]
+fn a_cut_worker_that_is_no_longer_listed_holds_back_what_it_may_run() {
+    let mut world = world(2, 2);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 20_000;
+    }
+    let leader = world.leader().unwrap();
+    let door = 1 - leader;
+    world.submit(door, 1, vec![step(1, 4_000)]);
+    world.run(300);
+    let cut = world.starts()[0].0.clone();
+    world.workers.get_mut(&cut).unwrap().silent = true;
+    world.store.remove_worker(cut.as_str());
+    world.kill(leader);
+    world.run(9_000);
+    assert!(world.leader().is_some());
+    assert_eq!(world.starts().len(), 1, "started while the cut worker may still run it");
+    world.run(9_000);
+    assert_eq!(world.starts().len(), 2);
+    world.assert_once();
+}
+
+#[test]
+fn a_history_that_is_gone_is_read_again_whole() {
+    let mut world = world(2, 2);
+    world.store.put_state(desired(2, queue()));
+    world.store.history_gone = u64::MAX;
+    world.run(500);
+    world.store.history_gone = 0;
+    world.run(1_500);
+    let call = world.submit(0, 1, vec![step(2, 1_000)]);
+    world.run(3_000);
+    assert_eq!(world.answers[&call], ClientAnswer::Accepted);
+    world.assert_state(1, 1, JobState::Completed);
+    assert!(world.count("config_history_lost") > 0);
+}
+
+#[test]
+fn every_refusal_and_takeover_leaves_its_line_with_its_inputs() {
+    let mut world = world(2, 2);
+    let leader = world.leader().unwrap();
+    let door = 1 - leader;
+    world.key = "unknown".into();
+    world.submit(door, 1, vec![step(1, 1_000)]);
+    world.key = cell_world::KEY.into();
+    world.submit(door, 2, Vec::new());
+    world.store.down = true;
+    world.submit(door, 3, vec![step(1, 1_000)]);
+    world.run(800);
+    world.store.down = false;
+    world.kill(leader);
+    world.run(6_000);
+    let line = |event: &str| {
+        let found = world.lines.iter().find(|(_, _, line)| line.event == event);
+        found.map(|(_, _, line)| line.to_string()).unwrap_or_default()
+    };
+    assert!(line("key_refused").contains("version=1"), "{}", line("key_refused"));
+    assert!(line("job_malformed").contains("job=0000000000000002"));
+    let refused = line("job_not_accepted");
+    let inputs = ["job=0000000000000003", "outcome=NotRun", "waited_ms="];
+    assert!(inputs.iter().all(|input| refused.contains(input)), "{refused}");
+    let wanted = line("lead_wanted");
+    assert!(wanted.contains("lease_age_ms=") && wanted.contains("lease_version="), "{wanted}");
+    assert!(line("lead_taken").contains("token="));
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -51,6 +51,7 @@
     store_refuses: bool,
     /// Whether messages to and from other daemons are lost.
     cut: bool,
+    cpu_milli: u64,
 }
 
 /// The cell.
@@ -65,6 +66,8 @@
     pub answers: BTreeMap<u64, ClientAnswer>,
     pub lines: Vec<(u64, usize, Line)>,
     last_call: u64,
+    /// The key that clients show.
+    pub key: String,
     /// How long advice takes; no advice is asked for where the queue needs none.
     pub advice_ms: u64,
     pub advice_calls: usize,
@@ -121,6 +124,11 @@
 impl World {
     /// Starts `daemons` daemons and `workers` workers of four cores.
     pub fn new(daemons: usize, workers: usize, state: DesiredState) -> Self {
+        Self::with_cpu(&vec![1_000; daemons], workers, state)
+    }
+
+    /// Starts a daemon for each processor share, in thousandths of a core.
+    pub fn with_cpu(shares: &[u64], workers: usize, state: DesiredState) -> Self {
         let mut world = Self {
             now: 1_000,
             queue: BTreeMap::new(),
@@ -131,6 +139,7 @@
             answers: BTreeMap::new(),
             lines: Vec::new(),
             last_call: 0,
+            key: KEY.into(),
             advice_ms: 20,
             advice_calls: 0,
             step_s: 0.0,
@@ -140,7 +149,7 @@
             world.store.put_worker(&worker);
             world.workers.insert(worker.id(), worker);
         }
-        for at in 0..daemons {
+        for (at, &cpu_milli) in shares.iter().enumerate() {
             world.daemons.push(Daemon {
                 node: None,
                 address: format!("10.0.0.{at}:7"),
@@ -149,6 +158,7 @@
                 last_link: 0,
                 store_refuses: false,
                 cut: false,
+                cpu_milli,
             });
             world.start(at);
         }
@@ -163,6 +173,7 @@
             &self.daemons[at].address,
         );
         let unix = UNIX_BASE_MS + self.now;
+        let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
         let node = Node::new(settings.build(), Millis(self.now), unix);
         self.daemons[at].node = Some(node);
     }
@@ -363,7 +374,7 @@
         let request = ClientCall {
             host: HOST.into(),
             path: path.into(),
-            key: Some(KEY.into()),
+            key: Some(self.key.as_str().into()),
             deadline_ms: None,
             verb,
         };
