--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -127,3 +127,5 @@
 pub const QUARANTINE_MS: Millis = Millis(4_000);
 /// At most one worker in so many rests at a time.
 pub const QUARANTINE_SHARE: usize = 8;
+/// When a client should come back with a job of a kind that is not served yet: after an upgrade.
+pub const UNSERVED_RETRY_MS: Millis = Millis(60_000);
--- a/core/src/cell/door.rs
+++ b/core/src/cell/door.rs
@@ -6,8 +6,8 @@
         node::{Ctx, Owner, OWN_LINK},
         submits::{job_key, Submits},
         AdviceReply, AskId, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobRow,
-        JobState, Line, LinkId, OrderId, Queue, RowKey, RowValue, RowVersion, StateView,
-        StoreCall, StoreReply, Submission, Table, ToLeader, ToMember,
+        JobState, Line, LinkId, OrderId, Queue, RowKey, RowValue, RowVersion, StateView, StoreCall,
+        StoreReply, Submission, Table, ToLeader, ToMember,
     },
     CallId, JobId, Millis, QueueName, TeamName,
 };
@@ -78,7 +78,11 @@
     }
 
     fn refuse(&mut self, ctx: &mut Ctx, call: CallId, reason: &'static str) {
-        ctx.log(Line::warn("call_refused").with("call", call).with("reason", reason));
+        ctx.log(
+            Line::warn("call_refused")
+                .with("call", call)
+                .with("reason", reason),
+        );
         let retry_after_ms = consts::RETRY_AFTER_MS;
         let answer = ClientAnswer::NotRun {
             reason,
@@ -104,13 +108,20 @@
             return self.refuse(ctx, call, "the configuration at hand may be outdated");
         }
         let Some(queue) = state.route(&request.host, &request.path) else {
-            let line = Line::warn("call_unrouted").with("call", call).with("host", request.host);
-            ctx.log(line.with("path", request.path).with("version", state.version));
+            let line = Line::warn("call_unrouted")
+                .with("call", call)
+                .with("host", request.host);
+            ctx.log(
+                line.with("path", request.path)
+                    .with("version", state.version),
+            );
             return self.answer(ctx, call, ClientAnswer::NoQueue);
         };
         let team = request.key.as_ref().and_then(|key| state.team_of(key));
         if team.is_none() && !queue.open {
-            let line = Line::warn("key_refused").with("call", call).with("queue", &queue.name);
+            let line = Line::warn("key_refused")
+                .with("call", call)
+                .with("queue", &queue.name);
             ctx.log(line.with("version", state.version));
             return self.answer(ctx, call, ClientAnswer::BadKey);
         }
@@ -161,15 +172,23 @@
         work: Submission,
     ) {
         if let Some(fault) = work.fault() {
-            ctx.log(Line::warn("job_malformed").with("job", &id).with("reason", fault));
+            ctx.log(
+                Line::warn("job_malformed")
+                    .with("job", &id)
+                    .with("reason", fault),
+            );
             return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
         }
-        if let Some(retry_after_ms) = self.closed_for(ctx.now, &queue.name) {
-            let line = Line::warn("job_refused").with("job", &id).with("queue", &queue.name);
-            let line = line.with("reason", "overload").with("retry_ms", retry_after_ms.0);
-            ctx.log(line);
+        if let Some((reason, retry_after_ms)) = self.refusal(ctx.now, &queue.name, &work) {
+            let line = Line::warn("job_refused")
+                .with("job", &id)
+                .with("queue", &queue.name);
+            ctx.log(
+                line.with("reason", reason)
+                    .with("retry_ms", retry_after_ms.0),
+            );
             let answer = ClientAnswer::NotRun {
-                reason: "the fleet is full",
+                reason,
                 retry_after_ms,
             };
             return self.answer(ctx, call, answer);
@@ -184,6 +203,20 @@
         submits.add_client(ctx, call, job);
     }
 
+    /// Returns why a submission is not taken, and when to come back.
+    fn refusal(
+        &self,
+        now: Millis,
+        queue: &QueueName,
+        work: &Submission,
+    ) -> Option<(&'static str, Millis)> {
+        let unserved = work
+            .unserved()
+            .map(|reason| (reason, consts::UNSERVED_RETRY_MS));
+        let full = || Some(("the fleet is full", self.closed_for(now, queue)?));
+        unserved.or_else(full)
+    }
+
     fn closed_for(&self, now: Millis, queue: &QueueName) -> Option<Millis> {
         let at = self.word.at?;
         let current = now.since(at) < consts::COUNTS_AGE_MS;
@@ -306,36 +339,7 @@
         message: ToMember,
     ) {
         match message {
-            ToMember::Heartbeat {
-                version,
-                confirmed_ms,
-                queued,
-                ready,
-                closed,
-                ..
-            } => {
-                self.word = LeaderWord {
-                    counts: queued.into_iter().collect(),
-                    closed: closed.into_iter().collect(),
-                    at: Some(ctx.now),
-                    ready,
-                };
-                if version > config.version() {
-                    if let Some(link) = self.leader.filter(|link| *link != OWN_LINK) {
-                        send(ctx, link, ToLeader::Behind);
-                    }
-                }
-                if let Some(at) = confirmed_ms {
-                    config.confirm(version, at);
-                }
-                if let Some(link) = self.leader.filter(|link| *link != OWN_LINK) {
-                    let ping = ToLeader::Ping {
-                        sent_ms: ctx.now,
-                        store_age_ms: ctx.store_age_ms(),
-                    };
-                    send(ctx, link, ping);
-                }
-            }
+            ToMember::Heartbeat { .. } => self.on_heartbeat(ctx, config, message),
             ToMember::Resigned { .. } => {}
             ToMember::Config(state) => config.adopt(*state, ctx, "leader"),
             ToMember::State { ask, view } => self.on_state(ctx, ask, view),
@@ -358,6 +362,40 @@
         }
     }
 
+    fn on_heartbeat(&mut self, ctx: &mut Ctx, config: &mut ConfigFeed, message: ToMember) {
+        let ToMember::Heartbeat {
+            version,
+            confirmed_ms,
+            queued,
+            ready,
+            closed,
+            ..
+        } = message
+        else {
+            return;
+        };
+        self.word = LeaderWord {
+            counts: queued.into_iter().collect(),
+            closed: closed.into_iter().collect(),
+            at: Some(ctx.now),
+            ready,
+        };
+        if let Some(at) = confirmed_ms {
+            config.confirm(version, at);
+        }
+        let Some(link) = self.leader.filter(|link| *link != OWN_LINK) else {
+            return;
+        };
+        if version > config.version() {
+            send(ctx, link, ToLeader::Behind);
+        }
+        let ping = ToLeader::Ping {
+            sent_ms: ctx.now,
+            store_age_ms: ctx.store_age_ms(),
+        };
+        send(ctx, link, ping);
+    }
+
     fn on_state(&mut self, ctx: &mut Ctx, id: AskId, view: StateView) {
         let Some(ask) = self.asks.remove(&id) else {
             return;
@@ -396,7 +434,11 @@
             let Some(ask) = self.asks.remove(&id) else {
                 continue;
             };
-            ctx.log(Line::warn("ask_unanswered").with("job", &ask.job).with("cancels", ask.cancels));
+            ctx.log(
+                Line::warn("ask_unanswered")
+                    .with("job", &ask.job)
+                    .with("cancels", ask.cancels),
+            );
             self.without_leader(ctx, ask);
         }
     }
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -20,7 +20,9 @@
         generation: u32,
         sent_at: Millis,
     },
-    Renew { sent_at: Millis },
+    Renew {
+        sent_at: Millis,
+    },
     Resign,
 }
 
@@ -271,12 +273,7 @@
         self.call(ctx, Open::Resign, call, consts::STORE_LIMIT_MS);
     }
 
-    pub(crate) fn on_store(
-        &mut self,
-        ctx: &mut Ctx,
-        order: OrderId,
-        reply: StoreReply,
-    ) -> Turn {
+    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) -> Turn {
         let Some(at) = self.open.iter().position(|(open, _)| *open == order) else {
             return Turn::Stay;
         };
--- a/core/src/cell/job.rs
+++ b/core/src/cell/job.rs
@@ -67,11 +67,26 @@
         None
     }
 
+    /// Returns why no cell can serve the submission yet, if it can't.
+    pub fn unserved(&self) -> Option<&'static str> {
+        if self.repeat_count > 0 {
+            return Some("jobs with times are not served yet");
+        }
+        if self.steps.iter().any(|step| step.long_running) {
+            return Some("long-running tasks are not served yet");
+        }
+        None
+    }
+
     /// Returns the estimated work that is left from a step's start on, in milliseconds.
     pub fn path_from_ms(&self, step: usize) -> u64 {
         let mut longest = 0;
         for (at, later) in self.steps.iter().enumerate().skip(step + 1) {
-            if later.after.iter().any(|&earlier| usize::from(earlier) == step) {
+            if later
+                .after
+                .iter()
+                .any(|&earlier| usize::from(earlier) == step)
+            {
                 longest = longest.max(self.path_from_ms(at));
             }
         }
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -160,7 +160,11 @@
     /// short ones, and the leader's own daemon, which has most to do, comes last for them.
     fn next(&self, now: Millis) -> Option<(AskId, LinkId)> {
         let count = self.lanes.len();
-        let most_long = if count > 1 { count - (count / 3).max(1) } else { count };
+        let most_long = if count > 1 {
+            count - (count / 3).max(1)
+        } else {
+            count
+        };
         let long = |lane: &&Lane| matches!(lane.busy, Some((_, true, _)));
         let long_sent = self.lanes.values().filter(long).count();
         let mut free = self
@@ -239,7 +243,7 @@
             if let Some(lane) = self.advice.lanes.get_mut(&lane) {
                 lane.busy = Some((id, long, until));
             }
-            ctx.to_member(lane, message);
+            ctx.send_member(lane, message);
         }
     }
 
@@ -257,7 +261,9 @@
         match reply {
             AdviceReply::Allowed(rows) => {
                 let line = Line::info("advice_given").with("step", &ask.step);
-                let line = line.with("asked", ask.workers.len()).with("allowed", rows.len());
+                let line = line
+                    .with("asked", ask.workers.len())
+                    .with("allowed", rows.len());
                 ctx.log(line.with("took_ms", took_ms.0));
                 let until = ctx.now + ask.cost.valid_ms.since(consts::TICKET_MARGIN_MS);
                 let rows: BTreeMap<WorkerId, Ticket> = rows.into_iter().collect();
@@ -272,13 +278,18 @@
             }
             AdviceReply::Busy | AdviceReply::Lost => {
                 advice.retry_at = ctx.now + consts::ADVICE_RETRY_MS;
-                let lane = ask.sent.and_then(|(link, _)| self.advice.lanes.get_mut(&link));
+                let lane = ask
+                    .sent
+                    .and_then(|(link, _)| self.advice.lanes.get_mut(&link));
                 if let Some(lane) = lane {
                     lane.rests_until = ctx.now + consts::ADVICE_RETRY_MS;
                 }
                 self.refresh_job(&ask.step.job);
                 let line = Line::warn("advice_missing").with("step", &ask.step);
-                ctx.log(line.with("reply", format_args!("{reply:?}")).with("took_ms", took_ms.0));
+                ctx.log(
+                    line.with("reply", format_args!("{reply:?}"))
+                        .with("took_ms", took_ms.0),
+                );
             }
         }
     }
--- a/core/src/cell/leader/commits.rs
+++ b/core/src/cell/leader/commits.rs
@@ -37,7 +37,9 @@
 
 impl Commits {
     pub(crate) fn holds(&self, order: OrderId) -> bool {
-        self.in_flight.as_ref().is_some_and(|sent| sent.order == order)
+        self.in_flight
+            .as_ref()
+            .is_some_and(|sent| sent.order == order)
     }
 
     pub(crate) fn mark(&mut self, job: &JobId) {
@@ -49,7 +51,8 @@
     }
 
     pub(crate) fn keep_loaded(&mut self, key: &RowKey, version: RowVersion, progress: Progress) {
-        self.loaded.insert(JobId::new(&key.key), (version, progress));
+        self.loaded
+            .insert(JobId::new(&key.key), (version, progress));
     }
 
     pub(crate) fn take_loaded(&mut self) -> BTreeMap<JobId, (RowVersion, Progress)> {
@@ -75,7 +78,11 @@
             }
         }
         for write in writes {
-            ctx.store(Owner::Leader, StoreCall::Write(write), consts::STORE_LIMIT_MS);
+            ctx.store(
+                Owner::Leader,
+                StoreCall::Write(write),
+                consts::STORE_LIMIT_MS,
+            );
         }
     }
 }
@@ -94,7 +101,12 @@
         if !idle || commits.dirty.is_empty() {
             return;
         }
-        let ids: Vec<JobId> = commits.dirty.iter().take(consts::BATCH_ROWS).cloned().collect();
+        let ids: Vec<JobId> = commits
+            .dirty
+            .iter()
+            .take(consts::BATCH_ROWS)
+            .cloned()
+            .collect();
         // The write shows that the leader lives: it renews the lease as well.
         let mut write = Write {
             expect: vec![fence(self.token)],
@@ -104,7 +116,9 @@
         let mut batch = Vec::with_capacity(ids.len());
         for id in ids {
             commits.dirty.remove(&id);
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
             let key = progress_key(&id);
             write.expect.push((key.clone(), job.progress_version));
             let progress = Box::new(job.progress.clone());
@@ -146,13 +160,17 @@
                         job.progress_version = row.version;
                     }
                 }
-                self.commits.dirty.extend(batch.into_iter().map(|(id, _)| id));
+                self.commits
+                    .dirty
+                    .extend(batch.into_iter().map(|(id, _)| id));
             }
             _ => {
                 self.commits.retry_at = ctx.now + consts::STORE_RETRY_MS;
                 let line = Line::warn("progress_unwritten").with("jobs", batch.len());
                 ctx.log(line.with("reply", format_args!("{reply:?}")));
-                self.commits.dirty.extend(batch.into_iter().map(|(id, _)| id));
+                self.commits
+                    .dirty
+                    .extend(batch.into_iter().map(|(id, _)| id));
             }
         }
         Follow::Nothing
@@ -164,9 +182,9 @@
         for &ix in &self.commits.waiting {
             let worker = self.fleet.get_mut(ix);
             let jobs = &self.jobs;
-            worker.unstored.retain(|(id, edits)| {
-                jobs.get(id).is_some_and(|job| job.stored_edits < *edits)
-            });
+            worker
+                .unstored
+                .retain(|(id, edits)| jobs.get(id).is_some_and(|job| job.stored_edits < *edits));
             if worker.unstored.is_empty() {
                 worker.stored = worker.seen;
                 worker.next_look_at = ctx.now;
--- a/core/src/cell/leader/fleet.rs
+++ b/core/src/cell/leader/fleet.rs
@@ -102,7 +102,11 @@
         let worker = self.fleet.get_mut(ix);
         if worker.listed {
             worker.listed = false;
-            ctx.log(Line::warn("worker_unlisted").with("worker", id).with("runs", worker.runs.len()));
+            ctx.log(
+                Line::warn("worker_unlisted")
+                    .with("worker", id)
+                    .with("runs", worker.runs.len()),
+            );
         }
     }
 }
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -63,7 +63,10 @@
 
 impl Job {
     fn new(ctx: &Ctx, row: JobRow, version: RowVersion) -> Self {
-        let age_ms = ctx.unix_ms.saturating_sub(row.accepted_unix_ms).min(MAX_AGE_MS);
+        let age_ms = ctx
+            .unix_ms
+            .saturating_sub(row.accepted_unix_ms)
+            .min(MAX_AGE_MS);
         let tasks = |count: u32| vec![Task::default(); count as usize];
         let steps = row.work.steps.iter().enumerate().map(|(at, spec)| Step {
             tasks: tasks(spec.count),
@@ -129,7 +132,12 @@
 
     /// Returns by when it should be done, and the span that its queue allows.
     pub(crate) fn objective_ms(&self, queue: &Queue) -> u64 {
-        let path_ms = self.steps.iter().map(|step| step.path_ms).max().unwrap_or(0);
+        let path_ms = self
+            .steps
+            .iter()
+            .map(|step| step.path_ms)
+            .max()
+            .unwrap_or(0);
         path_ms * queue.slack_permille / 1_000 + queue.target_latency_ms.0
     }
 }
@@ -144,7 +152,9 @@
         let queue = row.queue.clone();
         let mut job = Job::new(ctx, row, version);
         job.surplus = !self.is_within_share(ctx.now, &job.row);
-        let line = Line::info("job_learned").with("job", &id).with("version", version);
+        let line = Line::info("job_learned")
+            .with("job", &id)
+            .with("version", version);
         let age_ms = ctx.now.since(job.accepted_at);
         if self.load.is_done() {
             let line = line.with("surplus", job.surplus);
@@ -261,9 +271,14 @@
         job.progress.state = state;
         job.progress.ended_unix_ms = ctx.unix_ms;
         job.ended_at = ctx.now;
-        let line = Line::info("job_ended").with("job", id).with("state", format_args!("{state:?}"));
+        let line = Line::info("job_ended")
+            .with("job", id)
+            .with("state", format_args!("{state:?}"));
         let took_ms = ctx.now.since(job.accepted_at);
-        ctx.log(line.with("queue", &job.row.queue).with("took_ms", took_ms.0));
+        ctx.log(
+            line.with("queue", &job.row.queue)
+                .with("took_ms", took_ms.0),
+        );
         for progress in &mut job.progress.steps {
             progress.checkpoints.clear();
         }
@@ -298,13 +313,7 @@
     }
 
     /// Notes that a state of a job's progress is on record.
-    pub(crate) fn on_stored(
-        &mut self,
-        ctx: &mut Ctx,
-        id: &JobId,
-        edits: u64,
-        version: RowVersion,
-    ) {
+    pub(crate) fn on_stored(&mut self, ctx: &mut Ctx, id: &JobId, edits: u64, version: RowVersion) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -316,7 +325,7 @@
         if job.stored_state.is_final() {
             let view = StateView::Known(job.stored_state);
             for (link, ask) in std::mem::take(&mut job.cancel_asks) {
-                ctx.to_member(link, ToMember::State { ask, view });
+                ctx.send_member(link, ToMember::State { ask, view });
             }
         }
     }
--- a/core/src/cell/leader/load.rs
+++ b/core/src/cell/leader/load.rs
@@ -121,7 +121,8 @@
         let scanned: Vec<Table> = load.open.values().filter_map(Open::scanned).collect();
         for (&table, feed) in &mut load.feeds {
             // The oldest of all scans of a table says from where on its changes are missing.
-            let scanning = scanned.contains(&table) || load.todo.iter().any(|own| own.table == table);
+            let scanning =
+                scanned.contains(&table) || load.todo.iter().any(|own| own.table == table);
             if feed.in_flight || ctx.now < feed.next_at || scanning {
                 continue;
             }
@@ -185,8 +186,14 @@
 
     fn after_load(&mut self, ctx: &mut Ctx) {
         let line = Line::info("leader_loaded").with("token", self.token);
-        let line = line.with("jobs", self.jobs.len()).with("workers", self.fleet.len());
-        let missing = self.fleet.iter().filter(|(_, worker)| !worker.listed).count();
+        let line = line
+            .with("jobs", self.jobs.len())
+            .with("workers", self.fleet.len());
+        let missing = self
+            .fleet
+            .iter()
+            .filter(|(_, worker)| !worker.listed)
+            .count();
         let line = line.with("workers_missing", missing);
         ctx.log(line.with("took_ms", ctx.now.since(self.since).0));
         self.attach_progress(ctx);
@@ -219,7 +226,10 @@
         ctx.log(Line::warn("history_lost").with("table", format_args!("{table:?}")));
         self.load.feeds.remove(&table);
         let again = Load::default().todo;
-        let mut scans: Vec<Scan> = again.into_iter().filter(|scan| scan.table == table).collect();
+        let mut scans: Vec<Scan> = again
+            .into_iter()
+            .filter(|scan| scan.table == table)
+            .collect();
         self.load.todo.append(&mut scans);
         if table == Table::Workers {
             self.fleet.begin_reading();
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -61,7 +61,13 @@
         self.by_host.remove(host);
     }
 
-    pub(crate) fn on_ping(&mut self, now: Millis, link: LinkId, sent_ms: Millis, store_ok_at: Millis) {
+    pub(crate) fn on_ping(
+        &mut self,
+        now: Millis,
+        link: LinkId,
+        sent_ms: Millis,
+        store_ok_at: Millis,
+    ) {
         let mut members = self.by_host.values_mut();
         if let Some(member) = members.find(|own| own.link == Some(link)) {
             member.pings.push((sent_ms, now));
@@ -95,7 +101,11 @@
         }
         let member = self.members.by_host.entry(host.into()).or_default();
         if member.address != row.address {
-            ctx.log(Line::info("member_listed").with("host", host).with("address", &row.address));
+            ctx.log(
+                Line::info("member_listed")
+                    .with("host", host)
+                    .with("address", &row.address),
+            );
             if let Some(link) = member.link.take() {
                 ctx.push(Effect::Close(link));
             }
@@ -118,7 +128,11 @@
         member.dialing = false;
         match link {
             Some(link) => {
-                ctx.log(Line::info("member_joined").with("host", host).with("link", link));
+                ctx.log(
+                    Line::info("member_joined")
+                        .with("host", host)
+                        .with("link", link),
+                );
                 member.link = Some(link);
                 member.heard_at = ctx.now;
                 member.joined_at = ctx.now;
@@ -138,7 +152,11 @@
     pub(crate) fn on_link_down(&mut self, ctx: &mut Ctx, link: LinkId) {
         let mut members = self.members.by_host.iter_mut();
         if let Some((host, member)) = members.find(|(_, own)| own.link == Some(link)) {
-            ctx.log(Line::warn("member_lost").with("host", host).with("link", link));
+            ctx.log(
+                Line::warn("member_lost")
+                    .with("host", host)
+                    .with("link", link),
+            );
             member.link = None;
             member.next_dial_at = ctx.now + consts::REDIAL_MS;
         }
@@ -183,11 +201,11 @@
             strongest_milli,
             closed: closed.clone(),
         };
-        ctx.to_member(OWN_LINK, beat(None));
+        ctx.send_member(OWN_LINK, beat(None));
         for member in self.members.by_host.values_mut() {
             if let Some(link) = member.link {
                 let confirmed_ms = member.confirmed(config.confirmed_at());
-                ctx.to_member(link, beat(confirmed_ms));
+                ctx.send_member(link, beat(confirmed_ms));
             }
         }
     }
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod commits;
 mod fleet;
+mod gangs;
 mod intake;
 mod jobs;
 mod load;
@@ -20,11 +21,12 @@
     cell::{
         consts,
         leader::{
-            advice::AdviceDesk, commits::Commits, fleet::Fleet, intake::Intake, jobs::Job, load::Load,
-            members::Members, orders::OpenOrder, ready::Ready, roster::Roster,
+            advice::AdviceDesk, commits::Commits, fleet::Fleet, intake::Intake, jobs::Job,
+            load::Load, members::Members, orders::OpenOrder, ready::Ready, roster::Roster,
         },
         node::Ctx,
-        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, RowVersion, StoreReply, ToLeader,
+        ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, RowVersion, StoreReply,
+        ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
@@ -36,7 +38,10 @@
     /// Nothing.
     Nothing,
     /// The lease was renewed by a write that was sent at this time.
-    Renewed { sent_at: Millis, version: RowVersion },
+    Renewed {
+        sent_at: Millis,
+        version: RowVersion,
+    },
     /// Another daemon leads by now.
     Deposed,
 }
@@ -187,7 +192,12 @@
         self.sweep_at = ctx.now + consts::SWEEP_MS;
         let retention_ms = ctx.settings.retention_ms;
         let over = |job: &&Job| job.is_settled() && ctx.now.since(job.ended_at) > retention_ms;
-        let ids: Vec<JobId> = self.jobs.values().filter(over).map(|job| job.row.id.clone()).collect();
+        let ids: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(over)
+            .map(|job| job.row.id.clone())
+            .collect();
         for chunk in ids.chunks(consts::BATCH_ROWS) {
             self.commits.remove_rows(ctx, self.token, chunk);
         }
--- a/core/src/cell/leader/orders.rs
+++ b/core/src/cell/leader/orders.rs
@@ -5,7 +5,7 @@
         consts,
         leader::{
             fleet::WorkerIx,
-            worker::{Run, RunPhase},
+            worker::{Run, RunPhase, Worker},
             Leader,
         },
         node::{Ctx, Owner},
@@ -114,7 +114,8 @@
             false => worker.look = Some(order),
         }
         let sent_at = now;
-        self.orders.insert(order, OpenOrder::Look { ix, sent_at, quick });
+        self.orders
+            .insert(order, OpenOrder::Look { ix, sent_at, quick });
     }
 
     pub(crate) fn on_worker(&mut self, ctx: &mut Ctx, order: OrderId, answer: WorkerAnswer) {
@@ -162,7 +163,10 @@
                     let line = Line::warn("worker_silent").with("worker", &worker.entry.id);
                     let line = line.with("answer", format_args!("{other:?}"));
                     let age_ms = ctx.now.since(worker.answered_at);
-                    ctx.log(line.with("age_ms", age_ms.0).with("runs", worker.runs.len()));
+                    ctx.log(
+                        line.with("age_ms", age_ms.0)
+                            .with("runs", worker.runs.len()),
+                    );
                 }
             }
         }
@@ -194,15 +198,10 @@
             team: job.row.team.clone(),
             phase: RunPhase::Ordered,
             settled_at: None,
-            started_at: ctx.now,
             percent: 0,
             checkpoint: checkpoint.clone(),
         };
-        let line = Line::info("run_ordered").with("task", &task).with("run", number);
-        let line = line.with("worker", &worker.entry.id).with("free", worker.free());
-        let waited_ms = ctx.now.since(job.accepted_at);
-        let clock_age_ms = worker.clock.map_or(0, |(_, at)| ctx.now.since(at).0);
-        ctx.log(line.with("clock_age_ms", clock_age_ms).with("job_age_ms", waited_ms.0));
+        log_start(ctx, worker, &task, number, job.accepted_at);
         let order = StartOrder {
             task: task.clone(),
             run: number,
@@ -252,7 +251,9 @@
                 }
                 worker.rest_until = now + consts::WORKER_REST_MS;
                 worker.wants_quick_look = true;
-                let line = Line::warn("order_unanswered").with("task", task).with("run", number);
+                let line = Line::warn("order_unanswered")
+                    .with("task", task)
+                    .with("run", number);
                 ctx.log(line.with("worker", &worker.entry.id));
                 self.look_at(ctx, ix);
             }
@@ -273,9 +274,16 @@
         why: Option<RefusedStart>,
     ) {
         let worker = self.fleet.get_mut(ix);
-        let line = Line::warn("start_refused").with("task", task).with("run", number);
-        let line = line.with("worker", &worker.entry.id).with("why", format_args!("{why:?}"));
-        ctx.log(line.with("used", worker.used).with("room", worker.entry.room));
+        let line = Line::warn("start_refused")
+            .with("task", task)
+            .with("run", number);
+        let line = line
+            .with("worker", &worker.entry.id)
+            .with("why", format_args!("{why:?}"));
+        ctx.log(
+            line.with("used", worker.used)
+                .with("room", worker.entry.room),
+        );
         match why {
             Some(RefusedStart::BadTicket) => self.drop_ticket(task, ix),
             Some(RefusedStart::Late) => {
@@ -289,7 +297,7 @@
             }
         }
         let held = self.fleet.get(ix).runs.get(task);
-        if !held.is_some_and(|run| run.number == number) {
+        if held.is_none_or(|run| run.number != number) {
             return;
         }
         self.release(ix, task);
@@ -317,7 +325,9 @@
     }
 
     pub(crate) fn send_stop(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey, run: u32) {
-        let line = Line::info("stop_ordered").with("task", task).with("run", run);
+        let line = Line::info("stop_ordered")
+            .with("task", task)
+            .with("run", run);
         ctx.log(line.with("worker", &self.fleet.get(ix).entry.id));
         let task = task.clone();
         let call = WorkerCall::Stop {
@@ -340,11 +350,10 @@
         let worker = self.fleet.get_mut(ix);
         let held = worker.runs.get_mut(task).filter(|run| run.number == number);
         let Some(run) = held else { return };
-        let settled = match answer {
-            WorkerAnswer::Carried(_) => true,
-            WorkerAnswer::Refused(RefusedStart::OldRun, _) => true,
-            _ => false,
-        };
+        let settled = matches!(
+            answer,
+            WorkerAnswer::Carried(_) | WorkerAnswer::Refused(RefusedStart::OldRun, _)
+        );
         if settled {
             run.settled_at = Some(now);
             // An end that is listed by then wakes the look that waits; a run that never began does not.
@@ -373,3 +382,18 @@
         }
     }
 }
+
+fn log_start(ctx: &mut Ctx, worker: &Worker, task: &TaskKey, number: u32, accepted_at: Millis) {
+    let line = Line::info("run_ordered")
+        .with("task", task)
+        .with("run", number);
+    let line = line
+        .with("worker", &worker.entry.id)
+        .with("free", worker.free());
+    let waited_ms = ctx.now.since(accepted_at);
+    let clock_age_ms = worker.clock.map_or(0, |(_, at)| ctx.now.since(at).0);
+    ctx.log(
+        line.with("clock_age_ms", clock_age_ms)
+            .with("job_age_ms", waited_ms.0),
+    );
+}
--- a/core/src/cell/leader/roster.rs
+++ b/core/src/cell/leader/roster.rs
@@ -25,7 +25,9 @@
 
 impl Roster {
     pub(crate) fn holds(&self, order: OrderId) -> bool {
-        self.in_flight.as_ref().is_some_and(|(open, _)| *open == order)
+        self.in_flight
+            .as_ref()
+            .is_some_and(|(open, _)| *open == order)
     }
 
     pub(crate) fn holds_worker(&self, id: &WorkerId) -> bool {
@@ -85,13 +87,23 @@
         }
         self.roster.retry_at = now + consts::ROSTER_GAP_MS;
         let workers = self.fleet.iter().map(|(_, worker)| worker);
-        let ids: BTreeSet<WorkerId> = workers.filter(kept).map(|own| own.entry.id.clone()).collect();
+        let ids: BTreeSet<WorkerId> = workers
+            .filter(kept)
+            .map(|own| own.entry.id.clone())
+            .collect();
         let write = Write {
             expect: vec![fence(self.token), (roster_key(), self.roster.version)],
-            put: vec![(roster_key(), RowValue::Roster(ids.iter().cloned().collect()))],
+            put: vec![(
+                roster_key(),
+                RowValue::Roster(ids.iter().cloned().collect()),
+            )],
             remove: Vec::new(),
         };
-        let order = ctx.store(Owner::Leader, StoreCall::Write(write), consts::STORE_LIMIT_MS);
+        let order = ctx.store(
+            Owner::Leader,
+            StoreCall::Write(write),
+            consts::STORE_LIMIT_MS,
+        );
         self.roster.in_flight = Some((order, ids));
     }
 
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -33,7 +33,9 @@
         let worker = self.fleet.get_mut(ix);
         if !worker.contact {
             let line = Line::info("worker_held").with("worker", &worker.entry.id);
-            let line = line.with("token", self.token).with("active", view.active.len());
+            let line = line
+                .with("token", self.token)
+                .with("active", view.active.len());
             ctx.log(line.with("finished", view.finished.len()));
         }
         self.wants_pass |= !worker.contact || worker.lost_looks > 0 || worker.clock.is_none();
@@ -59,7 +61,10 @@
         }
         if worker.contact {
             let line = Line::warn("worker_restarted").with("worker", &worker.entry.id);
-            ctx.log(line.with("runs", worker.runs.len()).with("seen", worker.seen));
+            ctx.log(
+                line.with("runs", worker.runs.len())
+                    .with("seen", worker.seen),
+            );
         }
         worker.incarnation = view.incarnation;
         worker.seen = 0;
@@ -75,13 +80,18 @@
             return;
         }
         worker.seen = end.number;
-        let held = worker.runs.get(&end.task).is_some_and(|run| run.number == end.run);
+        let held = worker
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.number == end.run);
         let line = match end.how {
             How::Done => Line::info("run_ended"),
             _ => Line::warn("run_ended"),
         };
         let line = line.with("task", &end.task).with("run", end.run);
-        let line = line.with("worker", &worker.entry.id).with("how", format_args!("{:?}", end.how));
+        let line = line
+            .with("worker", &worker.entry.id)
+            .with("how", format_args!("{:?}", end.how));
         ctx.log(line.with("number", end.number).with("held", held));
         if held {
             self.release(ix, &end.task);
@@ -114,7 +124,10 @@
                 job.steps[at].failed_on.push(ix);
                 let index = if gang { 0 } else { end.task.index };
                 let failed = job.progress.steps[at].add_failed(index, end.run);
-                let queue = self.state.as_ref().and_then(|state| state.queue(&job.row.queue));
+                let queue = self
+                    .state
+                    .as_ref()
+                    .and_then(|state| state.queue(&job.row.queue));
                 // A queue that was withdrawn says no more how often its tasks may fail.
                 let limit = queue.map_or(usize::MAX, |queue| queue.max_attempts as usize);
                 self.keep_checkpoint(&end.task, gang, end.checkpoint.clone());
@@ -137,14 +150,21 @@
     fn blame(&mut self, ctx: &mut Ctx, ix: WorkerIx) {
         let now = ctx.now;
         let rests = |worker: &Worker| worker.listed && now < worker.quarantined_until;
-        let resting = self.fleet.iter().filter(|(_, worker)| rests(worker)).count();
+        let resting = self
+            .fleet
+            .iter()
+            .filter(|(_, worker)| rests(worker))
+            .count();
         let most = self.fleet.len() / consts::QUARANTINE_SHARE;
         let worker = self.fleet.get_mut(ix);
         worker.failures += 1;
         if worker.failures >= consts::QUARANTINE_FAILURES && resting < most {
             worker.quarantined_until = now + consts::QUARANTINE_MS;
             let line = Line::warn("worker_quarantined").with("worker", &worker.entry.id);
-            ctx.log(line.with("failures", worker.failures).with("resting", resting));
+            ctx.log(
+                line.with("failures", worker.failures)
+                    .with("resting", resting),
+            );
         }
     }
 
@@ -159,7 +179,10 @@
         };
         let mut elsewhere = Vec::new();
         let mut changed = false;
-        for index in members.filter(|index| !job.progress.steps[at].is_done(*index)).collect::<Vec<_>>() {
+        for index in members
+            .filter(|index| !job.progress.steps[at].is_done(*index))
+            .collect::<Vec<_>>()
+        {
             job.progress.steps[at].set_done(index);
             job.progress.steps[at].checkpoints.remove(&index);
             let step = &mut job.steps[at];
@@ -272,7 +295,9 @@
             (false, _) => None,
         };
         let missing = |task: &TaskKey, run: &Run| {
-            !active.iter().any(|own| own.task == *task && own.run == run.number)
+            !active
+                .iter()
+                .any(|own| own.task == *task && own.run == run.number)
         };
         let mut over = Vec::new();
         let mut unsure = Vec::new();
@@ -323,7 +348,11 @@
             self.load.hurry_jobs();
             let since = self.fleet.get(ix).foreign_since.unwrap_or(ctx.now);
             if ctx.now.since(since) > FOREIGN_GRACE_MS {
-                ctx.log(Line::warn("run_unknown").with("task", &listed.task).with("run", listed.run));
+                ctx.log(
+                    Line::warn("run_unknown")
+                        .with("task", &listed.task)
+                        .with("run", listed.run),
+                );
                 self.send_stop(ctx, ix, &listed.task, listed.run);
             }
             return false;
@@ -346,11 +375,12 @@
             team: team.clone(),
             phase: RunPhase::Active,
             settled_at: Some(ctx.now),
-            started_at: ctx.now,
             percent: listed.percent,
             checkpoint: listed.checkpoint.clone(),
         };
-        let line = Line::info("run_adopted").with("task", &listed.task).with("run", listed.run);
+        let line = Line::info("run_adopted")
+            .with("task", &listed.task)
+            .with("run", listed.run);
         let line = line.with("worker", &self.fleet.get(ix).entry.id);
         ctx.log(line.with("wanted", wanted));
         self.hold_room(ix, &listed.task, run);
--- a/core/src/cell/leader/views.rs
+++ b/core/src/cell/leader/views.rs
@@ -21,7 +21,7 @@
             Some(job) => StateView::Known(job.shown()),
             None => StateView::Unheard,
         };
-        ctx.to_member(link, ToMember::State { ask, view });
+        ctx.send_member(link, ToMember::State { ask, view });
     }
 
     pub(crate) fn cancel(
@@ -34,16 +34,16 @@
     ) {
         if !self.load.is_done() {
             let view = StateView::Loading;
-            return ctx.to_member(link, ToMember::State { ask, view });
+            return ctx.send_member(link, ToMember::State { ask, view });
         }
         let job = self.jobs.get_mut(id);
         let Some(job) = job.filter(|job| job.row.team.is_none() || job.row.team == team) else {
             let view = StateView::Unheard;
-            return ctx.to_member(link, ToMember::State { ask, view });
+            return ctx.send_member(link, ToMember::State { ask, view });
         };
         if job.shown().is_final() {
             let view = StateView::Known(job.shown());
-            return ctx.to_member(link, ToMember::State { ask, view });
+            return ctx.send_member(link, ToMember::State { ask, view });
         }
         job.cancel_asks.push((link, ask));
         if !job.progress.state.is_final() {
@@ -55,7 +55,9 @@
     /// Returns how many jobs wait, for the queues where some do.
     pub(crate) fn waiting_counts(&self) -> Vec<(QueueName, u64)> {
         let waiting = self.queued.iter().filter(|(_, count)| **count > 0);
-        waiting.map(|(name, count)| (name.clone(), *count)).collect()
+        waiting
+            .map(|(name, count)| (name.clone(), *count))
+            .collect()
     }
 
     /// Returns the queues that should be refused at present, with the time to come back.
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -29,7 +29,6 @@
     pub(crate) phase: RunPhase,
     /// When the last order on it was answered; a later list without it means that it is over.
     pub(crate) settled_at: Option<Millis>,
-    pub(crate) started_at: Millis,
     pub(crate) percent: u8,
     pub(crate) checkpoint: Option<CompactString>,
 }
@@ -108,7 +107,9 @@
 
     /// Says whether work may start on it now.
     pub(crate) fn is_usable(&self, now: Millis, clock_age_ms: Millis) -> bool {
-        let clock = self.clock.is_some_and(|(_, at)| now.since(at) < clock_age_ms);
+        let clock = self
+            .clock
+            .is_some_and(|(_, at)| now.since(at) < clock_age_ms);
         let sound = self.listed && self.on_roster && self.contact && self.lost_looks == 0;
         let rests = now < self.rest_until || now < self.quarantined_until;
         let willing = !self.entry.draining && !rests;
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -1,9 +1,7 @@
 //! Messages between the leader and the other daemons of a cell.
 
 use crate::{
-    cell::{
-        AdviceReply, AskId, DesiredState, FencingToken, JobRow, JobState, RowVersion, StepKey,
-    },
+    cell::{AdviceReply, AskId, DesiredState, FencingToken, JobRow, JobState, RowVersion, StepKey},
     JobId, Millis, QueueName, TeamName, WorkerId,
 };
 use serde::{Deserialize, Serialize};
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -71,7 +71,7 @@
     }
 
     /// Sends to a member, which may be this daemon itself.
-    pub(crate) fn to_member(&mut self, link: LinkId, message: ToMember) {
+    pub(crate) fn send_member(&mut self, link: LinkId, message: ToMember) {
         if link == OWN_LINK {
             self.outbox.push(message);
         } else {
@@ -224,7 +224,9 @@
             },
             Event::LinkDown(link) => {
                 if self.election.link == Some(link) {
-                    ctx.log(Line::warn("leader_link_lost").with("token", self.election.leader_token));
+                    ctx.log(
+                        Line::warn("leader_link_lost").with("token", self.election.leader_token),
+                    );
                 }
                 self.election.on_link_down(link);
                 if let Some(leader) = &mut self.leader {
@@ -266,7 +268,9 @@
         let Some(leader) = &self.leader else { return };
         let token = leader.token();
         let line = Line::warn("lead_handed_over").with("token", token);
-        let line = line.with("reason", reason).with("cpu_milli", ctx.settings.cpu_milli);
+        let line = line
+            .with("reason", reason)
+            .with("cpu_milli", ctx.settings.cpu_milli);
         ctx.log(line.with("store_age_ms", ctx.store_age_ms().0));
         for link in leader.links() {
             ctx.push(Effect::ToMember(link, ToMember::Resigned { token }));
@@ -291,7 +295,9 @@
                 };
                 match leader.on_store(ctx, order, reply) {
                     Follow::Nothing => {}
-                    Follow::Renewed { sent_at, version } => self.election.on_renewed(sent_at, version),
+                    Follow::Renewed { sent_at, version } => {
+                        self.election.on_renewed(sent_at, version)
+                    }
                     Follow::Deposed => {
                         self.election.step_down(ctx);
                         self.stop_leading();
@@ -331,7 +337,7 @@
             }
             ToLeader::Behind => {
                 if let Some(state) = self.config.current() {
-                    ctx.to_member(link, ToMember::Config(Box::new((**state).clone())));
+                    ctx.send_member(link, ToMember::Config(Box::new((**state).clone())));
                 }
             }
             message => leader.on_message(ctx, link, message),
@@ -359,7 +365,8 @@
         }
         let known = Some(link) == self.election.link;
         if let (ToMember::Resigned { token }, true) = (&message, known) {
-            self.ctx.log(Line::info("leader_resigned").with("token", token));
+            self.ctx
+                .log(Line::info("leader_resigned").with("token", token));
             self.election.on_resigned(self.ctx.now, *token);
             self.election.on_link_down(link);
         } else if known {
@@ -392,7 +399,10 @@
         }
         let link = match &self.leader {
             Some(_) => Some(OWN_LINK),
-            None => self.election.link.filter(|_| self.election.hears_leader(ctx.now)),
+            None => self
+                .election
+                .link
+                .filter(|_| self.election.hears_leader(ctx.now)),
         };
         self.door.set_leader(link);
         let fresh = self.config.is_fresh(ctx.now, ctx.settings.revoke_ms);
@@ -401,7 +411,9 @@
         if ready != self.ready {
             self.ready = ready;
             let line = Line::warn("ready_changed").with("ready", ready);
-            let line = line.with("config_fresh", fresh).with("reachable", reachable);
+            let line = line
+                .with("config_fresh", fresh)
+                .with("reachable", reachable);
             ctx.log(line.with("stopping", self.stop_at.is_some()));
             ctx.push(Effect::Ready(ready));
         }
@@ -417,8 +429,11 @@
         if late && !self.exited {
             self.exited = true;
             let open = self.door.open_calls();
-            self.ctx
-                .log(Line::info("stopped").with("waited_ms", waited.0).with("open_calls", open));
+            self.ctx.log(
+                Line::info("stopped")
+                    .with("waited_ms", waited.0)
+                    .with("open_calls", open),
+            );
             self.ctx.push(Effect::Exit);
         }
     }
--- a/core/src/cell/submits.rs
+++ b/core/src/cell/submits.rs
@@ -5,8 +5,8 @@
         consts,
         door::Door,
         node::{Ctx, Owner, OWN_LINK},
-        AskId, ClientAnswer, Effect, JobRow, Line, LinkId, OrderId, Row, RowKey, RowValue, RowVersion,
-        StoreCall, StoreReply, SubmitView, Table, ToLeader, ToMember, Write,
+        AskId, ClientAnswer, Effect, JobRow, Line, LinkId, OrderId, Row, RowKey, RowValue,
+        RowVersion, StoreCall, StoreReply, SubmitView, Table, ToLeader, ToMember, Write,
     },
     CallId, JobId, Millis,
 };
@@ -124,12 +124,19 @@
             return;
         }
         let next = |pending: &&Pending| pending.relayed.is_none();
-        let ids = part.waiting.values().filter(next).map(|own| own.job.id.clone());
+        let ids = part
+            .waiting
+            .values()
+            .filter(next)
+            .map(|own| own.job.id.clone());
         let ids: Vec<JobId> = ids.take(consts::BATCH_ROWS).collect();
         if ids.is_empty() {
             return;
         }
-        let batch: Vec<Pending> = ids.iter().filter_map(|id| part.waiting.remove(id)).collect();
+        let batch: Vec<Pending> = ids
+            .iter()
+            .filter_map(|id| part.waiting.remove(id))
+            .collect();
         let key = |pending: &Pending| job_key(&pending.job.id);
         let value = |pending: &Pending| RowValue::Job(Box::new(pending.job.clone()));
         let write = Write {
@@ -202,7 +209,11 @@
         let Some(link) = self.leader.filter(|link| *link != OWN_LINK) else {
             return;
         };
-        if pending.waiters.iter().any(|own| matches!(own, Waiter::Peer(..))) {
+        if pending
+            .waiters
+            .iter()
+            .any(|own| matches!(own, Waiter::Peer(..)))
+        {
             return;
         }
         self.last_ask += 1;
@@ -279,13 +290,17 @@
         SubmitView::NotRun | SubmitView::Unknown => Line::warn("job_not_accepted"),
     };
     let team = pending.job.team.as_ref().map_or("-", |team| team.as_str());
-    let line = line.with("job", &pending.job.id).with("queue", &pending.job.queue);
-    let line = line.with("team", team).with("outcome", format_args!("{view:?}"));
+    let line = line
+        .with("job", &pending.job.id)
+        .with("queue", &pending.job.queue);
+    let line = line
+        .with("team", team)
+        .with("outcome", format_args!("{view:?}"));
     ctx.log(line.with("waited_ms", waited_ms.0));
     for waiter in &pending.waiters {
         match *waiter {
             Waiter::Client(call) => door.answer(ctx, call, answer_of(view)),
-            Waiter::Peer(link, ask) => ctx.to_member(link, ToMember::Submitted { ask, view }),
+            Waiter::Peer(link, ask) => ctx.send_member(link, ToMember::Submitted { ask, view }),
         }
     }
 }
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -31,7 +31,6 @@
     }
 }
 
-
 #[test]
 fn a_job_of_two_steps_runs_in_order_and_is_shown_at_every_daemon() {
     let mut world = world(3, 4);
@@ -43,8 +42,14 @@
     }
     let starts = world.starts();
     assert_eq!(starts.len(), 5);
-    let second = starts.iter().filter(|start| start.1.contains(".0.1.")).map(|start| start.3);
-    assert!(second.min().unwrap() >= starts[0].3 + 1_000, "the second step began early");
+    let second = starts
+        .iter()
+        .filter(|start| start.1.contains(".0.1."))
+        .map(|start| start.3);
+    assert!(
+        second.min().unwrap() >= starts[0].3 + 1_000,
+        "the second step began early"
+    );
     world.assert_once();
 }
 
@@ -82,7 +87,10 @@
     assert!(world.now <= before + 600);
     world.store.down = false;
     world.run(8_000);
-    assert!(world.starts().is_empty(), "a job ran that was said not to run");
+    assert!(
+        world.starts().is_empty(),
+        "a job ran that was said not to run"
+    );
 }
 
 #[test]
@@ -139,7 +147,10 @@
     let door = (world.leader().unwrap() + 1) % 3;
     world.refuse_store(door, true);
     world.run(12_000);
-    assert!(world.is_ready(door), "the configuration was not confirmed by the leader");
+    assert!(
+        world.is_ready(door),
+        "the configuration was not confirmed by the leader"
+    );
     let call = world.submit(door, 7, vec![step(1, 1_000)]);
     world.run(3_000);
     assert_eq!(world.answers[&call], ClientAnswer::Accepted);
@@ -211,7 +222,11 @@
     world.workers.get_mut(&first).unwrap().silent = true;
     world.store.remove_worker(first.as_str());
     world.run(9_000);
-    assert_eq!(world.starts().len(), 1, "started again while it may still run");
+    assert_eq!(
+        world.starts().len(),
+        1,
+        "started again while it may still run"
+    );
     world.run(6_000);
     let starts = world.starts();
     assert_eq!(starts.len(), 2, "its lease never counted as over");
@@ -252,8 +267,16 @@
     world.submit(0, 7, vec![gang(3, 3_000)]);
     world.run(1_900);
     // Alone for 3 s they would end so: they have to be stopped well before.
-    let ended = world.workers.values().flat_map(|own| &own.spans).all(|span| span.end.is_some());
-    assert!(ended, "members still wait {} ms after the start", world.now - begin);
+    let ended = world
+        .workers
+        .values()
+        .flat_map(|own| &own.spans)
+        .all(|span| span.end.is_some());
+    assert!(
+        ended,
+        "members still wait {} ms after the start",
+        world.now - begin
+    );
 }
 
 #[test]
@@ -270,7 +293,11 @@
     world.kill(leader);
     world.run(15_000);
     world.assert_state(door, 7, JobState::Failed);
-    assert_eq!(world.starts().len(), 2, "the budget of two attempts was not kept");
+    assert_eq!(
+        world.starts().len(),
+        2,
+        "the budget of two attempts was not kept"
+    );
 }
 
 #[test]
@@ -367,7 +394,10 @@
     }
     world.run(1_000);
     let given = world.count("advice_given");
-    assert!(given >= 24, "only {given} of about 32 possible answers in a second");
+    assert!(
+        given >= 24,
+        "only {given} of about 32 possible answers in a second"
+    );
     world.run(4_000);
     for job in 0..40 {
         world.assert_state(1, job, JobState::Completed);
@@ -506,7 +536,11 @@
     world.kill(leader);
     world.run(9_000);
     assert!(world.leader().is_some());
-    assert_eq!(world.starts().len(), 1, "started while the cut worker may still run it");
+    assert_eq!(
+        world.starts().len(),
+        1,
+        "started while the cut worker may still run it"
+    );
     world.run(9_000);
     assert_eq!(world.starts().len(), 2);
     world.assert_once();
@@ -544,14 +578,39 @@
     world.run(6_000);
     let line = |event: &str| {
         let found = world.lines.iter().find(|(_, _, line)| line.event == event);
-        found.map(|(_, _, line)| line.to_string()).unwrap_or_default()
+        found
+            .map(|(_, _, line)| line.to_string())
+            .unwrap_or_default()
     };
-    assert!(line("key_refused").contains("version=1"), "{}", line("key_refused"));
+    assert!(
+        line("key_refused").contains("version=1"),
+        "{}",
+        line("key_refused")
+    );
     assert!(line("job_malformed").contains("job=0000000000000002"));
     let refused = line("job_not_accepted");
     let inputs = ["job=0000000000000003", "outcome=NotRun", "waited_ms="];
-    assert!(inputs.iter().all(|input| refused.contains(input)), "{refused}");
+    assert!(
+        inputs.iter().all(|input| refused.contains(input)),
+        "{refused}"
+    );
     let wanted = line("lead_wanted");
-    assert!(wanted.contains("lease_age_ms=") && wanted.contains("lease_version="), "{wanted}");
+    assert!(
+        wanted.contains("lease_age_ms=") && wanted.contains("lease_version="),
+        "{wanted}"
+    );
     assert!(line("lead_taken").contains("token="));
 }
+
+#[test]
+fn a_kind_of_job_that_is_not_served_yet_is_refused_and_never_runs() {
+    let mut world = world(2, 2);
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(1, 1_000)
+    };
+    let call = world.submit(0, 1, vec![lasting]);
+    world.run(3_000);
+    assert!(matches!(world.answers[&call], ClientAnswer::NotRun { .. }));
+    assert!(world.starts().is_empty());
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -11,8 +11,8 @@
 
 use pomelotide_core::{
     cell::{
-        AdviceReply, ClientAnswer, ClientCall, ClientVerb, DesiredState, Effect, Event,
-        CellSettingsBuilder, FrontLimits, JobState, Line, LinkId, Node, OrderId, Queue, StepSpec,
+        AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb, DesiredState,
+        Effect, Event, FrontLimits, JobState, Line, LinkId, Node, OrderId, Queue, StepSpec,
         Submission, Team, Ticket, WorkerAnswer,
     },
     CallId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
@@ -102,7 +102,9 @@
             weight: 10,
             cap: Resources::default(),
         }],
-        limits: FrontLimits { body_bytes: 1 << 18 },
+        limits: FrontLimits {
+            body_bytes: 1 << 18,
+        },
     }
     .sorted()
 }
@@ -167,11 +169,8 @@
 
     /// Starts a daemon's process anew.
     pub fn start(&mut self, at: usize) {
-        let settings = CellSettingsBuilder::new(
-            &format!("host-{at}"),
-            "saiss",
-            &self.daemons[at].address,
-        );
+        let settings =
+            CellSettingsBuilder::new(&format!("host-{at}"), "saiss", &self.daemons[at].address);
         let unix = UNIX_BASE_MS + self.now;
         let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
         let node = Node::new(settings.build(), Millis(self.now), unix);
@@ -194,7 +193,10 @@
         let worker = worker.clone();
         self.store.put_worker(&worker);
         for (at, order) in lost {
-            self.later(HOP_MS, Due::Event(at, Event::Worker(order, WorkerAnswer::Lost)));
+            self.later(
+                HOP_MS,
+                Due::Event(at, Event::Worker(order, WorkerAnswer::Lost)),
+            );
         }
     }
 
@@ -243,7 +245,11 @@
         let end = self.now + span_ms;
         while self.now < end {
             let next_tick = (self.now / 25 + 1) * 25;
-            let next = self.queue.keys().next().map_or(next_tick, |key| key.0.min(next_tick));
+            let next = self
+                .queue
+                .keys()
+                .next()
+                .map_or(next_tick, |key| key.0.min(next_tick));
             self.now = next.max(self.now).min(end);
             while let Some(entry) = self.queue.first_entry() {
                 if entry.key().0 > self.now {
@@ -278,7 +284,10 @@
                 let refuses = self.daemons[at].store_refuses;
                 let replies = self.store.call(refuses, at, order, call, self.now);
                 for (at, order, wait_ms, reply) in replies {
-                    self.later(STORE_MS + wait_ms, Due::Event(at, Event::Store(order, reply)));
+                    self.later(
+                        STORE_MS + wait_ms,
+                        Due::Event(at, Event::Store(order, reply)),
+                    );
                 }
             }
             Due::WorkerCall(at, order, call) => {
@@ -288,7 +297,10 @@
                     None => Some((0, WorkerAnswer::NotSent)),
                 };
                 if let Some((delay_ms, answer)) = answer {
-                    self.later(HOP_MS + delay_ms, Due::Event(at, Event::Worker(order, answer)));
+                    self.later(
+                        HOP_MS + delay_ms,
+                        Due::Event(at, Event::Worker(order, answer)),
+                    );
                 }
             }
         }
@@ -389,7 +401,11 @@
             steps,
             ..Submission::default()
         };
-        self.call(at, format!("{PREFIX}{job:016x}"), ClientVerb::Submit(Box::new(work)))
+        self.call(
+            at,
+            format!("{PREFIX}{job:016x}"),
+            ClientVerb::Submit(Box::new(work)),
+        )
     }
 
     /// Asks for a job's state at a daemon and waits for the answer.
@@ -416,12 +432,19 @@
 
     /// Returns how many lines of an event were written.
     pub fn count(&self, event: &str) -> usize {
-        self.lines.iter().filter(|(_, _, line)| line.event == event).count()
+        self.lines
+            .iter()
+            .filter(|(_, _, line)| line.event == event)
+            .count()
     }
 
     /// Returns all starts that workers carried out: worker, task, run, begin.
     pub fn starts(&self) -> Vec<(WorkerId, String, u32, u64)> {
-        let mut all: Vec<_> = self.workers.values().flat_map(|own| own.starts.clone()).collect();
+        let mut all: Vec<_> = self
+            .workers
+            .values()
+            .flat_map(|own| own.starts.clone())
+            .collect();
         all.sort_by_key(|start| start.3);
         all
     }
@@ -431,7 +454,10 @@
         let mut spans: BTreeMap<&str, Vec<(u64, u64, bool)>> = BTreeMap::new();
         for span in self.workers.values().flat_map(|own| &own.spans) {
             let end = span.end.unwrap_or(u64::MAX);
-            spans.entry(&span.task).or_default().push((span.begin, end, span.done));
+            spans
+                .entry(&span.task)
+                .or_default()
+                .push((span.begin, end, span.done));
         }
         for (task, mut list) in spans {
             list.sort_unstable();
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -81,7 +81,11 @@
 
     fn write(&mut self, write: Write) -> StoreReply {
         let has = |key: &RowKey| self.rows.get(key).map_or(RowVersion(0), |row| row.0);
-        if write.expect.iter().any(|(key, version)| has(key) != *version) {
+        if write
+            .expect
+            .iter()
+            .any(|(key, version)| has(key) != *version)
+        {
             let rows = write.expect.iter().filter_map(|(key, _)| {
                 let (version, value) = self.rows.get(key)?;
                 Some(Row {
@@ -144,7 +148,14 @@
                     .collect();
                 let more = found.count() > most;
                 let version = RowVersion(self.version);
-                (0, StoreReply::Rows { rows, more, version })
+                (
+                    0,
+                    StoreReply::Rows {
+                        rows,
+                        more,
+                        version,
+                    },
+                )
             }
             StoreCall::Follow {
                 table,
@@ -162,9 +173,20 @@
         }
         let newer = |row: &&Row| row.key.table == table && row.version > after;
         let rows: Vec<Row> = self.changes.iter().filter(newer).cloned().collect();
-        let wait_ms = if rows.is_empty() { wait_ms.0.min(200) } else { 0 };
+        let wait_ms = if rows.is_empty() {
+            wait_ms.0.min(200)
+        } else {
+            0
+        };
         let version = RowVersion(self.version);
         let more = false;
-        (wait_ms, StoreReply::Rows { rows, more, version })
+        (
+            wait_ms,
+            StoreReply::Rows {
+                rows,
+                more,
+                version,
+            },
+        )
     }
 }
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -121,7 +121,10 @@
         let life = self.entry.incarnation.map_or(0, |life| life.0);
         self.entry.incarnation = Some(Incarnation(life + 1));
         let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_iter().map(|(at, order, _)| (at, order)).collect()
+        waiting
+            .into_iter()
+            .map(|(at, order, _)| (at, order))
+            .collect()
     }
 
     fn end(&mut self, now: u64, task: &TaskKey, how: How) {
@@ -172,7 +175,10 @@
             .partition(|(_, _, until)| ended || *until <= now);
         self.waiting = rest;
         let ready: Vec<(usize, OrderId, u64)> = ready;
-        ready.into_iter().map(|(at, order, _)| (at, order, view.clone())).collect()
+        ready
+            .into_iter()
+            .map(|(at, order, _)| (at, order, view.clone()))
+            .collect()
     }
 
     fn view(&self, now: u64) -> WorkerAnswer {
@@ -239,7 +245,9 @@
                 acknowledge,
                 ..
             } => {
-                self.lease_until = self.lease_until.max(lease_until_ms.map_or(0, |until| until.0));
+                self.lease_until = self
+                    .lease_until
+                    .max(lease_until_ms.map_or(0, |until| until.0));
                 self.finished.retain(|end| end.number > *acknowledge);
                 self.view(now)
             }
@@ -252,7 +260,11 @@
         if start.lease_until_ms.0 <= now {
             return refused(RefusedStart::Late);
         }
-        if self.stopped.get(&start.task).is_some_and(|last| *last >= start.run) {
+        if self
+            .stopped
+            .get(&start.task)
+            .is_some_and(|last| *last >= start.run)
+        {
             return refused(RefusedStart::OldRun);
         }
         let name = start.task.to_string();
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -76,8 +76,14 @@
         unix_ms(),
     );
     let line = Line::info("started").with("version", env!("CARGO_PKG_VERSION"));
-    let line = line.with("domain", &settings.domain).with("callers", settings.callers);
-    log.write(&line.with("peers", settings.peers).with("store", settings.platform));
+    let line = line
+        .with("domain", &settings.domain)
+        .with("callers", settings.callers);
+    log.write(
+        &line
+            .with("peers", settings.peers)
+            .with("store", settings.platform),
+    );
     control(node, &received, &outputs, &log);
     log.close();
     Ok(())
@@ -108,7 +114,11 @@
 ) {
     let mut next_tick = now();
     loop {
-        let tick = if node.leads() { LEADER_TICK } else { MEMBER_TICK };
+        let tick = if node.leads() {
+            LEADER_TICK
+        } else {
+            MEMBER_TICK
+        };
         let wait_ms = next_tick.since(now()).0;
         let first = match inputs.recv_timeout(Duration::from_millis(wait_ms)) {
             Ok(input) => Some(input),
--- a/daemon/src/cell/front.rs
+++ b/daemon/src/cell/front.rs
@@ -5,11 +5,7 @@
 use crossbeam::channel::Sender;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    body::Incoming,
-    header,
-    server::conn::http1,
-    service::service_fn,
-    Request, Response, StatusCode,
+    body::Incoming, header, server::conn::http1, service::service_fn, Request, Response, StatusCode,
 };
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -95,7 +91,12 @@
                 return client_reply(&ClientAnswer::Malformed(reason.into()));
             }
         };
-        let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let text = |name: &str| {
+            parts
+                .headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
         let request = FrontRequest {
             method: parts.method.as_str(),
             path: parts.uri.path(),
--- a/daemon/src/cell/links.rs
+++ b/daemon/src/cell/links.rs
@@ -54,7 +54,9 @@
             return;
         };
         let mut open = self.open.borrow_mut();
-        let full = open.get(&link).is_some_and(|queue| queue.try_send(bytes).is_err());
+        let full = open
+            .get(&link)
+            .is_some_and(|queue| queue.try_send(bytes).is_err());
         if full {
             open.remove(&link);
         }
@@ -158,6 +160,8 @@
     let stream = TcpStream::connect(address).await.ok()?;
     // Without it messages only come later.
     let _ = stream.set_nodelay(true);
-    let (socket, _) = client_async(format!("ws://{address}/"), stream).await.ok()?;
+    let (socket, _) = client_async(format!("ws://{address}/"), stream)
+        .await
+        .ok()?;
     Some(socket)
 }
--- a/daemon/src/cell/log_writer.rs
+++ b/daemon/src/cell/log_writer.rs
@@ -91,7 +91,9 @@
 
     /// Queues a line; never waits.
     pub(crate) fn write(&self, line: &Line) {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let (allowance, left_out) = match self.budget.lock() {
             Ok(mut budget) => budget.admit(unix.as_secs(), line),
             Err(_) => return,
--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -11,4 +11,7 @@
 mod pool;
 mod traffic;
 
-pub use self::{control::run_cell, log_writer::{Allowance, LogBudget}};
+pub use self::{
+    control::run_cell,
+    log_writer::{Allowance, LogBudget},
+};
--- a/daemon/src/cell/traffic.rs
+++ b/daemon/src/cell/traffic.rs
@@ -51,7 +51,9 @@
     metrics: PrometheusHandle,
 ) -> io::Result<UnboundedSender<Output>> {
     let (outputs, received) = mpsc::unbounded_channel();
-    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let bound = runtime.block_on(bind(ports))?;
     let work = move || {
         let local = LocalSet::new();
--- a/daemon/tests/log_budget.rs
+++ b/daemon/tests/log_budget.rs
@@ -17,7 +17,10 @@
     let (allowance, left_out) = budget.admit(2, &flood);
     assert_eq!(allowance, Allowance::Write);
     assert_eq!(left_out.len(), 1);
-    assert_eq!(left_out[0].to_string(), "event=lines_left_out of=run_ordered count=4600");
+    assert_eq!(
+        left_out[0].to_string(),
+        "event=lines_left_out of=run_ordered count=4600"
+    );
 }
 
 #[test]
@@ -25,11 +28,20 @@
     let mut budget = LogBudget::default();
     let refusal = Line::warn("call_refused");
     let admitted = |at| budget.admit(at, &refusal).0 == Allowance::Write;
-    assert_eq!([1; 700].into_iter().map(admitted).filter(|kept| *kept).count(), 700);
+    assert_eq!(
+        [1; 700]
+            .into_iter()
+            .map(admitted)
+            .filter(|kept| *kept)
+            .count(),
+        700
+    );
 }
 
 #[test]
 fn a_line_quotes_what_would_break_it() {
-    let line = Line::info("x").with("reason", "the fleet is full").with("n", 3);
+    let line = Line::info("x")
+        .with("reason", "the fleet is full")
+        .with("n", 3);
     assert_eq!(line.to_string(), "event=x reason=\"the fleet is full\" n=3");
 }
