--- a/proofs/tests/pages.rs
+++ b/proofs/tests/pages.rs
@@ -5,12 +5,13 @@
 use std::fs;
 
 /// The test files with the names that the page may use.
-const FILES: [&str; 5] = [
+const FILES: [&str; 6] = [
     "tests/scenarios.rs",
     "tests/catches.rs",
     "tests/drawn.rs",
     "../core/tests/reducer_is_pure.rs",
     "../core/tests/config.rs",
+    "../core/tests/cell.rs",
 ];
 
 #[test]
