--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -289,7 +289,7 @@
                 let replies = self.store.call(refuses, at, order, call, self.now);
                 for (at, order, wait_ms, reply) in replies {
                     self.later(
-                        STORE_MS + wait_ms,
+                        STORE_MS + wait_ms + late_ms,
                         Due::Event(at, Event::Store(order, reply)),
                     );
                 }
