Run accepted jobs of a queue that is withdrawn to their end

Cause: a leader looked queues up in the newest desired state alone, so accepted jobs of a route that was dropped were never started (the test failed with 4 of 16 starts). Found by reading the change. A leader that comes after the withdrawal does not know the queue: left, listed.

--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -168,15 +168,19 @@
     /// Acts on what has changed: places work, asks for advice, writes progress.
     pub(crate) fn settle(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>, valid: bool) {
         self.now = ctx.now;
-        self.state = Some(state.clone());
+        self.take_state(state);
         if !self.load.is_done() {
             return;
         }
         self.write_roster(ctx);
-        if valid && self.wants_pass && ctx.now >= self.next_pass_at {
+        let known = self.state.clone();
+        if let (Some(known), true) = (
+            known,
+            valid && self.wants_pass && ctx.now >= self.next_pass_at,
+        ) {
             self.wants_pass = false;
             self.next_pass_at = ctx.now + consts::PASS_GAP_MS;
-            self.pass(ctx, state);
+            self.pass(ctx, &known);
         }
         if valid {
             self.dispatch_advice(ctx);
@@ -184,6 +188,26 @@
         self.flush_commits(ctx);
     }
 
+    /// Takes a desired state, and keeps the queues that it withdraws: their accepted jobs still run.
+    fn take_state(&mut self, state: &Rc<DesiredState>) {
+        let known = self.state.as_ref();
+        if known.is_some_and(|known| known.version == state.version) {
+            return;
+        }
+        let mut kept = (**state).clone();
+        for queue in known.iter().flat_map(|known| &known.queues) {
+            if state.queue(&queue.name).is_none() && self.has_jobs(&queue.name) {
+                kept.queues.push(queue.clone());
+            }
+        }
+        self.state = Some(Rc::new(kept.sorted()));
+    }
+
+    fn has_jobs(&self, queue: &QueueName) -> bool {
+        let open = |job: &Job| job.row.queue == *queue && !job.progress.state.is_final();
+        self.jobs.values().any(open)
+    }
+
     /// Removes ended jobs that are past their retention.
     fn sweep(&mut self, ctx: &mut Ctx) {
         if ctx.now < self.sweep_at {
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -640,3 +640,17 @@
         }
     }
 }
+
+#[test]
+fn accepted_jobs_of_a_queue_that_is_withdrawn_still_run() {
+    let mut world = world(2, 1);
+    for job in 0..4 {
+        world.submit(0, job, vec![step(4, 1_000)]);
+    }
+    world.run(500);
+    let mut state = desired(2, queue());
+    state.queues.clear();
+    world.store.put_state(state);
+    world.run(6_000);
+    assert_eq!(world.starts().len(), 16, "accepted work was left undone");
+}
