Count what may run on workers that a new leader has not reached against the cap

Change: until a lease has passed, tasks of older jobs that no worker has listed count as running. The test failed first with 7 cores against 4.

--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -35,7 +35,7 @@
         };
         let (need, count) = (job.row.work.steps[at].need, job.row.work.steps[at].count);
         let one_rack = job.row.work.steps[at].same_rack;
-        if self.team_room(state, job.row.team.as_ref(), &need) < u64::from(count) {
+        if self.team_room(state, &pass.hidden, job.row.team.as_ref(), &need) < u64::from(count) {
             return;
         }
         if let Some(places) = self.planned(ctx.now, queue, key) {
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -6,6 +6,7 @@
         consts,
         leader::{
             fleet::WorkerIx,
+            jobs::Job,
             placement::{best_fit, Candidate},
             worker::Worker,
             Leader,
@@ -25,6 +26,8 @@
 const FAR_PENALTY: u32 = 2;
 /// What speaks against a worker whose last runs have all failed.
 const SICK_PENALTY: u32 = 8;
+/// How long after a job's end runs of it may be alive: a lease, and a clock that jumped by seconds.
+const ENDED_RUNS_MS: u64 = 15_000;
 /// The part of a span by which a worker's clock may be slow: 2%.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 /// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
@@ -42,6 +45,8 @@
 pub(crate) struct Pass {
     /// Whether jobs that an earlier leader may have started can start.
     old_jobs: bool,
+    /// What teams may have running on workers that were not reached.
+    pub(crate) hidden: BTreeMap<TeamName, Resources>,
     /// The room kept on workers for gangs that come first.
     pub(crate) kept: BTreeMap<WorkerIx, Resources>,
     pub(crate) kept_gangs: usize,
@@ -78,8 +83,14 @@
     /// Starts all that can start, in order.
     pub(crate) fn pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
         self.void_tickets();
+        let old_jobs = self.may_start_old(ctx);
+        let hidden = match old_jobs {
+            true => BTreeMap::new(),
+            false => self.hidden_use(ctx.unix_ms),
+        };
         let mut pass = Pass {
-            old_jobs: self.may_start_old(ctx),
+            old_jobs,
+            hidden,
             kept: BTreeMap::new(),
             kept_gangs: 0,
             open: Vec::new(),
@@ -102,17 +113,11 @@
             let Some(queue) = state.queue(&job.row.queue) else {
                 continue;
             };
-            let spec = &job.row.work.steps[usize::from(turn.key.step)];
-            let need = spec.need;
-            let least = if spec.gang { u64::from(spec.count) } else { 1 };
-            if self.team_room(state, job.row.team.as_ref(), &need) < least {
-                continue;
-            }
-            let planned = job.steps[usize::from(turn.key.step)].plan.is_some();
-            if !open || !(planned || need.fits(&pass.most)) {
+            let at = usize::from(turn.key.step);
+            if !open || !self.may_fit(state, &pass, job, at) {
                 continue;
             }
-            let step = &job.steps[usize::from(turn.key.step)];
+            let (step, need) = (&job.steps[at], job.row.work.steps[at].need);
             if step.advice.asking.is_some() {
                 // Its room stays its own until the tickets come.
                 for ix in step.renewing.clone() {
@@ -128,6 +133,15 @@
         }
     }
 
+    /// Says whether a step's team may run more, and whether some worker has room for a task of it.
+    fn may_fit(&self, state: &DesiredState, pass: &Pass, job: &Job, at: usize) -> bool {
+        let spec = &job.row.work.steps[at];
+        let least = if spec.gang { u64::from(spec.count) } else { 1 };
+        let room = self.team_room(state, &pass.hidden, job.row.team.as_ref(), &spec.need);
+        let planned = job.steps[at].plan.is_some();
+        room >= least && (planned || spec.need.fits(&pass.most))
+    }
+
     /// Says whether a job that an earlier leader may have started can start: all workers that it may
     /// run on have listed their runs, or their leases are over. That leader gave no order after this
     /// one took the lead.
@@ -137,6 +151,29 @@
         self.generation == 1 || all || ctx.now.since(self.since) > self.longest_lease_ms(ctx)
     }
 
+    /// Returns the most that each team may have running on workers that were not reached: tasks that an
+    /// earlier leader may have started there, and that no worker has listed.
+    fn hidden_use(&self, unix_ms: u64) -> BTreeMap<TeamName, Resources> {
+        let mut hidden: BTreeMap<TeamName, Resources> = BTreeMap::new();
+        for job in self.jobs.values() {
+            // Runs of a job that was given up lately may not have been stopped.
+            let ended_ms = unix_ms.saturating_sub(job.progress.ended_unix_ms);
+            let over = job.progress.state.is_final() && ended_ms > ENDED_RUNS_MS;
+            let old = job.version.0 <= self.token.0 && !over;
+            let Some(team) = job.row.team.as_ref().filter(|_| old) else {
+                continue;
+            };
+            for (at, step) in job.steps.iter().enumerate() {
+                let left = step.tasks.len() as u64 - u64::from(step.done + step.running);
+                if left > 0 && job.is_open(at) {
+                    let sum = hidden.entry(team.clone()).or_default();
+                    *sum = sum.plus(job.row.work.steps[at].need.times(left));
+                }
+            }
+        }
+        hidden
+    }
+
     /// Returns after which time the leases of earlier leaders are over.
     pub(crate) fn longest_lease_ms(&self, ctx: &Ctx) -> Millis {
         let lease_ms = ctx.settings.max_lease_ms;
@@ -280,6 +317,7 @@
     pub(crate) fn team_room(
         &self,
         state: &DesiredState,
+        hidden: &BTreeMap<TeamName, Resources>,
         team: Option<&TeamName>,
         need: &Resources,
     ) -> u64 {
@@ -287,6 +325,7 @@
             return u64::MAX;
         };
         let used = self.used.get(&team.name).copied().unwrap_or_default();
+        let used = used.plus(hidden.get(&team.name).copied().unwrap_or_default());
         let parts = team
             .cap
             .parts()
@@ -315,7 +354,7 @@
             return;
         };
         let need = job.row.work.steps[at].need;
-        let room = self.team_room(state, job.row.team.as_ref(), &need);
+        let room = self.team_room(state, &pass.hidden, job.row.team.as_ref(), &need);
         let advice = &job.steps[at].advice;
         let (mut ready, mut stale): (Vec<Candidate>, Vec<Candidate>) = candidates
             .drain(..)
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -654,3 +654,37 @@
     world.run(6_000);
     assert_eq!(world.starts().len(), 16, "accepted work was left undone");
 }
+
+#[test]
+fn a_cap_holds_while_a_new_leader_can_not_see_what_a_cut_worker_runs() {
+    let mut state = desired(1, queue());
+    state.teams[0].cap = Resources {
+        cpu_milli: 4_000,
+        ..Resources::default()
+    };
+    let mut world = World::new(2, 3, state);
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 7_000;
+    }
+    let leader = world.leader().unwrap();
+    let door = 1 - leader;
+    world.submit(door, 1, vec![step(3, 1_000)]);
+    world.run(500);
+    let cut = world.starts()[0].0.clone();
+    world.workers.get_mut(&cut).unwrap().silent = true;
+    world.kill(leader);
+    world.run(3_500);
+    assert!(world.leader().is_some());
+    world.submit(door, 2, vec![step(4, 1_000)]);
+    for _ in 0..60 {
+        world.run(100);
+        let running: usize = world.workers.values().map(|own| own.running()).sum();
+        assert!(running <= 4, "{running} cores run against a cap of 4");
+    }
+    world.workers.get_mut(&cut).unwrap().silent = false;
+    world.run(25_000);
+    world.assert_state(door, 1, JobState::Completed);
+    world.assert_state(door, 2, JobState::Completed);
+    world.assert_once();
+}
