Record placements before starts are ordered, in place of the roster

Cause: after a takeover with one unreachable worker the new leader could not tell what earlier leaders had started there. It held back every job that was accepted before, and counted all of them against their teams' caps, for a lease of 10.6 s.

Ruled out: the election (lead taken at 36.7 s, loaded at 37.1 s) and advice (given all the while).

Change: a job's progress holds the worker and run number of each task that may run, written before the order is sent. A new leader holds just these. The roster, the hidden use of caps and the wait of earlier jobs are removed. Two writes of progress may be on their way, first changed first.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -41,6 +41,8 @@
 pub const CELL_PART: &str = "cell";
 /// The partition of the daemons' addresses.
 pub const MEMBERS_PART: &str = "members";
+/// How many writes of progress may be on their way at a time: one can be built while another travels.
+pub const MAX_WRITES: usize = 2;
 /// The most rows that a transaction changes: each takes two of the store's hundred entries.
 pub const BATCH_ROWS: usize = 45;
 
@@ -114,8 +116,6 @@
 /// How much later than a leader another daemon must have reached the store for the leader to hand
 /// over: longer than the pause between two renewals, so that an outage for all never looks like it.
 pub const HAND_OVER_MS: Millis = Millis(700);
-/// The least span between two writes of the roster: workers that come or go together share one.
-pub const ROSTER_GAP_MS: Millis = Millis(200);
 /// How many times a daemon's processor share is a leader's for the leader to yield to it: less is
 /// not worth the pause of a takeover.
 pub const STRONGER_FACTOR: u64 = 2;
--- a/core/src/cell/leader/commits.rs
+++ b/core/src/cell/leader/commits.rs
@@ -13,7 +13,7 @@
     },
     JobId, Millis,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A write on its way: the jobs with the edits that it holds.
 #[derive(Debug)]
@@ -26,8 +26,11 @@
 /// The progress that has to be written.
 #[derive(Debug, Default)]
 pub(crate) struct Commits {
-    dirty: BTreeSet<JobId>,
-    in_flight: Option<Sent>,
+    /// The jobs that have changed, in the order of their first change.
+    dirty: VecDeque<JobId>,
+    marked: BTreeSet<JobId>,
+    /// Writes without an answer; a job is in one of them at most.
+    in_flight: Vec<Sent>,
     retry_at: Millis,
     /// The workers that wait for a write before their ends may be acknowledged.
     waiting: BTreeSet<WorkerIx>,
@@ -35,15 +38,37 @@
     loaded: BTreeMap<JobId, (RowVersion, Progress)>,
 }
 
+impl Sent {
+    fn ids(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.iter().map(|(id, _)| id)
+    }
+}
+
 impl Commits {
     pub(crate) fn holds(&self, order: OrderId) -> bool {
-        self.in_flight
-            .as_ref()
-            .is_some_and(|sent| sent.order == order)
+        self.in_flight.iter().any(|sent| sent.order == order)
     }
 
     pub(crate) fn mark(&mut self, job: &JobId) {
-        self.dirty.insert(job.clone());
+        if self.marked.insert(job.clone()) {
+            self.dirty.push_back(job.clone());
+        }
+    }
+
+    /// Takes the jobs of the next write: the first that have changed and are in no write on its way.
+    fn next_batch(&mut self) -> Vec<JobId> {
+        let sent: BTreeSet<&JobId> = self.in_flight.iter().flat_map(Sent::ids).collect();
+        let (mut batch, mut rest) = (Vec::new(), VecDeque::new());
+        for id in std::mem::take(&mut self.dirty) {
+            if batch.len() < consts::BATCH_ROWS && !sent.contains(&id) {
+                self.marked.remove(&id);
+                batch.push(id);
+            } else {
+                rest.push_back(id);
+            }
+        }
+        self.dirty = rest;
+        batch
     }
 
     pub(crate) fn wait(&mut self, ix: WorkerIx) {
@@ -97,16 +122,14 @@
 
     pub(crate) fn flush_commits(&mut self, ctx: &mut Ctx) {
         let commits = &mut self.commits;
-        let idle = commits.in_flight.is_none() && ctx.now >= commits.retry_at;
-        if !idle || commits.dirty.is_empty() {
+        let free = commits.in_flight.len() < consts::MAX_WRITES && ctx.now >= commits.retry_at;
+        if !free || commits.dirty.is_empty() {
+            return;
+        }
+        let ids = commits.next_batch();
+        if ids.is_empty() {
             return;
         }
-        let ids: Vec<JobId> = commits
-            .dirty
-            .iter()
-            .take(consts::BATCH_ROWS)
-            .cloned()
-            .collect();
         // The write shows that the leader lives: it renews the lease as well.
         let mut write = Write {
             expect: vec![fence(self.token)],
@@ -115,19 +138,18 @@
         };
         let mut batch = Vec::with_capacity(ids.len());
         for id in ids {
-            commits.dirty.remove(&id);
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let key = progress_key(&id);
             write.expect.push((key.clone(), job.progress_version));
-            let progress = Box::new(job.progress.clone());
+            let progress = Box::new(self.recorded(job));
             write.put.push((key, RowValue::Progress(progress)));
             batch.push((id, job.edits));
         }
         let call = StoreCall::Write(write);
         let order = ctx.store(Owner::Leader, call, consts::STORE_LIMIT_MS);
-        self.commits.in_flight = Some(Sent {
+        self.commits.in_flight.push(Sent {
             order,
             at: ctx.now,
             jobs: batch,
@@ -135,10 +157,12 @@
     }
 
     /// Handles the answer to a write of progress.
-    pub(crate) fn on_commit(&mut self, ctx: &mut Ctx, reply: StoreReply) -> Follow {
-        let Some(sent) = self.commits.in_flight.take() else {
+    pub(crate) fn on_commit(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) -> Follow {
+        let open = &mut self.commits.in_flight;
+        let Some(at) = open.iter().position(|sent| sent.order == order) else {
             return Follow::Nothing;
         };
+        let sent = open.swap_remove(at);
         let (sent_at, batch) = (sent.at, sent.jobs);
         match reply {
             StoreReply::Written(version) => {
@@ -160,17 +184,13 @@
                         job.progress_version = row.version;
                     }
                 }
-                self.commits
-                    .dirty
-                    .extend(batch.into_iter().map(|(id, _)| id));
+                batch.iter().for_each(|(id, _)| self.commits.mark(id));
             }
             _ => {
                 self.commits.retry_at = ctx.now + consts::STORE_RETRY_MS;
                 let line = Line::warn("progress_unwritten").with("jobs", batch.len());
                 ctx.log(line.with("reply", format_args!("{reply:?}")));
-                self.commits
-                    .dirty
-                    .extend(batch.into_iter().map(|(id, _)| id));
+                batch.iter().for_each(|(id, _)| self.commits.mark(id));
             }
         }
         Follow::Nothing
--- a/core/src/cell/leader/fleet.rs
+++ b/core/src/cell/leader/fleet.rs
@@ -6,7 +6,7 @@
         node::Ctx,
         Line, WorkerEntry,
     },
-    Millis, WorkerId,
+    Millis, Resources, WorkerId,
 };
 use std::collections::BTreeMap;
 
@@ -65,6 +65,27 @@
 }
 
 impl Leader {
+    /// Returns the worker of a placement on record; one that is not listed is kept in mind without an
+    /// address.
+    pub(crate) fn placed_worker(&mut self, id: &WorkerId) -> WorkerIx {
+        if let Some(ix) = self.fleet.ix(id) {
+            return ix;
+        }
+        let entry = WorkerEntry {
+            id: id.clone(),
+            service: "".into(),
+            address: "".into(),
+            domain: "".into(),
+            draining: true,
+            room: Resources::default(),
+            labels: Vec::new(),
+            incarnation: None,
+        };
+        let mut worker = Worker::new(entry);
+        worker.listed = false;
+        self.fleet.add(worker)
+    }
+
     /// Takes a worker's entry.
     pub(crate) fn on_entry(&mut self, ctx: &mut Ctx, entry: WorkerEntry) {
         self.wants_pass = true;
@@ -72,9 +93,7 @@
             let line = Line::info("worker_listed").with("worker", &entry.id);
             let line = line.with("domain", &entry.domain).with("room", entry.room);
             ctx.log(line.with("draining", entry.draining));
-            let mut worker = Worker::new(entry);
-            worker.on_roster = self.roster.holds_worker(&worker.entry.id);
-            self.fleet.add(worker);
+            self.fleet.add(Worker::new(entry));
             return;
         };
         let worker = self.fleet.get_mut(ix);
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -35,12 +35,12 @@
         };
         let (need, count) = (job.row.work.steps[at].need, job.row.work.steps[at].count);
         let one_rack = job.row.work.steps[at].same_rack;
-        if self.team_room(state, &pass.hidden, job.row.team.as_ref(), &need) < u64::from(count) {
+        if self.team_room(state, job.row.team.as_ref(), &need) < u64::from(count) {
             return;
         }
         if let Some(places) = self.planned(ctx.now, queue, key) {
             self.drop_plan(key);
-            return self.start_gang(ctx, queue, key, &places);
+            return self.place_members(ctx, key, &places);
         }
         for ix in self.drop_plan(key) {
             pass.give(ix, &need);
@@ -81,11 +81,11 @@
                 self.plan(key, places, need);
                 self.ask_advice(ctx.now, key, stale, turn.latest_start_ms, cost);
             }
-            _ => self.start_gang(ctx, queue, key, &places),
+            _ => self.place_members(ctx, key, &places),
         }
     }
 
-    fn start_gang(&mut self, ctx: &mut Ctx, queue: &Queue, key: &StepKey, places: &[WorkerIx]) {
+    fn place_members(&mut self, ctx: &mut Ctx, key: &StepKey, places: &[WorkerIx]) {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
@@ -97,16 +97,11 @@
             .with("members", places.len());
         ctx.log(line.with("run", number));
         for (index, &ix) in places.iter().enumerate() {
-            let Some(job) = self.jobs.get(&key.job) else {
-                return;
-            };
-            let ticket = job.steps[at].advice.ticket(ix, ctx.now).cloned();
-            let ticket = ticket.filter(|_| queue.advice.is_some());
             let task = TaskKey {
                 step: key.clone(),
                 index: index as u32,
             };
-            self.start(ctx, ix, task, number, ticket);
+            self.place(ix, task, number);
         }
         self.refresh_job(&key.job);
     }
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -45,7 +45,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) row: JobRow,
-    pub(crate) version: RowVersion,
     pub(crate) progress: Progress,
     pub(crate) progress_version: RowVersion,
     /// Counts the changes of `progress`, and which of them is on record.
@@ -62,7 +61,7 @@
 }
 
 impl Job {
-    fn new(ctx: &Ctx, row: JobRow, version: RowVersion) -> Self {
+    fn new(ctx: &Ctx, row: JobRow) -> Self {
         let age_ms = ctx
             .unix_ms
             .saturating_sub(row.accepted_unix_ms)
@@ -75,7 +74,6 @@
         });
         let steps: Vec<Step> = steps.collect();
         Self {
-            version,
             progress: Progress {
                 steps: vec![StepProgress::default(); steps.len()],
                 ..Progress::default()
@@ -150,7 +148,7 @@
         }
         let id = row.id.clone();
         let queue = row.queue.clone();
-        let mut job = Job::new(ctx, row, version);
+        let mut job = Job::new(ctx, row);
         job.surplus = !self.is_within_share(ctx.now, &job.row);
         let line = Line::info("job_learned")
             .with("job", &id)
@@ -201,6 +199,7 @@
                 job.ended_at = ctx.now;
             }
             job.progress = progress;
+            self.adopt_placements(ctx, &id);
         }
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
@@ -328,5 +327,6 @@
                 ctx.send_member(link, ToMember::State { ask, view });
             }
         }
+        self.on_placed(id, edits);
     }
 }
--- a/core/src/cell/leader/load.rs
+++ b/core/src/cell/leader/load.rs
@@ -69,7 +69,6 @@
         todo.push(scan(Table::Progress, consts::CELL_PART));
         todo.push(scan(Table::Workers, ""));
         todo.push(scan(Table::Members, consts::MEMBERS_PART));
-        todo.push(scan(Table::Leadership, consts::CELL_PART));
         Self {
             todo,
             open: BTreeMap::new(),
@@ -245,7 +244,6 @@
             }
             RowValue::Worker(entry) => self.on_entry(ctx, *entry),
             RowValue::Member(member) => self.on_member(ctx, &row.key.key, member),
-            RowValue::Roster(ids) => self.on_roster_row(row.version, ids),
             RowValue::Gone if table == Table::Workers => self.on_entry_gone(ctx, &row.key.key),
             RowValue::Gone if table == Table::Members => self.members.remove(&row.key.key),
             RowValue::Unusable(reason) => {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -10,8 +10,8 @@
 mod members;
 mod orders;
 mod placement;
+mod placing;
 mod ready;
-mod roster;
 mod runs;
 mod schedule;
 mod views;
@@ -21,8 +21,15 @@
     cell::{
         consts,
         leader::{
-            advice::AdviceDesk, commits::Commits, fleet::Fleet, intake::Intake, jobs::Job,
-            load::Load, members::Members, orders::OpenOrder, ready::Ready, roster::Roster,
+            advice::AdviceDesk,
+            commits::Commits,
+            fleet::Fleet,
+            intake::Intake,
+            jobs::Job,
+            load::Load,
+            members::Members,
+            orders::{OpenOrder, PlacedRun},
+            ready::Ready,
         },
         node::Ctx,
         ConfigFeed, DesiredState, FencingToken, Line, LinkId, OrderId, RowVersion, StoreReply,
@@ -67,9 +74,10 @@
     intake: Intake,
     advice: AdviceDesk,
     commits: Commits,
-    roster: Roster,
     members: Members,
     orders: BTreeMap<OrderId, OpenOrder>,
+    /// Runs whose placement is on record and whose start is to be ordered.
+    placed: Vec<PlacedRun>,
     wants_pass: bool,
     next_pass_at: Millis,
     sweep_at: Millis,
@@ -92,9 +100,9 @@
             intake: Intake::default(),
             advice: AdviceDesk::default(),
             commits: Commits::default(),
-            roster: Roster::default(),
             members: Members::default(),
             orders: BTreeMap::new(),
+            placed: Vec::new(),
             wants_pass: false,
             next_pass_at: ctx.now,
             sweep_at: ctx.now + consts::SWEEP_MS,
@@ -139,10 +147,7 @@
     /// Handles an answer of the store.
     pub(crate) fn on_store(&mut self, ctx: &mut Ctx, order: OrderId, reply: StoreReply) -> Follow {
         if self.commits.holds(order) {
-            return self.on_commit(ctx, reply);
-        }
-        if self.roster.holds(order) {
-            return self.on_roster(ctx, reply);
+            return self.on_commit(ctx, order, reply);
         }
         self.on_load(ctx, order, reply);
         Follow::Nothing
@@ -172,7 +177,6 @@
         if !self.load.is_done() {
             return;
         }
-        self.write_roster(ctx);
         let known = self.state.clone();
         if let (Some(known), true) = (
             known,
@@ -183,6 +187,7 @@
             self.pass(ctx, &known);
         }
         if valid {
+            self.send_placed(ctx);
             self.dispatch_advice(ctx);
         }
         self.flush_commits(ctx);
--- a/core/src/cell/leader/orders.rs
+++ b/core/src/cell/leader/orders.rs
@@ -5,11 +5,11 @@
         consts,
         leader::{
             fleet::WorkerIx,
-            worker::{Run, RunPhase, Worker},
+            worker::{RunPhase, Worker},
             Leader,
         },
         node::{Ctx, Owner},
-        Effect, Line, OrderId, RefusedStart, StartOrder, TaskKey, Ticket, WorkerAnswer, WorkerCall,
+        Effect, Line, OrderId, RefusedStart, StartOrder, TaskKey, WorkerAnswer, WorkerCall,
     },
     Millis,
 };
@@ -37,6 +37,14 @@
     },
 }
 
+/// A run whose start may be ordered, since its placement is on record.
+#[derive(Debug)]
+pub(crate) struct PlacedRun {
+    pub(crate) ix: WorkerIx,
+    pub(crate) task: TaskKey,
+    pub(crate) run: u32,
+}
+
 impl Leader {
     fn send(&mut self, ctx: &mut Ctx, ix: WorkerIx, call: WorkerCall, limit_ms: Millis) -> OrderId {
         let order = ctx.order(Owner::Leader);
@@ -172,55 +180,33 @@
         }
     }
 
-    /// Orders a task to start; its room was found free.
-    pub(crate) fn start(
-        &mut self,
-        ctx: &mut Ctx,
-        ix: WorkerIx,
-        task: TaskKey,
-        number: u32,
-        ticket: Option<Ticket>,
-    ) {
+    /// Orders a run to start whose placement is on record.
+    pub(crate) fn order_start(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: TaskKey, run: u32) {
         let at = usize::from(task.step.step);
         let worker = self.fleet.get(ix);
-        let Some(clock) = worker.clock_at(ctx.now) else {
+        let (Some(clock), Some(held)) = (worker.clock_at(ctx.now), worker.runs.get(&task)) else {
             return;
         };
-        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+        let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
-        let spec = &job.row.work.steps[at];
-        let index = if spec.gang { 0 } else { task.index };
-        let checkpoint = job.progress.steps[at].checkpoints.get(&index).cloned();
-        let run = Run {
-            number,
-            need: spec.need,
-            team: job.row.team.clone(),
-            phase: RunPhase::Ordered,
-            settled_at: None,
-            percent: 0,
-            checkpoint: checkpoint.clone(),
-        };
-        log_start(ctx, worker, &task, number, job.accepted_at);
         let order = StartOrder {
             task: task.clone(),
-            run: number,
+            run,
             payload: job.row.work.payload.clone(),
             lease_until_ms: clock + ctx.settings.max_lease_ms,
-            checkpoint,
-            ticket,
+            checkpoint: held.checkpoint.clone(),
+            ticket: job.steps[at].advice.ticket(ix, ctx.now).cloned(),
         };
-        let step = &mut job.steps[at];
-        step.tasks[task.index as usize].worker = Some(ix);
-        step.tasks[task.index as usize].run = number;
-        step.running += 1;
-        self.hold_room(ix, &task, run);
+        log_start(ctx, worker, &task, run, job.accepted_at);
         self.mark_started(&task.step.job);
-        let id = self.send(ctx, ix, WorkerCall::Start(order), consts::WORKER_LIMIT_MS);
-        let run = number;
-        self.orders.insert(id, OpenOrder::Start { ix, task, run });
         let worker = self.fleet.get_mut(ix);
+        if let Some(held) = worker.runs.get_mut(&task) {
+            held.phase = RunPhase::Ordered;
+        }
         worker.next_look_at = worker.next_look_at.min(ctx.now + consts::STORE_RETRY_MS);
+        let id = self.send(ctx, ix, WorkerCall::Start(order), consts::WORKER_LIMIT_MS);
+        self.orders.insert(id, OpenOrder::Start { ix, task, run });
     }
 
     fn on_start(
@@ -315,8 +301,14 @@
         let Some(run) = worker.runs.get_mut(task) else {
             return;
         };
-        if matches!(run.phase, RunPhase::Stopping(_)) {
-            return;
+        match run.phase {
+            RunPhase::Stopping(_) => return,
+            RunPhase::Placed(_) => {
+                // Its start was never ordered.
+                self.release(ix, task);
+                return;
+            }
+            _ => {}
         }
         run.phase = RunPhase::Stopping(ctx.now + consts::STOP_RETRY_MS);
         run.settled_at = None;
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -242,6 +242,8 @@
             }
         }
         self.keep_checkpoint(task, gang, run.checkpoint.clone());
+        // The placement on record is over.
+        self.edit(id);
         Some(run)
     }
 
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -8,7 +8,6 @@
             fleet::WorkerIx,
             jobs::Job,
             placement::{best_fit, Candidate},
-            worker::Worker,
             Leader,
         },
         node::Ctx,
@@ -26,8 +25,6 @@
 const FAR_PENALTY: u32 = 2;
 /// What speaks against a worker whose last runs have all failed.
 const SICK_PENALTY: u32 = 8;
-/// How long after a job's end runs of it may be alive: a lease, and a clock that jumped by seconds.
-const ENDED_RUNS_MS: u64 = 15_000;
 /// The part of a span by which a worker's clock may be slow: 2%.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 /// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
@@ -43,10 +40,6 @@
 
 /// What a pass over the waiting steps keeps in mind.
 pub(crate) struct Pass {
-    /// Whether jobs that an earlier leader may have started can start.
-    old_jobs: bool,
-    /// What teams may have running on workers that were not reached.
-    pub(crate) hidden: BTreeMap<TeamName, Resources>,
     /// The room kept on workers for gangs that come first.
     pub(crate) kept: BTreeMap<WorkerIx, Resources>,
     pub(crate) kept_gangs: usize,
@@ -83,14 +76,7 @@
     /// Starts all that can start, in order.
     pub(crate) fn pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
         self.void_tickets();
-        let old_jobs = self.may_start_old(ctx);
-        let hidden = match old_jobs {
-            true => BTreeMap::new(),
-            false => self.hidden_use(ctx.unix_ms),
-        };
         let mut pass = Pass {
-            old_jobs,
-            hidden,
             kept: BTreeMap::new(),
             kept_gangs: 0,
             open: Vec::new(),
@@ -109,12 +95,11 @@
             let Some(job) = self.jobs.get(&turn.key.job) else {
                 continue;
             };
-            let open = pass.old_jobs || job.version.0 > self.token.0;
             let Some(queue) = state.queue(&job.row.queue) else {
                 continue;
             };
             let at = usize::from(turn.key.step);
-            if !open || !self.may_fit(state, &pass, job, at) {
+            if !self.may_fit(state, &pass, job, at) {
                 continue;
             }
             let (step, need) = (&job.steps[at], job.row.work.steps[at].need);
@@ -137,43 +122,11 @@
     fn may_fit(&self, state: &DesiredState, pass: &Pass, job: &Job, at: usize) -> bool {
         let spec = &job.row.work.steps[at];
         let least = if spec.gang { u64::from(spec.count) } else { 1 };
-        let room = self.team_room(state, &pass.hidden, job.row.team.as_ref(), &spec.need);
+        let room = self.team_room(state, job.row.team.as_ref(), &spec.need);
         let planned = job.steps[at].plan.is_some();
         room >= least && (planned || spec.need.fits(&pass.most))
     }
 
-    /// Says whether a job that an earlier leader may have started can start: all workers that it may
-    /// run on have listed their runs, or their leases are over. That leader gave no order after this
-    /// one took the lead.
-    fn may_start_old(&self, ctx: &Ctx) -> bool {
-        let unreached = |worker: &Worker| worker.on_roster && !worker.contact;
-        let all = !self.fleet.iter().any(|(_, worker)| unreached(worker));
-        self.generation == 1 || all || ctx.now.since(self.since) > self.longest_lease_ms(ctx)
-    }
-
-    /// Returns the most that each team may have running on workers that were not reached: tasks that an
-    /// earlier leader may have started there, and that no worker has listed.
-    fn hidden_use(&self, unix_ms: u64) -> BTreeMap<TeamName, Resources> {
-        let mut hidden: BTreeMap<TeamName, Resources> = BTreeMap::new();
-        for job in self.jobs.values() {
-            // Runs of a job that was given up lately may not have been stopped.
-            let ended_ms = unix_ms.saturating_sub(job.progress.ended_unix_ms);
-            let over = job.progress.state.is_final() && ended_ms > ENDED_RUNS_MS;
-            let old = job.version.0 <= self.token.0 && !over;
-            let Some(team) = job.row.team.as_ref().filter(|_| old) else {
-                continue;
-            };
-            for (at, step) in job.steps.iter().enumerate() {
-                let left = step.tasks.len() as u64 - u64::from(step.done + step.running);
-                if left > 0 && job.is_open(at) {
-                    let sum = hidden.entry(team.clone()).or_default();
-                    *sum = sum.plus(job.row.work.steps[at].need.times(left));
-                }
-            }
-        }
-        hidden
-    }
-
     /// Returns after which time the leases of earlier leaders are over.
     pub(crate) fn longest_lease_ms(&self, ctx: &Ctx) -> Millis {
         let lease_ms = ctx.settings.max_lease_ms;
@@ -317,7 +270,6 @@
     pub(crate) fn team_room(
         &self,
         state: &DesiredState,
-        hidden: &BTreeMap<TeamName, Resources>,
         team: Option<&TeamName>,
         need: &Resources,
     ) -> u64 {
@@ -325,7 +277,6 @@
             return u64::MAX;
         };
         let used = self.used.get(&team.name).copied().unwrap_or_default();
-        let used = used.plus(hidden.get(&team.name).copied().unwrap_or_default());
         let parts = team
             .cap
             .parts()
@@ -354,7 +305,7 @@
             return;
         };
         let need = job.row.work.steps[at].need;
-        let room = self.team_room(state, &pass.hidden, job.row.team.as_ref(), &need);
+        let room = self.team_room(state, job.row.team.as_ref(), &need);
         let advice = &job.steps[at].advice;
         let (mut ready, mut stale): (Vec<Candidate>, Vec<Candidate>) = candidates
             .drain(..)
@@ -372,7 +323,7 @@
             if let Some(place) = best_fit(&ready, &need) {
                 ready[place].take(&need);
                 pass.take(ready[place].ix, &need);
-                self.start_one(ctx, queue, key, index, ready[place].ix);
+                self.place_one(key, index, ready[place].ix);
             } else if let Some(place) = best_fit(&stale, &need) {
                 stale[place].take(&need);
                 pass.take(stale[place].ix, &need);
@@ -422,19 +373,17 @@
         self.ask_advice(now, &turn.key, workers, turn.latest_start_ms, cost);
     }
 
-    fn start_one(&mut self, ctx: &mut Ctx, queue: &Queue, key: &StepKey, index: u32, ix: WorkerIx) {
+    fn place_one(&mut self, key: &StepKey, index: u32, ix: WorkerIx) {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
         let number = self.next_run(job.steps[at].tasks[index as usize].run);
-        let ticket = job.steps[at].advice.ticket(ix, ctx.now).cloned();
-        let ticket = ticket.filter(|_| queue.advice.is_some());
         let task = TaskKey {
             step: key.clone(),
             index,
         };
-        self.start(ctx, ix, task, number, ticket);
+        self.place(ix, task, number);
     }
 
     /// Returns a run number above all that this and earlier leaders may have used.
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -10,6 +10,8 @@
 /// How far a run is, as far as orders and lists tell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RunPhase {
+    /// Its placement is this edit of the job's progress; its start is ordered once that is on record.
+    Placed(u64),
     /// Its start was ordered and not answered.
     Ordered,
     /// The answer to its start was lost at this time.
@@ -38,8 +40,6 @@
 pub(crate) struct Worker {
     pub(crate) entry: WorkerEntry,
     pub(crate) listed: bool,
-    /// Whether it is on record as used, so that a later leader asks it before it acts.
-    pub(crate) on_roster: bool,
     pub(crate) incarnation: Option<Incarnation>,
     /// Whether its lists were read under this leader's token.
     pub(crate) contact: bool,
@@ -76,7 +76,6 @@
         Self {
             entry,
             listed: true,
-            on_roster: false,
             incarnation: None,
             contact: false,
             clock: None,
@@ -110,7 +109,7 @@
         let clock = self
             .clock
             .is_some_and(|(_, at)| now.since(at) < clock_age_ms);
-        let sound = self.listed && self.on_roster && self.contact && self.lost_looks == 0;
+        let sound = self.listed && self.contact && self.lost_looks == 0;
         let rests = now < self.rest_until || now < self.quarantined_until;
         let willing = !self.entry.draining && !rests;
         clock && sound && willing && self.foreign_since.is_none()
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -39,7 +39,7 @@
     message::{StateView, SubmitView, ToLeader, ToMember},
     node::Node,
     numbers::{AskId, FencingToken, Incarnation, LinkId, OrderId, RowVersion},
-    progress::{JobState, Progress, StepProgress},
+    progress::{JobState, Placement, Progress, StepProgress},
     settings::{CellSettings, CellSettingsBuilder},
     store::{MemberRow, Row, RowKey, RowValue, StoreCall, StoreReply, Table, TermRow, Write},
     task_key::{StepKey, TaskKey},
--- a/core/src/cell/progress.rs
+++ b/core/src/cell/progress.rs
@@ -1,5 +1,6 @@
 //! What is kept on record of a job's tasks.
 
+use crate::WorkerId;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -30,6 +31,15 @@
     }
 }
 
+/// Where a run of a task may be alive.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Placement {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The run's number.
+    pub run: u32,
+}
+
 /// The recorded progress of one step.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StepProgress {
@@ -40,6 +50,9 @@
     pub failed: BTreeMap<u32, Vec<u32>>,
     /// The latest checkpoints of tasks that are not done.
     pub checkpoints: BTreeMap<u32, CompactString>,
+    /// Where tasks that are not done may run; on record before a start is ordered.
+    #[serde(default)]
+    pub placed: BTreeMap<u32, Placement>,
 }
 
 impl StepProgress {
--- a/core/src/cell/store.rs
+++ b/core/src/cell/store.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cell::{DesiredState, JobRow, Progress, RowVersion, WorkerEntry},
-    Millis, WorkerId,
+    Millis,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
     DesiredState,
     /// The workers, written by themselves.
     Workers,
-    /// Who leads, its lease and the workers it has used.
+    /// Who leads, and its lease.
     Leadership,
     /// The daemons' addresses.
     Members,
@@ -77,8 +77,6 @@
     Term(TermRow),
     /// The leader's lease; its version is all that counts.
     Lease,
-    /// Which workers leaders have used and may have left work on.
-    Roster(Vec<WorkerId>),
     /// Where a daemon is reached.
     Member(MemberRow),
     /// An accepted job.
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -688,3 +688,48 @@
     world.assert_state(door, 2, JobState::Completed);
     world.assert_once();
 }
+
+/// The load: a failure domain is cut off with the leader while jobs wait in every queue.
+#[test]
+fn a_cut_worker_holds_back_only_the_tasks_that_were_placed_on_it() {
+    let mut state = desired(1, queue());
+    state.teams[0].cap = Resources {
+        cpu_milli: 9_000,
+        ..Resources::default()
+    };
+    let mut world = World::new(2, 3, state);
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 6_000;
+    }
+    let leader = world.leader().unwrap();
+    let door = 1 - leader;
+    world.submit(door, 1, vec![step(1, 4_000)]);
+    world.run(300);
+    let cut = world.starts()[0].0.clone();
+    // Accepted before the takeover and not placed: nothing of it can run anywhere.
+    world.submit(door, 2, vec![step(3, 4_000)]);
+    world.submit(door, 3, vec![step(3, 4_000)]);
+    world.workers.get_mut(&cut).unwrap().silent = true;
+    world.store.remove_worker(cut.as_str());
+    world.kill(leader);
+    world.run(4_500);
+    assert!(world.leader().is_some());
+    world.submit(door, 4, vec![step(1, 1_000)]);
+    let before = world.starts().len();
+    world.run(3_500);
+    assert!(
+        world.starts().len() > before,
+        "all work waited for the lease of one worker"
+    );
+    // The cut heals before the lease is over: what ended there meanwhile counts.
+    let worker = world.workers.get_mut(&cut).unwrap();
+    worker.silent = false;
+    let worker = worker.clone();
+    world.store.put_worker(&worker);
+    world.run(30_000);
+    for job in 1..=4 {
+        world.assert_state(door, job, JobState::Completed);
+    }
+    world.assert_once();
+}
