Count the leader's lease by the store's clock and hand over on a silent store

Cause: a daemon that lost its leader counted the lease from the moment at which it first saw the latest version of the row. After a cut that is the first read, a second after the last heartbeat, so the cell was without a leader for 3.1 s instead of 2. A leader whose calls got no answer counted two failures of 1.5 s before it handed over.

Change: the lease row says until when it lasts by the store's steady clock; readers compare it with the clock of their own read. A leader without an answer for 0.5 s asks the others by its heartbeat who reaches the store and hands over to one that did 0.7 s later than itself.

Tests, seen to fail first: 2,950 ms without a leader against 2,100; a hand-over after 1,875 ms.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -113,6 +113,9 @@
 pub const RELAY_MS: Millis = Millis(2_000);
 /// After which time without an answer the store counts as down: shorter than a slow call's limit.
 pub const STORE_DOWN_MS: Millis = Millis(1_200);
+/// After which time without an answer a leader asks who reaches the store: a renewal and its usual
+/// answer.
+pub const STORE_DOUBT_MS: Millis = Millis(500);
 /// How much later than a leader another daemon must have reached the store for the leader to hand
 /// over: longer than the pause between two renewals, so that an outage for all never looks like it.
 pub const HAND_OVER_MS: Millis = Millis(700);
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -51,6 +51,8 @@
     term_row: TermRow,
     lease: RowVersion,
     lease_seen_at: Millis,
+    /// When the lease of that version is over, where the row and the store's clock tell.
+    lease_over_at: Option<Millis>,
     read_once: bool,
     cpu_milli: u64,
     /// The processor share of the strongest daemon, as the last leader said.
@@ -84,6 +86,13 @@
     RowKey::new(Table::Leadership, consts::CELL_PART, "lease")
 }
 
+/// Returns that row for a lease that begins now.
+pub(crate) fn lease_row(ctx: &Ctx) -> (RowKey, RowValue) {
+    let clock_ms = ctx.store_clock.at_most(ctx.now);
+    let until_ms = clock_ms.map(|clock_ms| clock_ms + consts::LEADER_LEASE_MS);
+    (lease_key(), RowValue::Lease(until_ms))
+}
+
 /// Returns the check that `token` still leads.
 pub(crate) fn fence(token: FencingToken) -> (RowKey, RowVersion) {
     (term_key(), RowVersion(token.0))
@@ -103,6 +112,7 @@
             term_row: TermRow::default(),
             lease: RowVersion(0),
             lease_seen_at: Millis(0),
+            lease_over_at: None,
             read_once: false,
             cpu_milli: settings.cpu_milli,
             strongest_milli: settings.cpu_milli.max(consts::WHOLE_CORE_MILLI),
@@ -175,7 +185,7 @@
         }
         let write = Write {
             expect: vec![fence(token)],
-            put: vec![(lease_key(), RowValue::Lease)],
+            put: vec![lease_row(ctx)],
             remove: Vec::new(),
         };
         let open = Open::Renew { sent_at: ctx.now };
@@ -190,7 +200,14 @@
             self.next_acquire_at = ctx.now + consts::ELECTION_READ_MS;
             return self.acquire(ctx);
         }
-        if self.is_open(|open| matches!(open, Open::Read)) || ctx.now < self.next_read_at {
+        if ctx.now >= self.next_read_at {
+            self.read(ctx);
+        }
+    }
+
+    /// Reads who leads, unless such a read is on its way.
+    pub(crate) fn read(&mut self, ctx: &mut Ctx) {
+        if self.is_open(|open| matches!(open, Open::Read)) {
             return;
         }
         self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
@@ -214,7 +231,8 @@
         } else if self.term_row.holder.is_none() {
             waited >= weak_ms
         } else {
-            waited >= consts::LEADER_LEASE_MS + weak_ms
+            let over_at = self.lease_seen_at + consts::LEADER_LEASE_MS;
+            now >= self.lease_over_at.unwrap_or(over_at) + weak_ms
         };
         self.read_once && over
     }
@@ -235,10 +253,7 @@
         };
         let write = Write {
             expect: vec![(term_key(), self.term), (lease_key(), self.lease)],
-            put: vec![
-                (term_key(), RowValue::Term(row)),
-                (lease_key(), RowValue::Lease),
-            ],
+            put: vec![(term_key(), RowValue::Term(row)), lease_row(ctx)],
             remove: Vec::new(),
         };
         let line = Line::info("lead_wanted").with("generation", generation);
@@ -280,7 +295,9 @@
         let (_, open) = self.open.swap_remove(at);
         match (open, reply) {
             (Open::Register, reply) => self.registered = matches!(reply, StoreReply::Written(_)),
-            (Open::Read, StoreReply::Rows { rows, .. }) => return self.take_rows(ctx, rows),
+            (Open::Read, StoreReply::Rows { rows, clock_ms, .. }) => {
+                return self.take_rows(ctx, rows, clock_ms)
+            }
             (
                 Open::Acquire {
                     generation,
@@ -293,7 +310,9 @@
                 self.on_renewed(sent_at, version);
                 return turn;
             }
-            (Open::Acquire { .. }, StoreReply::Conflict(rows)) => return self.take_rows(ctx, rows),
+            (Open::Acquire { .. }, StoreReply::Conflict(rows)) => {
+                return self.take_rows(ctx, rows, None)
+            }
             (Open::Acquire { .. }, StoreReply::Refused(_)) => {}
             (Open::Acquire { nonce, .. }, _) => {
                 ctx.log(Line::warn("lead_unsure").with("nonce", nonce));
@@ -348,16 +367,21 @@
         self.resigning = false;
         self.read_once = false;
         self.lease_seen_at = ctx.now;
+        self.lease_over_at = None;
         self.next_read_at = ctx.now + consts::ELECTION_READ_MS;
         Turn::StepDown
     }
 
-    fn take_rows(&mut self, ctx: &mut Ctx, rows: Vec<Row>) -> Turn {
+    fn take_rows(&mut self, ctx: &mut Ctx, rows: Vec<Row>, clock_ms: Option<Millis>) -> Turn {
         let mut lease = RowVersion(0);
+        let mut until_ms = None;
         let mut term = (RowVersion(0), TermRow::default());
         for row in rows {
             if row.key == lease_key() {
                 lease = row.version;
+                if let RowValue::Lease(until) = row.value {
+                    until_ms = until;
+                }
             } else if row.key == term_key() {
                 let RowValue::Term(value) = row.value else {
                     ctx.log(Line::warn("term_row_unreadable").with("version", row.version));
@@ -370,6 +394,13 @@
         let changed = lease != self.lease || term.0 != self.term || !known;
         if changed {
             self.lease_seen_at = ctx.now;
+            self.lease_over_at = None;
+        }
+        if let (Some(until_ms), Some(clock_ms)) = (until_ms, clock_ms) {
+            // The store's clock shows at least `clock_ms` by now.
+            let over_at = ctx.now + until_ms.since(clock_ms);
+            let known = self.lease_over_at.unwrap_or(over_at);
+            self.lease_over_at = Some(over_at.min(known));
         }
         self.lease = lease;
         self.term = term.0;
@@ -399,6 +430,7 @@
         if lease > self.lease || self.term.0 != token.0 {
             self.lease = lease;
             self.lease_seen_at = now;
+            self.lease_over_at = None;
             self.term = RowVersion(token.0);
             // What the rows say must be read before this daemon may try to lead.
             self.read_once = false;
--- a/core/src/cell/leader/commits.rs
+++ b/core/src/cell/leader/commits.rs
@@ -4,7 +4,7 @@
     cell::{
         consts,
         door::progress_key,
-        election::{fence, lease_key},
+        election::{fence, lease_row},
         leader::{fleet::WorkerIx, Follow, Leader},
         node::{Ctx, Owner},
         submits::{job_key, part_of},
@@ -133,7 +133,7 @@
         // The write shows that the leader lives: it renews the lease as well.
         let mut write = Write {
             expect: vec![fence(self.token)],
-            put: vec![(lease_key(), RowValue::Lease)],
+            put: vec![lease_row(ctx)],
             remove: Vec::new(),
         };
         let mut batch = Vec::with_capacity(ids.len());
--- a/core/src/cell/leader/load.rs
+++ b/core/src/cell/leader/load.rs
@@ -151,6 +151,7 @@
             rows,
             more,
             version,
+            ..
         } = reply
         else {
             self.load.retry_at = ctx.now + consts::STORE_RETRY_MS;
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -180,7 +180,9 @@
         }
         // A new lease is passed on early, so that the others count from its latest renewal.
         let news = election.lease() > self.members.beat_lease;
-        let early = news && now.since(self.members.beat_at) >= consts::EARLY_BEAT_MS;
+        let store_silent = ctx.store_age_ms() > consts::STORE_DOUBT_MS;
+        let early =
+            (news || store_silent) && now.since(self.members.beat_at) >= consts::EARLY_BEAT_MS;
         if now < self.members.next_beat_at && !early || !election.is_valid(now) {
             return;
         }
@@ -198,6 +200,7 @@
             confirmed_ms,
             queued: queued.clone(),
             ready: self.load.is_done(),
+            store_silent,
             strongest_milli,
             closed: closed.clone(),
         };
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -98,6 +98,8 @@
         queued: Vec<(QueueName, u64)>,
         /// Whether the leader has read all that is on record.
         ready: bool,
+        /// Whether the store is slow to answer the leader, so that it wants to know who reaches it.
+        store_silent: bool,
         /// The processor share of the strongest daemon, in thousandths of a core.
         strongest_milli: u64,
         /// Jobs of these queues can't be served in time at present; come back after the span.
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -22,6 +22,7 @@
 mod progress;
 mod settings;
 mod store;
+mod store_clock;
 mod submits;
 mod task_key;
 mod worker_call;
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -6,6 +6,7 @@
         door::Door,
         election::{Election, Turn},
         leader::{Follow, Leader},
+        store_clock::StoreClock,
         submits::Submits,
         CellSettings, ConfigFeed, Effect, Event, FencingToken, Line, LinkId, OrderId, StoreCall,
         StoreReply, ToLeader, ToMember,
@@ -34,7 +35,9 @@
     pub(crate) unix_ms: u64,
     pub(crate) settings: CellSettings,
     last_order: OrderId,
-    owners: BTreeMap<OrderId, Owner>,
+    /// Who waits for which answer, and since when.
+    owners: BTreeMap<OrderId, (Owner, Millis)>,
+    pub(crate) store_clock: StoreClock,
     effects: Vec<Effect>,
     /// Messages between this daemon and the leader in the same process.
     pub(crate) inbox: Vec<ToLeader>,
@@ -48,7 +51,7 @@
     /// Takes the next number for a call.
     pub(crate) fn order(&mut self, owner: Owner) -> OrderId {
         self.last_order = self.last_order.next();
-        self.owners.insert(self.last_order, owner);
+        self.owners.insert(self.last_order, (owner, self.now));
         self.last_order
     }
 
@@ -91,11 +94,19 @@
 
     /// Returns since when another daemon must have reached the store for this one to hand over.
     fn hand_over_after(&self) -> Option<Millis> {
-        let failing = self.store_failures >= 2;
-        failing.then_some(self.store_ok_at + consts::HAND_OVER_MS)
+        // A leader renews its lease more often than that, so some answer is due.
+        let silent = self.store_age_ms() > consts::HAND_OVER_MS;
+        silent.then_some(self.store_ok_at + consts::HAND_OVER_MS)
     }
 
-    fn note_store(&mut self, reply: &StoreReply) {
+    fn note_store(&mut self, reply: &StoreReply, sent_at: Millis) {
+        if let StoreReply::Rows {
+            clock_ms: Some(clock_ms),
+            ..
+        } = reply
+        {
+            self.store_clock.observe(sent_at, *clock_ms);
+        }
         match reply {
             StoreReply::Refused(_) | StoreReply::Lost => self.store_failures += 1,
             _ => {
@@ -159,6 +170,7 @@
                 settings,
                 last_order: OrderId(0),
                 owners: BTreeMap::new(),
+                store_clock: StoreClock::default(),
                 effects: Vec::new(),
                 inbox: Vec::new(),
                 outbox: Vec::new(),
@@ -281,10 +293,10 @@
 
     fn on_store(&mut self, order: OrderId, reply: StoreReply) {
         let ctx = &mut self.ctx;
-        let Some(owner) = ctx.owners.remove(&order) else {
+        let Some((owner, sent_at)) = ctx.owners.remove(&order) else {
             return;
         };
-        ctx.note_store(&reply);
+        ctx.note_store(&reply, sent_at);
         match owner {
             Owner::Config => self.config.on_store(ctx, order, reply),
             Owner::Door => self.door.on_store(ctx, order, reply),
@@ -350,6 +362,7 @@
             token,
             lease,
             strongest_milli,
+            store_silent,
             ..
         } = &message
         {
@@ -358,6 +371,9 @@
                 return;
             }
             self.election.strongest_milli = *strongest_milli;
+            if *store_silent {
+                self.election.read(ctx);
+            }
             if self.leader.as_ref().is_some_and(|own| own.token() < *token) {
                 self.election.step_down(ctx);
                 self.stop_leading();
--- a/core/src/cell/store.rs
+++ b/core/src/cell/store.rs
@@ -75,8 +75,8 @@
     Worker(Box<WorkerEntry>),
     /// Who leads.
     Term(TermRow),
-    /// The leader's lease; its version is all that counts.
-    Lease,
+    /// Until when the leader's lease lasts by the store's clock, where the leader knows that clock.
+    Lease(Option<Millis>),
     /// Where a daemon is reached.
     Member(MemberRow),
     /// An accepted job.
@@ -153,6 +153,8 @@
         more: bool,
         /// The newest version that the answer covers.
         version: RowVersion,
+        /// The store's steady clock when it answered.
+        clock_ms: Option<Millis>,
     },
     /// The history after the version that was asked for is gone.
     HistoryLost,
--- /dev/null
+++ b/core/src/cell/store_clock.rs
@@ -0,0 +1,33 @@
+//! The store's steady clock as one daemon estimates it.
+
+use crate::Millis;
+
+/// How much the clocks of the store and of a host may drift apart, in parts of the time passed: 0.1%.
+const DRIFT_DIVISOR: u64 = 1_000;
+
+/// An upper bound of the store's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreClock {
+    /// A time of the host and the highest time that the store's clock may have shown then.
+    bound: Option<(Millis, Millis)>,
+}
+
+impl StoreClock {
+    /// Takes the clock of an answer to a call that was sent at `sent_at`.
+    pub(crate) fn observe(&mut self, sent_at: Millis, clock_ms: Millis) {
+        let known = self.at_most(sent_at);
+        if known.is_none_or(|known| clock_ms < known) {
+            self.bound = Some((sent_at, clock_ms));
+        }
+    }
+
+    /// Returns the highest time that the store's clock may show at `now`.
+    pub(crate) fn at_most(&self, now: Millis) -> Option<Millis> {
+        let (at, clock_ms) = self.bound?;
+        if now < at {
+            return Some(clock_ms);
+        }
+        let passed = now.since(at);
+        Some(clock_ms + passed + Millis(passed.0 / DRIFT_DIVISOR))
+    }
+}
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -733,3 +733,45 @@
     }
     world.assert_once();
 }
+
+/// The load: a leader is cut off without a word while it renews its lease with every write.
+#[test]
+fn a_lease_that_nobody_renews_is_over_two_seconds_after_its_last_write() {
+    for seed in 0..8 {
+        let mut world = world(3, 4);
+        let leader = world.leader().unwrap();
+        for job in 0..40 + seed {
+            world.submit((leader + 1) % 3, job, vec![step(1, 100)]);
+            world.run(50);
+        }
+        world.cut(leader, true);
+        world.refuse_store(leader, true);
+        let (cut_at, takeovers) = (world.now, world.count("lead_taken"));
+        while world.count("lead_taken") == takeovers && world.now < cut_at + 6_000 {
+            world.run(25);
+        }
+        let took_ms = world.now - cut_at;
+        // The lease, a read and a write of the store, and two ticks.
+        assert!(took_ms <= 2_000 + 100, "{took_ms} ms without a leader");
+    }
+}
+
+#[test]
+fn a_leader_whose_calls_to_the_store_get_no_answer_hands_over_well_before_its_lease_is_over() {
+    let mut world = world(3, 4);
+    world.run(1_000);
+    let leader = world.leader().unwrap();
+    world.silence_store(leader, true);
+    let silent_at = world.now;
+    while world.leader() == Some(leader) && world.now < silent_at + 4_000 {
+        world.run(25);
+    }
+    let took_ms = world.now - silent_at;
+    // The doubt, two heartbeats to learn who reaches the store, and two ticks.
+    assert!(
+        took_ms <= 500 + 400 + 250 + 50,
+        "handed over after {took_ms} ms"
+    );
+    world.run(300);
+    assert!(world.leader().is_some_and(|next| next != leader));
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -13,7 +13,7 @@
     cell::{
         AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb, DesiredState,
         Effect, Event, FrontLimits, JobState, Line, LinkId, Node, OrderId, Queue, StepSpec,
-        StoreCall, Submission, Table, Team, Ticket, WorkerAnswer,
+        StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer,
     },
     CallId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -29,6 +29,8 @@
 const UNIX_BASE_MS: u64 = 1_700_000_000_000;
 /// How long a call to the store takes.
 const STORE_MS: u64 = 10;
+/// After which time a call to the store without an answer counts as lost.
+const STORE_SILENCE_MS: u64 = 1_500;
 /// How long a call to a worker or a message takes.
 const HOP_MS: u64 = 4;
 
@@ -49,6 +51,8 @@
     last_link: u64,
     /// Whether the store refuses this daemon's calls.
     store_refuses: bool,
+    /// Whether its calls to the store get no answer.
+    store_silent: bool,
     /// Whether messages to and from other daemons are lost.
     cut: bool,
     cpu_milli: u64,
@@ -162,6 +166,7 @@
                 links: BTreeMap::new(),
                 last_link: 0,
                 store_refuses: false,
+                store_silent: false,
                 cut: false,
                 cpu_milli,
             });
@@ -208,6 +213,11 @@
         self.daemons[at].store_refuses = refuses;
     }
 
+    /// Lets a daemon's calls to the store get no answer.
+    pub fn silence_store(&mut self, at: usize, silent: bool) {
+        self.daemons[at].store_silent = silent;
+    }
+
     /// Cuts a daemon from the others without a reset.
     pub fn cut(&mut self, at: usize, cut: bool) {
         self.daemons[at].cut = cut;
@@ -283,6 +293,10 @@
     fn deliver(&mut self, due: Due) {
         match due {
             Due::Event(at, event) => self.tell(at, event),
+            Due::StoreCall(at, order, _) if self.daemons[at].store_silent => {
+                let lost = Event::Store(order, StoreReply::Lost);
+                self.later(STORE_SILENCE_MS, Due::Event(at, lost));
+            }
             Due::StoreCall(at, order, call) => {
                 let refuses = self.daemons[at].store_refuses;
                 let late_ms = self.scan_ms(&call, true);
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -10,6 +10,9 @@
 };
 use std::collections::BTreeMap;
 
+/// How far the store's clock is ahead of that of the daemons.
+const CLOCK_LEAD_MS: u64 = 7_000_000;
+
 /// A store that is up unless it is told otherwise.
 pub struct FakeStore {
     pub rows: BTreeMap<RowKey, (RowVersion, RowValue)>,
@@ -113,7 +116,7 @@
         at: usize,
         order: OrderId,
         call: StoreCall,
-        _: u64,
+        now_ms: u64,
     ) -> Replies {
         if self.down || refuses {
             return vec![(at, order, 0, StoreReply::Refused(503))];
@@ -154,6 +157,7 @@
                         rows,
                         more,
                         version,
+                        clock_ms: Some(Millis(CLOCK_LEAD_MS + now_ms)),
                     },
                 )
             }
@@ -161,13 +165,19 @@
                 table,
                 after,
                 wait_ms,
-            } => self.follow(table, after, wait_ms),
+            } => self.follow(table, after, wait_ms, now_ms),
         };
         vec![(at, order, wait_ms, reply)]
     }
 
     /// A change that comes while a call waits is seen by the next call only: bounded by the wait.
-    fn follow(&self, table: Table, after: RowVersion, wait_ms: Millis) -> (u64, StoreReply) {
+    fn follow(
+        &self,
+        table: Table,
+        after: RowVersion,
+        wait_ms: Millis,
+        now_ms: u64,
+    ) -> (u64, StoreReply) {
         if after.0 < self.history_gone {
             return (0, StoreReply::HistoryLost);
         }
@@ -186,6 +196,7 @@
                 rows,
                 more,
                 version,
+                clock_ms: Some(Millis(CLOCK_LEAD_MS + now_ms + wait_ms)),
             },
         )
     }
