Pipeline short calls for advice, order late work by size, write the log in whole pipe writes

A team's surplus waited 49 s for its first answer. Seen only after the log was mended: single writes of more than 8 KB were cut by the reader, so half of the lines were missing.

Change: a daemon has two short calls on their way, never behind a long one. Steps that can't end in time are taken smallest job first while their result is of use. The log is written in texts of PIPE_BUF bytes.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -83,6 +83,8 @@
 pub const TICKET_MARGIN_MS: Millis = Millis(200);
 /// What is added to a call for advice before it counts as lost: others may wait at the service.
 pub const ADVICE_LIMIT_MS: Millis = Millis(1_200);
+/// How many short calls for advice a daemon makes at a time: one is served while the next travels.
+pub const ADVICE_CALLS_A_DAEMON: usize = 2;
 /// From which cost on a call for advice is long, and keeps off a third of the daemons.
 pub const LONG_ADVICE_US: u64 = 250_000;
 /// The most workers that one call for advice names.
--- a/core/src/cell/job.rs
+++ b/core/src/cell/job.rs
@@ -93,6 +93,14 @@
         self.steps[step].estimated_ms.0 + longest
     }
 
+    /// Returns the estimated work of all steps, in thousandths of a core times milliseconds.
+    pub fn work(&self) -> u64 {
+        let of = |step: &StepSpec| {
+            u64::from(step.count) * step.need.cpu_milli * step.estimated_ms.0.max(1)
+        };
+        self.steps.iter().map(of).sum()
+    }
+
     /// Returns the longest chain of estimated work, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
         (0..self.steps.len())
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -71,15 +71,38 @@
     }
 }
 
+/// A call for advice that is on its way.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    id: AskId,
+    long: bool,
+    /// When it counts as lost.
+    until: Millis,
+}
+
 /// A daemon that can call the service.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Lane {
-    /// The call that is on its way, with whether it is long and when it counts as lost.
-    busy: Option<(AskId, bool, Millis)>,
+    /// The service takes these one after another.
+    calls: Vec<OpenCall>,
     /// Until when it rests after a failure.
     rests_until: Millis,
 }
 
+impl Lane {
+    /// Says whether a call may be sent: a short one also behind another short one, so that the service
+    /// finds it waiting when it is done with the first.
+    fn takes(&self, long: bool, now: Millis) -> bool {
+        let behind_short = !long && self.calls.iter().all(|call| !call.long);
+        let most = if behind_short {
+            consts::ADVICE_CALLS_A_DAEMON
+        } else {
+            1
+        };
+        self.calls.len() < most && now >= self.rests_until
+    }
+}
+
 /// The calls for advice that wait or are on their way.
 #[derive(Debug)]
 pub(crate) struct AdviceDesk {
@@ -112,10 +135,10 @@
     /// Takes a daemon out; its call is made again by another.
     pub(crate) fn drop_lane(&mut self, link: LinkId) {
         let lane = self.lanes.remove(&link);
-        if let Some((id, long, _)) = lane.and_then(|lane| lane.busy) {
-            if let Some(ask) = self.asks.get_mut(&id) {
+        for call in lane.into_iter().flat_map(|lane| lane.calls) {
+            if let Some(ask) = self.asks.get_mut(&call.id) {
                 ask.sent = None;
-                self.waiting[usize::from(long)].insert((ask.rank, id));
+                self.waiting[usize::from(call.long)].insert((ask.rank, call.id));
             }
         }
     }
@@ -142,7 +165,7 @@
             }
             Some((link, _)) => {
                 if let Some(lane) = self.lanes.get_mut(&link) {
-                    lane.busy = lane.busy.filter(|(busy, ..)| *busy != id);
+                    lane.calls.retain(|call| call.id != id);
                 }
             }
         }
@@ -151,9 +174,9 @@
 
     /// Returns the calls that are not answered in time.
     fn lost(&self, now: Millis) -> Vec<AskId> {
-        let busy = self.lanes.values().filter_map(|lane| lane.busy);
-        let late = busy.filter(|(.., until)| now > *until);
-        late.map(|(id, ..)| id).collect()
+        let calls = self.lanes.values().flat_map(|lane| &lane.calls);
+        let late = calls.filter(|call| now > call.until);
+        late.map(|call| call.id).collect()
     }
 
     /// Chooses the next call and the daemon that makes it. Long calls leave a third of the daemons to
@@ -165,23 +188,28 @@
         } else {
             count
         };
-        let long = |lane: &&Lane| matches!(lane.busy, Some((_, true, _)));
+        let long = |lane: &&Lane| lane.calls.iter().any(|call| call.long);
         let long_sent = self.lanes.values().filter(long).count();
-        let mut free = self
-            .lanes
-            .iter()
-            .filter(|(_, lane)| lane.busy.is_none() && now >= lane.rests_until)
-            .map(|(link, _)| *link);
+        let free = |long: bool| {
+            let free = self
+                .lanes
+                .iter()
+                .filter(move |(_, own)| own.takes(long, now));
+            free.map(|(link, lane)| (lane.calls.len(), *link))
+        };
+        let for_short = free(false).min().map(|(_, link)| link);
+        let for_long = free(true)
+            .max_by_key(|(_, link)| *link)
+            .map(|(_, link)| link);
         let [short, longs] = &self.waiting;
-        let short = first_in_time(short, now);
+        let short = first_in_time(short, now).and_then(|(rank, id)| Some((rank, id, for_short?)));
         let longs = first_in_time(longs, now).filter(|_| long_sent < most_long);
-        match (short, longs) {
-            (Some((_, id)), None) => free.next().map(|lane| (id, lane)),
-            (None, Some((_, id))) => free.next_back().map(|lane| (id, lane)),
-            (Some(short), Some(long)) if short <= long => free.next().map(|lane| (short.1, lane)),
-            (_, Some((_, id))) => free.next_back().map(|lane| (id, lane)),
-            (None, None) => None,
-        }
+        let longs = longs.and_then(|(rank, id)| Some((rank, id, for_long?)));
+        let (_, id, lane) = match (short, longs) {
+            (Some(short), Some(long)) => short.min(long),
+            (short, long) => short.or(long)?,
+        };
+        Some((id, lane))
     }
 }
 
@@ -241,7 +269,7 @@
             let until = now + ask.limit_ms() + consts::STORE_RETRY_MS;
             self.advice.waiting[usize::from(long)].remove(&(ask.rank, id));
             if let Some(lane) = self.advice.lanes.get_mut(&lane) {
-                lane.busy = Some((id, long, until));
+                lane.calls.push(OpenCall { id, long, until });
             }
             ctx.send_member(lane, message);
         }
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -241,8 +241,8 @@
                     self.ready.remove(&key);
                     continue;
                 }
-                let latest = self.latest_start_ms(&key).unwrap_or(u64::MAX);
-                self.wants_pass |= self.ready.insert(&key, latest);
+                let rank = self.rank(&key);
+                self.wants_pass |= self.ready.insert(&key, rank);
             } else {
                 self.ready.remove(&key);
             }
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -11,7 +11,7 @@
 mod orders;
 mod placement;
 mod placing;
-mod ready;
+pub(crate) mod ready;
 mod runs;
 mod schedule;
 mod views;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -8,6 +8,7 @@
             fleet::WorkerIx,
             jobs::Job,
             placement::{best_fit, Candidate},
+            ready::Rank,
             Leader,
         },
         node::Ctx,
@@ -27,6 +28,8 @@
 const SICK_PENALTY: u32 = 8;
 /// The part of a span by which a worker's clock may be slow: 2%.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
+/// A result is of some use to its caller up to this many times the objective: the service's terms.
+const USEFUL_FACTOR: u64 = 3;
 /// The most waiting steps that one pass looks at: bounds its time when the fleet is over-full.
 const MOST_TURNS: usize = 100;
 /// The most waiting steps of which one pass finds out whether they could start at all.
@@ -133,16 +136,29 @@
         lease_ms + Millis(lease_ms.0 / CLOCK_DRIFT_DIVISOR) + consts::LEASE_MARGIN_MS
     }
 
-    /// Returns the latest time at which a step can start so that its job ends in time.
-    pub(crate) fn latest_start_ms(&self, key: &StepKey) -> Option<u64> {
-        let job = self.jobs.get(&key.job)?;
-        let queue = self.state.as_ref()?.queue(&job.row.queue)?;
-        if job.surplus {
-            // It stands with what is late, before what is later.
-            return Some(job.accepted_at.0.saturating_sub(1));
+    /// Returns what decides when a step's turn comes; a job of a withdrawn queue has no objective.
+    pub(crate) fn rank(&self, key: &StepKey) -> Rank {
+        let job = self.jobs.get(&key.job);
+        let queue = job.and_then(|job| self.state.as_ref()?.queue(&job.row.queue));
+        let (Some(job), Some(queue)) = (job, queue) else {
+            return Rank {
+                latest_start_ms: u64::MAX,
+                ..Rank::default()
+            };
+        };
+        let (accepted_ms, objective_ms) = (job.accepted_at.0, job.objective_ms(queue));
+        let path_ms = job.steps[usize::from(key.step)].path_ms;
+        let start_for = |end_ms: u64| end_ms.saturating_sub(path_ms);
+        let latest_start_ms = match job.surplus {
+            // It stands with what is late.
+            true => accepted_ms.saturating_sub(1),
+            false => start_for(accepted_ms + objective_ms),
+        };
+        Rank {
+            latest_start_ms,
+            useful_start_ms: start_for(accepted_ms + objective_ms * USEFUL_FACTOR),
+            work: job.row.work.work(),
         }
-        let due_ms = job.accepted_at.0 + job.objective_ms(queue);
-        Some(due_ms.saturating_sub(job.steps[usize::from(key.step)].path_ms))
     }
 
     fn place_step(
@@ -183,7 +199,7 @@
         let Some((queue, cost)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
             return;
         };
-        let rank = self.latest_start_ms(key).unwrap_or(u64::MAX);
+        let rank = self.rank(key).latest_start_ms;
         let workers = self.unasked(now, queue, key, job.row.work.steps[at].gang);
         self.ask_advice(now, key, workers, rank, cost);
     }
--- a/daemon/src/cell/log_writer.rs
+++ b/daemon/src/cell/log_writer.rs
@@ -17,6 +17,8 @@
 const INFO_LINES_A_SECOND: u32 = 400;
 /// How many lines of one event and level warn are.
 const WARN_LINES_A_SECOND: u32 = 800;
+/// The most bytes of one write to a pipe that readers get whole: `PIPE_BUF` on Linux.
+const ATOMIC_WRITE_BYTES: usize = 4_096;
 /// How long lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
 
@@ -135,11 +137,22 @@
             thread::sleep(pause);
         }
         last = Instant::now();
-        let mut text = first;
-        for line in lines.try_iter() {
-            text.push_str(&line);
+        let gathered = std::iter::once(first).chain(lines.try_iter());
+        for text in joined(gathered, ATOMIC_WRITE_BYTES) {
+            // Nobody is left to read a standard output that is closed.
+            let _ = io::stdout().lock().write_all(text.as_bytes());
         }
-        // Nobody is left to be told of a standard output that is closed.
-        let _ = io::stdout().lock().write_all(text.as_bytes());
     }
 }
+
+/// Joins lines into texts of at most `most_bytes`; a longer line is a text of its own.
+pub fn joined(lines: impl Iterator<Item = String>, most_bytes: usize) -> Vec<String> {
+    let mut texts: Vec<String> = Vec::new();
+    for line in lines {
+        match texts.last_mut() {
+            Some(text) if text.len() + line.len() <= most_bytes => text.push_str(&line),
+            _ => texts.push(line),
+        }
+    }
+    texts
+}
--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -13,5 +13,5 @@
 
 pub use self::{
     control::run_cell,
-    log_writer::{Allowance, LogBudget},
+    log_writer::{joined, Allowance, LogBudget},
 };
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,7 +18,7 @@
 mod telemetry;
 
 pub use crate::{
-    cell::{run_cell, Allowance, LogBudget},
+    cell::{joined, run_cell, Allowance, LogBudget},
     check::{read_settings, settings_reference},
     control::run,
     journal::Journal,
--- a/daemon/tests/log_budget.rs
+++ b/daemon/tests/log_budget.rs
@@ -1,7 +1,7 @@
 //! The log stays within its limit, and says what it left out.
 
 use pomelotide_core::cell::Line;
-use pomelotide_daemon::{Allowance, LogBudget};
+use pomelotide_daemon::{joined, Allowance, LogBudget};
 
 #[test]
 fn a_flood_of_one_event_is_cut_and_counted_and_leaves_others_alone() {
@@ -45,3 +45,14 @@
         .with("n", 3);
     assert_eq!(line.to_string(), "event=x reason=\"the fleet is full\" n=3");
 }
+
+#[test]
+fn lines_are_written_in_texts_that_a_pipe_takes_whole() {
+    let lines: Vec<String> = (0..400).map(|at| format!("event=e n={at}\n")).collect();
+    let texts = joined(lines.clone().into_iter(), 100);
+    assert!(texts.iter().all(|text| text.len() <= 100));
+    assert!(texts.len() < 100, "{} writes", texts.len());
+    assert_eq!(texts.concat(), lines.concat());
+    let long = "x".repeat(150);
+    assert_eq!(joined(vec![long.clone()].into_iter(), 100), vec![long]);
+}
