--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -90,15 +90,11 @@
 }
 
 impl Lane {
-    /// Says whether a call may be sent: a short one also behind another short one, so that the service
-    /// finds it waiting when it is done with the first.
-    fn takes(&self, long: bool, now: Millis) -> bool {
-        let behind_short = !long && self.calls.iter().all(|call| !call.long);
-        let most = if behind_short {
-            consts::ADVICE_CALLS_A_DAEMON
-        } else {
-            1
-        };
+    /// Says whether another call may be sent, so that up to `most` are on their way; none is sent behind a
+    /// long one.
+    fn takes(&self, most: usize, now: Millis) -> bool {
+        let waits = self.calls.iter().any(|call| call.long);
+        let most = if waits { 0 } else { most };
         self.calls.len() < most && now >= self.rests_until
     }
 }
@@ -190,19 +186,22 @@
         };
         let long = |lane: &&Lane| lane.calls.iter().any(|call| call.long);
         let long_sent = self.lanes.values().filter(long).count();
-        let free = |long: bool| {
-            let free = self
-                .lanes
-                .iter()
-                .filter(move |(_, own)| own.takes(long, now));
+        let free = |most: usize| {
+            let lanes = self.lanes.iter();
+            let free = lanes.filter(move |(_, own)| own.takes(most, now));
             free.map(|(link, lane)| (lane.calls.len(), *link))
         };
-        let for_short = free(false).min().map(|(_, link)| link);
-        let for_long = free(true)
-            .max_by_key(|(_, link)| *link)
-            .map(|(_, link)| link);
+        let for_long = free(1).map(|(_, link)| link).max();
         let [short, longs] = &self.waiting;
-        let short = first_in_time(short, now).and_then(|(rank, id)| Some((rank, id, for_short?)));
+        let short = first_in_time(short, now).and_then(|(rank, id)| {
+            // Work in time does not wait for the way of the call before; a surplus does.
+            let most = match rank >= now.0 {
+                true => consts::ADVICE_CALLS_A_DAEMON,
+                false => 1,
+            };
+            let (_, lane) = free(most).min()?;
+            Some((rank, id, lane))
+        });
         let longs = first_in_time(longs, now).filter(|_| long_sent < most_long);
         let longs = longs.and_then(|(rank, id)| Some((rank, id, for_long?)));
         let (_, id, lane) = match (short, longs) {
