Leave a third of the daemons to long calls for advice

Change: while fewer than a third of the daemons make long calls and one waits, the next free daemon makes it and no short call is sent ahead. Work in time goes before late work of either length.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -175,15 +175,12 @@
         late.map(|call| call.id).collect()
     }
 
-    /// Chooses the next call and the daemon that makes it. Long calls leave a third of the daemons to
-    /// short ones, and the leader's own daemon, which has most to do, comes last for them.
+    /// Chooses the next call and the daemon that makes it. Long calls and short ones each have a third of
+    /// the daemons for themselves; the leader's own daemon, which has most to do, comes last for long
+    /// ones.
     fn next(&self, now: Millis) -> Option<(AskId, LinkId)> {
         let count = self.lanes.len();
-        let most_long = if count > 1 {
-            count - (count / 3).max(1)
-        } else {
-            count
-        };
+        let third = if count > 1 { (count / 3).max(1) } else { 0 };
         let long = |lane: &&Lane| lane.calls.iter().any(|call| call.long);
         let long_sent = self.lanes.values().filter(long).count();
         let free = |most: usize| {
@@ -191,22 +188,25 @@
             let free = lanes.filter(move |(_, own)| own.takes(most, now));
             free.map(|(link, lane)| (lane.calls.len(), *link))
         };
-        let for_long = free(1).map(|(_, link)| link).max();
         let [short, longs] = &self.waiting;
+        let longs = first_in_time(longs, now).filter(|_| long_sent < count - third);
+        let owed = longs.is_some() && long_sent < third;
+        let long = longs.and_then(|ask| Some((ask, free(1).map(|(_, link)| link).max()?)));
         let short = first_in_time(short, now).and_then(|(rank, id)| {
-            // Work in time does not wait for the way of the call before; a surplus does.
-            let most = match rank >= now.0 {
+            // Work in time does not wait for the way of the call before; a surplus does, and all do where
+            // a daemon has to come free for a long call.
+            let most = match rank >= now.0 && !owed {
                 true => consts::ADVICE_CALLS_A_DAEMON,
                 false => 1,
             };
             let (_, lane) = free(most).min()?;
-            Some((rank, id, lane))
+            Some(((rank, id), lane))
         });
-        let longs = first_in_time(longs, now).filter(|_| long_sent < most_long);
-        let longs = longs.and_then(|(rank, id)| Some((rank, id, for_long?)));
-        let (_, id, lane) = match (short, longs) {
-            (Some(short), Some(long)) => short.min(long),
-            (short, long) => short.or(long)?,
+        let first = |((rank, id), _): &((u64, AskId), LinkId)| (*rank < now.0, *rank, *id);
+        let ((_, id), lane) = match (short, long) {
+            (Some(_), Some(long)) if owed => long,
+            (Some(short), Some(long)) if first(&short) <= first(&long) => short,
+            (short, long) => long.or(short)?,
         };
         Some((id, lane))
     }
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -6,8 +6,8 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, ClientAnswer, How, JobState, StepSpec},
-    KeyName, Millis, Resources, TeamName,
+    cell::{AdviceCost, ClientAnswer, How, JobState, Queue, StepSpec},
+    KeyName, Millis, QueueName, Resources, TeamName,
 };
 
 fn world(daemons: usize, workers: usize) -> World {
@@ -775,3 +775,53 @@
     world.run(300);
     assert!(world.leader().is_some_and(|next| next != leader));
 }
+
+fn with_advice(base_us: u64, name: &str, prefix: &str) -> Queue {
+    let mut queue = queue();
+    queue.name = QueueName::new(name);
+    queue.path_prefix = prefix.into();
+    queue.advice = Some(AdviceCost {
+        base_us,
+        per_worker_us: 0,
+        valid_ms: Millis(2_000),
+    });
+    queue
+}
+
+/// The load: small jobs come faster than the way to the advice service and back.
+#[test]
+fn the_advice_service_finds_the_next_short_call_waiting() {
+    let mut state = desired(1, with_advice(10_000, "q", "/q/"));
+    state.teams[0].weight = 1_000;
+    let mut world = World::new(2, 8, state);
+    (world.advice_ms, world.advice_way_ms) = (10, 10);
+    world.run(3_000);
+    for job in 0..100 {
+        world.submit(0, job, vec![step(1, 100)]);
+    }
+    world.run(1_000);
+    let given = world.count("advice_given");
+    // Two daemons of 10 ms a call; without calls under way the travel of 28 ms would allow 52.
+    assert!(given >= 90, "{given} of 100 answers in a second");
+}
+
+/// The load: a backlog of small jobs, late ones among them, while a large job needs a long call.
+#[test]
+fn a_long_call_for_advice_does_not_wait_behind_a_flood_of_short_ones() {
+    let mut state = desired(1, with_advice(20_000, "q", "/q/"));
+    state.queues.push(with_advice(500_000, "large", "/large/"));
+    state.teams[0].weight = 300;
+    let mut world = World::new(3, 8, state.sorted());
+    (world.advice_ms, world.advice_way_ms) = (20, 10);
+    world.run(3_000);
+    for job in 0..600 {
+        world.submit(0, job, vec![step(1, 100)]);
+    }
+    world.submit_to("/large/", 0, 9_999, vec![gang(2, 1_000)]);
+    world.run(1_500);
+    let large = "step=000000000000270f";
+    let answered = |line: &str| line.contains("advice_given") && line.contains(large);
+    let lines = world.lines.iter();
+    let found = lines.filter(|(_, _, line)| answered(&line.to_string()));
+    assert_eq!(found.count(), 1, "the large job has no advice after 1.5 s");
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -77,6 +77,9 @@
     /// How long advice takes; no advice is asked for where the queue needs none.
     pub advice_ms: u64,
     pub advice_calls: usize,
+    /// How long a call for advice and its answer travel.
+    pub advice_way_ms: u64,
+    advice_free_at: Vec<u64>,
     /// The time that the reducers took, in seconds.
     pub step_s: f64,
 }
@@ -151,6 +154,8 @@
             key: KEY.into(),
             advice_ms: 20,
             advice_calls: 0,
+            advice_way_ms: 0,
+            advice_free_at: vec![0; shares.len()],
             step_s: 0.0,
         };
         for at in 0..workers {
@@ -356,7 +361,12 @@
                 self.advice_calls += 1;
                 let rows = workers.into_iter().map(|id| (id, Ticket("t".into())));
                 let reply = AdviceReply::Allowed(rows.collect());
-                self.later(self.advice_ms, Due::Event(at, Event::Advice(order, reply)));
+                // The service takes the calls of a daemon one after another.
+                let begins = self.advice_free_at[at].max(self.now + self.advice_way_ms);
+                let ends = begins + self.advice_ms;
+                self.advice_free_at[at] = ends;
+                let delay_ms = ends + self.advice_way_ms - self.now;
+                self.later(delay_ms, Due::Event(at, Event::Advice(order, reply)));
             }
             Effect::Dial(address) => self.dial(at, &address),
             Effect::Close(link) => {
@@ -433,6 +443,11 @@
 
     /// Hands a job in at a daemon; returns the call.
     pub fn submit(&mut self, at: usize, job: u64, steps: Vec<StepSpec>) -> u64 {
+        self.submit_to(PREFIX, at, job, steps)
+    }
+
+    /// Hands a job in at a daemon, to the queue with this prefix.
+    pub fn submit_to(&mut self, prefix: &str, at: usize, job: u64, steps: Vec<StepSpec>) -> u64 {
         let work = Submission {
             payload: "payload".into(),
             steps,
@@ -440,7 +455,7 @@
         };
         self.call(
             at,
-            format!("{PREFIX}{job:016x}"),
+            format!("{prefix}{job:016x}"),
             ClientVerb::Submit(Box::new(work)),
         )
     }
