Let the answer about a job that runs wait 250 ms for its end

Ruled out: acceptance (25 ms), advice (26 ms), the placement's record (29 ms).

Change: a leader that is asked about a job that has not ended holds the answer for its end, for 250 ms at most; a final state is answered at once.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -53,8 +53,11 @@
 pub const SUBMIT_UNKNOWN_MS: Millis = Millis(2_200);
 /// When a refused client should come back while the store or the leader is away.
 pub const RETRY_AFTER_MS: Millis = Millis(1_000);
-/// How long the leader may take to answer a question before the store is asked: four trips.
-pub const ASK_LIMIT_MS: Millis = Millis(400);
+/// How long the leader may take to answer a question before the store is asked: the wait for an end
+/// and four trips.
+pub const ASK_LIMIT_MS: Millis = Millis(700);
+/// How long the answer about a job that has not ended waits for its end: the shortest latency objective.
+pub const STATE_HOLD_MS: Millis = Millis(250);
 /// How long a cancellation may take: it is answered once it is on record.
 pub const CANCEL_LIMIT_MS: Millis = Millis(2_500);
 /// How old a leader's counts of waiting jobs may be when they are passed on.
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -37,7 +37,10 @@
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
-use std::{collections::BTreeMap, rc::Rc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
 
 /// What follows from an answer of the store for the lead itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -76,6 +79,7 @@
     commits: Commits,
     members: Members,
     orders: BTreeMap<OrderId, OpenOrder>,
+    held_asks: VecDeque<views::HeldAsk>,
     /// Runs whose placement is on record and whose start is to be ordered.
     placed: Vec<PlacedRun>,
     wants_pass: bool,
@@ -102,6 +106,7 @@
             commits: Commits::default(),
             members: Members::default(),
             orders: BTreeMap::new(),
+            held_asks: VecDeque::new(),
             placed: Vec::new(),
             wants_pass: false,
             next_pass_at: ctx.now,
@@ -191,6 +196,7 @@
             self.dispatch_advice(ctx);
         }
         self.flush_commits(ctx);
+        self.answer_held(ctx);
     }
 
     /// Takes a desired state, and keeps the queues that it withdraws: their accepted jobs still run.
--- a/core/src/cell/leader/views.rs
+++ b/core/src/cell/leader/views.rs
@@ -1,11 +1,40 @@
 //! What callers learn from the leader.
 
 use crate::{
-    cell::{leader::Leader, node::Ctx, AskId, JobState, Line, LinkId, StateView, ToMember},
+    cell::{consts, leader::Leader, node::Ctx, AskId, JobState, Line, LinkId, StateView, ToMember},
     JobId, Millis, QueueName, TeamName,
 };
 
+/// A question about a job that has not ended: its answer waits a little for the end.
+#[derive(Debug)]
+pub(crate) struct HeldAsk {
+    until: Millis,
+    link: LinkId,
+    ask: AskId,
+    job: JobId,
+}
+
 impl Leader {
+    /// Answers the questions whose job has ended or whose wait is over.
+    pub(crate) fn answer_held(&mut self, ctx: &mut Ctx) {
+        for held in std::mem::take(&mut self.held_asks) {
+            let shown = self.jobs.get(&held.job).map(|job| job.shown());
+            let ended = shown.is_none_or(JobState::is_final);
+            if !ended && ctx.now < held.until {
+                self.held_asks.push_back(held);
+                continue;
+            }
+            let view = shown.map_or(StateView::Unheard, StateView::Known);
+            ctx.send_member(
+                held.link,
+                ToMember::State {
+                    ask: held.ask,
+                    view,
+                },
+            );
+        }
+    }
+
     pub(crate) fn tell_state(
         &mut self,
         ctx: &mut Ctx,
@@ -16,6 +45,15 @@
     ) {
         let job = self.jobs.get(id);
         let own = job.filter(|job| job.row.team.is_none() || job.row.team == team);
+        if self.load.is_done() && own.is_some_and(|job| !job.shown().is_final()) {
+            self.held_asks.push_back(HeldAsk {
+                until: ctx.now + consts::STATE_HOLD_MS,
+                link,
+                ask,
+                job: id.clone(),
+            });
+            return;
+        }
         let view = match own {
             _ if !self.load.is_done() => StateView::Loading,
             Some(job) => StateView::Known(job.shown()),
--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -825,3 +825,35 @@
     let found = lines.filter(|(_, _, line)| answered(&line.to_string()));
     assert_eq!(found.count(), 1, "the large job has no advice after 1.5 s");
 }
+
+/// The load: callers of small jobs ask again and again until they see the end.
+#[test]
+fn a_caller_that_asks_shortly_before_the_end_is_answered_with_the_end() {
+    let mut world = world(2, 2);
+    for door in 0..2 {
+        let job = door as u64;
+        world.submit(door, job, vec![step(1, 1_000)]);
+        world.run(1_000);
+        // Ends a second after its start, which is some 50 ms after it was handed in.
+        let asked_at = world.now;
+        assert_eq!(
+            world.state(door, job),
+            ClientAnswer::State(JobState::Completed)
+        );
+        assert!(
+            world.now - asked_at <= 250,
+            "answered after {} ms",
+            world.now - asked_at
+        );
+    }
+    // A job that has long to go is answered before the wait is tedious.
+    world.submit(0, 9, vec![step(1, 1_000)]);
+    world.run(300);
+    let asked_at = world.now;
+    assert_eq!(world.state(1, 9), ClientAnswer::State(JobState::Running));
+    assert!(
+        world.now - asked_at <= 250 + 100,
+        "answered after {} ms",
+        world.now - asked_at
+    );
+}
