--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -58,6 +58,8 @@
     pub(crate) accepted_at: Millis,
     pub(crate) ended_at: Millis,
     pub(crate) cancel_asks: Vec<(LinkId, AskId)>,
+    /// Questions about its state whose answers wait for its end.
+    pub(crate) state_asks: Vec<(LinkId, AskId)>,
 }
 
 impl Job {
@@ -88,6 +90,7 @@
             accepted_at: ctx.now.since(Millis(age_ms)),
             ended_at: Millis(0),
             cancel_asks: Vec::new(),
+            state_asks: Vec::new(),
             row,
         }
     }
@@ -323,7 +326,8 @@
         }
         if job.stored_state.is_final() {
             let view = StateView::Known(job.stored_state);
-            for (link, ask) in std::mem::take(&mut job.cancel_asks) {
+            let asks = std::mem::take(&mut job.state_asks);
+            for (link, ask) in job.cancel_asks.drain(..).chain(asks) {
                 ctx.send_member(link, ToMember::State { ask, view });
             }
         }
--- a/core/src/cell/leader/views.rs
+++ b/core/src/cell/leader/views.rs
@@ -15,16 +15,35 @@
 }
 
 impl Leader {
-    /// Answers the questions whose job has ended or whose wait is over.
+    /// Holds the answer to a question about a job that has not ended.
+    fn hold_ask(&mut self, now: Millis, link: LinkId, ask: AskId, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.state_asks.push((link, ask));
+            self.held_asks.push_back(HeldAsk {
+                until: now + consts::STATE_HOLD_MS,
+                link,
+                ask,
+                job: id.clone(),
+            });
+        }
+    }
+
+    /// Answers the questions that have waited long enough; those of jobs that ended are answered.
     pub(crate) fn answer_held(&mut self, ctx: &mut Ctx) {
-        for held in std::mem::take(&mut self.held_asks) {
-            let shown = self.jobs.get(&held.job).map(|job| job.shown());
-            let ended = shown.is_none_or(JobState::is_final);
-            if !ended && ctx.now < held.until {
-                self.held_asks.push_back(held);
+        let now = ctx.now;
+        while self.held_asks.front().is_some_and(|held| held.until <= now) {
+            let Some(held) = self.held_asks.pop_front() else {
+                return;
+            };
+            let Some(job) = self.jobs.get_mut(&held.job) else {
                 continue;
-            }
-            let view = shown.map_or(StateView::Unheard, StateView::Known);
+            };
+            let open = (held.link, held.ask);
+            let Some(at) = job.state_asks.iter().position(|own| *own == open) else {
+                continue;
+            };
+            job.state_asks.swap_remove(at);
+            let view = StateView::Known(job.shown());
             ctx.send_member(
                 held.link,
                 ToMember::State {
@@ -46,12 +65,7 @@
         let job = self.jobs.get(id);
         let own = job.filter(|job| job.row.team.is_none() || job.row.team == team);
         if self.load.is_done() && own.is_some_and(|job| !job.shown().is_final()) {
-            self.held_asks.push_back(HeldAsk {
-                until: ctx.now + consts::STATE_HOLD_MS,
-                link,
-                ask,
-                job: id.clone(),
-            });
+            self.hold_ask(ctx.now, link, ask, id);
             return;
         }
         let view = match own {
