Log why a gang is not placed and which steps are stalled

The log of the lost gang shows only answers of the advice service. gang_waiting now names the reason of a pass that leaves a gang unplaced, with the inputs that tell the hypotheses apart: places kept since the last pass, places that became unusable, workers without a valid ticket, allowed workers and free slots. step_stalled lists steps that are ready but have not started for 3 s, for any cause. advice_given has the time in the leader's queue. All are bounded: one line a second and gang, eight stalled steps every 2 s. The placement of tasks is unchanged.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -118,6 +118,14 @@
 pub const REDIAL_DELAY_MS: Millis = Millis(700);
 /// How often ended jobs past their retention are removed.
 pub const SWEEP_INTERVAL_MS: Millis = Millis(5_000);
+/// How long a step may be ready without a running task before it is logged as stalled.
+pub const STALL_THRESHOLD_MS: Millis = Millis(3_000);
+/// How often stalled steps are logged.
+pub const STALL_LOG_INTERVAL_MS: Millis = Millis(2_000);
+/// The most stalled steps that are logged at a time.
+pub const MAX_LOGGED_STALLS: usize = 8;
+/// How often it is logged that a gang waits for the same reason as before.
+pub const GANG_WAIT_LOG_INTERVAL_MS: Millis = Millis(1_000);
 /// The gap between the run numbers of consecutive leaders; greater than the number of times that
 /// one leader starts a task.
 pub const RUN_NUMBERS_PER_LEADER: u32 = 100;
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -57,6 +57,7 @@
     cost: AdviceCost,
     /// The latest time at which the step can start and still end in time; orders the requests.
     latest_start_ms: u64,
+    requested_at: Millis,
     /// The daemon that it was sent to, and when.
     sent: Option<(LinkId, Millis)>,
 }
@@ -250,6 +251,7 @@
             workers,
             cost,
             latest_start_ms,
+            requested_at: now,
             sent: None,
         });
         advice.in_flight = Some(id);
@@ -298,13 +300,19 @@
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
         advice.in_flight = None;
         let took_ms = request.sent.map_or(Millis(0), |(_, at)| ctx.now.since(at));
+        let sent_at = request.sent.map_or(ctx.now, |(_, at)| at);
+        let queued_ms = sent_at.since(request.requested_at);
         match reply {
             AdviceReply::Allowed(rows) => {
                 let event = LogEvent::info("advice_given").with("step", &request.step);
                 let event = event
                     .with("asked", request.workers.len())
                     .with("allowed", rows.len());
-                ctx.log(event.with("took_ms", took_ms.0));
+                ctx.log(
+                    event
+                        .with("took_ms", took_ms.0)
+                        .with("queued_ms", queued_ms.0),
+                );
                 let until = ctx.now + request.cost.valid_ms.since(consts::TICKET_MARGIN_MS);
                 let rows: BTreeMap<WorkerId, Ticket> = rows.into_iter().collect();
                 for ix in request.workers {
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -3,9 +3,11 @@
 
 use crate::{
     cell::{
+        consts,
         leader::{
-            fit::fit_gang,
+            fit::{fit_gang, Candidate},
             fleet::WorkerIx,
+            gang_wait::GangWait,
             schedule::{PendingStep, SchedulingPass, MAX_CLOCK_AGE_MS},
             Leader,
         },
@@ -40,17 +42,23 @@
         );
         let same_rack = job.row.submission.steps[at].same_rack;
         if self.team_headroom(state, job.row.team.as_ref(), &need) < u64::from(count) {
-            return;
+            return self.log_gang_wait(ctx, key, GangWait::TeamLimit, |event| event);
         }
         if let Some(places) = self.startable_plan(ctx.now, queue, key) {
             self.release_plan(key);
             return self.place_gang_members(ctx, key, &places);
         }
-        for ix in self.release_plan(key) {
+        let previous = self.release_plan(key);
+        for &ix in &previous {
             pass.release(ix, &need);
         }
         let candidates = self.candidates(queue, key, pass);
         let Some(places) = fit_gang(&candidates, &need, count, same_rack) else {
+            let slots = |own: &Candidate| need.count_in(&own.free);
+            let slots: u64 = candidates.iter().map(slots).fold(0, u64::saturating_add);
+            self.log_gang_wait(ctx, key, GangWait::NoRoom, |event| {
+                event.with("allowed", candidates.len()).with("slots", slots)
+            });
             if let Some(cost) = queue.advice {
                 let workers = self.workers_without_advice(now, queue, key, true);
                 self.request_advice(now, key, workers, pending.latest_start_ms, cost);
@@ -60,7 +68,7 @@
         for ix in &places {
             pass.reserve(*ix, &need);
         }
-        self.place_or_request_tickets(ctx, queue, pending, places, need);
+        self.place_or_request_tickets(ctx, queue, pending, &previous, places, need);
     }
 
     /// Places a gang on `places`, or reserves them while missing tickets are requested.
@@ -69,6 +77,7 @@
         ctx: &mut Ctx,
         queue: &Queue,
         pending: &PendingStep,
+        previous: &[WorkerIx],
         places: Vec<WorkerIx>,
         need: Resources,
     ) {
@@ -82,6 +91,16 @@
         expired.dedup();
         match queue.advice {
             Some(cost) if !expired.is_empty() => {
+                let kept = places.iter().filter(|ix| previous.contains(ix)).count();
+                let fleet = &self.fleet;
+                let is_unusable =
+                    |ix: &&WorkerIx| !fleet.get(**ix).is_usable(ctx.now, MAX_CLOCK_AGE_MS);
+                let unusable = previous.iter().filter(is_unusable).count();
+                let (members, missing) = (places.len(), expired.len());
+                self.log_gang_wait(ctx, key, GangWait::Tickets, |event| {
+                    let event = event.with("members", members).with("kept", kept);
+                    event.with("unusable", unusable).with("missing", missing)
+                });
                 self.reserve_places(key, places, need);
                 self.request_advice(ctx.now, key, expired, pending.latest_start_ms, cost);
             }
@@ -89,6 +108,32 @@
         }
     }
 
+    /// Logs why a pass left a gang unplaced: at once if the reason is new, otherwise from time to
+    /// time.
+    fn log_gang_wait(
+        &mut self,
+        ctx: &mut Ctx,
+        key: &StepKey,
+        wait: GangWait,
+        with_inputs: impl FnOnce(LogEvent) -> LogEvent,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let accepted_at = job.accepted_at;
+        let logged = &mut job.steps[usize::from(key.step)].logged_wait;
+        let is_due = logged.is_none_or(|(reason, at)| {
+            reason != wait || ctx.now.since(at) >= consts::GANG_WAIT_LOG_INTERVAL_MS
+        });
+        if is_due {
+            *logged = Some((wait, ctx.now));
+            let event = LogEvent::info("gang_waiting").with("step", key);
+            let event = event.with("why", wait);
+            let event = event.with("job_age_ms", ctx.now.since(accepted_at).0);
+            ctx.log(with_inputs(event));
+        }
+    }
+
     fn place_gang_members(&mut self, ctx: &mut Ctx, key: &StepKey, places: &[WorkerIx]) {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cell::{
-        leader::{advice::StepAdvice, fleet::WorkerIx, Leader},
+        leader::{advice::StepAdvice, fleet::WorkerIx, gang_wait::GangWait, Leader},
         node::Ctx,
         JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue, RowVersion,
         StepKey, StepProgress, TaskKey, ToMember,
@@ -37,6 +37,10 @@
     pub(crate) plan: Option<Vec<WorkerIx>>,
     /// Workers on which single tasks will start once the requested tickets arrive.
     pub(crate) awaiting_tickets: Vec<WorkerIx>,
+    /// Why the last pass did not place the gang, and when that was logged last.
+    pub(crate) logged_wait: Option<(GangWait, Millis)>,
+    /// Since when a task of the step has been ready to start while none was running.
+    pub(crate) ready_since: Option<Millis>,
     /// Whether the gang lost a member, so that all its runs have to end before it starts again.
     pub(crate) aborted: bool,
     /// The longest estimated run time from the start of this step to the end of the job.
@@ -241,13 +245,20 @@
     pub(crate) fn refresh_pending_steps(&mut self, id: &JobId) {
         let count = self.jobs.get(id).map_or(0, |job| job.steps.len());
         for at in 0..count {
-            let Some(job) = self.jobs.get(id) else { return };
+            let Some(job) = self.jobs.get_mut(id) else {
+                return;
+            };
             let key = StepKey {
                 job: id.clone(),
                 occurrence: 0,
                 step: at as u16,
             };
-            if job.is_ready(at) {
+            let is_ready = job.is_ready(at);
+            let step = &mut job.steps[at];
+            let is_idle = is_ready && step.running == 0;
+            step.ready_since = is_idle.then(|| step.ready_since.unwrap_or(self.now));
+            if is_ready {
+                let Some(job) = self.jobs.get(id) else { return };
                 let advice = &job.steps[at].advice;
                 let has_no_advice = advice.permissions.is_empty() && advice.in_flight.is_none();
                 if let (Some(state), true) = (self.state.clone(), has_no_advice) {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod fit;
 mod fleet;
+mod gang_wait;
 mod gangs;
 mod jobs;
 mod loader;
@@ -13,6 +14,7 @@
 mod queries;
 mod runs;
 mod schedule;
+mod stalls;
 mod team_rate;
 mod worker;
 mod worker_rpcs;
@@ -87,6 +89,8 @@
     next_pass_at: Millis,
     /// When jobs past their retention are removed next.
     sweep_at: Millis,
+    /// When stalled steps are logged next.
+    log_stalls_at: Millis,
 }
 
 impl Leader {
@@ -113,6 +117,7 @@
             needs_pass: false,
             next_pass_at: ctx.now,
             sweep_at: ctx.now + consts::SWEEP_INTERVAL_MS,
+            log_stalls_at: ctx.now + consts::STALL_LOG_INTERVAL_MS,
         };
         leader.send_reads(ctx);
         leader
@@ -149,6 +154,7 @@
         self.retry_stops(ctx);
         self.expire_leases(ctx);
         self.sweep(ctx);
+        self.log_stalled_steps(ctx);
         self.needs_pass |= !self.pending.is_empty();
     }
 
--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns whether a step is pending.
+    pub fn contains(&self, key: &StepKey) -> bool {
+        self.ranks.contains_key(key)
+    }
+
     /// Returns whether no step is pending.
     pub fn is_empty(&self) -> bool {
         self.by_start.is_empty()
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -77,6 +77,10 @@
     /// How long advice takes; no advice is asked for where the queue needs none.
     pub advice_ms: u64,
     pub advice_calls: usize,
+    /// How much longer advice takes for each worker that the call names, in microseconds.
+    pub advice_worker_us: u64,
+    /// Allows a step's tasks on every n-th worker only.
+    pub advice_allows_every: usize,
     /// How long a call for advice and its answer travel.
     pub advice_way_ms: u64,
     advice_free_at: Vec<u64>,
@@ -154,6 +158,8 @@
             key: KEY.into(),
             advice_ms: 20,
             advice_calls: 0,
+            advice_worker_us: 0,
+            advice_allows_every: 1,
             advice_way_ms: 0,
             advice_free_at: vec![0; shares.len()],
             step_s: 0.0,
@@ -359,12 +365,19 @@
             }
             Effect::Advise { rpc, workers, .. } => {
                 self.advice_calls += 1;
-                let rows = workers.into_iter().map(|id| (id, Ticket("t".into())));
-                let reply = AdviceReply::Allowed(rows.collect());
                 // The service takes the calls of a daemon one after another.
                 let begins = self.advice_free_at[at].max(self.now + self.advice_way_ms);
-                let ends = begins + self.advice_ms;
+                let workers_ms = self.advice_worker_us * workers.len() as u64 / 1_000;
+                let ends = begins + self.advice_ms + workers_ms;
                 self.advice_free_at[at] = ends;
+                // A ticket carries the time of its issue.
+                let allowed = |id: &WorkerId| {
+                    let own = self.workers.get(id);
+                    own.is_some_and(|own| own.number.is_multiple_of(self.advice_allows_every))
+                };
+                let rows = workers.into_iter().filter(allowed);
+                let ticket = Ticket(ends.to_string().into());
+                let reply = AdviceReply::Allowed(rows.map(|id| (id, ticket.clone())).collect());
                 let delay_ms = ends + self.advice_way_ms - self.now;
                 self.later(delay_ms, Due::Event(at, Event::Advice(rpc, reply)));
             }
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -38,6 +38,10 @@
 #[derive(Clone, Debug)]
 pub struct FakeWorker {
     pub entry: WorkerEntry,
+    /// Its place in the list of workers.
+    pub number: usize,
+    /// How long after its issue a ticket is valid; without it, a start needs none.
+    pub ticket_valid_ms: Option<u64>,
     token: u64,
     lease_until: u64,
     active: BTreeMap<TaskKey, Active>,
@@ -80,6 +84,8 @@
         };
         Self {
             entry,
+            number: at,
+            ticket_valid_ms: None,
             token: 0,
             lease_until: 0,
             active: BTreeMap::new(),
@@ -263,6 +269,15 @@
         {
             return refused(WorkerRefusal::OldRun);
         }
+        if let Some(valid_ms) = self.ticket_valid_ms {
+            let issued = start
+                .ticket
+                .as_ref()
+                .and_then(|own| own.0.parse::<u64>().ok());
+            if issued.is_none_or(|issued| now > issued + valid_ms) {
+                return refused(WorkerRefusal::BadTicket);
+            }
+        }
         let name = start.task.to_string();
         self.starts.push((self.id(), name.clone(), start.run, now));
         self.spans.push(Span {
