--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -6,8 +6,8 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, Queue, StepSpec},
-    Millis,
+    cell::{AdviceCost, JobState, Queue, StepSpec},
+    Millis, QueueName,
 };
 
 /// The fixed part of a call for advice, in milliseconds.
@@ -17,6 +17,14 @@
 /// How long a ticket is valid.
 const TICKET_MS: u64 = 2_000;
 
+/// How long the blockers run after a gang is handed in; longer than its first tickets are valid.
+const BLOCKED_MS: u64 = 6_000;
+/// How much longer the blockers on some workers run.
+const LATE_MS: u64 = 4_000;
+/// By the terms of the service, a job counts as lost if it has not started after this time with
+/// room for it.
+const MAX_WAIT_MS: u64 = 3_000;
+
 fn gang(count: u32, cpu: u64) -> StepSpec {
     StepSpec {
         gang: true,
@@ -49,6 +57,43 @@
     world
 }
 
+/// Returns a cell of `workers` workers, each filled by a task that ends after [`BLOCKED_MS`], on the
+/// last `late_workers` of them [`LATE_MS`] later.
+fn world_behind_blockers(workers: usize, late_workers: usize) -> World {
+    let mut fill = queue();
+    fill.name = QueueName::new("fill");
+    fill.path_prefix = "/fill/".into();
+    let mut state = desired(1, slow_advice());
+    state.queues.push(fill);
+    let mut world = World::new(3, workers, state.with_sorted_queues());
+    world.advice_ms = ADVICE_MS;
+    world.advice_worker_us = ADVICE_WORKER_US;
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.ticket_valid_ms = Some(TICKET_MS);
+        let is_late = worker.number >= workers - late_workers;
+        worker.work_ms = BLOCKED_MS + u64::from(is_late) * LATE_MS;
+    }
+    world.submit_to("/fill/", 0, 99, vec![step(workers as u32, 4_000)]);
+    world.run(100);
+    let running: usize = world.workers.values().map(|own| own.running()).sum();
+    assert_eq!(running, workers, "the blockers do not fill the cell");
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 1_000;
+    }
+    world
+}
+
+/// Runs until a condition holds, for at most [`MAX_WAIT_MS`].
+fn run_until(world: &mut World, holds: impl Fn(&World) -> bool) {
+    let begin = world.now;
+    while !holds(world) {
+        let waited_ms = world.now - begin;
+        assert!(waited_ms < MAX_WAIT_MS, "not placed after {waited_ms} ms");
+        world.run(25);
+    }
+}
+
 /// Returns the lines of an event that contain all of `parts`.
 fn lines(world: &World, event: &str, parts: &[&str]) -> Vec<String> {
     let lines = world.lines.iter().map(|(_, _, line)| line.to_string());
@@ -88,3 +133,36 @@
     );
     assert_eq!(given.len(), 1, "{given:?}");
 }
+
+/// Guards against a gang that is never placed because the tickets for its workers expire one after
+/// another (LOST: it could run and doesn't).
+#[test]
+fn a_gang_whose_tickets_were_issued_at_different_times_starts() {
+    let mut world = world_behind_blockers(20, 0);
+    world.submit(0, 1, vec![gang(12, 4_000)]);
+    world.run(BLOCKED_MS - 1_000);
+    // The blockers end and the gang's workers are chosen. Then a chosen worker drains during each
+    // of four calls for advice, and one that needs a ticket takes its place.
+    let first_call = world.advice_calls;
+    for at in 0..4 {
+        run_until(&mut world, |world| world.advice_calls > first_call + at);
+        world.drain_worker(at);
+    }
+    run_until(&mut world, |world| world.count("gang_placed") > 0);
+    world.run(2_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_once();
+}
+
+/// Guards against a gang that is never placed because it needs tickets for more workers than one
+/// call for advice may name.
+#[test]
+fn a_gang_on_more_workers_than_one_call_names_starts() {
+    let mut world = world_behind_blockers(130, 30);
+    world.submit(0, 1, vec![gang(120, 4_000)]);
+    // Once most blockers have ended, the other workers are named in a second call.
+    world.run(BLOCKED_MS + LATE_MS);
+    run_until(&mut world, |world| world.count("gang_placed") > 0);
+    world.run(2_000);
+    world.assert_state(0, 1, JobState::Completed);
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -31,6 +31,8 @@
 const STORE_MS: u64 = 10;
 /// After which time a call to the store without an answer counts as lost.
 const STORE_SILENCE_MS: u64 = 1_500;
+/// The most workers that a call for advice may name; the service refuses a longer call.
+const MAX_ADVISED_WORKERS: usize = 100;
 /// How long a call to a worker or a message takes.
 const HOP_MS: u64 = 4;
 
@@ -219,6 +221,14 @@
         }
     }
 
+    /// Lets a worker announce that it drains.
+    pub fn drain_worker(&mut self, at: usize) {
+        let worker = self.workers.values_mut().find(|own| own.number == at);
+        let worker = worker.unwrap();
+        worker.entry.draining = true;
+        self.store.put_worker(worker);
+    }
+
     /// Lets the store refuse a daemon's calls.
     pub fn refuse_store(&mut self, at: usize, refuses: bool) {
         self.daemons[at].store_refuses = refuses;
@@ -375,9 +385,13 @@
                     let own = self.workers.get(id);
                     own.is_some_and(|own| own.number.is_multiple_of(self.advice_allows_every))
                 };
+                let is_refused = workers.len() > MAX_ADVISED_WORKERS;
                 let rows = workers.into_iter().filter(allowed);
                 let ticket = Ticket(ends.to_string().into());
-                let reply = AdviceReply::Allowed(rows.map(|id| (id, ticket.clone())).collect());
+                let reply = match is_refused {
+                    true => AdviceReply::Lost,
+                    false => AdviceReply::Allowed(rows.map(|id| (id, ticket.clone())).collect()),
+                };
                 let delay_ms = ends + self.advice_way_ms - self.now;
                 self.later(delay_ms, Due::Event(at, Event::Advice(rpc, reply)));
             }
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -40,7 +40,7 @@
     pub entry: WorkerEntry,
     /// Its place in the list of workers.
     pub number: usize,
-    /// How long after its issue a ticket is valid; without it, a start needs none.
+    /// How long after its issue a ticket is valid; without it, tickets are not checked.
     pub ticket_valid_ms: Option<u64>,
     token: u64,
     lease_until: u64,
@@ -269,12 +269,9 @@
         {
             return refused(WorkerRefusal::OldRun);
         }
-        if let Some(valid_ms) = self.ticket_valid_ms {
-            let issued = start
-                .ticket
-                .as_ref()
-                .and_then(|own| own.0.parse::<u64>().ok());
-            if issued.is_none_or(|issued| now > issued + valid_ms) {
+        if let (Some(valid_ms), Some(ticket)) = (self.ticket_valid_ms, &start.ticket) {
+            let issued: u64 = ticket.0.parse().unwrap();
+            if now > issued + valid_ms {
                 return refused(WorkerRefusal::BadTicket);
             }
         }
