Request the tickets for all workers of a gang in one call

What callers saw: a job whose first or second step is a large gang was accepted and never started, although most of the workers' room was free (LOST). Cause: the leader asked only for the tickets that had expired. A call takes 0.6 to 0.7 s and a ticket counts for 1.8 s, so once the tickets of a gang's places were issued in four groups, the group renewed three calls ago had always just expired. Each answer found another group missing, for ever. Ruled out: unusable workers, room, the team's limit, calls that wait in the leader's queue, a change of leader. Fix: a call names all workers of the gang, also those whose ticket is still valid, so that one answer makes all tickets valid at once, however long the call waited.

--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -86,23 +86,26 @@
             return;
         };
         let advice = &job.steps[usize::from(key.step)].advice;
-        let mut expired = places.clone();
-        expired.retain(|ix| queue.advice.is_some() && advice.ticket(*ix, ctx.now).is_none());
-        expired.dedup();
+        let has_ticket = |ix: &&WorkerIx| advice.ticket(**ix, ctx.now).is_some();
+        let missing = places.len() - places.iter().filter(has_ticket).count();
         match queue.advice {
-            Some(cost) if !expired.is_empty() => {
+            Some(cost) if missing > 0 => {
                 let kept = places.iter().filter(|ix| previous.contains(ix)).count();
                 let fleet = &self.fleet;
                 let is_unusable =
                     |ix: &&WorkerIx| !fleet.get(**ix).is_usable(ctx.now, MAX_CLOCK_AGE_MS);
                 let unusable = previous.iter().filter(is_unusable).count();
-                let (members, missing) = (places.len(), expired.len());
+                let members = places.len();
                 self.log_gang_wait(ctx, key, GangWait::Tickets, |event| {
                     let event = event.with("members", members).with("kept", kept);
                     event.with("unusable", unusable).with("missing", missing)
                 });
+                // One call for all workers, also those with a valid ticket: it may expire before
+                // the answer arrives, and the gang needs all tickets at the same time.
+                let mut workers = places.clone();
+                workers.dedup();
                 self.reserve_places(key, places, need);
-                self.request_advice(ctx.now, key, expired, pending.latest_start_ms, cost);
+                self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
             }
             _ => self.place_gang_members(ctx, key, &places),
         }
