Name at most as many workers in a call for advice as the service takes

What callers would see: a job with more than 100 workers to get new tickets for never starts (LOST). Cause: first calls were limited to 100 workers, calls for new tickets were not. The service refuses a longer call, the leader counts it as lost and repeats it for ever. Fix: request_advice names 100 workers at most. For a gang on more workers, the call names those whose tickets expire before it is expected to end, the oldest first, so that the last and shortest call finds the others still valid. Before: a_gang_on_more_workers_than_one_call_names_starts and single_tasks_on_more_workers_than_one_call_names_start fail, nothing placed in 3 s (the gang: 120 s).

--- a/core/src/cell/desired.rs
+++ b/core/src/cell/desired.rs
@@ -15,6 +15,13 @@
     pub valid_ms: Millis,
 }
 
+impl AdviceCost {
+    /// Returns the expected duration of a call that names `workers` workers, in microseconds.
+    pub fn call_us(&self, workers: usize) -> u64 {
+        self.base_us + self.per_worker_us * workers as u64
+    }
+}
+
 /// A queue of jobs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Queue {
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -43,6 +43,39 @@
         }
     }
 
+    /// Chooses up to [`consts::MAX_ADVICE_WORKERS`] of the workers of a gang for the next call: all
+    /// of them, so that their tickets are valid at the same time; or, of more workers, those whose
+    /// tickets expire before the call is expected to end.
+    pub(crate) fn tickets_to_renew(
+        &self,
+        places: &[WorkerIx],
+        now: Millis,
+        cost: AdviceCost,
+    ) -> Vec<WorkerIx> {
+        let mut workers = places.to_vec();
+        workers.sort_unstable();
+        workers.dedup();
+        if workers.len() <= consts::MAX_ADVICE_WORKERS {
+            return workers;
+        }
+        workers.sort_by_key(|ix| self.expires_at(*ix));
+        let outlives = |count: usize| {
+            let ends_at = now + Millis(cost.call_us(count).div_ceil(1_000));
+            self.expires_at(workers[count]) > ends_at
+        };
+        let count = (1..consts::MAX_ADVICE_WORKERS).find(|&count| outlives(count));
+        workers.truncate(count.unwrap_or(consts::MAX_ADVICE_WORKERS));
+        workers
+    }
+
+    /// Returns when the ticket for a worker expires; the past if there is none.
+    fn expires_at(&self, ix: WorkerIx) -> Millis {
+        match self.permissions.get(&ix) {
+            Some(Permission::Allowed(_, until)) => *until,
+            _ => Millis(0),
+        }
+    }
+
     /// Returns whether the worker may run the step, even if its ticket has expired.
     pub(crate) fn allows(&self, ix: WorkerIx) -> bool {
         matches!(self.permissions.get(&ix), Some(Permission::Allowed(..)))
@@ -64,7 +97,7 @@
 
 impl AdviceRequest {
     fn cost_us(&self) -> u64 {
-        self.cost.base_us + self.cost.per_worker_us * self.workers.len() as u64
+        self.cost.call_us(self.workers.len())
     }
 
     fn is_long(&self) -> bool {
@@ -235,10 +268,11 @@
         &mut self,
         now: Millis,
         step: &StepKey,
-        workers: Vec<WorkerIx>,
+        mut workers: Vec<WorkerIx>,
         latest_start_ms: u64,
         cost: AdviceCost,
     ) {
+        workers.truncate(consts::MAX_ADVICE_WORKERS);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -88,27 +88,32 @@
         let advice = &job.steps[usize::from(key.step)].advice;
         let has_ticket = |ix: &&WorkerIx| advice.ticket(**ix, ctx.now).is_some();
         let missing = places.len() - places.iter().filter(has_ticket).count();
-        match queue.advice {
-            Some(cost) if missing > 0 => {
-                let kept = places.iter().filter(|ix| previous.contains(ix)).count();
-                let fleet = &self.fleet;
-                let is_unusable =
-                    |ix: &&WorkerIx| !fleet.get(**ix).is_usable(ctx.now, MAX_CLOCK_AGE_MS);
-                let unusable = previous.iter().filter(is_unusable).count();
-                let members = places.len();
-                self.log_gang_wait(ctx, key, GangWait::Tickets, |event| {
-                    let event = event.with("members", members).with("kept", kept);
-                    event.with("unusable", unusable).with("missing", missing)
-                });
-                // One call for all workers, also those with a valid ticket: it may expire before
-                // the answer arrives, and the gang needs all tickets at the same time.
-                let mut workers = places.clone();
-                workers.dedup();
-                self.reserve_places(key, places, need);
-                self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
-            }
-            _ => self.place_gang_members(ctx, key, &places),
-        }
+        let Some(cost) = queue.advice.filter(|_| missing > 0) else {
+            return self.place_gang_members(ctx, key, &places);
+        };
+        let workers = advice.tickets_to_renew(&places, ctx.now, cost);
+        self.log_missing_tickets(ctx, key, previous, &places, missing);
+        self.reserve_places(key, places, need);
+        self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
+    }
+
+    /// Logs that a gang waits for tickets, with what has changed since the `previous` places.
+    fn log_missing_tickets(
+        &mut self,
+        ctx: &mut Ctx,
+        key: &StepKey,
+        previous: &[WorkerIx],
+        places: &[WorkerIx],
+        missing: usize,
+    ) {
+        let kept = places.iter().filter(|ix| previous.contains(ix)).count();
+        let is_unusable =
+            |ix: &&WorkerIx| !self.fleet.get(**ix).is_usable(ctx.now, MAX_CLOCK_AGE_MS);
+        let unusable = previous.iter().filter(is_unusable).count();
+        self.log_gang_wait(ctx, key, GangWait::Tickets, |event| {
+            let event = event.with("members", places.len()).with("kept", kept);
+            event.with("unusable", unusable).with("missing", missing)
+        });
     }
 
     /// Logs why a pass left a gang unplaced: at once if the reason is new, otherwise from time to
--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -19,6 +19,8 @@
 
 /// How long the blockers run after a gang is handed in; longer than its first tickets are valid.
 const BLOCKED_MS: u64 = 6_000;
+/// What each blocker needs; it leaves a worker little room.
+const BLOCKER_CPU_MILLI: u64 = 3_900;
 /// How much longer the blockers on some workers run.
 const LATE_MS: u64 = 4_000;
 /// By the terms of the service, a job counts as lost if it has not started after this time with
@@ -32,6 +34,13 @@
     }
 }
 
+fn per_worker(limit: u32, step: StepSpec) -> StepSpec {
+    StepSpec {
+        per_worker: Some(limit),
+        ..step
+    }
+}
+
 fn slow_advice() -> Queue {
     let mut queue = queue();
     queue.advice = Some(AdviceCost {
@@ -57,9 +66,9 @@
     world
 }
 
-/// Returns a cell of `workers` workers, each filled by a task that ends after [`BLOCKED_MS`], on the
-/// last `late_workers` of them [`LATE_MS`] later.
-fn world_behind_blockers(workers: usize, late_workers: usize) -> World {
+/// Returns a cell of `workers` workers, of which `blocked` are filled by a task that ends after
+/// [`BLOCKED_MS`], on the last `late` workers [`LATE_MS`] later.
+fn world_behind_blockers(workers: usize, blocked: usize, late: usize) -> World {
     let mut fill = queue();
     fill.name = QueueName::new("fill");
     fill.path_prefix = "/fill/".into();
@@ -71,13 +80,18 @@
     world.run(3_000);
     for worker in world.workers.values_mut() {
         worker.ticket_valid_ms = Some(TICKET_MS);
-        let is_late = worker.number >= workers - late_workers;
+        let is_late = worker.number >= workers - late;
         worker.work_ms = BLOCKED_MS + u64::from(is_late) * LATE_MS;
     }
-    world.submit_to("/fill/", 0, 99, vec![step(workers as u32, 4_000)]);
+    world.submit_to(
+        "/fill/",
+        0,
+        99,
+        vec![step(blocked as u32, BLOCKER_CPU_MILLI)],
+    );
     world.run(100);
     let running: usize = world.workers.values().map(|own| own.running()).sum();
-    assert_eq!(running, workers, "the blockers do not fill the cell");
+    assert_eq!(running, blocked, "not all blockers run");
     for worker in world.workers.values_mut() {
         worker.work_ms = 1_000;
     }
@@ -138,7 +152,7 @@
 /// another (LOST: it could run and doesn't).
 #[test]
 fn a_gang_whose_tickets_were_issued_at_different_times_starts() {
-    let mut world = world_behind_blockers(20, 0);
+    let mut world = world_behind_blockers(20, 20, 0);
     world.submit(0, 1, vec![gang(12, 4_000)]);
     world.run(BLOCKED_MS - 1_000);
     // The blockers end and the gang's workers are chosen. Then a chosen worker drains during each
@@ -158,7 +172,7 @@
 /// call for advice may name.
 #[test]
 fn a_gang_on_more_workers_than_one_call_names_starts() {
-    let mut world = world_behind_blockers(130, 30);
+    let mut world = world_behind_blockers(130, 130, 30);
     world.submit(0, 1, vec![gang(120, 4_000)]);
     // Once most blockers have ended, the other workers are named in a second call.
     world.run(BLOCKED_MS + LATE_MS);
@@ -166,3 +180,17 @@
     world.run(2_000);
     world.assert_state(0, 1, JobState::Completed);
 }
+
+/// Guards against single tasks that never start because they need new tickets for more workers than
+/// one call for advice may name.
+#[test]
+fn single_tasks_on_more_workers_than_one_call_names_start() {
+    let mut world = world_behind_blockers(130, 129, 0);
+    world.submit(0, 1, vec![per_worker(1, step(120, 2_000))]);
+    // The worker without a blocker runs a task, so that advice on all others is requested in turn.
+    world.run(BLOCKED_MS);
+    run_until(&mut world, |world| world.starts().len() > 129 + 100);
+    world.run(5_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_once();
+}
