Cell: give each leader query ids of its own for advice

Daemons send the answer of an advice call to whoever leads when it arrives. Each leader numbered its requests from 1, so an answer to a former leader could be taken for a request of the next one on another step. Workers that the answer did not name were then denied to that step for good, because the set of workers that may run a step does not change: the job was accepted and never started.

Before: the test, in which the leader resigns while a call of 1 s is open, left job 1 pending for ever. After: the ids begin at the leader's token, and the late answer is ignored.

Ruled out: daemons that check the link, because a daemon that becomes leader itself uses the same local link in each of its terms.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -9,12 +9,16 @@
         consts,
         leader::{fleet::WorkerIx, Leader},
         node::{Ctx, LOCAL_LINK},
-        AdviceCost, AdviceReply, LinkId, LogEvent, QueryId, StepKey, TaskKey, Ticket, ToMember,
+        AdviceCost, AdviceReply, FencingToken, LinkId, LogEvent, QueryId, StepKey, TaskKey, Ticket,
+        ToMember,
     },
     Millis, WorkerId,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The bits of a query id that number the requests of one leader; its token precedes them.
+const QUERY_ID_BITS: u32 = 24;
+
 /// Whether one worker may run one step.
 #[derive(Clone, Debug)]
 pub(crate) enum Permission {
@@ -116,19 +120,19 @@
     invalidated: Vec<WorkerIx>,
 }
 
-impl Default for AdviceDispatcher {
-    fn default() -> Self {
+impl AdviceDispatcher {
+    /// Creates the dispatcher of the leader with `token`. Daemons send late answers to the next
+    /// leader, so each leader uses ids of its own.
+    pub(crate) fn new(token: FencingToken) -> Self {
         Self {
             requests: BTreeMap::new(),
             waiting: [BTreeSet::new(), BTreeSet::new()],
-            last_id: 0,
+            last_id: token.0 << QUERY_ID_BITS,
             callers: BTreeMap::from([(LOCAL_LINK, AdviceCaller::default())]),
             invalidated: Vec::new(),
         }
     }
-}
 
-impl AdviceDispatcher {
     pub(crate) fn add_caller(&mut self, link: LinkId) {
         self.callers.insert(link, AdviceCaller::default());
     }
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -104,7 +104,7 @@
             used: BTreeMap::new(),
             queued: BTreeMap::new(),
             team_rates: TeamRateLimiter::default(),
-            advice: AdviceDispatcher::default(),
+            advice: AdviceDispatcher::new(token),
             progress_writes: ProgressWrites::default(),
             members: Members::default(),
             worker_rpcs: BTreeMap::new(),
--- /dev/null
+++ b/core/tests/cell_liveness.rs
@@ -0,0 +1,54 @@
+//! Faults after which an accepted job would never run, in virtual time.
+
+#![allow(clippy::unwrap_used)]
+
+mod cell_world;
+
+use cell_world::{desired, queue, step, World};
+use pomelotide_core::{
+    cell::{AdviceCost, Event, JobState, Queue, StepSpec},
+    Millis,
+};
+
+fn with_advice(base_us: u64) -> Queue {
+    Queue {
+        advice: Some(AdviceCost {
+            base_us,
+            per_worker_us: 0,
+            valid_ms: Millis(4_000),
+        }),
+        ..queue()
+    }
+}
+
+fn on_label(label: &str, step: StepSpec) -> StepSpec {
+    StepSpec {
+        requirement: Some(label.into()),
+        ..step
+    }
+}
+
+/// Guards against answers to a former leader that deny a step of another job its workers.
+#[test]
+fn advice_that_a_former_leader_requested_is_not_taken_for_another_step() {
+    let mut world = World::new(2, 8, desired(1, with_advice(1_000_000)));
+    world.advice_ms = 1_000;
+    let worker = world.workers.values_mut().next().unwrap();
+    worker.entry.labels.insert(0, "only".into());
+    let worker = worker.clone();
+    world.store.put_worker(&worker);
+    world.run(3_000);
+    let leader = world.leader().unwrap();
+    let next = 1 - leader;
+    // The first request of each leader: that of the next one is on job 1, whose only worker is the
+    // first to report.
+    world.submit(next, 2, vec![on_label("r1-1", step(1, 1_000))]);
+    world.run(100);
+    world.submit(next, 1, vec![on_label("only", step(1, 1_000))]);
+    world.run(100);
+    world.tell(leader, Event::Stop);
+    world.run(15_000);
+    assert_eq!(world.leader(), Some(next));
+    world.assert_state(next, 1, JobState::Completed);
+    world.assert_state(next, 2, JobState::Completed);
+}
