Cell: do not let an old list of runs replace a newer run

Two polls of a worker may be open, and the answer that was made first may arrive last. If it listed a run that had ended meanwhile, and the task had been placed on the same worker again, the old run was adopted in place of the new one. The room of the new run was counted twice, its task kept the worker although no run of that number was recorded there, and its step never became ready again; a gang could never start again under that leader.

After: a run with a lower number than the recorded one is stopped and not adopted.

--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -357,6 +357,12 @@
                 }
                 return true;
             }
+            if run.number > listed.run {
+                // A later list, which arrived earlier, showed that the listed run has ended.
+                self.send_stop(ctx, ix, &listed.task, listed.run);
+                return true;
+            }
+            self.release_run(ix, &listed.task);
         }
         self.adopt_run(ctx, ix, listed)
     }
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -6,7 +6,7 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, Event, JobState, Queue, StepSpec},
+    cell::{AdviceCost, Event, JobState, Queue, RunOutcome, StepSpec},
     Millis,
 };
 
@@ -52,3 +52,33 @@
     world.assert_state(next, 1, JobState::Completed);
     world.assert_state(next, 2, JobState::Completed);
 }
+
+/// Guards against a list of runs that is overtaken by a later one.
+#[test]
+fn a_list_that_arrives_late_does_not_hide_the_next_run_of_a_task() {
+    let mut world = World::new(1, 1, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.how = RunOutcome::Broken;
+    }
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 1_000)
+    };
+    world.submit(0, 1, vec![gang]);
+    world.submit(0, 2, vec![step(1, 1_000)]);
+    world.run(800);
+    assert_eq!(world.starts().len(), 3);
+    // The stop of job 2 makes the leader request another list, which is on its way while the gang
+    // ends and starts again on the same worker.
+    world.late_lists_ms = 500;
+    world.cancel(0, 2);
+    world.run(200);
+    world.late_lists_ms = 0;
+    world.run(1_200);
+    for worker in world.workers.values_mut() {
+        worker.how = RunOutcome::Done;
+    }
+    world.run(10_000);
+    world.assert_state(0, 1, JobState::Completed);
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -13,7 +13,7 @@
     cell::{
         AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb, DesiredState,
         Effect, Event, JobState, LinkId, LogEvent, Node, Queue, RequestLimits, RpcId, StepSpec,
-        StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer,
+        StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer, WorkerCall,
     },
     CallId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -80,6 +80,8 @@
     /// How long a call for advice and its answer travel.
     pub advice_way_ms: u64,
     advice_free_at: Vec<u64>,
+    /// How much later the lists of runs arrive for which a worker does not wait.
+    pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
     pub step_s: f64,
 }
@@ -156,6 +158,7 @@
             advice_calls: 0,
             advice_way_ms: 0,
             advice_free_at: vec![0; shares.len()],
+            late_lists_ms: 0,
             step_s: 0.0,
         };
         for at in 0..workers {
@@ -314,6 +317,10 @@
                 }
             }
             Due::WorkerCall(at, rpc, call) => {
+                let late_ms = match &call.call {
+                    WorkerCall::Renew { wait_ms, .. } if wait_ms.0 == 0 => self.late_lists_ms,
+                    _ => 0,
+                };
                 let worker = self.workers.get_mut(&call.worker);
                 let answer = match worker {
                     Some(worker) => worker.call(self.now, at, rpc, call),
@@ -321,7 +328,7 @@
                 };
                 if let Some((delay_ms, answer)) = answer {
                     self.later(
-                        HOP_MS + delay_ms,
+                        HOP_MS + delay_ms + late_ms,
                         Due::Event(at, Event::Worker(rpc, answer)),
                     );
                 }
