Cell: repeat a lost stop although the start was answered after it

A stop is repeated until the run is confirmed. The answer to the start, when it arrived after the stop had been sent, counted as that confirmation. If the stop was lost, it was not repeated, and the run went on until it ended by itself, on the room of a cancelled job or of a gang that was given up.

Before: the run of the test went on for its 30 s. After: it ends with the repeated stop.

--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -258,7 +258,10 @@
                     if matches!(run.phase, RunPhase::Starting | RunPhase::Unconfirmed(_)) {
                         run.phase = RunPhase::Active;
                     }
-                    run.confirmed_at = run.confirmed_at.or(Some(now));
+                    // A run that is to be stopped is confirmed by the answer to the stop only.
+                    if !matches!(run.phase, RunPhase::Stopping(_)) {
+                        run.confirmed_at = run.confirmed_at.or(Some(now));
+                    }
                 }
                 self.poll_worker(ctx, ix);
             }
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -82,3 +82,24 @@
     world.run(10_000);
     world.assert_state(0, 1, JobState::Completed);
 }
+
+/// Guards against a stop that is not repeated because the start was answered after it was sent.
+#[test]
+fn a_stop_that_is_lost_is_repeated_although_the_start_is_answered_meanwhile() {
+    let mut world = World::new(1, 1, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 30_000;
+    }
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    while world.starts().is_empty() {
+        world.run(1);
+    }
+    let id = world.workers.keys().next().unwrap().clone();
+    world.workers.get_mut(&id).unwrap().silent = true;
+    world.cancel(0, 1);
+    world.run(100);
+    world.workers.get_mut(&id).unwrap().silent = false;
+    world.run(4_000);
+    assert_eq!(world.workers[&id].running(), 0, "it runs on");
+}
