Cell: let passes move on behind late steps that they tried in vain

A pass tries at most 100 steps. Steps that no worker can run, for example because no worker has their label, count as tried in each pass. With 100 of them that were newer, a late step was never reached, whatever room was free.

Before: a job that fits stayed pending on an idle fleet behind 150 jobs with an unknown label. After: a pass that ends at its limit and placed none of the late steps that it tried is followed by one that begins behind them. Steps in time are always tried first, so that the room reserved for gangs is kept.

Not changed: the limit of 600 steps that one pass looks at.

--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -85,6 +85,8 @@
     /// Whether a scheduling pass is needed.
     needs_pass: bool,
     next_pass_at: Millis,
+    /// How many late steps the next pass skips, because the last one tried them in vain.
+    late_steps_to_skip: usize,
     /// When jobs past their retention are removed next.
     sweep_at: Millis,
 }
@@ -112,6 +114,7 @@
             recorded_starts: Vec::new(),
             needs_pass: false,
             next_pass_at: ctx.now,
+            late_steps_to_skip: 0,
             sweep_at: ctx.now + consts::SWEEP_INTERVAL_MS,
         };
         leader.send_reads(ctx);
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -86,6 +86,26 @@
     }
 }
 
+/// The late steps that one pass tries to place. A pass that tries in vain is followed by one that
+/// begins behind its steps, so that steps which no worker can run keep no others from free room.
+#[derive(Debug, Default)]
+struct LateAttempts {
+    to_skip: usize,
+    skipped: usize,
+    attempted: usize,
+    has_placed: bool,
+}
+
+impl LateAttempts {
+    /// Returns how many late steps the next pass skips if this one ends before the last step.
+    fn next_to_skip(&self) -> usize {
+        match self.has_placed {
+            true => 0,
+            false => self.skipped + self.attempted,
+        }
+    }
+}
+
 impl Leader {
     /// Places the pending steps in order, as far as there is room.
     pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
@@ -101,6 +121,10 @@
         pass.workers = usable.map(|(ix, worker)| (ix, worker.free())).collect();
         pass.update_largest_free();
         let mut attempted_steps = 0;
+        let mut late = LateAttempts {
+            to_skip: std::mem::take(&mut self.late_steps_to_skip),
+            ..LateAttempts::default()
+        };
         for (latest_start_ms, key) in self.pending.in_order(ctx.now.0, MAX_SCANNED_STEPS) {
             let pending = PendingStep {
                 latest_start_ms,
@@ -124,14 +148,30 @@
                 }
                 continue;
             }
+            let is_late = latest_start_ms < ctx.now.0;
+            if is_late && late.skipped < late.to_skip {
+                late.skipped += 1;
+                continue;
+            }
+            let running = step.running;
             self.place_step(ctx, state, queue, &pending, &mut pass);
             attempted_steps += 1;
+            if is_late {
+                late.attempted += 1;
+                late.has_placed |= self.running_tasks(&pending.key) != running;
+            }
             if attempted_steps == MAX_ATTEMPTED_STEPS {
+                self.late_steps_to_skip = late.next_to_skip();
                 break;
             }
         }
     }
 
+    fn running_tasks(&self, key: &StepKey) -> u32 {
+        let job = self.jobs.get(&key.job);
+        job.map_or(0, |job| job.steps[usize::from(key.step)].running)
+    }
+
     /// Returns whether the step's team may run more tasks and some worker has room for one.
     fn can_fit(&self, state: &DesiredState, pass: &SchedulingPass, job: &Job, at: usize) -> bool {
         let spec = &job.row.submission.steps[at];
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -103,3 +103,25 @@
     world.run(4_000);
     assert_eq!(world.workers[&id].running(), 0, "it runs on");
 }
+
+/// Guards against passes that end before they reach a step that fits.
+#[test]
+fn steps_that_no_worker_may_run_do_not_keep_later_ones_from_free_room() {
+    let mut state = desired(1, queue());
+    state.teams[0].weight = 1_000;
+    let mut world = World::new(1, 1, state);
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 12_000;
+    }
+    world.submit(0, 1, vec![step(1, 4_000)]);
+    world.run(200);
+    world.submit(0, 2, vec![step(1, 4_000)]);
+    world.run(200);
+    for job in 1_000..1_150 {
+        world.submit(0, job, vec![on_label("nowhere", step(1, 100))]);
+    }
+    world.run(40_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_state(0, 2, JobState::Completed);
+}
