Cell: prefer other daemons for advice after a failed call

The daemon for the next advice call was chosen by its number of open calls and by its link only. A daemon whose calls get no answer was free again when the step might ask again, so it was chosen again: always the leader for short calls, and the daemon of the last link for long ones. While one such daemon lasted, a lone step got no advice at all.

Before: a job waited for all 12 s of the test with one of three daemons cut off from the service, for short calls with the leader cut off. After: other daemons are preferred for 4 s after a failed call, and the job ends.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -109,6 +109,9 @@
 pub const MAX_ADVICE_WORKERS_SINGLE_TASKS: usize = 24;
 /// The delay before a failed advice call is retried.
 pub const ADVICE_RETRY_DELAY_MS: Millis = Millis(100);
+/// How long after a failed advice call the other daemons are preferred for such calls: longer than
+/// a call takes to time out.
+pub const ADVICE_AVOIDANCE_MS: Millis = Millis(4_000);
 
 /// How often the leader reads accepted jobs that no daemon reported to it.
 pub const JOBS_FOLLOW_INTERVAL_MS: Millis = Millis(1_000);
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -14,7 +14,10 @@
     },
     Millis, WorkerId,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 /// The bits of a query id that number the requests of one leader; its token precedes them.
 const QUERY_ID_BITS: u32 = 24;
@@ -95,6 +98,8 @@
     calls: Vec<InFlightCall>,
     /// After a failed call, no call is sent to it before this time.
     retry_at: Millis,
+    /// After a failed call, the other daemons are preferred until this time.
+    avoided_until: Millis,
 }
 
 impl AdviceCaller {
@@ -195,13 +200,16 @@
         let free = |max_calls: usize| {
             let callers = self.callers.iter();
             let free = callers.filter(move |(_, caller)| caller.has_capacity(max_calls, now));
-            free.map(|(link, caller)| (caller.calls.len(), *link))
+            free.map(|(link, caller)| (now < caller.avoided_until, caller.calls.len(), *link))
         };
         let [short_queue, long_queue] = &self.waiting;
         let next_long = most_urgent(long_queue, now).filter(|_| long_sent < count - third);
         let long_goes_first = next_long.is_some() && long_sent < third;
-        let long =
-            next_long.and_then(|request| Some((request, free(1).map(|(_, link)| link).max()?)));
+        let long = next_long.and_then(|request| {
+            let (_, _, link) =
+                free(1).min_by_key(|(avoided, _, link)| (*avoided, Reverse(*link)))?;
+            Some((request, link))
+        });
         let short = most_urgent(short_queue, now).and_then(|(latest_start_ms, id)| {
             // For a step that can still end in time, a call is sent while the one before is in
             // flight. Late and surplus steps wait for an idle daemon, and so do all steps while a
@@ -210,7 +218,7 @@
                 true => consts::MAX_ADVICE_CALLS_PER_DAEMON,
                 false => 1,
             };
-            let (_, link) = free(max_calls).min()?;
+            let (_, _, link) = free(max_calls).min()?;
             Some(((latest_start_ms, id), link))
         });
         let priority = |((latest_start_ms, id), _): &((u64, QueryId), LinkId)| {
@@ -327,6 +335,7 @@
                     .and_then(|(link, _)| self.advice.callers.get_mut(&link));
                 if let Some(caller) = caller {
                     caller.retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
+                    caller.avoided_until = ctx.now + consts::ADVICE_AVOIDANCE_MS;
                 }
                 self.refresh_pending_steps(&request.step.job);
                 let event = LogEvent::warn("advice_missing").with("step", &request.step);
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -125,3 +125,18 @@
     world.assert_state(0, 1, JobState::Completed);
     world.assert_state(0, 2, JobState::Completed);
 }
+
+/// Guards against requests that go to the same daemon again and again, which gets no answers.
+#[test]
+fn a_daemon_without_a_way_to_the_advice_service_does_not_hold_steps_up() {
+    for base_us in [20_000, 500_000] {
+        for cut_off in 0..3 {
+            let mut world = World::new(3, 8, desired(1, with_advice(base_us)));
+            world.advice_lost_at = Some(cut_off);
+            world.run(3_000);
+            world.submit(0, 1, vec![step(2, 1_000)]);
+            world.run(12_000);
+            world.assert_state(0, 1, JobState::Completed);
+        }
+    }
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -80,6 +80,8 @@
     /// How long a call for advice and its answer travel.
     pub advice_way_ms: u64,
     advice_free_at: Vec<u64>,
+    /// The daemon whose calls for advice get no answer.
+    pub advice_lost_at: Option<usize>,
     /// How much later the lists of runs arrive for which a worker does not wait.
     pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
@@ -158,6 +160,7 @@
             advice_calls: 0,
             advice_way_ms: 0,
             advice_free_at: vec![0; shares.len()],
+            advice_lost_at: None,
             late_lists_ms: 0,
             step_s: 0.0,
         };
@@ -364,6 +367,12 @@
                 self.later(call.timeout_ms.0, Due::Event(at, lost));
                 self.later(HOP_MS, Due::WorkerCall(at, rpc, call));
             }
+            Effect::Advise {
+                rpc, timeout_ms, ..
+            } if self.advice_lost_at == Some(at) => {
+                let lost = Event::Advice(rpc, AdviceReply::Lost);
+                self.later(timeout_ms.0, Due::Event(at, lost));
+            }
             Effect::Advise { rpc, workers, .. } => {
                 self.advice_calls += 1;
                 let rows = workers.into_iter().map(|id| (id, Ticket("t".into())));
