Cell: record the queue's definition with each job

A job runs by its queue's definition in the desired state. The leader kept the definitions of removed queues with open jobs in memory only. Accepted jobs of a removed queue never ran if another leader took over, for example after a loss of power of all daemons, or if a daemon that still had the desired state of before accepted them after the leader had seen the removal.

After: the job's row holds the definition, and the leader uses it for queues that its desired state lacks.

Ruled out: a row for removed queues that the leader writes, because all daemons may stop before it is written. Rows without the definition, as written before, are still read.

--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -207,6 +207,7 @@
             team,
             submission,
             accepted_unix_ms: ctx.unix_ms,
+            queue_spec: Some(Box::new(queue.clone())),
         };
         submissions.add_client(ctx, call, job);
     }
--- a/core/src/cell/job.rs
+++ b/core/src/cell/job.rs
@@ -1,6 +1,6 @@
 //! Jobs of several steps, as submitted and as recorded.
 
-use crate::{JobId, Millis, QueueName, Resources, TeamName};
+use crate::{cell::Queue, JobId, Millis, QueueName, Resources, TeamName};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -124,4 +124,7 @@
     pub submission: Submission,
     /// When it was submitted, in Unix milliseconds by the clock of the daemon that accepted it.
     pub accepted_unix_ms: u64,
+    /// The queue as it was defined then; the job runs by it if the queue is removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queue_spec: Option<Box<Queue>>,
 }
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -4,11 +4,12 @@
     cell::{
         leader::{advice::StepAdvice, fleet::WorkerIx, Leader},
         node::Ctx,
-        JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue, RowVersion,
-        StepKey, StepProgress, TaskKey, ToMember,
+        DesiredState, JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue,
+        RowVersion, StepKey, StepProgress, TaskKey, ToMember,
     },
     JobId, Millis,
 };
+use std::rc::Rc;
 
 /// Upper bound of a recorded job's computed age, because the clocks of daemons may jump.
 const MAX_JOB_AGE_MS: u64 = 60_000;
@@ -114,6 +115,11 @@
         }
     }
 
+    /// Returns whether the job has not ended.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.progress.state.is_final()
+    }
+
     /// Returns whether the job has ended, its final state is stored and none of its runs is active.
     pub(crate) fn is_removable(&self) -> bool {
         self.stored_state.is_final() && self.steps.iter().all(|step| step.running == 0)
@@ -177,7 +183,12 @@
             );
         }
         *self.queued.entry(queue).or_default() += 1;
+        let is_queue_unknown = |state: &&Rc<DesiredState>| state.queue(&job.row.queue).is_none();
+        let outdated = self.state.as_ref().filter(is_queue_unknown).cloned();
         self.jobs.insert(id.clone(), job);
+        if let Some(state) = outdated {
+            self.state = Some(self.with_queues_of_open_jobs(&state));
+        }
         if self.loader.is_done() {
             self.refresh_pending_steps(&id);
         }
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -32,8 +32,8 @@
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
         node::Ctx,
-        ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, RowVersion, RpcId, StoreReply,
-        ToLeader,
+        ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, Queue, RowVersion, RpcId,
+        StoreReply, ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
@@ -213,24 +213,38 @@
         self.answer_held_queries(ctx);
     }
 
-    /// Replaces the desired state. Queues that were removed from it are retained while they have
-    /// open jobs, because accepted jobs still run.
+    /// Replaces the desired state.
     fn update_state(&mut self, state: &Rc<DesiredState>) {
         let current = self.state.as_ref();
         if current.is_some_and(|current| current.version == state.version) {
             return;
         }
-        let mut updated = (**state).clone();
-        for queue in current.iter().flat_map(|current| &current.queues) {
-            if state.queue(&queue.name).is_none() && self.has_open_jobs(&queue.name) {
-                updated.queues.push(queue.clone());
-            }
+        self.state = Some(self.with_queues_of_open_jobs(state));
+    }
+
+    /// Adds the queues that were removed from a desired state, or are not in it yet, and have open
+    /// jobs, because accepted jobs still run.
+    fn with_queues_of_open_jobs(&self, state: &Rc<DesiredState>) -> Rc<DesiredState> {
+        let is_missing = |queue: &&Queue| state.queue(&queue.name).is_none();
+        let current = self.state.iter().flat_map(|current| &current.queues);
+        let retained = current.filter(is_missing);
+        let retained = retained.filter(|queue| self.has_open_jobs(&queue.name));
+        let open_jobs = self.jobs.values().filter(|job| job.is_open());
+        let recorded = open_jobs.filter_map(|job| job.row.queue_spec.as_deref());
+        let mut missing: BTreeMap<&QueueName, &Queue> = BTreeMap::new();
+        for queue in retained.chain(recorded.filter(is_missing)) {
+            missing.entry(&queue.name).or_insert(queue);
+        }
+        if missing.is_empty() {
+            return state.clone();
         }
-        self.state = Some(Rc::new(updated.with_sorted_queues()));
+        let mut updated = (**state).clone();
+        updated.queues.extend(missing.into_values().cloned());
+        Rc::new(updated.with_sorted_queues())
     }
 
     fn has_open_jobs(&self, queue: &QueueName) -> bool {
-        let is_open = |job: &Job| job.row.queue == *queue && !job.progress.state.is_final();
+        let is_open = |job: &Job| job.row.queue == *queue && job.is_open();
         self.jobs.values().any(is_open)
     }
 
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -6,7 +6,7 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, Event, JobState, Queue, RunOutcome, StepSpec},
+    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec},
     Millis,
 };
 
@@ -140,3 +140,49 @@
         }
     }
 }
+
+/// Guards against a new leader that does not know the queue of an accepted job.
+#[test]
+fn accepted_jobs_of_a_withdrawn_queue_run_under_the_next_leader_too() {
+    let mut world = World::new(2, 1, desired(1, queue()));
+    world.run(3_000);
+    for job in 0..4 {
+        world.submit(0, job, vec![step(4, 1_000)]);
+    }
+    world.run(500);
+    let mut state = desired(2, queue());
+    state.queues.clear();
+    world.store.put_state(state);
+    world.run(1_500);
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(30_000);
+    let tasks: std::collections::BTreeSet<String> =
+        world.starts().into_iter().map(|start| start.1).collect();
+    assert_eq!(tasks.len(), 16, "accepted work was left undone");
+}
+
+/// Guards against a leader that has dropped the queue when a daemon with the desired state of before
+/// accepts a job.
+#[test]
+fn a_job_that_is_accepted_after_the_leader_saw_its_queue_withdrawn_runs() {
+    let (mut accepted, mut refused) = (0, 0);
+    for delay_ms in (0..400).step_by(5) {
+        let mut world = World::new(3, 4, desired(1, queue()));
+        world.run(3_000);
+        let door = (world.leader().unwrap() + 1) % 3;
+        let mut state = desired(2, queue());
+        state.queues.clear();
+        world.store.put_state(state);
+        world.run(delay_ms);
+        let call = world.submit(door, 1, vec![step(1, 1_000)]);
+        world.run(3_000);
+        if world.answers[&call] == ClientAnswer::Accepted {
+            accepted += 1;
+            assert_eq!(world.starts().len(), 1, "after {delay_ms} ms");
+        } else {
+            refused += 1;
+        }
+    }
+    assert!(accepted > 0 && refused > 0);
+}
