--- /dev/null
+++ b/core/tests/cell_liveness.rs
@@ -0,0 +1,188 @@
+//! Faults after which an accepted job would never run, in virtual time.
+
+#![allow(clippy::unwrap_used)]
+
+mod cell_world;
+
+use cell_world::{desired, queue, step, World};
+use pomelotide_core::{
+    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec},
+    Millis,
+};
+
+fn with_advice(base_us: u64) -> Queue {
+    Queue {
+        advice: Some(AdviceCost {
+            base_us,
+            per_worker_us: 0,
+            valid_ms: Millis(4_000),
+        }),
+        ..queue()
+    }
+}
+
+fn on_label(label: &str, step: StepSpec) -> StepSpec {
+    StepSpec {
+        requirement: Some(label.into()),
+        ..step
+    }
+}
+
+/// Guards against answers to a former leader that deny a step of another job its workers.
+#[test]
+fn advice_that_a_former_leader_requested_is_not_taken_for_another_step() {
+    let mut world = World::new(2, 8, desired(1, with_advice(1_000_000)));
+    world.advice_ms = 1_000;
+    let worker = world.workers.values_mut().next().unwrap();
+    worker.entry.labels.insert(0, "only".into());
+    let worker = worker.clone();
+    world.store.put_worker(&worker);
+    world.run(3_000);
+    let leader = world.leader().unwrap();
+    let next = 1 - leader;
+    // The first request of each leader: that of the next one is on job 1, whose only worker is the
+    // first to report.
+    world.submit(next, 2, vec![on_label("r1-1", step(1, 1_000))]);
+    world.run(100);
+    world.submit(next, 1, vec![on_label("only", step(1, 1_000))]);
+    world.run(100);
+    world.tell(leader, Event::Stop);
+    world.run(15_000);
+    assert_eq!(world.leader(), Some(next));
+    world.assert_state(next, 1, JobState::Completed);
+    world.assert_state(next, 2, JobState::Completed);
+}
+
+/// Guards against a list of runs that is overtaken by a later one.
+#[test]
+fn a_list_that_arrives_late_does_not_hide_the_next_run_of_a_task() {
+    let mut world = World::new(1, 1, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.how = RunOutcome::Broken;
+    }
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 1_000)
+    };
+    world.submit(0, 1, vec![gang]);
+    world.submit(0, 2, vec![step(1, 1_000)]);
+    world.run(800);
+    assert_eq!(world.starts().len(), 3);
+    // The stop of job 2 makes the leader request another list, which is on its way while the gang
+    // ends and starts again on the same worker.
+    world.late_lists_ms = 500;
+    world.cancel(0, 2);
+    world.run(200);
+    world.late_lists_ms = 0;
+    world.run(1_200);
+    for worker in world.workers.values_mut() {
+        worker.how = RunOutcome::Done;
+    }
+    world.run(10_000);
+    world.assert_state(0, 1, JobState::Completed);
+}
+
+/// Guards against a stop that is not repeated because the start was answered after it was sent.
+#[test]
+fn a_stop_that_is_lost_is_repeated_although_the_start_is_answered_meanwhile() {
+    let mut world = World::new(1, 1, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 30_000;
+    }
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    while world.starts().is_empty() {
+        world.run(1);
+    }
+    let id = world.workers.keys().next().unwrap().clone();
+    world.workers.get_mut(&id).unwrap().silent = true;
+    world.cancel(0, 1);
+    world.run(100);
+    world.workers.get_mut(&id).unwrap().silent = false;
+    world.run(4_000);
+    assert_eq!(world.workers[&id].running(), 0, "it runs on");
+}
+
+/// Guards against passes that end before they reach a step that fits.
+#[test]
+fn steps_that_no_worker_may_run_do_not_keep_later_ones_from_free_room() {
+    let mut state = desired(1, queue());
+    state.teams[0].weight = 1_000;
+    let mut world = World::new(1, 1, state);
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 12_000;
+    }
+    world.submit(0, 1, vec![step(1, 4_000)]);
+    world.run(200);
+    world.submit(0, 2, vec![step(1, 4_000)]);
+    world.run(200);
+    for job in 1_000..1_150 {
+        world.submit(0, job, vec![on_label("nowhere", step(1, 100))]);
+    }
+    world.run(40_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_state(0, 2, JobState::Completed);
+}
+
+/// Guards against requests that go to the same daemon again and again, which gets no answers.
+#[test]
+fn a_daemon_without_a_way_to_the_advice_service_does_not_hold_steps_up() {
+    for base_us in [20_000, 500_000] {
+        for cut_off in 0..3 {
+            let mut world = World::new(3, 8, desired(1, with_advice(base_us)));
+            world.advice_lost_at = Some(cut_off);
+            world.run(3_000);
+            world.submit(0, 1, vec![step(2, 1_000)]);
+            world.run(12_000);
+            world.assert_state(0, 1, JobState::Completed);
+        }
+    }
+}
+
+/// Guards against a new leader that does not know the queue of an accepted job.
+#[test]
+fn accepted_jobs_of_a_withdrawn_queue_run_under_the_next_leader_too() {
+    let mut world = World::new(2, 1, desired(1, queue()));
+    world.run(3_000);
+    for job in 0..4 {
+        world.submit(0, job, vec![step(4, 1_000)]);
+    }
+    world.run(500);
+    let mut state = desired(2, queue());
+    state.queues.clear();
+    world.store.put_state(state);
+    world.run(1_500);
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(30_000);
+    let tasks: std::collections::BTreeSet<String> =
+        world.starts().into_iter().map(|start| start.1).collect();
+    assert_eq!(tasks.len(), 16, "accepted work was left undone");
+}
+
+/// Guards against a leader that has dropped the queue when a daemon with the desired state of before
+/// accepts a job.
+#[test]
+fn a_job_that_is_accepted_after_the_leader_saw_its_queue_withdrawn_runs() {
+    let (mut accepted, mut refused) = (0, 0);
+    for delay_ms in (0..400).step_by(5) {
+        let mut world = World::new(3, 4, desired(1, queue()));
+        world.run(3_000);
+        let door = (world.leader().unwrap() + 1) % 3;
+        let mut state = desired(2, queue());
+        state.queues.clear();
+        world.store.put_state(state);
+        world.run(delay_ms);
+        let call = world.submit(door, 1, vec![step(1, 1_000)]);
+        world.run(3_000);
+        if world.answers[&call] == ClientAnswer::Accepted {
+            accepted += 1;
+            assert_eq!(world.starts().len(), 1, "after {delay_ms} ms");
+        } else {
+            refused += 1;
+        }
+    }
+    assert!(accepted > 0 && refused > 0);
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -13,7 +13,7 @@
     cell::{
         AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb, DesiredState,
         Effect, Event, JobState, LinkId, LogEvent, Node, Queue, RequestLimits, RpcId, StepSpec,
-        StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer,
+        StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer, WorkerCall,
     },
     CallId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -86,6 +86,10 @@
     /// How long a call for advice and its answer travel.
     pub advice_way_ms: u64,
     advice_free_at: Vec<u64>,
+    /// The daemon whose calls for advice get no answer.
+    pub advice_lost_at: Option<usize>,
+    /// How much later the lists of runs arrive for which a worker does not wait.
+    pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
     pub step_s: f64,
 }
@@ -164,6 +168,8 @@
             advice_allows_every: 1,
             advice_way_ms: 0,
             advice_free_at: vec![0; shares.len()],
+            advice_lost_at: None,
+            late_lists_ms: 0,
             step_s: 0.0,
         };
         for at in 0..workers {
@@ -330,6 +336,10 @@
                 }
             }
             Due::WorkerCall(at, rpc, call) => {
+                let late_ms = match &call.call {
+                    WorkerCall::Renew { wait_ms, .. } if wait_ms.0 == 0 => self.late_lists_ms,
+                    _ => 0,
+                };
                 let worker = self.workers.get_mut(&call.worker);
                 let answer = match worker {
                     Some(worker) => worker.call(self.now, at, rpc, call),
@@ -337,7 +347,7 @@
                 };
                 if let Some((delay_ms, answer)) = answer {
                     self.later(
-                        HOP_MS + delay_ms,
+                        HOP_MS + delay_ms + late_ms,
                         Due::Event(at, Event::Worker(rpc, answer)),
                     );
                 }
@@ -373,6 +383,12 @@
                 self.later(call.timeout_ms.0, Due::Event(at, lost));
                 self.later(HOP_MS, Due::WorkerCall(at, rpc, call));
             }
+            Effect::Advise {
+                rpc, timeout_ms, ..
+            } if self.advice_lost_at == Some(at) => {
+                let lost = Event::Advice(rpc, AdviceReply::Lost);
+                self.later(timeout_ms.0, Due::Event(at, lost));
+            }
             Effect::Advise { rpc, workers, .. } => {
                 self.advice_calls += 1;
                 // The service takes the calls of a daemon one after another.
