Start a gang on any workers whose tickets are valid, and ask for some spares

Cause: the gang starts only if each of its chosen workers is usable at the moment the tickets arrive. With 15 of 100 workers unusable at a time and 50 members, one of them always was not, and its substitute had no ticket. Fix: when the answer arrives, the members are placed on any allowed workers with valid tickets; a call also names one spare worker for four chosen ones. A gang that runs slower on several racks does not leave its rack for it. Before: a_gang_starts_on_workers_that_are_unusable_from_time_to_time fails, not placed after 20 s and 20 calls.

--- a/core/src/cell/leader/fit.rs
+++ b/core/src/cell/leader/fit.rs
@@ -1,6 +1,7 @@
 //! Selection of workers for tasks, as pure functions of the free room.
 
 use crate::{cell::leader::fleet::WorkerIx, Resources};
+use std::collections::BTreeSet;
 
 /// A worker that may run a step, with its free room.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,6 +43,31 @@
     best.map(|(at, _)| *at)
 }
 
+/// One worker in this many is named as a spare in a gang's call for tickets.
+const SPARE_DIVISOR: usize = 4;
+
+/// Returns workers that could replace some of `places`, those with the lowest penalty first.
+pub(crate) fn spare_workers(candidates: &[Candidate], places: &[WorkerIx]) -> Vec<WorkerIx> {
+    let taken: BTreeSet<WorkerIx> = places.iter().copied().collect();
+    let mut spares: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|candidate| !taken.contains(&candidate.ix))
+        .collect();
+    spares.sort_by_key(|candidate| (candidate.penalty, candidate.ix));
+    let count = taken.len().div_ceil(SPARE_DIVISOR);
+    let spares = spares.into_iter().take(count);
+    spares.map(|candidate| candidate.ix).collect()
+}
+
+/// Returns the number of racks of `places`.
+pub(crate) fn rack_count(candidates: &[Candidate], places: &[WorkerIx]) -> usize {
+    let placed = candidates
+        .iter()
+        .filter(|candidate| places.contains(&candidate.ix));
+    let racks: BTreeSet<u32> = placed.map(|candidate| candidate.rack).collect();
+    racks.len()
+}
+
 /// Chooses a worker for each of `count` tasks that start together. With `same_rack`, all are placed
 /// in one rack if any rack has room for them.
 pub(crate) fn fit_gang(
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -5,7 +5,7 @@
     cell::{
         consts,
         leader::{
-            fit::{fit_gang, Candidate},
+            fit::{fit_gang, rack_count, spare_workers, Candidate},
             fleet::WorkerIx,
             gang_wait::GangWait,
             schedule::{PendingStep, SchedulingPass, MAX_CLOCK_AGE_MS},
@@ -53,7 +53,7 @@
             pass.release(ix, &need);
         }
         let candidates = self.candidates(queue, key, pass);
-        let Some(places) = fit_gang(&candidates, &need, count, same_rack) else {
+        let Some(fitting) = fit_gang(&candidates, &need, count, same_rack) else {
             let slots = |own: &Candidate| need.count_in(&own.free);
             let slots: u64 = candidates.iter().map(slots).fold(0, u64::saturating_add);
             self.log_gang_wait(ctx, key, GangWait::NoRoom, |event| {
@@ -65,35 +65,62 @@
             }
             return self.reserve_room(now, queue, pending, pass);
         };
-        for ix in &places {
+        let ready: Vec<Candidate> = self.with_tickets(now, queue, key, &candidates);
+        if let Some(places) = fit_gang(&ready, &need, count, same_rack) {
+            let racks = |places: &[WorkerIx]| rack_count(&candidates, places);
+            if !same_rack || racks(&places) <= racks(&fitting) {
+                for ix in &places {
+                    pass.reserve(*ix, &need);
+                }
+                return self.place_gang_members(ctx, key, &places);
+            }
+        }
+        for ix in &fitting {
             pass.reserve(*ix, &need);
         }
-        self.place_or_request_tickets(ctx, queue, pending, &previous, places, need);
+        let spares = spare_workers(&candidates, &fitting);
+        self.request_tickets(ctx, queue, pending, &previous, &fitting, spares);
+        self.reserve_places(key, fitting, need);
+    }
+
+    /// Returns the candidates on which tasks of a step may start now.
+    fn with_tickets(
+        &self,
+        now: Millis,
+        queue: &Queue,
+        key: &StepKey,
+        candidates: &[Candidate],
+    ) -> Vec<Candidate> {
+        let job = self.jobs.get(&key.job);
+        let advice = job.map(|job| &job.steps[usize::from(key.step)].advice);
+        let has_ticket = |own: &&Candidate| {
+            queue.advice.is_none()
+                || advice.is_some_and(|own_advice| own_advice.ticket(own.ix, now).is_some())
+        };
+        candidates.iter().filter(has_ticket).cloned().collect()
     }
 
-    /// Places a gang on `places`, or reserves them while missing tickets are requested.
-    fn place_or_request_tickets(
+    /// Requests the tickets for a gang's places and for `spares`, which replace workers that have
+    /// become unusable when the answer arrives.
+    fn request_tickets(
         &mut self,
         ctx: &mut Ctx,
         queue: &Queue,
         pending: &PendingStep,
         previous: &[WorkerIx],
-        places: Vec<WorkerIx>,
-        need: Resources,
+        places: &[WorkerIx],
+        spares: Vec<WorkerIx>,
     ) {
         let key = &pending.key;
-        let Some(job) = self.jobs.get(&key.job) else {
+        let (Some(cost), Some(job)) = (queue.advice, self.jobs.get(&key.job)) else {
             return;
         };
         let advice = &job.steps[usize::from(key.step)].advice;
         let has_ticket = |ix: &&WorkerIx| advice.ticket(**ix, ctx.now).is_some();
         let missing = places.len() - places.iter().filter(has_ticket).count();
-        let Some(cost) = queue.advice.filter(|_| missing > 0) else {
-            return self.place_gang_members(ctx, key, &places);
-        };
-        let workers = advice.tickets_to_renew(&places, ctx.now, cost);
-        self.log_missing_tickets(ctx, key, previous, &places, missing);
-        self.reserve_places(key, places, need);
+        let mut workers = advice.tickets_to_renew(places, ctx.now, cost);
+        workers.extend(spares);
+        self.log_missing_tickets(ctx, key, previous, places, missing);
         self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
     }
 
