Check a worker's capacity again before a gang or a placed run starts on it

What callers would see: more starts on a worker than it has room for (LIMIT). Cause: room was compared with a worker's capacity when the places were chosen, not when the tickets arrived or when the placement was stored. In between, the entry of a worker, or of a new incarnation under its id, may show less. Fix: a reserved plan starts only on workers whose capacity covers what is used and reserved; the start of a stored placement only if it covers what is used. Before: a_gang_is_not_started_on_workers_that_shrank and a_gang_is_not_started_on_workers_that_restarted_smaller fail with 12 starts of 4,000 on workers of 3,000. After: both pass.

--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -207,7 +207,8 @@
         let places = step.plan.as_ref()?;
         let is_usable_place = |ix: &WorkerIx| {
             let ticket = queue.advice.is_none() || step.advice.ticket(*ix, now).is_some();
-            ticket && self.fleet.get(*ix).is_usable(now, MAX_CLOCK_AGE_MS)
+            let worker = self.fleet.get(*ix);
+            ticket && worker.is_usable(now, MAX_CLOCK_AGE_MS) && worker.has_reserved_room()
         };
         places.iter().all(is_usable_place).then(|| places.clone())
     }
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -127,7 +127,9 @@
         let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
         let advice = &job.steps[usize::from(task.step.step)].advice;
         let ticket = !needs_ticket || advice.ticket(ix, now).is_some();
-        ticket && self.fleet.get(ix).is_usable(now, MAX_CLOCK_AGE_MS)
+        let worker = self.fleet.get(ix);
+        let has_room = worker.used.fits(&worker.entry.capacity);
+        ticket && has_room && worker.is_usable(now, MAX_CLOCK_AGE_MS)
     }
 
     /// Drops a placement whose start was never sent.
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -111,6 +111,11 @@
         self.entry.capacity.minus(self.used.plus(self.reserved))
     }
 
+    /// Returns whether its capacity, which changes with its entry, covers what is used and reserved.
+    pub(crate) fn has_reserved_room(&self) -> bool {
+        self.used.plus(self.reserved).fits(&self.entry.capacity)
+    }
+
     /// Returns whether tasks may start on it now; its clock reading must be newer than
     /// `clock_age_ms`.
     pub(crate) fn is_usable(&self, now: Millis, clock_age_ms: Millis) -> bool {
--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -214,6 +214,58 @@
     world.assert_once();
 }
 
+/// Returns the starts of a job's tasks.
+fn starts_of(world: &World, job: u64) -> usize {
+    let name = format!("{job:016x}");
+    let starts = world.starts();
+    let of_job = starts.iter().filter(|start| start.1.starts_with(&name));
+    of_job.count()
+}
+
+/// Returns a cell of 20 workers in which a gang of 12 of a team with this limit has its workers
+/// reserved and waits for their tickets.
+fn world_with_reserved_gang(limit_cpu_milli: u64) -> World {
+    let mut state = desired(1, slow_advice());
+    state.teams[0].limit.cpu_milli = limit_cpu_milli;
+    let mut world = world_behind_blockers(20, 20, 0, state);
+    world.submit(0, 1, vec![gang(12, 4_000)]);
+    world.run(BLOCKED_MS - 1_000);
+    let first_call = world.advice_calls;
+    // The answer comes after a changed entry or desired state has reached the leader.
+    world.advice_ms = 1_600;
+    run_until(&mut world, |world| world.advice_calls > first_call);
+    assert_eq!(starts_of(&world, 1), 0);
+    world
+}
+
+/// Guards against a gang that is started on workers whose capacity shrank after they were reserved
+/// (LIMIT).
+#[test]
+fn a_gang_is_not_started_on_workers_that_shrank() {
+    let mut world = world_with_reserved_gang(0);
+    for worker in world.workers.values_mut() {
+        worker.entry.capacity.cpu_milli = 3_000;
+        world.store.put_worker(worker);
+    }
+    world.run(5_000);
+    assert_eq!(starts_of(&world, 1), 0, "4,000 on a worker of 3,000");
+}
+
+/// Guards against the same after a restart of the workers with less capacity.
+#[test]
+fn a_gang_is_not_started_on_workers_that_restarted_smaller() {
+    let mut world = world_with_reserved_gang(0);
+    for worker in world.workers.values_mut() {
+        worker.entry.capacity.cpu_milli = 3_000;
+    }
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    for id in ids {
+        world.restart_worker(&id);
+    }
+    world.run(10_000);
+    assert_eq!(starts_of(&world, 1), 0, "4,000 on a worker of 3,000");
+}
+
 /// Guards against a gang that is never placed because each time one of its many workers is unusable
 /// for a moment when the tickets arrive, although there are as many others with room again.
 #[test]
