Release the workers reserved for a gang whose team is at its limit

What callers would see: a job of another team waits while workers run nothing (LOST). Cause: a pass skips a step whose team may not run it before it looks at the step's reserved places, so they stayed reserved until the limit allowed the gang. Fix: the pass releases them, and logs it as gang_waiting why=team_limit; that reason could not be logged before. Before: a_gang_at_its_teams_limit_reserves_no_workers fails, 0 of 4 tasks of the other team start on 12 free workers in 20 s. After: it passes.

--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -42,7 +42,7 @@
         );
         let same_rack = job.row.submission.steps[at].same_rack;
         if self.team_headroom(state, job.row.team.as_ref(), &need) < u64::from(count) {
-            return self.log_gang_wait(ctx, key, GangWait::TeamLimit, |event| event);
+            return;
         }
         if let Some(places) = self.startable_plan(ctx.now, queue, key) {
             self.release_plan(key);
@@ -228,6 +228,22 @@
         places
     }
 
+    /// Releases the room reserved for a gang that can't start because of its team's limit, so that
+    /// other teams may use it.
+    pub(crate) fn give_up_plan(&mut self, ctx: &mut Ctx, key: &StepKey, pass: &mut SchedulingPass) {
+        let previous = self.release_plan(key);
+        let Some(job) = self.jobs.get(&key.job).filter(|_| !previous.is_empty()) else {
+            return;
+        };
+        let need = job.row.submission.steps[usize::from(key.step)].need;
+        for &ix in &previous {
+            pass.release(ix, &need);
+        }
+        self.log_gang_wait(ctx, key, GangWait::TeamLimit, |event| {
+            event.with("released", previous.len())
+        });
+    }
+
     /// Releases the room reserved for the gangs of a job that has ended.
     pub(crate) fn release_plans(&mut self, id: &JobId) {
         let count = self.jobs.get(id).map_or(0, |job| job.steps.len());
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -138,6 +138,7 @@
             };
             let at = usize::from(pending.key.step);
             if !self.can_fit(state, &pass, job, at) {
+                self.give_up_plan(ctx, &pending.key, &mut pass);
                 continue;
             }
             let (step, need) = (&job.steps[at], job.row.submission.steps[at].need);
--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -238,6 +238,27 @@
     world
 }
 
+/// Guards against a gang that keeps workers reserved while its team is at its limit, so that a job
+/// of another team is never placed on them (LOST).
+#[test]
+fn a_gang_at_its_teams_limit_reserves_no_workers() {
+    let mut world = world_with_reserved_gang(60_000);
+    // The gang's own team takes the other workers for long, which leaves it 28 cores.
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 60_000;
+    }
+    world.submit_to("/fill/", 0, 2, vec![step(8, 4_000)]);
+    world.run(3_000);
+    assert_eq!((starts_of(&world, 1), starts_of(&world, 2)), (0, 8));
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 1_000;
+    }
+    world.key = OTHER_KEY.into();
+    world.submit_to("/fill/", 0, 3, vec![step(4, 4_000)]);
+    world.run(20_000);
+    assert_eq!(starts_of(&world, 3), 4, "12 of 20 workers run nothing");
+}
+
 /// Guards against a gang that is started on workers whose capacity shrank after they were reserved
 /// (LIMIT).
 #[test]
