Cell: test that accepted jobs end after any series of faults

A seeded series of kills, losses of power, cuts, store faults, silent, late and restarted workers, old lists and lost advice, with single tasks, gangs and two-step jobs. Afterwards all is sound for 60 s, and each accepted job must be completed. SEED and SEEDS choose the first seed and their number; 20 seeds take about a second.

The harness drops answers to calls of an earlier process of a daemon: a new process numbers its calls anew and took them for its own.

Not covered: advice that denies workers, tickets that expire at workers, and changes of the desired state during the series.

--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -186,3 +186,164 @@
     }
     assert!(accepted > 0 && refused > 0);
 }
+
+/// A generator of numbers that repeat with their seed.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+const DAEMONS: usize = 4;
+
+fn random_step(dice: &mut Dice) -> StepSpec {
+    let gang = dice.below(3) == 0;
+    let count = 1 + dice.below(if gang { 8 } else { 6 }) as u32;
+    StepSpec {
+        gang,
+        same_rack: gang && dice.below(2) == 0,
+        ..step(count, 200 + dice.below(8) * 250)
+    }
+}
+
+fn disturb(world: &mut World, dice: &mut Dice) {
+    let at = dice.below(DAEMONS as u64) as usize;
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    let id = ids[dice.below(ids.len() as u64) as usize].clone();
+    match dice.below(24) {
+        0 => {
+            world.kill(at);
+            world.run(dice.below(900));
+            world.start(at);
+        }
+        1 => {
+            for at in 0..DAEMONS {
+                world.kill(at);
+            }
+            world.run(100 + dice.below(900));
+            for at in 0..DAEMONS {
+                world.start(at);
+            }
+        }
+        2 => {
+            if let Some(leader) = world.leader() {
+                world.tell(leader, Event::Stop);
+                world.run(dice.below(6_000));
+                world.kill(leader);
+                world.start(leader);
+            }
+        }
+        3 => world.refuse_store(at, true),
+        4 => world.refuse_store(at, false),
+        5 => world.silence_store(at, true),
+        6 => world.silence_store(at, false),
+        7 => world.cut(at, true),
+        8 => world.cut(at, false),
+        9 => world.store.down = dice.below(3) == 0,
+        10 => match dice.below(2) {
+            0 => world.store.lose_answers += dice.below(4) as usize,
+            _ => world.late_writes += dice.below(4) as usize,
+        },
+        11 => world.store.history_gone = world.store.version(),
+        12 | 13 => world.restart_worker(&id),
+        14 => world.workers.get_mut(&id).unwrap().silent = true,
+        15 | 16 => world.workers.get_mut(&id).unwrap().silent = false,
+        17 => world.workers.get_mut(&id).unwrap().late_starts_ms = Some(dice.below(3_000)),
+        18 => world.workers.get_mut(&id).unwrap().late_starts_ms = None,
+        19 => world.store.remove_worker(id.as_str()),
+        20 => {
+            let worker = world.workers[&id].clone();
+            world.store.put_worker(&worker);
+        }
+        21 => world.advice_lost_at = Some(at).filter(|_| dice.below(2) == 0),
+        22 => world.late_lists_ms = dice.below(2) * dice.below(400),
+        _ => {
+            let broken = dice.below(3) == 0;
+            world.workers.get_mut(&id).unwrap().how = match broken {
+                true => RunOutcome::Broken,
+                false => RunOutcome::Done,
+            };
+        }
+    }
+}
+
+fn heal(world: &mut World) {
+    world.store.down = false;
+    world.store.lose_answers = 0;
+    world.late_writes = 0;
+    world.advice_lost_at = None;
+    world.late_lists_ms = 0;
+    for at in 0..DAEMONS {
+        world.refuse_store(at, false);
+        world.silence_store(at, false);
+        world.cut(at, false);
+    }
+    for worker in world.workers.values_mut() {
+        worker.silent = false;
+        worker.late_starts_ms = None;
+        worker.how = RunOutcome::Done;
+    }
+    let workers: Vec<_> = world.workers.values().cloned().collect();
+    for worker in workers {
+        world.store.put_worker(&worker);
+    }
+}
+
+/// Guards against accepted jobs that no later work of a sound cell brings to their end.
+#[test]
+fn accepted_jobs_end_after_any_series_of_faults() {
+    let count = std::env::var("SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(20);
+    let first = std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0u64);
+    let mut failures = Vec::new();
+    for seed in first..first + count {
+        let mut dice = Dice(seed * 7_919 + 1);
+        let kind = if dice.below(2) == 0 {
+            queue()
+        } else {
+            with_advice(20_000)
+        };
+        let mut state = desired(1, kind);
+        state.teams[0].limit.cpu_milli = 16_000 * dice.below(2);
+        let mut world = World::new(DAEMONS, 8, state);
+        world.run(3_000);
+        let mut calls = Vec::new();
+        for job in 0..120 {
+            let mut steps = vec![random_step(&mut dice)];
+            if dice.below(3) == 0 {
+                steps.push(StepSpec {
+                    after: vec![0],
+                    ..random_step(&mut dice)
+                });
+            }
+            let door = dice.below(DAEMONS as u64) as usize;
+            calls.push((job, world.submit(door, job, steps)));
+            world.run(dice.below(300));
+            if dice.below(4) == 0 {
+                disturb(&mut world, &mut dice);
+            }
+        }
+        heal(&mut world);
+        world.run(60_000);
+        for (job, call) in calls {
+            if world.answers.get(&call) == Some(&ClientAnswer::Accepted) {
+                let state = world.state(0, job);
+                if state != ClientAnswer::State(JobState::Completed) {
+                    failures.push((seed, job, state));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:?}");
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -31,6 +31,10 @@
 const STORE_MS: u64 = 10;
 /// After which time a call to the store without an answer counts as lost.
 const STORE_SILENCE_MS: u64 = 1_500;
+/// How late a write without an answer takes effect.
+const LATE_WRITE_MS: u64 = 2_500;
+/// More daemons than a test starts.
+const MAX_DAEMONS: usize = 64;
 /// How long a call to a worker or a message takes.
 const HOP_MS: u64 = 4;
 
@@ -56,6 +60,8 @@
     /// Whether messages to and from other daemons are lost.
     cut: bool,
     cpu_milli: u64,
+    /// The number of its process; answers to calls of earlier ones are dropped.
+    process: usize,
 }
 
 /// The cell.
@@ -82,6 +88,8 @@
     advice_free_at: Vec<u64>,
     /// The daemon whose calls for advice get no answer.
     pub advice_lost_at: Option<usize>,
+    /// How many of the next writes take effect late and without an answer.
+    pub late_writes: usize,
     /// How much later the lists of runs arrive for which a worker does not wait.
     pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
@@ -161,6 +169,7 @@
             advice_way_ms: 0,
             advice_free_at: vec![0; shares.len()],
             advice_lost_at: None,
+            late_writes: 0,
             late_lists_ms: 0,
             step_s: 0.0,
         };
@@ -180,6 +189,7 @@
                 store_silent: false,
                 cut: false,
                 cpu_milli,
+                process: 0,
             });
             world.start(at);
         }
@@ -194,6 +204,7 @@
         let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
         let node = Node::new(settings.build(), Millis(self.now), unix);
         self.daemons[at].node = Some(node);
+        self.daemons[at].process += 1;
     }
 
     /// Kills a daemon's process: its links break, its calls are lost.
@@ -250,8 +261,21 @@
         self.queue.insert((self.now + delay_ms, self.sequence), due);
     }
 
-    /// Hands an event to a daemon now.
-    pub fn tell(&mut self, at: usize, event: Event) {
+    /// Returns the caller that a daemon's calls name: the daemon and its process.
+    fn caller(&self, at: usize) -> usize {
+        at + self.daemons[at].process * MAX_DAEMONS
+    }
+
+    /// Hands an event to a daemon now. An answer goes to the process that called.
+    pub fn tell(&mut self, caller: usize, event: Event) {
+        let at = caller % MAX_DAEMONS;
+        let is_answer = matches!(
+            event,
+            Event::Store(..) | Event::Worker(..) | Event::Advice(..)
+        );
+        if is_answer && caller != self.caller(at) {
+            return;
+        }
         let (now, unix) = (Millis(self.now), UNIX_BASE_MS + self.now);
         let Some(node) = &mut self.daemons[at].node else {
             return;
@@ -304,12 +328,19 @@
     fn deliver(&mut self, due: Due) {
         match due {
             Due::Event(at, event) => self.tell(at, event),
-            Due::StoreCall(at, rpc, _) if self.daemons[at].store_silent => {
+            Due::StoreCall(at, rpc, _) if self.daemons[at % MAX_DAEMONS].store_silent => {
+                let lost = Event::Store(rpc, StoreReply::Lost);
+                self.later(STORE_SILENCE_MS, Due::Event(at, lost));
+            }
+            Due::StoreCall(at, rpc, StoreCall::Write(write)) if self.late_writes > 0 => {
+                self.late_writes -= 1;
                 let lost = Event::Store(rpc, StoreReply::Lost);
                 self.later(STORE_SILENCE_MS, Due::Event(at, lost));
+                let call = StoreCall::Write(write);
+                self.later(LATE_WRITE_MS, Due::StoreCall(at, rpc, call));
             }
             Due::StoreCall(at, rpc, call) => {
-                let refuses = self.daemons[at].store_refuses;
+                let refuses = self.daemons[at % MAX_DAEMONS].store_refuses;
                 let late_ms = self.scan_ms(&call, true);
                 let replies = self.store.call(refuses, at, rpc, call, self.now);
                 for (at, rpc, wait_ms, reply) in replies {
@@ -340,13 +371,14 @@
     }
 
     fn carry_out(&mut self, at: usize, effect: Effect) {
+        let caller = self.caller(at);
         match effect {
             Effect::Answer(call, answer) => {
                 self.answers.insert(call.0, answer);
             }
             Effect::Store { rpc, call, .. } => {
                 let late_ms = self.scan_ms(&call, false);
-                self.later(STORE_MS + late_ms, Due::StoreCall(at, rpc, call));
+                self.later(STORE_MS + late_ms, Due::StoreCall(caller, rpc, call));
             }
             Effect::Worker {
                 rpc,
@@ -364,14 +396,14 @@
                 };
                 // The caller's own limit: an answer that came before it makes this one void.
                 let lost = Event::Worker(rpc, WorkerAnswer::Lost);
-                self.later(call.timeout_ms.0, Due::Event(at, lost));
-                self.later(HOP_MS, Due::WorkerCall(at, rpc, call));
+                self.later(call.timeout_ms.0, Due::Event(caller, lost));
+                self.later(HOP_MS, Due::WorkerCall(caller, rpc, call));
             }
             Effect::Advise {
                 rpc, timeout_ms, ..
             } if self.advice_lost_at == Some(at) => {
                 let lost = Event::Advice(rpc, AdviceReply::Lost);
-                self.later(timeout_ms.0, Due::Event(at, lost));
+                self.later(timeout_ms.0, Due::Event(caller, lost));
             }
             Effect::Advise { rpc, workers, .. } => {
                 self.advice_calls += 1;
@@ -382,7 +414,7 @@
                 let ends = begins + self.advice_ms;
                 self.advice_free_at[at] = ends;
                 let delay_ms = ends + self.advice_way_ms - self.now;
-                self.later(delay_ms, Due::Event(at, Event::Advice(rpc, reply)));
+                self.later(delay_ms, Due::Event(caller, Event::Advice(rpc, reply)));
             }
             Effect::Dial(address) => self.dial(at, &address),
             Effect::Close(link) => {
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -55,6 +55,11 @@
         self.rows.insert(key, (version, value));
     }
 
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Writes a desired state as an operator does.
     pub fn put_state(&mut self, state: DesiredState) {
         self.version += 1;
