Cell: do not stop a gang for the end of one of its earlier runs

Each end of a member that a worker listed stopped the gang's other members, also if the end belonged to an earlier run. A worker that answered again after its lease had expired so ended the next run of the gang on other workers, once for each such worker.

Before: the gang of the test, started again without the silent worker, was stopped when that worker listed its old run, and started a third time. After: only ends of the current run stop the gang, and the second run completes.

Ruled out: leaving out ends that are not recorded as running; the end of a current run may arrive after its record was replaced.

--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -5,7 +5,7 @@
         consts,
         leader::{
             fleet::WorkerIx,
-            jobs::Step,
+            jobs::{Step, Task},
             worker::{Run, RunPhase, Worker},
             Leader,
         },
@@ -106,7 +106,7 @@
             self.fleet.get_mut(ix).unstored.push((job, edits));
             self.progress_writes.add_waiting_worker(ix);
         }
-        self.after_end(ctx, &end.task);
+        self.after_end(ctx, &end.task, end.run);
     }
 
     /// Applies an ended run to the job's progress; returns the number of the change that must be
@@ -261,8 +261,16 @@
         Some(run)
     }
 
-    /// Updates what depends on an ended run: the other members of its gang and the pending steps.
-    fn after_end(&mut self, ctx: &mut Ctx, task: &TaskKey) {
+    /// Removes a run that has ended without being listed, and updates what depends on it.
+    fn release_ended_run(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey) {
+        if let Some(run) = self.release_run(ix, task) {
+            self.after_end(ctx, task, run.number);
+        }
+    }
+
+    /// Updates what depends on the ended run with `number`: the other members of its gang and the
+    /// pending steps.
+    fn after_end(&mut self, ctx: &mut Ctx, task: &TaskKey, number: u32) {
         let id = &task.step.job;
         let at = usize::from(task.step.step);
         let Some(job) = self.jobs.get(id) else { return };
@@ -272,7 +280,11 @@
             .steps
             .get(at)
             .is_some_and(|spec| spec.gang);
-        if gang && !job.is_done(at, 0) {
+        // The end of an earlier run does not concern the members that have started again.
+        let is_member = |member: &Task| member.worker.is_some() && member.run <= number;
+        let step = job.steps.get(at);
+        let has_members = step.is_some_and(|step| step.tasks.iter().any(is_member));
+        if gang && has_members && !job.is_done(at, 0) {
             self.abort_gang(ctx, task);
         }
         self.refresh_pending_steps(id);
@@ -332,8 +344,7 @@
         for task in vanished {
             let event = LogEvent::warn("run_vanished").with("task", &task);
             ctx.log(event.with("worker", &self.fleet.get(ix).entry.id));
-            self.release_run(ix, &task);
-            self.after_end(ctx, &task);
+            self.release_ended_run(ctx, ix, &task);
         }
         for task in unconfirmed {
             // The start may still reach the worker; a stop prevents the run from starting then.
@@ -448,8 +459,7 @@
             // leader decides from now on, before the worker gets any work.
             self.fleet.get_mut(ix).has_reported = false;
             for task in tasks {
-                self.release_run(ix, &task);
-                self.after_end(ctx, &task);
+                self.release_ended_run(ctx, ix, &task);
             }
         }
     }
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -347,3 +347,28 @@
     }
     assert!(failures.is_empty(), "{failures:?}");
 }
+
+/// Guards against a gang that is stopped for the end of a member of its earlier run.
+#[test]
+fn an_old_end_that_is_listed_late_does_not_stop_the_next_run_of_a_gang() {
+    let mut world = World::new(1, 5, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 30_000;
+    }
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 3_000)
+    };
+    world.submit(0, 1, vec![gang]);
+    world.run(500);
+    let silent = world.starts()[0].0.clone();
+    world.workers.get_mut(&silent).unwrap().silent = true;
+    // Its lease expires, and the gang starts again on the other workers.
+    world.run(14_000);
+    assert_eq!(world.starts().len(), 8);
+    world.workers.get_mut(&silent).unwrap().silent = false;
+    world.run(35_000);
+    assert_eq!(world.starts().len(), 8, "the second run was stopped");
+    world.assert_state(0, 1, JobState::Completed);
+}
