Cell: forget an ended job only once its row is removed

A job past its retention was forgotten when the calls to remove its rows were sent. If the store refused them, the rows stayed, and a full read of the jobs after a lost history took them for new jobs and ran them again. The same would follow if only the progress row was removed.

Not covered: a full read of the jobs that is answered after the removal of a row that it contains.

--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -32,8 +32,8 @@
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
         node::Ctx,
-        ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, Queue, RowVersion, RpcId,
-        StoreReply, ToLeader,
+        ConfigFeed, DesiredState, FencingToken, LinkId, Queue, RowVersion, RpcId, StoreReply,
+        ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
@@ -165,6 +165,10 @@
         if self.progress_writes.is_in_flight(rpc) {
             return self.on_progress_written(ctx, rpc, reply);
         }
+        if let Some(jobs) = self.progress_writes.take_removal(rpc) {
+            self.on_jobs_removed(ctx, &jobs, &reply);
+            return LeaseUpdate::Unchanged;
+        }
         self.on_read_reply(ctx, rpc, reply);
         LeaseUpdate::Unchanged
     }
@@ -257,20 +261,8 @@
         let retention_ms = ctx.settings.retention_ms;
         let is_expired =
             |job: &&Job| job.is_removable() && ctx.now.since(job.ended_at) > retention_ms;
-        let ids: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(is_expired)
-            .map(|job| job.row.id.clone())
-            .collect();
-        for chunk in ids.chunks(consts::MAX_BATCH_ROWS) {
-            self.progress_writes.remove_rows(ctx, self.token, chunk);
-        }
-        for id in &ids {
-            self.jobs.remove(id);
-        }
-        if !ids.is_empty() {
-            ctx.log(LogEvent::info("jobs_swept").with("count", ids.len()));
-        }
+        let expired = self.jobs.values().filter(is_expired);
+        let ids: Vec<&JobId> = expired.map(|job| &job.row.id).collect();
+        self.progress_writes.remove_jobs(ctx, &ids);
     }
 }
--- a/core/src/cell/leader/progress_writes.rs
+++ b/core/src/cell/leader/progress_writes.rs
@@ -9,8 +9,7 @@
         leader::{fleet::WorkerIx, Leader, LeaseUpdate},
         node::{Ctx, RpcOwner},
         submissions::{job_key, partition_of},
-        FencingToken, LogEvent, Progress, Row, RowKey, RowValue, RowVersion, RpcId, StoreCall,
-        StoreReply, Write,
+        LogEvent, Progress, Row, RowKey, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Write,
     },
     JobId, Millis,
 };
@@ -35,6 +34,8 @@
     retry_at: Millis,
     /// The workers whose ended runs may be acknowledged only after these writes.
     waiting_workers: BTreeSet<WorkerIx>,
+    /// The unanswered removals of ended jobs.
+    removals: BTreeMap<RpcId, Vec<JobId>>,
     /// Progress rows that were read, until they are applied to their jobs.
     loaded: BTreeMap<JobId, (RowVersion, Progress)>,
 }
@@ -87,36 +88,57 @@
         std::mem::take(&mut self.loaded)
     }
 
-    /// Removes the rows of jobs past their retention. The calls are not repeated: a lost one only
-    /// leaves rows behind.
-    pub(crate) fn remove_rows(&mut self, ctx: &mut Ctx, token: FencingToken, jobs: &[JobId]) {
-        let progress = Write {
-            expect: vec![fence(token)],
-            put: Vec::new(),
-            remove: jobs.iter().map(progress_key).collect(),
-        };
-        let mut writes = vec![progress];
+    /// Removes the rows of ended jobs. Their progress is removed once they are gone, because a job
+    /// without progress would run again.
+    pub(crate) fn remove_jobs(&mut self, ctx: &mut Ctx, ended: &[&JobId]) {
+        let unanswered: BTreeSet<&JobId> = self.removals.values().flatten().collect();
+        let is_due = |job: &&&JobId| !unanswered.contains(*job);
+        let due: Vec<JobId> = ended
+            .iter()
+            .filter(is_due)
+            .map(|job| (*job).clone())
+            .collect();
         for part in 0..consts::JOB_PARTITIONS {
-            let in_part = jobs.iter().filter(|job| partition_of(job) == part);
-            let remove: Vec<RowKey> = in_part.map(job_key).collect();
-            if !remove.is_empty() {
-                writes.push(Write {
-                    remove,
+            let in_part = due.iter().filter(|job| partition_of(job) == part).cloned();
+            let in_part: Vec<JobId> = in_part.collect();
+            for jobs in in_part.chunks(consts::MAX_BATCH_ROWS) {
+                let write = Write {
+                    remove: jobs.iter().map(job_key).collect(),
                     ..Write::default()
-                });
+                };
+                let call = StoreCall::Write(write);
+                let rpc = ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
+                self.removals.insert(rpc, jobs.to_vec());
             }
         }
-        for write in writes {
-            ctx.call_store(
-                RpcOwner::Leader,
-                StoreCall::Write(write),
-                consts::STORE_TIMEOUT_MS,
-            );
-        }
+    }
+
+    /// Returns the jobs whose rows a call was to remove.
+    pub(crate) fn take_removal(&mut self, rpc: RpcId) -> Option<Vec<JobId>> {
+        self.removals.remove(&rpc)
     }
 }
 
 impl Leader {
+    /// Forgets the jobs whose rows are removed, with their progress. That call is not repeated: a
+    /// lost one only leaves rows behind. Jobs whose rows may be left are removed by a later sweep.
+    pub(crate) fn on_jobs_removed(&mut self, ctx: &mut Ctx, jobs: &[JobId], reply: &StoreReply) {
+        if !matches!(reply, StoreReply::Written(_)) {
+            return;
+        }
+        let write = Write {
+            expect: vec![fence(self.token)],
+            put: Vec::new(),
+            remove: jobs.iter().map(progress_key).collect(),
+        };
+        let call = StoreCall::Write(write);
+        ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
+        for id in jobs {
+            self.jobs.remove(id);
+        }
+        ctx.log(LogEvent::info("jobs_swept").with("count", jobs.len()));
+    }
+
     /// Returns whether the rows of a conflict still show this leader's term.
     pub(crate) fn is_own_term(&self, rows: &[Row]) -> bool {
         let (key, version) = fence(self.token);
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -6,7 +6,7 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec},
+    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec, Table},
     Millis,
 };
 
@@ -372,3 +372,29 @@
     assert_eq!(world.starts().len(), 8, "the second run was stopped");
     world.assert_state(0, 1, JobState::Completed);
 }
+
+/// Guards against jobs that are forgotten before their rows are removed, and then read again.
+#[test]
+fn ended_jobs_whose_removal_failed_do_not_run_again() {
+    let mut world = World::new(2, 4, desired(1, queue()));
+    world.run(3_000);
+    for job in 0..60 {
+        world.submit(0, job, vec![step(1, 100)]);
+        world.run(1_000);
+    }
+    world.run(63_000);
+    for _ in 0..1_000 {
+        world.store.down = !world.store.down;
+        world.run(90);
+    }
+    world.store.down = false;
+    world.store.history_gone = u64::MAX;
+    world.run(1_500);
+    world.store.history_gone = 0;
+    world.run(20_000);
+    assert!(world.count("jobs_swept") > 0 && world.count("history_lost") > 0);
+    assert_eq!(world.starts().len(), 60);
+    let left = world.store.rows.keys();
+    let left = left.filter(|key| key.table == Table::Jobs).count();
+    assert_eq!(left, 0, "rows of ended jobs are left");
+}
