--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -107,19 +107,24 @@
 }
 
 impl Leader {
-    /// Places the pending steps in order, as far as there is room.
-    pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
-        self.expire_invalidated_tickets();
+    /// Returns the state of a pass that begins now, with the room of all usable workers.
+    fn start_pass(&self, now: Millis) -> SchedulingPass {
+        let workers = self.fleet.iter();
+        let usable = workers.filter(|(_, worker)| worker.is_usable(now, MAX_CLOCK_AGE_MS));
         let mut pass = SchedulingPass {
             reserved: BTreeMap::new(),
             reserved_gangs: 0,
-            workers: Vec::new(),
+            workers: usable.map(|(ix, worker)| (ix, worker.free())).collect(),
             largest_free: Resources::default(),
         };
-        let workers = self.fleet.iter();
-        let usable = workers.filter(|(_, worker)| worker.is_usable(ctx.now, MAX_CLOCK_AGE_MS));
-        pass.workers = usable.map(|(ix, worker)| (ix, worker.free())).collect();
         pass.update_largest_free();
+        pass
+    }
+
+    /// Places the pending steps in order, as far as there is room.
+    pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
+        self.expire_invalidated_tickets();
+        let mut pass = self.start_pass(ctx.now);
         let mut attempted_steps = 0;
         let mut late = LateAttempts {
             to_skip: std::mem::take(&mut self.late_steps_to_skip),
