--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -6,7 +6,7 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec},
+    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec, Table},
     Millis,
 };
 
@@ -186,3 +186,215 @@
     }
     assert!(accepted > 0 && refused > 0);
 }
+
+/// A generator of numbers that repeat with their seed.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+const DAEMONS: usize = 4;
+
+fn random_step(dice: &mut Dice) -> StepSpec {
+    let gang = dice.below(3) == 0;
+    let count = 1 + dice.below(if gang { 8 } else { 6 }) as u32;
+    StepSpec {
+        gang,
+        same_rack: gang && dice.below(2) == 0,
+        ..step(count, 200 + dice.below(8) * 250)
+    }
+}
+
+fn disturb(world: &mut World, dice: &mut Dice) {
+    let at = dice.below(DAEMONS as u64) as usize;
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    let id = ids[dice.below(ids.len() as u64) as usize].clone();
+    match dice.below(24) {
+        0 => {
+            world.kill(at);
+            world.run(dice.below(900));
+            world.start(at);
+        }
+        1 => {
+            for at in 0..DAEMONS {
+                world.kill(at);
+            }
+            world.run(100 + dice.below(900));
+            for at in 0..DAEMONS {
+                world.start(at);
+            }
+        }
+        2 => {
+            if let Some(leader) = world.leader() {
+                world.tell(leader, Event::Stop);
+                world.run(dice.below(6_000));
+                world.kill(leader);
+                world.start(leader);
+            }
+        }
+        3 => world.refuse_store(at, true),
+        4 => world.refuse_store(at, false),
+        5 => world.silence_store(at, true),
+        6 => world.silence_store(at, false),
+        7 => world.cut(at, true),
+        8 => world.cut(at, false),
+        9 => world.store.down = dice.below(3) == 0,
+        10 => match dice.below(2) {
+            0 => world.store.lose_answers += dice.below(4) as usize,
+            _ => world.late_writes += dice.below(4) as usize,
+        },
+        11 => world.store.history_gone = world.store.version(),
+        12 | 13 => world.restart_worker(&id),
+        14 => world.workers.get_mut(&id).unwrap().silent = true,
+        15 | 16 => world.workers.get_mut(&id).unwrap().silent = false,
+        17 => world.workers.get_mut(&id).unwrap().late_starts_ms = Some(dice.below(3_000)),
+        18 => world.workers.get_mut(&id).unwrap().late_starts_ms = None,
+        19 => world.store.remove_worker(id.as_str()),
+        20 => {
+            let worker = world.workers[&id].clone();
+            world.store.put_worker(&worker);
+        }
+        21 => world.advice_lost_at = Some(at).filter(|_| dice.below(2) == 0),
+        22 => world.late_lists_ms = dice.below(2) * dice.below(400),
+        _ => {
+            let broken = dice.below(3) == 0;
+            world.workers.get_mut(&id).unwrap().how = match broken {
+                true => RunOutcome::Broken,
+                false => RunOutcome::Done,
+            };
+        }
+    }
+}
+
+fn heal(world: &mut World) {
+    world.store.down = false;
+    world.store.lose_answers = 0;
+    world.late_writes = 0;
+    world.advice_lost_at = None;
+    world.late_lists_ms = 0;
+    for at in 0..DAEMONS {
+        world.refuse_store(at, false);
+        world.silence_store(at, false);
+        world.cut(at, false);
+    }
+    for worker in world.workers.values_mut() {
+        worker.silent = false;
+        worker.late_starts_ms = None;
+        worker.how = RunOutcome::Done;
+    }
+    let workers: Vec<_> = world.workers.values().cloned().collect();
+    for worker in workers {
+        world.store.put_worker(&worker);
+    }
+}
+
+/// Guards against accepted jobs that no later work of a sound cell brings to their end.
+#[test]
+fn accepted_jobs_end_after_any_series_of_faults() {
+    let count = std::env::var("SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(20);
+    let first = std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0u64);
+    let mut failures = Vec::new();
+    for seed in first..first + count {
+        let mut dice = Dice(seed * 7_919 + 1);
+        let kind = if dice.below(2) == 0 {
+            queue()
+        } else {
+            with_advice(20_000)
+        };
+        let mut state = desired(1, kind);
+        state.teams[0].limit.cpu_milli = 16_000 * dice.below(2);
+        let mut world = World::new(DAEMONS, 8, state);
+        world.run(3_000);
+        let mut calls = Vec::new();
+        for job in 0..120 {
+            let mut steps = vec![random_step(&mut dice)];
+            if dice.below(3) == 0 {
+                steps.push(StepSpec {
+                    after: vec![0],
+                    ..random_step(&mut dice)
+                });
+            }
+            let door = dice.below(DAEMONS as u64) as usize;
+            calls.push((job, world.submit(door, job, steps)));
+            world.run(dice.below(300));
+            if dice.below(4) == 0 {
+                disturb(&mut world, &mut dice);
+            }
+        }
+        heal(&mut world);
+        world.run(60_000);
+        for (job, call) in calls {
+            if world.answers.get(&call) == Some(&ClientAnswer::Accepted) {
+                let state = world.state(0, job);
+                if state != ClientAnswer::State(JobState::Completed) {
+                    failures.push((seed, job, state));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:?}");
+}
+
+/// Guards against a gang that is stopped for the end of a member of its earlier run.
+#[test]
+fn an_old_end_that_is_listed_late_does_not_stop_the_next_run_of_a_gang() {
+    let mut world = World::new(1, 5, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 30_000;
+    }
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 3_000)
+    };
+    world.submit(0, 1, vec![gang]);
+    world.run(500);
+    let silent = world.starts()[0].0.clone();
+    world.workers.get_mut(&silent).unwrap().silent = true;
+    // Its lease expires, and the gang starts again on the other workers.
+    world.run(14_000);
+    assert_eq!(world.starts().len(), 8);
+    world.workers.get_mut(&silent).unwrap().silent = false;
+    world.run(35_000);
+    assert_eq!(world.starts().len(), 8, "the second run was stopped");
+    world.assert_state(0, 1, JobState::Completed);
+}
+
+/// Guards against jobs that are forgotten before their rows are removed, and then read again.
+#[test]
+fn ended_jobs_whose_removal_failed_do_not_run_again() {
+    let mut world = World::new(2, 4, desired(1, queue()));
+    world.run(3_000);
+    for job in 0..60 {
+        world.submit(0, job, vec![step(1, 100)]);
+        world.run(1_000);
+    }
+    world.run(63_000);
+    for _ in 0..1_000 {
+        world.store.down = !world.store.down;
+        world.run(90);
+    }
+    world.store.down = false;
+    world.store.history_gone = u64::MAX;
+    world.run(1_500);
+    world.store.history_gone = 0;
+    world.run(20_000);
+    assert!(world.count("jobs_swept") > 0 && world.count("history_lost") > 0);
+    assert_eq!(world.starts().len(), 60);
+    let left = world.store.rows.keys();
+    let left = left.filter(|key| key.table == Table::Jobs).count();
+    assert_eq!(left, 0, "rows of ended jobs are left");
+}
