Keep a log event in one line of bounded length

Cause: a field's value was quoted only if it had a space, a quotation mark or an equals sign. An id, a zone or a parser's message from an entry of another writer could hold a line break and begin a line of its own, and a text of any length went into the log. Now values with control characters are quoted and escaped, and a value is cut to 500 characters.

--- a/core/src/cell/log_event.rs
+++ b/core/src/cell/log_event.rs
@@ -3,6 +3,9 @@
 use compact_str::{format_compact, CompactString};
 use std::fmt::{Display, Formatter, Result};
 
+/// The maximum length of a field's value in characters; ids and texts of other writers may be long.
+const MAX_VALUE_CHARS: usize = 500;
+
 /// The level of a log event, which determines how many events a second are written.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum LogLevel {
@@ -43,7 +46,12 @@
 
     /// Returns the event with one more field.
     pub fn with(mut self, name: &'static str, value: impl Display) -> Self {
-        self.fields.push((name, format_compact!("{value}")));
+        let mut value = format_compact!("{value}");
+        if let Some((end, _)) = value.char_indices().nth(MAX_VALUE_CHARS) {
+            value.truncate(end);
+            value.push_str("...");
+        }
+        self.fields.push((name, value));
         self
     }
 }
@@ -52,7 +60,8 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
         write!(f, "event={}", self.event)?;
         for (name, value) in &self.fields {
-            if value.contains([' ', '"', '=']) || value.is_empty() {
+            let needs_quotes = |c: char| matches!(c, ' ' | '"' | '=') || c.is_control();
+            if value.contains(needs_quotes) || value.is_empty() {
                 write!(f, " {name}={:?}", value.as_str())?;
             } else {
                 write!(f, " {name}={value}")?;
