Log reads that fail and go on past rows without a key

A full read goes on after the last row of a page; with a row whose key can't be read at the end of the page it would have begun anew for ever. Now the first failure of a series is logged, then the 2nd, 4th, 8th and so on. A full read goes on after the last key that can be read. A follower never goes back to an earlier version, and after a page with more to come it goes on from the last row of that page. Ruled out: falling back to a full read after several lost replies. It marks all workers as unlisted first, which would stop placing during each outage of the store; with rows decoded one by one a listing no longer stays unreadable.

--- a/core/src/cell/config_feed.rs
+++ b/core/src/cell/config_feed.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     cell::{
-        consts, node::Ctx, node::RpcOwner, DesiredState, LogEvent, RowValue, RowVersion, RpcId,
-        StoreCall, StoreReply, Table,
+        consts,
+        node::{reply_name, Ctx, RpcOwner},
+        DesiredState, LogEvent, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
     },
     Millis,
 };
@@ -21,6 +22,8 @@
     confirmed_at: Option<Millis>,
     in_flight: Option<(RpcId, Millis)>,
     next_at: Millis,
+    /// How many reads have failed in a row.
+    failures: u32,
 }
 
 impl ConfigFeed {
@@ -109,7 +112,8 @@
                 for row in rows {
                     self.on_row(ctx, row.version, row.value);
                 }
-                self.read_version = Some(version);
+                self.failures = 0;
+                self.read_version = self.read_version.max(Some(version));
                 self.confirmed_at = self.confirmed_at.max(Some(sent_at));
                 self.next_at = ctx.now;
             }
@@ -118,7 +122,15 @@
                 self.read_version = None;
                 self.next_at = ctx.now;
             }
-            _ => self.next_at = ctx.now + consts::STORE_RETRY_DELAY_MS,
+            reply => {
+                self.next_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+                self.failures = self.failures.saturating_add(1);
+                if self.failures.is_power_of_two() {
+                    let event = LogEvent::warn("read_failed").with("table", "DesiredState");
+                    let event = event.with("reply", reply_name(&reply));
+                    ctx.log(event.with("failures", self.failures));
+                }
+            }
         }
         self.tick(ctx);
     }
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -5,13 +5,13 @@
     cell::{
         consts,
         leader::Leader,
-        node::{Ctx, RpcOwner},
+        node::{reply_name, Ctx, RpcOwner},
         submissions::partition_name,
         LogEvent, Row, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
     },
     Millis,
 };
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString};
 use std::collections::BTreeMap;
 
 /// A full read of a partition.
@@ -54,6 +54,8 @@
     open: BTreeMap<RpcId, OpenRead>,
     feeds: BTreeMap<Table, Feed>,
     retry_at: Millis,
+    /// How many reads of each table have failed in a row.
+    failures: BTreeMap<Table, u32>,
     is_done: bool,
 }
 
@@ -75,6 +77,7 @@
             open: BTreeMap::new(),
             feeds: BTreeMap::new(),
             retry_at: Millis(0),
+            failures: BTreeMap::new(),
             is_done: false,
         }
     }
@@ -86,6 +89,17 @@
         self.is_done
     }
 
+    /// Counts a failed read and logs the first of a series, then ever fewer of them.
+    fn on_failed_read(&mut self, ctx: &mut Ctx, table: Table, reply: &StoreReply) {
+        let failures = self.failures.entry(table).or_default();
+        *failures = failures.saturating_add(1);
+        if failures.is_power_of_two() {
+            let event = LogEvent::warn("read_failed").with("table", format_args!("{table:?}"));
+            let event = event.with("reply", reply_name(reply));
+            ctx.log(event.with("failures", failures));
+        }
+    }
+
     /// Makes the next read of accepted jobs due at once.
     pub(crate) fn read_jobs_now(&mut self) {
         if let Some(feed) = self.feeds.get_mut(&Table::Jobs) {
@@ -156,10 +170,12 @@
             ..
         } = reply
         else {
+            self.loader.on_failed_read(ctx, scan.table, &reply);
             self.loader.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
             self.loader.pending_scans.push(scan);
             return;
         };
+        self.loader.failures.remove(&scan.table);
         if matches!(scan.table, Table::Jobs | Table::Workers | Table::Members) {
             // A page lacks all later changes, so the oldest page decides where to follow from.
             let feed = Feed {
@@ -170,8 +186,10 @@
             let existing = self.loader.feeds.entry(scan.table).or_insert(feed);
             existing.read_up_to = existing.read_up_to.min(version);
         }
-        if let (true, Some(last)) = (more, rows.last()) {
-            scan.from = compact_str::format_compact!("{}\u{1}", last.key.key);
+        // A row whose key can't be read has an empty one.
+        let mut keys = rows.iter().rev().map(|row| &row.key.key);
+        if let (true, Some(last)) = (more, keys.find(|key| !key.is_empty())) {
+            scan.from = format_compact!("{last}\u{1}");
             self.loader.pending_scans.push(scan);
         }
         for row in rows {
@@ -211,16 +229,28 @@
         };
         feed.in_flight = false;
         match reply {
-            StoreReply::Rows { rows, version, .. } => {
+            StoreReply::Rows {
+                rows,
+                more,
+                version,
+                ..
+            } => {
+                self.loader.failures.remove(&table);
                 let (_, pause_ms) = follow_timing(table);
-                feed.read_up_to = version;
+                // A page that is not the last one covers only the changes up to its last row.
+                let last = rows.iter().map(|row| row.version).max();
+                let last = last.filter(|last| more && *last > feed.read_up_to);
+                feed.read_up_to = feed.read_up_to.max(last.unwrap_or(version));
                 feed.next_at = ctx.now + pause_ms;
                 for row in rows {
                     self.apply_row(ctx, row);
                 }
             }
             StoreReply::HistoryLost => self.rescan(ctx, table),
-            _ => feed.next_at = ctx.now + consts::STORE_RETRY_DELAY_MS,
+            reply => {
+                feed.next_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+                self.loader.on_failed_read(ctx, table, &reply);
+            }
         }
         self.send_reads(ctx);
     }
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -136,7 +136,7 @@
     }
 }
 
-const fn reply_name(reply: &StoreReply) -> &'static str {
+pub(crate) const fn reply_name(reply: &StoreReply) -> &'static str {
     match reply {
         StoreReply::Written(_) => "written",
         StoreReply::Conflict(_) => "conflict",
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -25,6 +25,10 @@
     /// The version up to which the history is gone.
     pub history_gone: u64,
     pub writes: usize,
+    /// Whether the table of workers can't be read.
+    pub lose_worker_reads: bool,
+    /// Whether a page that is not the last one ends with a row that can't be read.
+    pub odd_page_ends: bool,
 }
 
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
@@ -39,6 +43,8 @@
             lose_answers: 0,
             history_gone: 0,
             writes: 0,
+            lose_worker_reads: false,
+            odd_page_ends: false,
         };
         store.put_state(state);
         store
@@ -69,6 +75,12 @@
         self.put(key, RowValue::Worker(Box::new(worker.entry.clone())));
     }
 
+    /// Writes any row as another writer does.
+    pub fn put_row(&mut self, table: Table, part: &str, key: &str, value: RowValue) {
+        self.version += 1;
+        self.put(RowKey::new(table, part, key), value);
+    }
+
     /// Removes a worker's entry.
     pub fn remove_worker(&mut self, id: &str) {
         self.version += 1;
@@ -121,6 +133,14 @@
             return vec![(at, rpc, 0, StoreReply::Refused(503))];
         }
         let (wait_ms, reply) = match call {
+            StoreCall::Read {
+                table: Table::Workers,
+                ..
+            }
+            | StoreCall::Follow {
+                table: Table::Workers,
+                ..
+            } if self.lose_worker_reads => (0, StoreReply::Lost),
             StoreCall::Write(write) => {
                 let reply = self.write(write);
                 if self.lose_answers > 0 {
@@ -140,7 +160,7 @@
                     |key: &RowKey| key.table == table && key.partition == part && key.key >= from;
                 let most = if limit == 0 { 500 } else { limit as usize };
                 let found = self.rows.iter().filter(|(key, _)| own(key));
-                let rows: Vec<Row> = found
+                let mut rows: Vec<Row> = found
                     .clone()
                     .take(most)
                     .map(|(key, (version, value))| Row {
@@ -150,6 +170,13 @@
                     })
                     .collect();
                 let more = found.count() > most;
+                if more && self.odd_page_ends {
+                    rows.push(Row {
+                        key: RowKey::new(table, "", ""),
+                        version: RowVersion(0),
+                        value: RowValue::Unusable("odd".into()),
+                    });
+                }
                 let version = RowVersion(self.version);
                 (
                     0,
