Bear extreme run and end numbers in the lists of a worker

Cause: the number of the next run was the last one plus 1, which panics in a debug build and wraps to 0 in a release build if a worker lists run. An ended run with number 2^64-1 became the last one seen: no later end of that worker was seen, and its acknowledgement made the worker forget them. Now run numbers, generations and the delay of weak hosts saturate, and an end with a number above 2^53 is left out and logged. Ruled out: the worker's clock near 2^64 (times saturate) and a percentage out of range (it is clamped). Before: extreme_numbers_in_the_lists_of_a_worker_do_not_panic ended with "attempt to add with overflow" in next_run, and an_absurd_end_number_does_not_hide_later_ends found the job still running. After: both pass.

--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -240,7 +240,8 @@
     fn can_acquire(&self, now: Millis) -> bool {
         let waited = now.since(self.lease_seen_at);
         let missing = self.strongest_cpu_milli.saturating_sub(self.cpu_milli);
-        let weak_host_delay_ms = Millis(missing * consts::WEAK_HOST_DELAY_US / 1_000);
+        let delay_ms = missing.saturating_mul(consts::WEAK_HOST_DELAY_US) / 1_000;
+        let weak_host_delay_ms = Millis(delay_ms);
         let expired = if self.is_own_earlier_incarnation() {
             true
         } else if self.resigned_token.0 == self.term.0 {
@@ -262,7 +263,7 @@
 
     fn acquire(&mut self, ctx: &mut Ctx) {
         self.nonce += 1;
-        let generation = self.term_row.generation + 1;
+        let generation = self.term_row.generation.saturating_add(1);
         let row = TermRow {
             holder: Some(self.host.clone()),
             nonce: self.nonce,
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -20,6 +20,10 @@
 /// store.
 const UNKNOWN_RUN_GRACE_MS: Millis = Millis(2_500);
 
+/// The highest number of an ended run that a worker can reach; a higher one would hide all later
+/// ends of the worker.
+const MAX_END_NUMBER: u64 = 1 << 53;
+
 impl Leader {
     /// Handles a worker's lists of runs, which were requested at `sent_at`.
     pub(crate) fn on_listed(
@@ -84,6 +88,11 @@
         if end.number <= worker.last_end_seen {
             return;
         }
+        if end.number > MAX_END_NUMBER {
+            let event = LogEvent::warn("end_refused").with("worker", &worker.entry.id);
+            let event = event.with("task", &end.task).with("run", end.run);
+            return ctx.log(event.with("number", end.number));
+        }
         worker.last_end_seen = end.number;
         let is_current = worker
             .runs
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -439,7 +439,8 @@
 
     /// Returns a run number above all that this and earlier leaders may have used.
     pub(crate) fn next_run(&self, last: u32) -> u32 {
-        let first = (self.generation - 1) * consts::RUN_NUMBERS_PER_LEADER + 1;
-        first.max(last + 1)
+        let earlier_leaders = self.generation.saturating_sub(1);
+        let first = earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER);
+        first.max(last).saturating_add(1)
     }
 }
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -56,6 +56,9 @@
     /// Whether starts hang without an answer and are carried out this much later.
     pub late_starts_ms: Option<u64>,
     late: Vec<(u64, Order)>,
+    /// The answer to every poll, at once, in place of its own lists.
+    pub odd_answer: Option<WorkerAnswer>,
+    pub polls: usize,
     /// The highest use of its processors that was seen.
     pub most_cpu_milli: u64,
     used: Resources,
@@ -94,6 +97,8 @@
             silent: false,
             late_starts_ms: None,
             late: Vec::new(),
+            odd_answer: None,
+            polls: 0,
             most_cpu_milli: 0,
             used: Resources::default(),
         }
@@ -209,10 +214,16 @@
             return None;
         }
         let wait_ms = match &call.call {
-            WorkerCall::Renew { wait_ms, .. } => wait_ms.0,
+            WorkerCall::Renew { wait_ms, .. } => {
+                self.polls += 1;
+                wait_ms.0
+            }
             _ => 0,
         };
         let answer = self.carry_out(now, &call);
+        if let (Some(odd), WorkerAnswer::Listed(..)) = (&self.odd_answer, &answer) {
+            return Some((0, odd.clone()));
+        }
         let waits = wait_ms > 0 && self.finished.is_empty();
         if waits && matches!(answer, WorkerAnswer::Listed(..)) {
             self.waiting.push((at, rpc, now + wait_ms));
--- a/core/tests/odd_entries.rs
+++ b/core/tests/odd_entries.rs
@@ -4,8 +4,56 @@
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, World};
-use pomelotide_core::cell::{JobState, LogEvent};
+use cell_world::{desired, queue, step, FakeWorker, World};
+use pomelotide_core::{
+    cell::{
+        ActiveRun, FinishedRun, JobState, LogEvent, RunOutcome, StepKey, TaskKey, WorkerAnswer,
+        WorkerRuns,
+    },
+    JobId, Millis,
+};
+
+fn world(workers: usize) -> World {
+    let mut world = World::new(2, workers, desired(1, queue()));
+    world.run(3_000);
+    assert!(world.leader().is_some(), "nobody leads");
+    world
+}
+
+fn first_worker(world: &mut World) -> &mut FakeWorker {
+    world.workers.values_mut().next().unwrap()
+}
+
+/// Lets the first worker list task 0 of job 1 with these runs, and with these ends and their runs.
+fn answer_oddly(world: &mut World, clock_ms: u64, runs: &[u32], ends: &[(u64, u32)]) {
+    let step = StepKey {
+        job: JobId::new(format!("{:016x}", 1)),
+        occurrence: 0,
+        step: 0,
+    };
+    let task = TaskKey { step, index: 0 };
+    let active = runs.iter().map(|&run| ActiveRun {
+        task: task.clone(),
+        run,
+        checkpoint: None,
+        percent: 255,
+    });
+    let finished = ends.iter().map(|&(number, run)| FinishedRun {
+        number,
+        task: task.clone(),
+        run,
+        outcome: RunOutcome::Stopped,
+        checkpoint: None,
+    });
+    let worker = first_worker(world);
+    let view = WorkerRuns {
+        incarnation: worker.entry.incarnation,
+        active: active.collect(),
+        finished: finished.collect(),
+    };
+    worker.odd_answer = Some(WorkerAnswer::Listed(Millis(clock_ms), view));
+    worker.polls = 0;
+}
 
 /// Text from an entry could begin a log line of its own.
 #[test]
@@ -43,3 +91,36 @@
     let loaded = loaded.expect("the leader is not loaded").to_string();
     assert!(loaded.contains("workers=600"), "{loaded}");
 }
+
+/// A run number near the largest number ended the process.
+#[test]
+fn extreme_numbers_in_the_lists_of_a_worker_do_not_panic() {
+    let mut world = world(2);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 9_000;
+    }
+    world.submit(0, 1, vec![step(2, 3_000)]);
+    world.run(500);
+    answer_oddly(&mut world, u64::MAX, &[u32::MAX], &[(3, u32::MAX)]);
+    world.run(4_000);
+    let id = first_worker(&mut world).id();
+    first_worker(&mut world).odd_answer = None;
+    world.restart_worker(&id);
+    world.run(20_000);
+    world.assert_state(0, 1, JobState::Completed);
+}
+
+/// After one end with an absurd number, no later end of the worker was seen.
+#[test]
+fn an_absurd_end_number_does_not_hide_later_ends() {
+    let mut world = world(1);
+    let now = world.now;
+    answer_oddly(&mut world, now, &[], &[(u64::MAX, 1)]);
+    world.run(4_000);
+    first_worker(&mut world).odd_answer = None;
+    world.run(4_000);
+    world.submit(0, 1, vec![step(2, 1_000)]);
+    world.run(8_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_once();
+}
