Release the room of a run that another run replaces

Cause: a worker has one recorded run for each task. When it listed another run of the task, that one replaced the record and took room in addition, and the room of the first was never released: a worker that lists a task with two runs became fuller with each list, up to no room at all, and so did the team's use. Now the room of the replaced run is released. Before: a_task_that_is_listed_twice_takes_its_room_once found the second job pending after 12 s. After: it passes.

--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -432,7 +432,13 @@
         }
         let worker = self.fleet.get_mut(ix);
         worker.used = worker.used.plus(run.need);
-        worker.runs.insert(task.clone(), run);
+        if let Some(replaced) = worker.runs.insert(task.clone(), run) {
+            worker.used = worker.used.minus(replaced.need);
+            let team = replaced.team.as_ref();
+            if let Some(used) = team.and_then(|team| self.used.get_mut(team)) {
+                *used = used.minus(replaced.need);
+            }
+        }
     }
 
     /// Releases the runs of unresponsive workers whose lease has expired.
--- a/core/tests/odd_entries.rs
+++ b/core/tests/odd_entries.rs
@@ -137,3 +137,18 @@
     let polls = first_worker(&mut world).polls;
     assert!(polls < 40, "{polls}");
 }
+
+/// A task that a worker listed with two runs took more of the worker's room with each list.
+#[test]
+fn a_task_that_is_listed_twice_takes_its_room_once() {
+    let mut world = world(1);
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(500);
+    let now = world.now;
+    answer_oddly(&mut world, now, &[1, 2], &[]);
+    world.run(4_000);
+    first_worker(&mut world).odd_answer = None;
+    world.submit(0, 2, vec![step(1, 4_000)]);
+    world.run(12_000);
+    world.assert_state(0, 2, JobState::Completed);
+}
