Bear absurd numbers of jobs and of the desired state

Cause: estimates, needs, counts, weights and costs of advice were added and multiplied without a bound, which panics in a debug build; a step of 4 billion tasks took the memory of each leader that read the job; and the longest chain of a job was found by trying every path, which doubles with each step that follows all earlier ones. Such a job is stored, so it met each next leader as well. Now this arithmetic saturates, a job has at most 100,000 tasks in all, and each step's longest chain is found once. A stored job that would not be accepted is left out and logged.

--- a/core/src/cell/job.rs
+++ b/core/src/cell/job.rs
@@ -4,6 +4,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+/// The most tasks of a job; the leader keeps a record of each.
+const MAX_TASKS: u64 = 100_000;
+
 /// One step of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StepSpec {
@@ -56,6 +59,13 @@
         if self.steps.is_empty() {
             return Some("steps: a job needs at least one step");
         }
+        if self.steps.len() > usize::from(u16::MAX) {
+            return Some("steps: a job has too many steps");
+        }
+        let counts = self.steps.iter().map(|step| u64::from(step.count));
+        if counts.sum::<u64>() > MAX_TASKS {
+            return Some("count: a job has too many tasks");
+        }
         for (at, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Some("count: a step needs at least one task");
@@ -78,35 +88,34 @@
         None
     }
 
-    /// Returns the longest chain of estimated run times from a step on, in milliseconds.
-    pub fn critical_path_from_ms(&self, step: usize) -> u64 {
-        let mut longest = 0;
-        for (at, later) in self.steps.iter().enumerate().skip(step + 1) {
-            if later
-                .after
-                .iter()
-                .any(|&earlier| usize::from(earlier) == step)
-            {
-                longest = longest.max(self.critical_path_from_ms(at));
+    /// Returns the longest chain of estimated run times from each step on, in milliseconds.
+    pub fn critical_paths_ms(&self) -> Vec<u64> {
+        let mut paths_ms = vec![0; self.steps.len()];
+        // Steps follow earlier ones only, so all chains behind a step are known when it is reached.
+        for (at, step) in self.steps.iter().enumerate().rev() {
+            let path_ms = step.estimated_ms.0.saturating_add(paths_ms[at]);
+            paths_ms[at] = path_ms;
+            for &earlier in &step.after {
+                if let Some(behind_ms) = paths_ms[..at].get_mut(usize::from(earlier)) {
+                    *behind_ms = path_ms.max(*behind_ms);
+                }
             }
         }
-        self.steps[step].estimated_ms.0 + longest
+        paths_ms
     }
 
     /// Returns the estimated work of all steps, in thousandths of a core times milliseconds.
     pub fn total_work(&self) -> u64 {
         let of = |step: &StepSpec| {
-            u64::from(step.count) * step.need.cpu_milli * step.estimated_ms.0.max(1)
+            let cpu_milli = u64::from(step.count).saturating_mul(step.need.cpu_milli);
+            cpu_milli.saturating_mul(step.estimated_ms.0.max(1))
         };
-        self.steps.iter().map(of).sum()
+        self.steps.iter().map(of).fold(0, u64::saturating_add)
     }
 
     /// Returns the longest chain of estimated run times of the job, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
-        (0..self.steps.len())
-            .map(|step| self.critical_path_from_ms(step))
-            .max()
-            .unwrap_or(0)
+        self.critical_paths_ms().into_iter().max().unwrap_or(0)
     }
 }
 
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -63,7 +63,11 @@
 
 impl AdviceRequest {
     fn cost_us(&self) -> u64 {
-        self.cost.base_us + self.cost.per_worker_us * self.workers.len() as u64
+        let workers_us = self
+            .cost
+            .per_worker_us
+            .saturating_mul(self.workers.len() as u64);
+        self.cost.base_us.saturating_add(workers_us)
     }
 
     fn is_long(&self) -> bool {
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -74,16 +74,13 @@
             .saturating_sub(row.accepted_unix_ms)
             .min(MAX_JOB_AGE_MS);
         let tasks = |count: u32| vec![Task::default(); count as usize];
-        let steps = row
-            .submission
-            .steps
-            .iter()
-            .enumerate()
-            .map(|(at, spec)| Step {
-                tasks: tasks(spec.count),
-                remaining_path_ms: row.submission.critical_path_from_ms(at),
-                ..Step::default()
-            });
+        let paths_ms = row.submission.critical_paths_ms();
+        let specs = row.submission.steps.iter().zip(paths_ms);
+        let steps = specs.map(|(spec, remaining_path_ms)| Step {
+            tasks: tasks(spec.count),
+            remaining_path_ms,
+            ..Step::default()
+        });
         let steps: Vec<Step> = steps.collect();
         Self {
             progress: Progress {
@@ -150,7 +147,8 @@
             .map(|step| step.remaining_path_ms)
             .max()
             .unwrap_or(0);
-        remaining_path_ms * queue.slack_permille / 1_000 + queue.target_latency_ms.0
+        let slack_ms = remaining_path_ms.saturating_mul(queue.slack_permille) / 1_000;
+        slack_ms.saturating_add(queue.target_latency_ms.0)
     }
 }
 
@@ -160,6 +158,10 @@
         if self.jobs.contains_key(&row.id) {
             return;
         }
+        if let Some(reason) = row.submission.validation_error() {
+            let event = LogEvent::warn("job_unusable").with("job", &row.id);
+            return ctx.log(event.with("reason", reason));
+        }
         let id = row.id.clone();
         let queue = row.queue.clone();
         let mut job = Job::new(ctx, row);
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -165,11 +165,13 @@
         let latest_start_ms = match job.surplus {
             // Surplus work is ranked with late work.
             true => accepted_ms.saturating_sub(1),
-            false => start_for(accepted_ms + objective_ms),
+            false => start_for(accepted_ms.saturating_add(objective_ms)),
         };
         Rank {
             latest_start_ms,
-            useful_start_ms: start_for(accepted_ms + objective_ms * USEFUL_FACTOR),
+            useful_start_ms: start_for(
+                accepted_ms.saturating_add(objective_ms.saturating_mul(USEFUL_FACTOR)),
+            ),
             work: job.row.submission.total_work(),
         }
     }
--- a/core/src/cell/leader/team_rate.rs
+++ b/core/src/cell/leader/team_rate.rs
@@ -25,13 +25,14 @@
     /// Charges a job to a team, whose weight is in jobs per second; returns whether the job is
     /// within the team's share.
     pub(crate) fn admit(&mut self, now: Millis, team: &TeamName, weight: u64) -> bool {
-        let capacity_milli = weight * MILLI_PER_JOB;
+        let capacity_milli = weight.saturating_mul(MILLI_PER_JOB);
         let bucket = self.buckets.entry(team.clone()).or_insert(Bucket {
             tokens_milli: capacity_milli,
             refilled_at: now,
         });
         // Jobs per second equal thousandths of a job per millisecond.
-        let refilled = bucket.tokens_milli + now.since(bucket.refilled_at).0 * weight;
+        let gained = now.since(bucket.refilled_at).0.saturating_mul(weight);
+        let refilled = bucket.tokens_milli.saturating_add(gained);
         bucket.refilled_at = now;
         bucket.tokens_milli = refilled.min(capacity_milli);
         if bucket.tokens_milli < MILLI_PER_JOB {
--- a/core/tests/odd_entries.rs
+++ b/core/tests/odd_entries.rs
@@ -7,10 +7,17 @@
 use cell_world::{desired, queue, step, FakeWorker, World};
 use pomelotide_core::{
     cell::{
-        ActiveRun, FinishedRun, JobState, LogEvent, RunOutcome, StepKey, TaskKey, WorkerAnswer,
-        WorkerRuns,
+        ActiveRun, ClientAnswer, FinishedRun, JobState, LogEvent, RunOutcome, StepKey, StepSpec,
+        Submission, TaskKey, WorkerAnswer, WorkerRuns,
     },
-    JobId, Millis,
+    JobId, Millis, Resources,
+};
+
+const EVERYTHING: Resources = Resources {
+    cpu_milli: u64::MAX,
+    memory_mib: u64::MAX,
+    accelerators: u64::MAX,
+    slots: u64::MAX,
 };
 
 fn world(workers: usize) -> World {
@@ -20,6 +27,13 @@
     world
 }
 
+fn gang(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, cpu)
+    }
+}
+
 fn first_worker(world: &mut World) -> &mut FakeWorker {
     world.workers.values_mut().next().unwrap()
 }
@@ -152,3 +166,38 @@
     world.run(12_000);
     world.assert_state(0, 2, JobState::Completed);
 }
+
+/// A job with absurd numbers ended every leader that read it.
+#[test]
+fn absurd_numbers_of_a_job_do_not_panic() {
+    let mut world = world(2);
+    let absurd = StepSpec {
+        need: EVERYTHING,
+        estimated_ms: Millis(u64::MAX),
+        ..step(3, 1)
+    };
+    let mut chained = absurd.clone();
+    chained.after = vec![0];
+    let accepted = world.submit(0, 1, vec![absurd, chained]);
+    let refused = world.submit(0, 3, vec![step(u32::MAX, 1), gang(u32::MAX, 1)]);
+    world.submit(0, 2, vec![step(2, 1_000)]);
+    world.run(5_000);
+    assert_eq!(world.answers[&accepted], ClientAnswer::Accepted);
+    let refused = &world.answers[&refused];
+    assert!(matches!(refused, ClientAnswer::Malformed(_)), "{refused:?}");
+    world.assert_state(0, 2, JobState::Completed);
+}
+
+/// The longest chain of a job whose steps all depend on each other took hours to find.
+#[test]
+fn the_longest_chain_of_many_dependent_steps_is_found_at_once() {
+    let steps = (0..60).map(|at| StepSpec {
+        after: (0..at).collect(),
+        ..step(1, 1)
+    });
+    let work = Submission {
+        steps: steps.collect(),
+        ..Submission::default()
+    };
+    assert_eq!(work.critical_path_ms(), 60_000);
+}
