Refuse a query about a job whose record can't be read

Cause: a record that can't be read was handled like a missing one, so a client was told that there is no such job, or that a job without a readable progress is pending. Now the query is refused with a retry. Before: a_job_whose_record_cant_be_read_is_not_denied got NoJob. After: it passes.

--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -312,19 +312,25 @@
             Lookup::Job(query) => {
                 let key = job_key(&query.job);
                 let row = rows.into_iter().find(|row| row.key == key);
-                let found = row.and_then(|row| match row.value {
-                    RowValue::Job(job) => Some((*job, row.version)),
+                let found = match row.map(|row| (row.value, row.version)) {
+                    Some((RowValue::Job(job), version)) => Some((*job, version)),
+                    Some((RowValue::Unusable(_), _)) => {
+                        return self.refuse(ctx, query.call, "the job's record can't be read")
+                    }
                     _ => None,
-                });
+                };
                 self.on_job_row(ctx, query, found);
             }
             Lookup::Progress(query) => {
                 let key = progress_key(&query.job);
                 let row = rows.into_iter().find(|row| row.key == key);
-                let state = row.map_or(JobState::Pending, |row| match row.value {
-                    RowValue::Progress(progress) => progress.state,
+                let state = match row.map(|row| row.value) {
+                    Some(RowValue::Progress(progress)) => progress.state,
+                    Some(RowValue::Unusable(_)) => {
+                        return self.refuse(ctx, query.call, "the job's record can't be read")
+                    }
                     _ => JobState::Pending,
-                });
+                };
                 self.answer(ctx, query.call, ClientAnswer::State(state));
             }
         }
--- a/core/tests/odd_entries.rs
+++ b/core/tests/odd_entries.rs
@@ -7,8 +7,8 @@
 use cell_world::{desired, queue, step, FakeWorker, World};
 use pomelotide_core::{
     cell::{
-        ActiveRun, ClientAnswer, FinishedRun, JobState, LogEvent, RunOutcome, StepKey, StepSpec,
-        Submission, TaskKey, WorkerAnswer, WorkerRuns,
+        ActiveRun, ClientAnswer, FinishedRun, JobState, LogEvent, RowValue, RunOutcome, StepKey,
+        StepSpec, Submission, Table, TaskKey, WorkerAnswer, WorkerRuns,
     },
     JobId, Millis, Resources,
 };
@@ -201,3 +201,18 @@
     };
     assert_eq!(work.critical_path_ms(), 60_000);
 }
+
+/// A job whose record can't be read was answered as if there were no such job.
+#[test]
+fn a_job_whose_record_cant_be_read_is_not_denied() {
+    let mut world = world(1);
+    let unusable = RowValue::Unusable("odd".into());
+    for part in ["0", "1", "2", "3"] {
+        let key = format!("{:016x}", 7);
+        world
+            .store
+            .put_row(Table::Jobs, part, &key, unusable.clone());
+    }
+    let answer = world.state(0, 7);
+    assert!(matches!(answer, ClientAnswer::NotRun { .. }), "{answer:?}");
+}
