--- a/core/tests/odd_entries.rs
+++ b/core/tests/odd_entries.rs
@@ -69,6 +69,56 @@
     worker.polls = 0;
 }
 
+/// A worker whose entry was overwritten with bad bytes lost its runs or never came back.
+#[test]
+fn a_worker_with_a_bad_entry_rests_and_comes_back() {
+    let mut world = world(1);
+    first_worker(&mut world).work_ms = 6_000;
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(500);
+    let good = first_worker(&mut world).clone();
+    let unusable = RowValue::Unusable("odd".into());
+    world.store.put_row(Table::Workers, "", "w00", unusable);
+    world.run(500);
+    world.submit(0, 2, vec![step(1, 1_000)]);
+    world.run(8_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_state(0, 2, JobState::Pending);
+    assert_eq!(world.starts().len(), 1);
+    world.store.put_worker(&good);
+    world.run(8_000);
+    world.assert_state(0, 2, JobState::Completed);
+    world.assert_once();
+}
+
+/// An absurd capacity drew all work to a worker that is not there, or overflowed where it is.
+#[test]
+fn an_absurd_capacity_neither_draws_all_work_nor_panics() {
+    for is_there in [false, true] {
+        let mut world = World::new(2, 4, desired(1, queue()));
+        let mut odd = match is_there {
+            true => first_worker(&mut world).clone(),
+            false => FakeWorker::new(90),
+        };
+        odd.entry.capacity = EVERYTHING;
+        odd.entry.labels = vec!["l".repeat(20).into(); 5_000];
+        world.store.put_worker(&odd);
+        world.run(3_000);
+        let in_rack = StepSpec {
+            same_rack: true,
+            ..gang(5, 0)
+        };
+        world.submit(0, 1, vec![step(8, 1_000)]);
+        world.submit(1, 2, vec![gang(4, 3_000)]);
+        world.submit(1, 3, vec![in_rack]);
+        world.run(8_000);
+        for job in 1..4 {
+            world.assert_state(0, job, JobState::Completed);
+        }
+        world.assert_once();
+    }
+}
+
 /// Text from an entry could begin a log line of its own.
 #[test]
 fn a_field_with_control_characters_stays_in_its_line() {
