Decode each entry of the host list on its own

Cause: a daemon without a cell section reads its workers from the host list, which was parsed as one document: one odd entry (an empty name, a number too large, a field or an entry of 100,000 levels) made the list malformed, so no later change of any host was seen while the entry stayed. Now an entry that can't be used is left out, with a log line that has the count and the first reason. Ruled out: stack overflow, as in the store's answers. Before: an_odd_host_does_not_lose_the_list got "number out of range" for the whole list. After: it passes with one host and five reasons.

--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -191,7 +191,13 @@
         for () in requested {
             count_sent(telemetry::Destination::Platform, "hosts", 0);
             let event = match client.fetch() {
-                HostListResult::Listed(hosts) => Event::HostsRead { hosts },
+                HostListResult::Listed(hosts, reasons) => {
+                    if let Some(reason) = reasons.first() {
+                        let count = reasons.len();
+                        warn!("event=hosts_unusable count={count} reason={reason:?}");
+                    }
+                    Event::HostsRead { hosts }
+                }
                 HostListResult::Unchanged => Event::HostsUnchanged,
                 HostListResult::Unavailable => continue,
                 HostListResult::Malformed(error) => {
--- a/standins/tests/host_list.rs
+++ b/standins/tests/host_list.rs
@@ -5,7 +5,9 @@
 use pomelotide_standins::serve_platform;
 use pomelotide_wire::{HostListClient, HostListResult, HttpClient, WireHost, WireHosts};
 use std::{
+    io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    thread,
     time::Duration,
 };
 
@@ -32,7 +34,7 @@
 }
 
 fn listed_workers(result: HostListResult) -> Vec<(String, bool)> {
-    let HostListResult::Listed(hosts) = result else {
+    let HostListResult::Listed(hosts, _) = result else {
         panic!("{result:?}");
     };
     let to_pair = |host: pomelotide_core::Host| (host.worker.to_string(), host.leaving);
@@ -55,3 +57,38 @@
     assert_eq!(listed_workers(client.fetch()), [("a".into(), true)]);
     assert_eq!(client.fetch(), HostListResult::Unchanged);
 }
+
+/// One odd entry made the whole list malformed, so that no later change of the hosts was seen.
+#[test]
+fn an_odd_host_does_not_lose_the_list() {
+    let good = r#"{"worker":"a","domain":"saiss","rack":"r","address":"127.0.0.1:1","leaving":false,
+        "capacity":{"cpu_milli":1,"memory_mib":1,"accelerators":0,"slots":0}}"#;
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    let odd = [
+        good.replace("\"a\"", "\"\""),
+        good.replace(":1,", ":1e400,"),
+        good.replace(":1,", ":18446744073709551616,"),
+        good.replace("false", &deep),
+        deep,
+    ];
+    let body = format!("{{\"hosts\":[{},{good}]}}", odd.join(","));
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let platform = listener.local_addr().unwrap().to_string();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]).unwrap();
+        let length = body.len();
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+        .unwrap();
+    });
+    let mut client = HostListClient::new(&platform, &DomainName::new("saiss"), HTTP_TIMEOUT);
+    let result = client.fetch();
+    let HostListResult::Listed(hosts, reasons) = result else {
+        panic!("{:.200}", format!("{result:?}"));
+    };
+    assert_eq!((hosts.len(), reasons.len()), (1, 5), "{reasons:.80?}");
+    server.join().unwrap();
+}
--- a/wire/src/host_list.rs
+++ b/wire/src/host_list.rs
@@ -1,7 +1,9 @@
 //! HTTP client for the host list of one failure domain; the list is sent only if it changed.
 
-use crate::{HttpClient, HttpReply, WireHosts};
+use crate::{HttpClient, HttpReply, WireHost};
 use pomelotide_core::{DomainName, Host};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::time::Duration;
 
 /// The HTTP status `Not Modified`.
@@ -12,14 +14,27 @@
 pub enum HostListResult {
     /// The list is the same as in the latest successful request.
     Unchanged,
-    /// The list changed, or the platform does not support ETags.
-    Listed(Vec<Host>),
+    /// The list changed, or the platform does not support ETags; holds the hosts and the reasons for
+    /// which other entries can't be used.
+    Listed(Vec<Host>, Vec<String>),
     /// The platform did not answer with a list.
     Unavailable,
     /// The list can't be parsed, for the given reason.
     Malformed(String),
 }
 
+/// The host list with its entries as raw text, so that an odd one does not lose the others.
+#[derive(Debug, Deserialize)]
+struct RawHosts<'a> {
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
+}
+
+fn parse_host(entry: &RawValue) -> Result<Host, String> {
+    let wire: WireHost = serde_json::from_str(entry.get()).map_err(|error| error.to_string())?;
+    Host::try_from(&wire).map_err(|error| error.to_string())
+}
+
 /// Requests the host list and sends the ETag of the latest list, so that an unchanged list is not
 /// transferred again.
 ///
@@ -54,16 +69,18 @@
     }
 
     fn parse_reply(&mut self, reply: HttpReply) -> HostListResult {
-        let wire: WireHosts = match serde_json::from_slice(&reply.body) {
+        let wire: RawHosts<'_> = match serde_json::from_slice(&reply.body) {
             Ok(wire) => wire,
             Err(error) => return HostListResult::Malformed(error.to_string()),
         };
-        match wire.hosts.iter().map(Host::try_from).collect() {
-            Ok(hosts) => {
-                self.etag = reply.etag;
-                HostListResult::Listed(hosts)
+        let (mut hosts, mut reasons) = (Vec::new(), Vec::new());
+        for entry in wire.hosts {
+            match parse_host(entry) {
+                Ok(host) => hosts.push(host),
+                Err(reason) => reasons.push(reason),
             }
-            Err(error) => HostListResult::Malformed(error.to_string()),
         }
+        self.etag = reply.etag;
+        HostListResult::Listed(hosts, reasons)
     }
 }
