Bound the size of an answer that a daemon reads

Cause: the body of an answer was read whole, up to the timeout of the call. An entry's address is that of any process; one that answers without end fills the daemon's memory within the 700 ms to 3 s of a call. Now a body of more than 16 MiB counts as a lost answer and its connection is closed. The store's answers hold about 1 MB of rows. The pool of connections is public now, so that a test can call it.

--- a/daemon/src/cell/connection_pool.rs
+++ b/daemon/src/cell/connection_pool.rs
@@ -1,7 +1,7 @@
 //! Makes HTTP calls over reused connections.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{client::conn::http1, header, Request};
 use hyper_util::rt::TokioIo;
 use pomelotide_platform::{HttpOutcome, HttpRequest};
@@ -21,12 +21,14 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 8;
+/// The maximum size of an answer's body; the store's answers hold about 1 MB of rows.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The time after which an idle connection is not reused, as servers close such connections.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
 
 /// The idle connections by address.
 #[derive(Debug, Default)]
-pub(crate) struct ConnectionPool {
+pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<(Sender, Instant)>>>,
 }
 
@@ -40,7 +42,7 @@
 
 impl ConnectionPool {
     /// Makes a call and returns its answer or how it failed, within `timeout_after`.
-    pub(crate) async fn call(
+    pub async fn call(
         self: &Rc<Self>,
         address: SocketAddr,
         call: &HttpRequest,
@@ -76,7 +78,8 @@
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let status = response.status().as_u16();
-                    let body = response.into_body().collect().await;
+                    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+                    let body = body.collect().await;
                     let body = body.map_err(|_| CallError::Lost)?.to_bytes().to_vec();
                     self.return_idle(address, sender).await;
                     return Ok(HttpOutcome::Response { status, body });
--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -12,6 +12,7 @@
 mod telemetry;
 
 pub use self::{
+    connection_pool::ConnectionPool,
     control::run_cell,
     log_writer::{join_lines, LineAdmission, LogBudget},
 };
