--- a/core/src/cell/desired.rs
+++ b/core/src/cell/desired.rs
@@ -18,7 +18,8 @@
 impl AdviceCost {
     /// Returns the expected duration of a call that names `workers` workers, in microseconds.
     pub fn call_us(&self, workers: usize) -> u64 {
-        self.base_us + self.per_worker_us * workers as u64
+        self.base_us
+            .saturating_add(self.per_worker_us.saturating_mul(workers as u64))
     }
 }
 
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -211,11 +211,13 @@
         let latest_start_ms = match job.surplus {
             // Surplus work is ranked with late work.
             true => accepted_ms.saturating_sub(1),
-            false => start_for(accepted_ms + objective_ms),
+            false => start_for(accepted_ms.saturating_add(objective_ms)),
         };
         Rank {
             latest_start_ms,
-            useful_start_ms: start_for(accepted_ms + objective_ms * USEFUL_FACTOR),
+            useful_start_ms: start_for(
+                accepted_ms.saturating_add(objective_ms.saturating_mul(USEFUL_FACTOR)),
+            ),
             work: job.row.submission.total_work(),
         }
     }
@@ -485,7 +487,8 @@
 
     /// Returns a run number above all that this and earlier leaders may have used.
     pub(crate) fn next_run(&self, last: u32) -> u32 {
-        let first = (self.generation - 1) * consts::RUN_NUMBERS_PER_LEADER + 1;
-        first.max(last + 1)
+        let earlier_leaders = self.generation.saturating_sub(1);
+        let first = earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER);
+        first.max(last).saturating_add(1)
     }
 }
--- /dev/null
+++ b/core/tests/odd_entries.rs
@@ -0,0 +1,268 @@
+//! Odd entries of workers, odd answers and odd jobs: the cell goes on without them.
+
+#![allow(clippy::unwrap_used)]
+
+mod cell_world;
+
+use cell_world::{desired, queue, step, FakeWorker, World};
+use pomelotide_core::{
+    cell::{
+        ActiveRun, ClientAnswer, FinishedRun, JobState, LogEvent, RowValue, RunOutcome, StepKey,
+        StepSpec, Submission, Table, TaskKey, WorkerAnswer, WorkerRuns,
+    },
+    JobId, Millis, Resources,
+};
+
+const EVERYTHING: Resources = Resources {
+    cpu_milli: u64::MAX,
+    memory_mib: u64::MAX,
+    accelerators: u64::MAX,
+    slots: u64::MAX,
+};
+
+fn world(workers: usize) -> World {
+    let mut world = World::new(2, workers, desired(1, queue()));
+    world.run(3_000);
+    assert!(world.leader().is_some(), "nobody leads");
+    world
+}
+
+fn gang(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, cpu)
+    }
+}
+
+fn first_worker(world: &mut World) -> &mut FakeWorker {
+    world.workers.values_mut().next().unwrap()
+}
+
+/// Lets the first worker list task 0 of job 1 with these runs, and with these ends and their runs.
+fn answer_oddly(world: &mut World, clock_ms: u64, runs: &[u32], ends: &[(u64, u32)]) {
+    let step = StepKey {
+        job: JobId::new(format!("{:016x}", 1)),
+        occurrence: 0,
+        step: 0,
+    };
+    let task = TaskKey { step, index: 0 };
+    let active = runs.iter().map(|&run| ActiveRun {
+        task: task.clone(),
+        run,
+        checkpoint: None,
+        percent: 255,
+    });
+    let finished = ends.iter().map(|&(number, run)| FinishedRun {
+        number,
+        task: task.clone(),
+        run,
+        outcome: RunOutcome::Stopped,
+        checkpoint: None,
+    });
+    let worker = first_worker(world);
+    let view = WorkerRuns {
+        incarnation: worker.entry.incarnation,
+        active: active.collect(),
+        finished: finished.collect(),
+    };
+    worker.odd_answer = Some(WorkerAnswer::Listed(Millis(clock_ms), view));
+    worker.polls = 0;
+}
+
+/// A worker whose entry was overwritten with bad bytes lost its runs or never came back.
+#[test]
+fn a_worker_with_a_bad_entry_rests_and_comes_back() {
+    let mut world = world(1);
+    first_worker(&mut world).work_ms = 6_000;
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(500);
+    let good = first_worker(&mut world).clone();
+    let unusable = RowValue::Unusable("odd".into());
+    world.store.put_row(Table::Workers, "", "w00", unusable);
+    world.run(500);
+    world.submit(0, 2, vec![step(1, 1_000)]);
+    world.run(8_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_state(0, 2, JobState::Pending);
+    assert_eq!(world.starts().len(), 1);
+    world.store.put_worker(&good);
+    world.run(8_000);
+    world.assert_state(0, 2, JobState::Completed);
+    world.assert_once();
+}
+
+/// An absurd capacity drew all work to a worker that is not there, or overflowed where it is.
+#[test]
+fn an_absurd_capacity_neither_draws_all_work_nor_panics() {
+    for is_there in [false, true] {
+        let mut world = World::new(2, 4, desired(1, queue()));
+        let mut odd = match is_there {
+            true => first_worker(&mut world).clone(),
+            false => FakeWorker::new(90),
+        };
+        odd.entry.capacity = EVERYTHING;
+        odd.entry.labels = vec!["l".repeat(20).into(); 5_000];
+        world.store.put_worker(&odd);
+        world.run(3_000);
+        let in_rack = StepSpec {
+            same_rack: true,
+            ..gang(5, 0)
+        };
+        world.submit(0, 1, vec![step(8, 1_000)]);
+        world.submit(1, 2, vec![gang(4, 3_000)]);
+        world.submit(1, 3, vec![in_rack]);
+        world.run(8_000);
+        for job in 1..4 {
+            world.assert_state(0, job, JobState::Completed);
+        }
+        world.assert_once();
+    }
+}
+
+/// Text from an entry could begin a log line of its own.
+#[test]
+fn a_field_with_control_characters_stays_in_its_line() {
+    let line = LogEvent::info("x").with("key", "a\r\nlevel\u{1b}[0m");
+    let text = line.to_string();
+    assert!(!text.contains(char::is_control), "{text:?}");
+    assert!(text.contains(r"\r\nlevel"), "{text:?}");
+    let line = LogEvent::info("x").with("key", "\u{e9}".repeat(100_000));
+    assert!(line.to_string().len() < 2_000);
+}
+
+/// A table that could never be read was read again for ever without a log line.
+#[test]
+fn a_table_that_cant_be_read_is_logged_and_read_later() {
+    let mut world = World::new(2, 2, desired(1, queue()));
+    world.store.lose_worker_reads = true;
+    world.run(8_000);
+    let lines = world.count("read_failed");
+    assert!((1..20).contains(&lines), "{lines}");
+    world.store.lose_worker_reads = false;
+    world.submit(0, 1, vec![step(2, 1_000)]);
+    world.run(6_000);
+    world.assert_state(0, 1, JobState::Completed);
+}
+
+/// A full read never got past a page whose last row has no readable key.
+#[test]
+fn a_row_without_a_key_does_not_hold_up_a_full_read() {
+    let mut world = World::new(1, 600, desired(1, queue()));
+    world.store.odd_page_ends = true;
+    world.run(5_000);
+    let mut lines = world.lines.iter().map(|(_, _, line)| line);
+    let loaded = lines.find(|line| line.event == "leader_loaded");
+    let loaded = loaded.expect("the leader is not loaded").to_string();
+    assert!(loaded.contains("workers=600"), "{loaded}");
+}
+
+/// A run number near the largest number ended the process.
+#[test]
+fn extreme_numbers_in_the_lists_of_a_worker_do_not_panic() {
+    let mut world = world(2);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 9_000;
+    }
+    world.submit(0, 1, vec![step(2, 3_000)]);
+    world.run(500);
+    answer_oddly(&mut world, u64::MAX, &[u32::MAX], &[(3, u32::MAX)]);
+    world.run(4_000);
+    let id = first_worker(&mut world).id();
+    first_worker(&mut world).odd_answer = None;
+    world.restart_worker(&id);
+    world.run(20_000);
+    world.assert_state(0, 1, JobState::Completed);
+}
+
+/// After one end with an absurd number, no later end of the worker was seen.
+#[test]
+fn an_absurd_end_number_does_not_hide_later_ends() {
+    let mut world = world(1);
+    let now = world.now;
+    answer_oddly(&mut world, now, &[], &[(u64::MAX, 1)]);
+    world.run(4_000);
+    first_worker(&mut world).odd_answer = None;
+    world.run(4_000);
+    world.submit(0, 1, vec![step(2, 1_000)]);
+    world.run(8_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_once();
+}
+
+/// A worker that answers each poll at once was polled without a pause.
+#[test]
+fn a_worker_that_does_not_wait_is_polled_with_a_pause() {
+    let mut world = world(1);
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(500);
+    let now = world.now;
+    answer_oddly(&mut world, now, &[1], &[]);
+    world.run(5_000);
+    let polls = first_worker(&mut world).polls;
+    assert!(polls < 40, "{polls}");
+}
+
+/// A task that a worker listed with two runs took more of the worker's room with each list.
+#[test]
+fn a_task_that_is_listed_twice_takes_its_room_once() {
+    let mut world = world(1);
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(500);
+    let now = world.now;
+    answer_oddly(&mut world, now, &[1, 2], &[]);
+    world.run(4_000);
+    first_worker(&mut world).odd_answer = None;
+    world.submit(0, 2, vec![step(1, 4_000)]);
+    world.run(12_000);
+    world.assert_state(0, 2, JobState::Completed);
+}
+
+/// A job with absurd numbers ended every leader that read it.
+#[test]
+fn absurd_numbers_of_a_job_do_not_panic() {
+    let mut world = world(2);
+    let absurd = StepSpec {
+        need: EVERYTHING,
+        estimated_ms: Millis(u64::MAX),
+        ..step(3, 1)
+    };
+    let mut chained = absurd.clone();
+    chained.after = vec![0];
+    let accepted = world.submit(0, 1, vec![absurd, chained]);
+    let refused = world.submit(0, 3, vec![step(u32::MAX, 1), gang(u32::MAX, 1)]);
+    world.submit(0, 2, vec![step(2, 1_000)]);
+    world.run(5_000);
+    assert_eq!(world.answers[&accepted], ClientAnswer::Accepted);
+    let refused = &world.answers[&refused];
+    assert!(matches!(refused, ClientAnswer::Malformed(_)), "{refused:?}");
+    world.assert_state(0, 2, JobState::Completed);
+}
+
+/// The longest chain of a job whose steps all depend on each other took hours to find.
+#[test]
+fn the_longest_chain_of_many_dependent_steps_is_found_at_once() {
+    let steps = (0..60).map(|at| StepSpec {
+        after: (0..at).collect(),
+        ..step(1, 1)
+    });
+    let work = Submission {
+        steps: steps.collect(),
+        ..Submission::default()
+    };
+    assert_eq!(work.critical_path_ms(), 60_000);
+}
+
+/// A job whose record can't be read was answered as if there were no such job.
+#[test]
+fn a_job_whose_record_cant_be_read_is_not_denied() {
+    let mut world = world(1);
+    let unusable = RowValue::Unusable("odd".into());
+    for part in ["0", "1", "2", "3"] {
+        let key = format!("{:016x}", 7);
+        world
+            .store
+            .put_row(Table::Jobs, part, &key, unusable.clone());
+    }
+    let answer = world.state(0, 7);
+    assert!(matches!(answer, ClientAnswer::NotRun { .. }), "{answer:?}");
+}
