--- a/core/tests/moves.rs
+++ b/core/tests/moves.rs
@@ -6,8 +6,8 @@
 use pomelotide_core::{
     consts::{CONFIG_ACTIVATION_DELAY_MS, LIMIT_TRANSFER_INTERVAL_MS},
     limit_transfers::{split_entries, LimitRequest, LimitTransfer},
-    Answer, DomainName, Entry, EntryName, Event, Limits, Millis, Note, NoteVerdict, PeerMessage,
-    Revision, TeamName,
+    Answer, DomainName, Entry, EntryName, Event, FaultKind, Limits, Millis, Note, NoteFault,
+    NoteVerdict, PeerMessage, Revision, TeamName,
 };
 
 const LIMIT: u64 = 12;
@@ -71,6 +71,45 @@
     assert_eq!(fakes.running_at(1), 11);
 }
 
+#[test]
+fn a_note_based_before_a_move_is_in_force_as_the_revision_after_it() {
+    let mut fakes = two_domains();
+    ask(&mut fakes, 0, 10);
+    run_checked(&mut fakes, 13_000);
+    assert_eq!((fakes.moves(), fakes.revision(1)), (1, 2));
+    let change = |id, limit| Note {
+        changed: vec![team("t", limit)],
+        ..note(id, 1, Vec::new())
+    };
+    let calls = [
+        fakes.propose(0, change("one", LIMIT)),
+        fakes.propose(1, change("other", LIMIT - 1)),
+    ];
+    run_checked(&mut fakes, 12_000);
+    let verdicts = [0, 1].map(|at| fakes.answer(at, calls[at]).cloned());
+    let winner = verdicts
+        .iter()
+        .position(|verdict| *verdict == Some(Answer::Note(NoteVerdict::InForce(Revision(3)))));
+    let winner = winner.unwrap_or_else(|| panic!("{verdicts:?}"));
+    let fault = NoteFault {
+        entry: EntryName::Team(t()),
+        kind: FaultKind::ChangedSince(Revision(3)),
+    };
+    let rejected = Answer::Note(NoteVerdict::Rejected(vec![fault]));
+    assert_eq!(verdicts[1 - winner], Some(rejected));
+    for node in &fakes.nodes {
+        let applied: Vec<&str> = node
+            .core
+            .config()
+            .history()
+            .filter(|(revision, _)| *revision != Revision(2))
+            .map(|(_, id)| id.as_str())
+            .collect();
+        assert_eq!(applied.first(), Some(&["one", "other"][winner]));
+        assert_eq!(applied.len(), 2, "{applied:?}");
+    }
+}
+
 #[test]
 fn a_giver_keeps_what_its_own_work_needs() {
     let mut fakes = two_domains();
