--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -45,11 +45,15 @@
 }
 
 fn slow_advice() -> Queue {
+    advice_valid_for(TICKET_MS)
+}
+
+fn advice_valid_for(valid_ms: u64) -> Queue {
     let mut queue = queue();
     queue.advice = Some(AdviceCost {
         base_us: ADVICE_MS * 1_000,
         per_worker_us: ADVICE_WORKER_US,
-        valid_ms: Millis(TICKET_MS),
+        valid_ms: Millis(valid_ms),
     });
     queue
 }
@@ -316,3 +320,51 @@
         );
     }
 }
+
+/// Guards against a gang that is never placed because its own team's small tasks take a part of the
+/// team's limit again and again (LOST: its team uses a quarter of its limit).
+#[test]
+fn a_gang_starts_beside_small_tasks_of_its_team() {
+    let mut state = desired(1, slow_advice());
+    state.teams[0].limit.cpu_milli = 60_000;
+    let mut world = World::new(3, 30, with_fill_queue(state));
+    world.run(3_000);
+    for at in 0..80 {
+        world.submit_to("/fill/", 0, 100 + at, vec![step(1, 4_000)]);
+        if at == 8 {
+            world.submit_to("/fill/", 0, 1, vec![gang(12, 4_000)]);
+        }
+        world.run(250);
+    }
+    assert_eq!(
+        starts_of(&world, 1),
+        12,
+        "of 15 tasks that its team may run, 4 run"
+    );
+}
+
+/// Guards against a gang that is placed and dropped again and again because its tickets expire while
+/// its placements wait for the store behind other writes.
+#[test]
+fn a_gang_starts_although_the_store_answers_after_a_second() {
+    let mut world = World::new(3, 40, with_fill_queue(desired(1, advice_valid_for(1_500))));
+    world.advice_ms = ADVICE_MS;
+    world.advice_worker_us = ADVICE_WORKER_US;
+    world.run(3_000);
+    for at in 0..100 {
+        if at == 20 {
+            world.submit(0, 1, vec![gang(12, 4_000)]);
+        }
+        world.submit_to("/fill/", 0, 100 + at, vec![step(1, 1_000)]);
+        world.run(200);
+        if at == 20 {
+            world.store_ms = 500;
+        }
+    }
+    let (placed, dropped) = (world.count("gang_placed"), world.count("placement_dropped"));
+    assert_eq!(
+        starts_of(&world, 1),
+        12,
+        "placed: {placed}, dropped: {dropped}"
+    );
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -91,6 +91,8 @@
     pub advice_allows_every: usize,
     /// How long a call for advice and its answer travel.
     pub advice_way_ms: u64,
+    /// How long a call to the store takes in each direction.
+    pub store_ms: u64,
     advice_free_at: Vec<u64>,
     /// The daemon whose calls for advice get no answer.
     pub advice_lost_at: Option<usize>,
@@ -175,6 +177,7 @@
             advice_worker_us: 0,
             advice_allows_every: 1,
             advice_way_ms: 0,
+            store_ms: STORE_MS,
             advice_free_at: vec![0; shares.len()],
             advice_lost_at: None,
             late_writes: 0,
@@ -361,7 +364,7 @@
                 let replies = self.store.call(refuses, at, rpc, call, self.now);
                 for (at, rpc, wait_ms, reply) in replies {
                     self.later(
-                        STORE_MS + wait_ms + late_ms,
+                        self.store_ms + wait_ms + late_ms,
                         Due::Event(at, Event::Store(rpc, reply)),
                     );
                 }
@@ -394,7 +397,7 @@
             }
             Effect::Store { rpc, call, .. } => {
                 let late_ms = self.scan_ms(&call, false);
-                self.later(STORE_MS + late_ms, Due::StoreCall(caller, rpc, call));
+                self.later(self.store_ms + late_ms, Due::StoreCall(caller, rpc, call));
             }
             Effect::Worker {
                 rpc,
