Split the placement of a gang and the handling of advice into smaller functions

The places that a pass finds are an enum now: startable, tickets missing, no room. The check of the team's headroom in place_gang is gone: the pass checks it right before. A call for tickets names spares only as far as they fit into it beside the places, so that the calls of a gang on more than 100 workers stay short. Otherwise no change of behaviour; the same tests pass.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -335,6 +335,7 @@
         }
     }
 
+    /// Handles the advice service's answer to a request.
     pub(crate) fn on_advice(&mut self, ctx: &mut Ctx, id: QueryId, reply: AdviceReply) {
         let Some(request) = self.advice.take(id) else {
             return;
@@ -345,49 +346,55 @@
         };
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
         advice.in_flight = None;
-        let took_ms = request.sent.map_or(Millis(0), |(_, at)| ctx.now.since(at));
-        let sent_at = request.sent.map_or(ctx.now, |(_, at)| at);
-        let queued_ms = sent_at.since(request.requested_at);
         match reply {
-            AdviceReply::Allowed(rows) => {
-                let event = LogEvent::info("advice_given").with("step", &request.step);
-                let event = event
-                    .with("asked", request.workers.len())
-                    .with("allowed", rows.len());
-                ctx.log(
-                    event
-                        .with("took_ms", took_ms.0)
-                        .with("queued_ms", queued_ms.0),
-                );
-                let until = ctx.now + request.cost.valid_ms.since(consts::TICKET_MARGIN_MS);
-                let rows: BTreeMap<WorkerId, Ticket> = rows.into_iter().collect();
-                for ix in request.workers {
-                    let permission = match rows.get(&self.fleet.get(ix).entry.id) {
-                        Some(ticket) => Permission::Allowed(ticket.clone(), until),
-                        None => Permission::Denied,
-                    };
-                    advice.permissions.insert(ix, permission);
-                }
-                self.refresh_pending_steps(&request.step.job);
-            }
+            AdviceReply::Allowed(rows) => self.on_allowed(ctx, &request, rows),
             AdviceReply::Busy | AdviceReply::Lost => {
                 advice.retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
-                let caller = request
-                    .sent
-                    .and_then(|(link, _)| self.advice.callers.get_mut(&link));
-                if let Some(caller) = caller {
-                    caller.retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
-                    caller.avoided_until = ctx.now + consts::ADVICE_AVOIDANCE_MS;
-                }
-                self.refresh_pending_steps(&request.step.job);
-                let event = LogEvent::warn("advice_missing").with("step", &request.step);
-                ctx.log(
-                    event
-                        .with("reply", format_args!("{reply:?}"))
-                        .with("took_ms", took_ms.0),
-                );
+                self.on_advice_missing(ctx, &request, &reply);
             }
         }
+        self.refresh_pending_steps(&request.step.job);
+    }
+
+    fn on_allowed(
+        &mut self,
+        ctx: &mut Ctx,
+        request: &AdviceRequest,
+        rows: Vec<(WorkerId, Ticket)>,
+    ) {
+        let sent_at = request.sent.map_or(ctx.now, |(_, at)| at);
+        let event = LogEvent::info("advice_given").with("step", &request.step);
+        let event = event
+            .with("asked", request.workers.len())
+            .with("allowed", rows.len());
+        let event = event.with("took_ms", ctx.now.since(sent_at).0);
+        ctx.log(event.with("queued_ms", sent_at.since(request.requested_at).0));
+        let Some(job) = self.jobs.get_mut(&request.step.job) else {
+            return;
+        };
+        let advice = &mut job.steps[usize::from(request.step.step)].advice;
+        let until = ctx.now + request.cost.valid_ms.since(consts::TICKET_MARGIN_MS);
+        let rows: BTreeMap<WorkerId, Ticket> = rows.into_iter().collect();
+        for &ix in &request.workers {
+            let permission = match rows.get(&self.fleet.get(ix).entry.id) {
+                Some(ticket) => Permission::Allowed(ticket.clone(), until),
+                None => Permission::Denied,
+            };
+            advice.permissions.insert(ix, permission);
+        }
+    }
+
+    /// Avoids the daemon whose call for advice failed.
+    fn on_advice_missing(&mut self, ctx: &mut Ctx, request: &AdviceRequest, reply: &AdviceReply) {
+        let sent_at = request.sent.map_or(ctx.now, |(_, at)| at);
+        let link = request.sent.map(|(link, _)| link);
+        if let Some(caller) = link.and_then(|link| self.advice.callers.get_mut(&link)) {
+            caller.retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
+            caller.avoided_until = ctx.now + consts::ADVICE_AVOIDANCE_MS;
+        }
+        let event = LogEvent::warn("advice_missing").with("step", &request.step);
+        let event = event.with("reply", format_args!("{reply:?}"));
+        ctx.log(event.with("took_ms", ctx.now.since(sent_at).0));
     }
 
     /// Marks a ticket that a worker refused as expired.
--- a/core/src/cell/leader/fit.rs
+++ b/core/src/cell/leader/fit.rs
@@ -1,6 +1,9 @@
 //! Selection of workers for tasks, as pure functions of the free room.
 
-use crate::{cell::leader::fleet::WorkerIx, Resources};
+use crate::{
+    cell::{consts, leader::fleet::WorkerIx},
+    Resources,
+};
 use std::collections::BTreeSet;
 
 /// A worker that may run a step, with its free room.
@@ -46,7 +49,8 @@
 /// One worker in this many is named as a spare in a gang's call for tickets.
 const SPARE_DIVISOR: usize = 4;
 
-/// Returns workers that could replace some of `places`, those with the lowest penalty first.
+/// Returns workers that could replace some of `places`, those with the lowest penalty first, as many
+/// as fit into one call with the places.
 pub(crate) fn spare_workers(candidates: &[Candidate], places: &[WorkerIx]) -> Vec<WorkerIx> {
     let taken: BTreeSet<WorkerIx> = places.iter().copied().collect();
     let mut spares: Vec<&Candidate> = candidates
@@ -54,7 +58,8 @@
         .filter(|candidate| !taken.contains(&candidate.ix))
         .collect();
     spares.sort_by_key(|candidate| (candidate.penalty, candidate.ix));
-    let count = taken.len().div_ceil(SPARE_DIVISOR);
+    let left = consts::MAX_ADVICE_WORKERS.saturating_sub(taken.len());
+    let count = taken.len().div_ceil(SPARE_DIVISOR).min(left);
     let spares = spares.into_iter().take(count);
     spares.map(|candidate| candidate.ix).collect()
 }
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -12,7 +12,7 @@
             Leader,
         },
         node::Ctx,
-        DesiredState, LogEvent, Queue, StepKey, TaskKey,
+        LogEvent, Queue, StepKey, TaskKey,
     },
     JobId, Millis, Resources,
 };
@@ -20,67 +20,99 @@
 /// Maximum number of gangs for which one pass reserves workers.
 const MAX_RESERVED_GANGS: usize = 2;
 
+/// What a gang needs.
+#[derive(Clone, Copy, Debug)]
+struct GangNeed {
+    /// What each member needs.
+    member: Resources,
+    count: u32,
+    same_rack: bool,
+}
+
+impl GangNeed {
+    fn fit(&self, candidates: &[Candidate]) -> Option<Vec<WorkerIx>> {
+        fit_gang(candidates, &self.member, self.count, self.same_rack)
+    }
+}
+
+/// The workers that a pass has found for a gang.
+#[derive(Debug)]
+enum GangPlaces {
+    /// One worker for each member, all with valid tickets.
+    Startable(Vec<WorkerIx>),
+    /// One worker for each member; some tickets are missing or have expired.
+    TicketsMissing(Vec<WorkerIx>),
+    /// There is no room for all members.
+    NoRoom,
+}
+
 impl Leader {
     /// Places a gang if there is room for all members, or else reserves room for it.
     pub(crate) fn place_gang(
         &mut self,
         ctx: &mut Ctx,
-        state: &DesiredState,
         queue: &Queue,
         pending: &PendingStep,
         pass: &mut SchedulingPass,
     ) {
         let key = &pending.key;
-        let at = usize::from(key.step);
-        let now = ctx.now;
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let (need, count) = (
-            job.row.submission.steps[at].need,
-            job.row.submission.steps[at].count,
-        );
-        let same_rack = job.row.submission.steps[at].same_rack;
-        if self.team_headroom(state, job.row.team.as_ref(), &need) < u64::from(count) {
-            return;
-        }
+        let spec = &job.row.submission.steps[usize::from(key.step)];
+        let need = GangNeed {
+            member: spec.need,
+            count: spec.count,
+            same_rack: spec.same_rack,
+        };
         if let Some(places) = self.startable_plan(ctx.now, queue, key) {
             self.release_plan(key);
             return self.place_gang_members(ctx, key, &places);
         }
         let previous = self.release_plan(key);
         for &ix in &previous {
-            pass.release(ix, &need);
+            pass.release(ix, &need.member);
         }
         let candidates = self.candidates(queue, key, pass);
-        let Some(fitting) = fit_gang(&candidates, &need, count, same_rack) else {
-            let slots = |own: &Candidate| need.count_in(&own.free);
-            let slots: u64 = candidates.iter().map(slots).fold(0, u64::saturating_add);
-            self.log_gang_wait(ctx, key, GangWait::NoRoom, |event| {
-                event.with("allowed", candidates.len()).with("slots", slots)
-            });
-            if let Some(cost) = queue.advice {
-                let workers = self.workers_without_advice(now, queue, key, true);
-                self.request_advice(now, key, workers, pending.latest_start_ms, cost);
+        match self.choose_places(ctx.now, queue, key, need, &candidates) {
+            GangPlaces::Startable(places) => {
+                for ix in &places {
+                    pass.reserve(*ix, &need.member);
+                }
+                self.place_gang_members(ctx, key, &places);
             }
-            return self.reserve_room(now, queue, pending, pass);
-        };
-        let ready: Vec<Candidate> = self.with_tickets(now, queue, key, &candidates);
-        if let Some(places) = fit_gang(&ready, &need, count, same_rack) {
-            let racks = |places: &[WorkerIx]| rack_count(&candidates, places);
-            if !same_rack || racks(&places) <= racks(&fitting) {
+            GangPlaces::TicketsMissing(places) => {
                 for ix in &places {
-                    pass.reserve(*ix, &need);
+                    pass.reserve(*ix, &need.member);
                 }
-                return self.place_gang_members(ctx, key, &places);
+                let spares = spare_workers(&candidates, &places);
+                self.request_tickets(ctx, queue, pending, &previous, &places, spares);
+                self.reserve_places(key, places, need.member);
             }
+            GangPlaces::NoRoom => self.wait_for_room(ctx, queue, pending, &candidates, pass),
         }
-        for ix in &fitting {
-            pass.reserve(*ix, &need);
+    }
+
+    /// Chooses a worker for each member of a gang, if possible with valid tickets only.
+    fn choose_places(
+        &self,
+        now: Millis,
+        queue: &Queue,
+        key: &StepKey,
+        need: GangNeed,
+        candidates: &[Candidate],
+    ) -> GangPlaces {
+        let Some(places) = need.fit(candidates) else {
+            return GangPlaces::NoRoom;
+        };
+        let ready = self.with_tickets(now, queue, key, candidates);
+        let racks = |places: &[WorkerIx]| rack_count(candidates, places);
+        match need.fit(&ready) {
+            Some(ready) if !need.same_rack || racks(&ready) <= racks(&places) => {
+                GangPlaces::Startable(ready)
+            }
+            _ => GangPlaces::TicketsMissing(places),
         }
-        let spares = spare_workers(&candidates, &fitting);
-        self.request_tickets(ctx, queue, pending, &previous, &fitting, spares);
-        self.reserve_places(key, fitting, need);
     }
 
     /// Returns the candidates on which tasks of a step may start now.
@@ -93,11 +125,39 @@
     ) -> Vec<Candidate> {
         let job = self.jobs.get(&key.job);
         let advice = job.map(|job| &job.steps[usize::from(key.step)].advice);
-        let has_ticket = |own: &&Candidate| {
-            queue.advice.is_none()
-                || advice.is_some_and(|own_advice| own_advice.ticket(own.ix, now).is_some())
+        let has_ticket = |ix| advice.is_some_and(|advice| advice.ticket(ix, now).is_some());
+        let ready = candidates
+            .iter()
+            .filter(|candidate| queue.advice.is_none() || has_ticket(candidate.ix));
+        ready.cloned().collect()
+    }
+
+    /// Requests advice on more workers for a gang that finds no room, and reserves workers for it.
+    fn wait_for_room(
+        &mut self,
+        ctx: &mut Ctx,
+        queue: &Queue,
+        pending: &PendingStep,
+        candidates: &[Candidate],
+        pass: &mut SchedulingPass,
+    ) {
+        let key = &pending.key;
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
         };
-        candidates.iter().filter(has_ticket).cloned().collect()
+        let need = job.row.submission.steps[usize::from(key.step)].need;
+        let slots = candidates
+            .iter()
+            .map(|candidate| need.count_in(&candidate.free));
+        let slots = slots.fold(0, u64::saturating_add);
+        self.log_gang_wait(ctx, key, GangWait::NoRoom, |event| {
+            event.with("allowed", candidates.len()).with("slots", slots)
+        });
+        if let Some(cost) = queue.advice {
+            let workers = self.workers_without_advice(ctx.now, queue, key, true);
+            self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
+        }
+        self.reserve_room(ctx.now, queue, pending, pass);
     }
 
     /// Requests the tickets for a gang's places and for `spares`, which replace workers that have
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -245,7 +245,7 @@
             return;
         }
         if gang {
-            self.place_gang(ctx, state, queue, pending, pass);
+            self.place_gang(ctx, queue, pending, pass);
         } else {
             self.place_single_tasks(ctx, state, queue, pending, pass);
         }
