--- a/core/tests/cell.rs
+++ b/core/tests/cell.rs
@@ -4,7 +4,7 @@
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, World};
+use cell_world::{desired, gang, queue, step, World};
 use pomelotide_core::{
     cell::{AdviceCost, ClientAnswer, JobState, Queue, RunOutcome, StepSpec},
     KeyName, Millis, QueueName, Resources, TeamName,
@@ -17,13 +17,6 @@
     world
 }
 
-fn gang(count: u32, cpu: u64) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(count, cpu)
-    }
-}
-
 fn after(earlier: u16, step: StepSpec) -> StepSpec {
     StepSpec {
         after: vec![earlier],
--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -4,10 +4,10 @@
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, World, KEY};
+use cell_world::{desired, gang, queue, queue_with_advice, step, FakeWorker, World, KEY};
 use pomelotide_core::{
-    cell::{AdviceCost, DesiredState, JobState, Queue, StepSpec, Team},
-    KeyName, Millis, QueueName, Resources, TeamName,
+    cell::{DesiredState, JobState, Queue, StepSpec, Team},
+    KeyName, QueueName, Resources, TeamName,
 };
 
 /// The fixed part of a call for advice, in milliseconds.
@@ -17,26 +17,18 @@
 /// How long a ticket is valid.
 const TICKET_MS: u64 = 2_000;
 
-/// How long the blockers run after a gang is handed in; longer than its first tickets are valid.
+/// How long the blockers run after a gang is submitted; longer than its first tickets are valid.
 const BLOCKED_MS: u64 = 6_000;
-/// What each blocker needs; it leaves a worker little room.
+/// What each blocker needs, in thousandths of a core, of a worker's 4,000.
 const BLOCKER_CPU_MILLI: u64 = 3_900;
-/// How much longer the blockers on some workers run.
+/// How much longer the late blockers run.
 const LATE_MS: u64 = 4_000;
-/// By the terms of the service, a job counts as lost if it has not started after this time with
-/// room for it.
+/// The time within which a job must start once there is room for it, in milliseconds.
 const MAX_WAIT_MS: u64 = 3_000;
 
 /// The key of the team "others", which has no limit.
 const OTHER_KEY: &str = "other-key";
 
-fn gang(count: u32, cpu: u64) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(count, cpu)
-    }
-}
-
 fn per_worker(limit: u32, step: StepSpec) -> StepSpec {
     StepSpec {
         per_worker: Some(limit),
@@ -49,13 +41,7 @@
 }
 
 fn advice_valid_for(valid_ms: u64) -> Queue {
-    let mut queue = queue();
-    queue.advice = Some(AdviceCost {
-        base_us: ADVICE_MS * 1_000,
-        per_worker_us: ADVICE_WORKER_US,
-        valid_ms: Millis(valid_ms),
-    });
-    queue
+    queue_with_advice(ADVICE_MS * 1_000, ADVICE_WORKER_US, valid_ms)
 }
 
 /// Returns a cell whose advice service allows a step on a third of the workers, and whose workers
@@ -69,7 +55,7 @@
         worker.ticket_valid_ms = Some(TICKET_MS);
     }
     world.run(3_000);
-    assert!(world.leader().is_some(), "nobody leads");
+    assert!(world.leader().is_some(), "there is no leader");
     world
 }
 
@@ -110,7 +96,7 @@
     world.submit_to("/fill/", 0, 99, vec![blockers]);
     world.run(100);
     world.key = KEY.into();
-    let running: usize = world.workers.values().map(|own| own.running()).sum();
+    let running: usize = world.workers.values().map(FakeWorker::running).sum();
     assert_eq!(running, blocked, "not all blockers run");
     for worker in world.workers.values_mut() {
         worker.work_ms = 1_000;
@@ -136,7 +122,7 @@
     lines.filter(matches).collect()
 }
 
-/// Guards against a gang that waits for long without a line that says why.
+/// Guards against a waiting gang for which no reason is logged.
 #[test]
 fn a_gang_without_room_is_logged_with_its_reason_and_inputs() {
     let mut world = world_with_slow_advice(3, 30);
@@ -235,7 +221,7 @@
     world.submit(0, 1, vec![gang(12, 4_000)]);
     world.run(BLOCKED_MS - 1_000);
     let first_call = world.advice_calls;
-    // The answer comes after a changed entry or desired state has reached the leader.
+    // The answer arrives after a changed entry or desired state has reached the leader.
     world.advice_ms = 1_600;
     run_until(&mut world, |world| world.advice_calls > first_call);
     assert_eq!(starts_of(&world, 1), 0);
@@ -247,7 +233,7 @@
 #[test]
 fn a_gang_at_its_teams_limit_reserves_no_workers() {
     let mut world = world_with_reserved_gang(60_000);
-    // The gang's own team takes the other workers for long, which leaves it 28 cores.
+    // Tasks of the gang's team use 32 of its 60 cores for a minute, too many for the gang to start.
     for worker in world.workers.values_mut() {
         worker.work_ms = 60_000;
     }
@@ -276,7 +262,8 @@
     assert_eq!(starts_of(&world, 1), 0, "4,000 on a worker of 3,000");
 }
 
-/// Guards against the same after a restart of the workers with less capacity.
+/// Guards against a gang that is started on reserved workers which have restarted with less capacity
+/// (LIMIT).
 #[test]
 fn a_gang_is_not_started_on_workers_that_restarted_smaller() {
     let mut world = world_with_reserved_gang(0);
@@ -321,8 +308,8 @@
     }
 }
 
-/// Guards against a gang that is never placed because its own team's small tasks take a part of the
-/// team's limit again and again (LOST: its team uses a quarter of its limit).
+/// Guards against a gang that is never placed because small tasks of its team keep using a part of
+/// the team's limit (LOST: the team uses a quarter of its limit).
 #[test]
 fn a_gang_starts_beside_small_tasks_of_its_team() {
     let mut state = desired(1, slow_advice());
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -4,21 +4,17 @@
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, World};
+use cell_world::{desired, gang, queue, queue_with_advice, step, World};
 use pomelotide_core::{
-    cell::{AdviceCost, ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec, Table},
-    Millis,
+    cell::{ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec, Table},
+    WorkerId,
 };
 
+/// How long a ticket is valid.
+const TICKET_MS: u64 = 4_000;
+
 fn with_advice(base_us: u64) -> Queue {
-    Queue {
-        advice: Some(AdviceCost {
-            base_us,
-            per_worker_us: 0,
-            valid_ms: Millis(4_000),
-        }),
-        ..queue()
-    }
+    queue_with_advice(base_us, 0, TICKET_MS)
 }
 
 fn on_label(label: &str, step: StepSpec) -> StepSpec {
@@ -28,7 +24,8 @@
     }
 }
 
-/// Guards against answers to a former leader that deny a step of another job its workers.
+/// Guards against an answer to a former leader that is applied to a step of another job and denies it
+/// its workers.
 #[test]
 fn advice_that_a_former_leader_requested_is_not_taken_for_another_step() {
     let mut world = World::new(2, 8, desired(1, with_advice(1_000_000)));
@@ -46,7 +43,7 @@
     world.run(100);
     world.submit(next, 1, vec![on_label("only", step(1, 1_000))]);
     world.run(100);
-    world.tell(leader, Event::Stop);
+    world.deliver_event(leader, Event::Stop);
     world.run(15_000);
     assert_eq!(world.leader(), Some(next));
     world.assert_state(next, 1, JobState::Completed);
@@ -61,11 +58,7 @@
     for worker in world.workers.values_mut() {
         worker.how = RunOutcome::Broken;
     }
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 1_000)
-    };
-    world.submit(0, 1, vec![gang]);
+    world.submit(0, 1, vec![gang(2, 1_000)]);
     world.submit(0, 2, vec![step(1, 1_000)]);
     world.run(800);
     assert_eq!(world.starts().len(), 3);
@@ -101,12 +94,12 @@
     world.run(100);
     world.workers.get_mut(&id).unwrap().silent = false;
     world.run(4_000);
-    assert_eq!(world.workers[&id].running(), 0, "it runs on");
+    assert_eq!(world.workers[&id].running(), 0, "the run was not stopped");
 }
 
-/// Guards against passes that end before they reach a step that fits.
+/// Guards against scheduling passes that end before they reach a step for which there is room.
 #[test]
-fn steps_that_no_worker_may_run_do_not_keep_later_ones_from_free_room() {
+fn steps_that_no_worker_may_run_do_not_block_later_ones() {
     let mut state = desired(1, queue());
     state.teams[0].weight = 1_000;
     let mut world = World::new(1, 1, state);
@@ -126,9 +119,9 @@
     world.assert_state(0, 2, JobState::Completed);
 }
 
-/// Guards against requests that go to the same daemon again and again, which gets no answers.
+/// Guards against requests for advice that are always sent through a daemon which gets no answers.
 #[test]
-fn a_daemon_without_a_way_to_the_advice_service_does_not_hold_steps_up() {
+fn a_daemon_that_cant_reach_the_advice_service_does_not_delay_steps() {
     for base_us in [20_000, 500_000] {
         for cut_off in 0..3 {
             let mut world = World::new(3, 8, desired(1, with_advice(base_us)));
@@ -159,23 +152,23 @@
     world.run(30_000);
     let tasks: std::collections::BTreeSet<String> =
         world.starts().into_iter().map(|start| start.1).collect();
-    assert_eq!(tasks.len(), 16, "accepted work was left undone");
+    assert_eq!(tasks.len(), 16, "accepted tasks did not start");
 }
 
-/// Guards against a leader that has dropped the queue when a daemon with the desired state of before
-/// accepts a job.
+/// Guards against a leader that no longer knows the queue of a job which was accepted by a daemon with
+/// an older desired state.
 #[test]
 fn a_job_that_is_accepted_after_the_leader_saw_its_queue_withdrawn_runs() {
     let (mut accepted, mut refused) = (0, 0);
     for delay_ms in (0..400).step_by(5) {
         let mut world = World::new(3, 4, desired(1, queue()));
         world.run(3_000);
-        let door = (world.leader().unwrap() + 1) % 3;
+        let daemon = (world.leader().unwrap() + 1) % 3;
         let mut state = desired(2, queue());
         state.queues.clear();
         world.store.put_state(state);
         world.run(delay_ms);
-        let call = world.submit(door, 1, vec![step(1, 1_000)]);
+        let call = world.submit(daemon, 1, vec![step(1, 1_000)]);
         world.run(3_000);
         if world.answers[&call] == ClientAnswer::Accepted {
             accepted += 1;
@@ -187,10 +180,10 @@
     assert!(accepted > 0 && refused > 0);
 }
 
-/// A generator of numbers that repeat with their seed.
-struct Dice(u64);
+/// A seeded generator of pseudorandom numbers.
+struct Rng(u64);
 
-impl Dice {
+impl Rng {
     fn below(&mut self, bound: u64) -> u64 {
         self.0 = self
             .0
@@ -202,78 +195,94 @@
 
 const DAEMONS: usize = 4;
 
-fn random_step(dice: &mut Dice) -> StepSpec {
-    let gang = dice.below(3) == 0;
-    let count = 1 + dice.below(if gang { 8 } else { 6 }) as u32;
+fn random_step(rng: &mut Rng) -> StepSpec {
+    let gang = rng.below(3) == 0;
+    let count = 1 + rng.below(if gang { 8 } else { 6 }) as u32;
     StepSpec {
         gang,
-        same_rack: gang && dice.below(2) == 0,
-        ..step(count, 200 + dice.below(8) * 250)
+        same_rack: gang && rng.below(2) == 0,
+        ..step(count, 200 + rng.below(8) * 250)
     }
 }
 
-fn disturb(world: &mut World, dice: &mut Dice) {
-    let at = dice.below(DAEMONS as u64) as usize;
+/// Applies a random fault to the cell, or ends one.
+fn inject_fault(world: &mut World, rng: &mut Rng) {
+    let at = rng.below(DAEMONS as u64) as usize;
     let ids: Vec<_> = world.workers.keys().cloned().collect();
-    let id = ids[dice.below(ids.len() as u64) as usize].clone();
-    match dice.below(24) {
+    let id = ids[rng.below(ids.len() as u64) as usize].clone();
+    match rng.below(24) {
+        fault @ 0..=2 => restart_daemons(world, rng, fault, at),
+        3 => world.refuse_store(at, true),
+        4 => world.refuse_store(at, false),
+        5 => world.silence_store(at, true),
+        6 => world.silence_store(at, false),
+        7 => world.cut(at, true),
+        8 => world.cut(at, false),
+        9 => world.store.down = rng.below(3) == 0,
+        10 => match rng.below(2) {
+            0 => world.store.lose_answers += rng.below(4) as usize,
+            _ => world.late_writes += rng.below(4) as usize,
+        },
+        11 => world.store.history_gone = world.store.version(),
+        21 => world.advice_lost_at = Some(at).filter(|_| rng.below(2) == 0),
+        22 => world.late_lists_ms = rng.below(2) * rng.below(400),
+        fault => inject_worker_fault(world, rng, fault, &id),
+    }
+}
+
+/// Restarts the daemon `at`, all daemons, or the leader after a planned stop.
+fn restart_daemons(world: &mut World, rng: &mut Rng, fault: u64, at: usize) {
+    match fault {
         0 => {
             world.kill(at);
-            world.run(dice.below(900));
+            world.run(rng.below(900));
             world.start(at);
         }
         1 => {
             for at in 0..DAEMONS {
                 world.kill(at);
             }
-            world.run(100 + dice.below(900));
+            world.run(100 + rng.below(900));
             for at in 0..DAEMONS {
                 world.start(at);
             }
         }
-        2 => {
+        _ => {
             if let Some(leader) = world.leader() {
-                world.tell(leader, Event::Stop);
-                world.run(dice.below(6_000));
+                world.deliver_event(leader, Event::Stop);
+                world.run(rng.below(6_000));
                 world.kill(leader);
                 world.start(leader);
             }
         }
-        3 => world.refuse_store(at, true),
-        4 => world.refuse_store(at, false),
-        5 => world.silence_store(at, true),
-        6 => world.silence_store(at, false),
-        7 => world.cut(at, true),
-        8 => world.cut(at, false),
-        9 => world.store.down = dice.below(3) == 0,
-        10 => match dice.below(2) {
-            0 => world.store.lose_answers += dice.below(4) as usize,
-            _ => world.late_writes += dice.below(4) as usize,
-        },
-        11 => world.store.history_gone = world.store.version(),
-        12 | 13 => world.restart_worker(&id),
-        14 => world.workers.get_mut(&id).unwrap().silent = true,
-        15 | 16 => world.workers.get_mut(&id).unwrap().silent = false,
-        17 => world.workers.get_mut(&id).unwrap().late_starts_ms = Some(dice.below(3_000)),
-        18 => world.workers.get_mut(&id).unwrap().late_starts_ms = None,
-        19 => world.store.remove_worker(id.as_str()),
-        20 => {
-            let worker = world.workers[&id].clone();
-            world.store.put_worker(&worker);
-        }
-        21 => world.advice_lost_at = Some(at).filter(|_| dice.below(2) == 0),
-        22 => world.late_lists_ms = dice.below(2) * dice.below(400),
+    }
+}
+
+/// Applies a fault to a worker or its entry, or ends one.
+fn inject_worker_fault(world: &mut World, rng: &mut Rng, fault: u64, id: &WorkerId) {
+    match fault {
+        12 | 13 => return world.restart_worker(id),
+        19 => return world.store.remove_worker(id.as_str()),
+        20 => return world.store.put_worker(&world.workers[id]),
+        _ => {}
+    }
+    let worker = world.workers.get_mut(id).unwrap();
+    match fault {
+        14 => worker.silent = true,
+        15 | 16 => worker.silent = false,
+        17 => worker.late_starts_ms = Some(rng.below(3_000)),
+        18 => worker.late_starts_ms = None,
         _ => {
-            let broken = dice.below(3) == 0;
-            world.workers.get_mut(&id).unwrap().how = match broken {
+            worker.how = match rng.below(3) == 0 {
                 true => RunOutcome::Broken,
                 false => RunOutcome::Done,
-            };
+            }
         }
     }
 }
 
-fn heal(world: &mut World) {
+/// Ends all faults.
+fn end_faults(world: &mut World) {
     world.store.down = false;
     world.store.lose_answers = 0;
     world.late_writes = 0;
@@ -295,56 +304,61 @@
     }
 }
 
-/// Guards against accepted jobs that no later work of a sound cell brings to their end.
-#[test]
-fn accepted_jobs_end_after_any_series_of_faults() {
-    let count = std::env::var("SEEDS")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(20);
-    let first = std::env::var("SEED")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0u64);
-    let mut failures = Vec::new();
-    for seed in first..first + count {
-        let mut dice = Dice(seed * 7_919 + 1);
-        let kind = if dice.below(2) == 0 {
-            queue()
-        } else {
-            with_advice(20_000)
-        };
-        let mut state = desired(1, kind);
-        state.teams[0].limit.cpu_milli = 16_000 * dice.below(2);
-        let mut world = World::new(DAEMONS, 8, state);
-        world.run(3_000);
-        let mut calls = Vec::new();
-        for job in 0..120 {
-            let mut steps = vec![random_step(&mut dice)];
-            if dice.below(3) == 0 {
-                steps.push(StepSpec {
-                    after: vec![0],
-                    ..random_step(&mut dice)
-                });
-            }
-            let door = dice.below(DAEMONS as u64) as usize;
-            calls.push((job, world.submit(door, job, steps)));
-            world.run(dice.below(300));
-            if dice.below(4) == 0 {
-                disturb(&mut world, &mut dice);
-            }
+/// Submits jobs to a cell while faults occur; returns those that were accepted and have not completed
+/// a minute after the end of all faults.
+fn unfinished_jobs(seed: u64) -> Vec<(u64, u64, ClientAnswer)> {
+    let mut rng = Rng(seed * 7_919 + 1);
+    let queue = match rng.below(2) {
+        0 => queue(),
+        _ => with_advice(20_000),
+    };
+    let mut state = desired(1, queue);
+    state.teams[0].limit.cpu_milli = 16_000 * rng.below(2);
+    let mut world = World::new(DAEMONS, 8, state);
+    world.run(3_000);
+    let mut calls = Vec::new();
+    for job in 0..120 {
+        let mut steps = vec![random_step(&mut rng)];
+        if rng.below(3) == 0 {
+            steps.push(StepSpec {
+                after: vec![0],
+                ..random_step(&mut rng)
+            });
         }
-        heal(&mut world);
-        world.run(60_000);
-        for (job, call) in calls {
-            if world.answers.get(&call) == Some(&ClientAnswer::Accepted) {
-                let state = world.state(0, job);
-                if state != ClientAnswer::State(JobState::Completed) {
-                    failures.push((seed, job, state));
-                }
-            }
+        let daemon = rng.below(DAEMONS as u64) as usize;
+        calls.push((job, world.submit(daemon, job, steps)));
+        world.run(rng.below(300));
+        if rng.below(4) == 0 {
+            inject_fault(&mut world, &mut rng);
+        }
+    }
+    end_faults(&mut world);
+    world.run(60_000);
+    let mut unfinished = Vec::new();
+    for (job, call) in calls {
+        if world.answers.get(&call) != Some(&ClientAnswer::Accepted) {
+            continue;
+        }
+        let state = world.state(0, job);
+        if state != ClientAnswer::State(JobState::Completed) {
+            unfinished.push((seed, job, state));
         }
     }
+    unfinished
+}
+
+/// Returns the number in an environment variable, if it is set.
+fn env_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Guards against accepted jobs that do not end although all faults are over. `SEED` sets the first
+/// seed and `SEEDS` the number of seeds.
+#[test]
+fn accepted_jobs_end_after_any_series_of_faults() {
+    let count = env_number("SEEDS").unwrap_or(20);
+    let first = env_number("SEED").unwrap_or(0);
+    let failures: Vec<_> = (first..first + count).flat_map(unfinished_jobs).collect();
     assert!(failures.is_empty(), "{failures:?}");
 }
 
@@ -356,11 +370,7 @@
     for worker in world.workers.values_mut() {
         worker.work_ms = 30_000;
     }
-    let gang = StepSpec {
-        gang: true,
-        ..step(4, 3_000)
-    };
-    world.submit(0, 1, vec![gang]);
+    world.submit(0, 1, vec![gang(4, 3_000)]);
     world.run(500);
     let silent = world.starts()[0].0.clone();
     world.workers.get_mut(&silent).unwrap().silent = true;
@@ -373,7 +383,8 @@
     world.assert_state(0, 1, JobState::Completed);
 }
 
-/// Guards against jobs that are forgotten before their rows are removed, and then read again.
+/// Guards against jobs that the leader removes from its memory before their rows, so that it reads
+/// and runs them again.
 #[test]
 fn ended_jobs_whose_removal_failed_do_not_run_again() {
     let mut world = World::new(2, 4, desired(1, queue()));
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -11,9 +11,9 @@
 
 use pomelotide_core::{
     cell::{
-        AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb, DesiredState,
-        Effect, Event, JobState, LinkId, LogEvent, Node, Queue, RequestLimits, RpcId, StepSpec,
-        StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer, WorkerCall,
+        AdviceCost, AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb,
+        DesiredState, Effect, Event, JobState, LinkId, LogEvent, Node, Queue, RequestLimits, RpcId,
+        StepSpec, StoreCall, StoreReply, Submission, Table, Team, Ticket, WorkerAnswer, WorkerCall,
     },
     CallId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -31,11 +31,11 @@
 const STORE_MS: u64 = 10;
 /// After which time a call to the store without an answer counts as lost.
 const STORE_SILENCE_MS: u64 = 1_500;
-/// The most workers that a call for advice may name; the service refuses a longer call.
+/// The maximum number of workers in a call for advice; the service refuses a longer call.
 const MAX_ADVISED_WORKERS: usize = 100;
-/// How late a write without an answer takes effect.
+/// The delay until a write whose answer is lost takes effect.
 const LATE_WRITE_MS: u64 = 2_500;
-/// More daemons than a test starts.
+/// The number of daemons is below this; see [`World::caller`].
 const MAX_DAEMONS: usize = 64;
 /// How long a call to a worker or a message takes.
 const HOP_MS: u64 = 4;
@@ -43,8 +43,11 @@
 /// What is on its way.
 #[derive(Debug)]
 enum Due {
+    /// An event for a daemon, or for a caller if it is an answer.
     Event(usize, Event),
+    /// A call with its caller, see [`World::caller`].
     StoreCall(usize, RpcId, StoreCall),
+    /// A call with its caller.
     WorkerCall(usize, RpcId, Order),
 }
 
@@ -62,7 +65,7 @@
     /// Whether messages to and from other daemons are lost.
     cut: bool,
     cpu_milli: u64,
-    /// The number of its process; answers to calls of earlier ones are dropped.
+    /// How many times its process was started; answers to calls of earlier processes are dropped.
     process: usize,
 }
 
@@ -87,7 +90,7 @@
     pub advice_calls: usize,
     /// How much longer advice takes for each worker that the call names, in microseconds.
     pub advice_worker_us: u64,
-    /// Allows a step's tasks on every n-th worker only.
+    /// The advice service allows every n-th worker only.
     pub advice_allows_every: usize,
     /// How long a call for advice and its answer travel.
     pub advice_way_ms: u64,
@@ -96,9 +99,9 @@
     advice_free_at: Vec<u64>,
     /// The daemon whose calls for advice get no answer.
     pub advice_lost_at: Option<usize>,
-    /// How many of the next writes take effect late and without an answer.
+    /// How many of the next writes take effect after [`LATE_WRITE_MS`], without an answer.
     pub late_writes: usize,
-    /// How much later the lists of runs arrive for which a worker does not wait.
+    /// The additional delay of the answers to polls with a wait of zero.
     pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
     pub step_s: f64,
@@ -152,6 +155,28 @@
     }
 }
 
+/// Returns a gang step of `count` members that need `cpu` thousandths and run for a second.
+pub fn gang(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, cpu)
+    }
+}
+
+/// Returns the queue of [`queue`] with advice that takes `base_us` and `per_worker_us` for each
+/// worker, in microseconds, and whose tickets are valid for `valid_ms`.
+pub fn queue_with_advice(base_us: u64, per_worker_us: u64, valid_ms: u64) -> Queue {
+    let cost = AdviceCost {
+        base_us,
+        per_worker_us,
+        valid_ms: Millis(valid_ms),
+    };
+    Queue {
+        advice: Some(cost),
+        ..queue()
+    }
+}
+
 impl World {
     /// Starts `daemons` daemons and `workers` workers of four cores.
     pub fn new(daemons: usize, workers: usize, state: DesiredState) -> Self {
@@ -241,9 +266,9 @@
         }
     }
 
-    /// Lets a worker announce whether it drains.
+    /// Writes whether worker number `at` drains to its entry.
     pub fn set_draining(&mut self, at: usize, draining: bool) {
-        let worker = self.workers.values_mut().find(|own| own.number == at);
+        let worker = self.workers.values_mut().find(|worker| worker.number == at);
         let worker = worker.unwrap();
         worker.entry.draining = draining;
         self.store.put_worker(worker);
@@ -280,13 +305,15 @@
         self.queue.insert((self.now + delay_ms, self.sequence), due);
     }
 
-    /// Returns the caller that a daemon's calls name: the daemon and its process.
+    /// Returns the number that identifies a daemon's current process in its calls; modulo
+    /// [`MAX_DAEMONS`] it is the daemon's number.
     fn caller(&self, at: usize) -> usize {
         at + self.daemons[at].process * MAX_DAEMONS
     }
 
-    /// Hands an event to a daemon now. An answer goes to the process that called.
-    pub fn tell(&mut self, caller: usize, event: Event) {
+    /// Delivers an event to a daemon now. `caller` is the daemon's number or, for an answer, a value
+    /// of [`Self::caller`]; answers to a process that has ended are dropped.
+    pub fn deliver_event(&mut self, caller: usize, event: Event) {
         let at = caller % MAX_DAEMONS;
         let is_answer = matches!(
             event,
@@ -328,7 +355,7 @@
             if self.now == next_tick {
                 self.run_workers();
                 for at in 0..self.daemons.len() {
-                    self.tell(at, Event::Tick);
+                    self.deliver_event(at, Event::Tick);
                 }
             }
         }
@@ -346,7 +373,7 @@
 
     fn deliver(&mut self, due: Due) {
         match due {
-            Due::Event(at, event) => self.tell(at, event),
+            Due::Event(at, event) => self.deliver_event(at, event),
             Due::StoreCall(at, rpc, _) if self.daemons[at % MAX_DAEMONS].store_silent => {
                 let lost = Event::Store(rpc, StoreReply::Lost);
                 self.later(STORE_SILENCE_MS, Due::Event(at, lost));
@@ -419,33 +446,11 @@
                 self.later(HOP_MS, Due::WorkerCall(caller, rpc, call));
             }
             Effect::Advise {
-                rpc, timeout_ms, ..
-            } if self.advice_lost_at == Some(at) => {
-                let lost = Event::Advice(rpc, AdviceReply::Lost);
-                self.later(timeout_ms.0, Due::Event(caller, lost));
-            }
-            Effect::Advise { rpc, workers, .. } => {
-                self.advice_calls += 1;
-                // The service takes the calls of a daemon one after another.
-                let begins = self.advice_free_at[at].max(self.now + self.advice_way_ms);
-                let workers_ms = self.advice_worker_us * workers.len() as u64 / 1_000;
-                let ends = begins + self.advice_ms + workers_ms;
-                self.advice_free_at[at] = ends;
-                // A ticket carries the time of its issue.
-                let allowed = |id: &WorkerId| {
-                    let own = self.workers.get(id);
-                    own.is_some_and(|own| own.number.is_multiple_of(self.advice_allows_every))
-                };
-                let is_refused = workers.len() > MAX_ADVISED_WORKERS;
-                let rows = workers.into_iter().filter(allowed);
-                let ticket = Ticket(ends.to_string().into());
-                let reply = match is_refused {
-                    true => AdviceReply::Lost,
-                    false => AdviceReply::Allowed(rows.map(|id| (id, ticket.clone())).collect()),
-                };
-                let delay_ms = ends + self.advice_way_ms - self.now;
-                self.later(delay_ms, Due::Event(caller, Event::Advice(rpc, reply)));
-            }
+                rpc,
+                workers,
+                timeout_ms,
+                ..
+            } => self.advise(at, rpc, workers, timeout_ms.0),
             Effect::Dial(address) => self.dial(at, &address),
             Effect::Close(link) => {
                 if let Some((peer, other)) = self.daemons[at].links.remove(&link) {
@@ -465,6 +470,34 @@
         }
     }
 
+    /// Answers a daemon's call for advice. The service takes the calls of a daemon one after another;
+    /// a ticket holds the time of its issue.
+    fn advise(&mut self, at: usize, rpc: RpcId, workers: Vec<WorkerId>, timeout_ms: u64) {
+        let caller = self.caller(at);
+        if self.advice_lost_at == Some(at) {
+            let lost = Event::Advice(rpc, AdviceReply::Lost);
+            return self.later(timeout_ms, Due::Event(caller, lost));
+        }
+        self.advice_calls += 1;
+        let begins = self.advice_free_at[at].max(self.now + self.advice_way_ms);
+        let workers_ms = self.advice_worker_us * workers.len() as u64 / 1_000;
+        let ends = begins + self.advice_ms + workers_ms;
+        self.advice_free_at[at] = ends;
+        let is_allowed = |id: &WorkerId| {
+            let worker = self.workers.get(id);
+            worker.is_some_and(|worker| worker.number.is_multiple_of(self.advice_allows_every))
+        };
+        let ticket = Ticket(ends.to_string().into());
+        let reply = if workers.len() > MAX_ADVISED_WORKERS {
+            AdviceReply::Lost
+        } else {
+            let allowed = workers.into_iter().filter(is_allowed);
+            AdviceReply::Allowed(allowed.map(|id| (id, ticket.clone())).collect())
+        };
+        let delay_ms = ends + self.advice_way_ms - self.now;
+        self.later(delay_ms, Due::Event(caller, Event::Advice(rpc, reply)));
+    }
+
     /// Returns how much later than others a scan of jobs is made, or its answer comes.
     fn scan_ms(&self, call: &StoreCall, answer: bool) -> u64 {
         match call {
@@ -517,7 +550,7 @@
             deadline_ms: None,
             verb,
         };
-        self.tell(at, Event::Call(CallId(self.last_call), Box::new(request)));
+        self.deliver_event(at, Event::Call(CallId(self.last_call), Box::new(request)));
         self.last_call
     }
 
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -25,10 +25,10 @@
     /// The version up to which the history is gone.
     pub history_gone: u64,
     pub writes: usize,
-    /// Whether the table of workers can't be read.
-    pub lose_worker_reads: bool,
+    /// Whether reads of the table of workers get no answer.
+    pub worker_reads_lost: bool,
     /// Whether a page that is not the last one ends with a row that can't be read.
-    pub odd_page_ends: bool,
+    pub unreadable_page_ends: bool,
 }
 
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
@@ -43,8 +43,8 @@
             lose_answers: 0,
             history_gone: 0,
             writes: 0,
-            lose_worker_reads: false,
-            odd_page_ends: false,
+            worker_reads_lost: false,
+            unreadable_page_ends: false,
         };
         store.put_state(state);
         store
@@ -80,7 +80,7 @@
         self.put(key, RowValue::Worker(Box::new(worker.entry.clone())));
     }
 
-    /// Writes any row as another writer does.
+    /// Writes a row with any value, as a writer other than the daemons may.
     pub fn put_row(&mut self, table: Table, part: &str, key: &str, value: RowValue) {
         self.version += 1;
         self.put(RowKey::new(table, part, key), value);
@@ -126,6 +126,36 @@
         StoreReply::Written(RowVersion(self.version))
     }
 
+    /// Reads at most `most` rows of a partition, beginning with the key `from`.
+    fn read_page(&self, from: &RowKey, most: usize, now_ms: u64) -> StoreReply {
+        let is_in_page = |key: &RowKey| {
+            key.table == from.table && key.partition == from.partition && key.key >= from.key
+        };
+        let found = self.rows.iter().filter(|(key, _)| is_in_page(key));
+        let page = found.clone().take(most);
+        let mut rows: Vec<Row> = page
+            .map(|(key, (version, value))| Row {
+                key: key.clone(),
+                version: *version,
+                value: value.clone(),
+            })
+            .collect();
+        let more = found.count() > most;
+        if more && self.unreadable_page_ends {
+            rows.push(Row {
+                key: RowKey::new(from.table, "", ""),
+                version: RowVersion(0),
+                value: RowValue::Unusable("malformed".into()),
+            });
+        }
+        StoreReply::Rows {
+            rows,
+            more,
+            version: RowVersion(self.version),
+            clock_ms: Some(Millis(CLOCK_LEAD_MS + now_ms)),
+        }
+    }
+
     pub fn call(
         &mut self,
         refuses: bool,
@@ -145,7 +175,7 @@
             | StoreCall::Follow {
                 table: Table::Workers,
                 ..
-            } if self.lose_worker_reads => (0, StoreReply::Lost),
+            } if self.worker_reads_lost => (0, StoreReply::Lost),
             StoreCall::Write(write) => {
                 let reply = self.write(write);
                 if self.lose_answers > 0 {
@@ -157,41 +187,13 @@
             }
             StoreCall::Read {
                 table,
-                partition: part,
+                partition,
                 from,
                 limit,
             } => {
-                let own =
-                    |key: &RowKey| key.table == table && key.partition == part && key.key >= from;
                 let most = if limit == 0 { 500 } else { limit as usize };
-                let found = self.rows.iter().filter(|(key, _)| own(key));
-                let mut rows: Vec<Row> = found
-                    .clone()
-                    .take(most)
-                    .map(|(key, (version, value))| Row {
-                        key: key.clone(),
-                        version: *version,
-                        value: value.clone(),
-                    })
-                    .collect();
-                let more = found.count() > most;
-                if more && self.odd_page_ends {
-                    rows.push(Row {
-                        key: RowKey::new(table, "", ""),
-                        version: RowVersion(0),
-                        value: RowValue::Unusable("odd".into()),
-                    });
-                }
-                let version = RowVersion(self.version);
-                (
-                    0,
-                    StoreReply::Rows {
-                        rows,
-                        more,
-                        version,
-                        clock_ms: Some(Millis(CLOCK_LEAD_MS + now_ms)),
-                    },
-                )
+                let from = RowKey::new(table, &partition, &from);
+                (0, self.read_page(&from, most, now_ms))
             }
             StoreCall::Follow {
                 table,
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -38,9 +38,9 @@
 #[derive(Clone, Debug)]
 pub struct FakeWorker {
     pub entry: WorkerEntry,
-    /// Its place in the list of workers.
+    /// Its position in the list of workers, from 0.
     pub number: usize,
-    /// How long after its issue a ticket is valid; without it, tickets are not checked.
+    /// How long a ticket is valid after its issue; `None` accepts every ticket.
     pub ticket_valid_ms: Option<u64>,
     token: u64,
     lease_until: u64,
@@ -60,8 +60,9 @@
     /// Whether starts hang without an answer and are carried out this much later.
     pub late_starts_ms: Option<u64>,
     late: Vec<(u64, Order)>,
-    /// The answer to every poll, at once, in place of its own lists.
-    pub odd_answer: Option<WorkerAnswer>,
+    /// If set, every poll is answered with it at once instead of with the lists of runs.
+    pub answer_override: Option<WorkerAnswer>,
+    /// How many polls it has received.
     pub polls: usize,
     /// The highest use of its processors that was seen.
     pub most_cpu_milli: u64,
@@ -103,7 +104,7 @@
             silent: false,
             late_starts_ms: None,
             late: Vec::new(),
-            odd_answer: None,
+            answer_override: None,
             polls: 0,
             most_cpu_milli: 0,
             used: Resources::default(),
@@ -227,8 +228,8 @@
             _ => 0,
         };
         let answer = self.carry_out(now, &call);
-        if let (Some(odd), WorkerAnswer::Listed(..)) = (&self.odd_answer, &answer) {
-            return Some((0, odd.clone()));
+        if let (Some(fixed), WorkerAnswer::Listed(..)) = (&self.answer_override, &answer) {
+            return Some((0, fixed.clone()));
         }
         let waits = wait_ms > 0 && self.finished.is_empty();
         if waits && matches!(answer, WorkerAnswer::Listed(..)) {
--- a/core/tests/odd_entries.rs
+++ b/core/tests/malformed_input.rs
@@ -1,10 +1,10 @@
-//! Odd entries of workers, odd answers and odd jobs: the cell goes on without them.
+//! Malformed rows, entries, answers and jobs, in virtual time: the cell works on without them.
 
 #![allow(clippy::unwrap_used)]
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, FakeWorker, World};
+use cell_world::{desired, gang, queue, step, FakeWorker, World};
 use pomelotide_core::{
     cell::{
         ActiveRun, ClientAnswer, FinishedRun, JobState, LogEvent, RowValue, RunOutcome, StepKey,
@@ -13,7 +13,7 @@
     JobId, Millis, Resources,
 };
 
-const EVERYTHING: Resources = Resources {
+const MAX_RESOURCES: Resources = Resources {
     cpu_milli: u64::MAX,
     memory_mib: u64::MAX,
     accelerators: u64::MAX,
@@ -23,23 +23,17 @@
 fn world(workers: usize) -> World {
     let mut world = World::new(2, workers, desired(1, queue()));
     world.run(3_000);
-    assert!(world.leader().is_some(), "nobody leads");
+    assert!(world.leader().is_some(), "there is no leader");
     world
 }
 
-fn gang(count: u32, cpu: u64) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(count, cpu)
-    }
-}
-
 fn first_worker(world: &mut World) -> &mut FakeWorker {
     world.workers.values_mut().next().unwrap()
 }
 
-/// Lets the first worker list task 0 of job 1 with these runs, and with these ends and their runs.
-fn answer_oddly(world: &mut World, clock_ms: u64, runs: &[u32], ends: &[(u64, u32)]) {
+/// Makes the first worker answer polls with `runs` of task 0 of job 1 as active ones and with `ends`,
+/// pairs of an end's number and a run of that task.
+fn override_lists(world: &mut World, clock_ms: u64, runs: &[u32], ends: &[(u64, u32)]) {
     let step = StepKey {
         job: JobId::new(format!("{:016x}", 1)),
         occurrence: 0,
@@ -65,19 +59,20 @@
         active: active.collect(),
         finished: finished.collect(),
     };
-    worker.odd_answer = Some(WorkerAnswer::Listed(Millis(clock_ms), view));
+    worker.answer_override = Some(WorkerAnswer::Listed(Millis(clock_ms), view));
     worker.polls = 0;
 }
 
-/// A worker whose entry was overwritten with bad bytes lost its runs or never came back.
+/// Guards against a worker that loses its runs, or gets no work again, after its entry was malformed
+/// for some time.
 #[test]
-fn a_worker_with_a_bad_entry_rests_and_comes_back() {
+fn a_worker_gets_no_new_work_while_its_entry_is_malformed() {
     let mut world = world(1);
     first_worker(&mut world).work_ms = 6_000;
     world.submit(0, 1, vec![step(1, 1_000)]);
     world.run(500);
     let good = first_worker(&mut world).clone();
-    let unusable = RowValue::Unusable("odd".into());
+    let unusable = RowValue::Unusable("malformed".into());
     world.store.put_row(Table::Workers, "", "w00", unusable);
     world.run(500);
     world.submit(0, 2, vec![step(1, 1_000)]);
@@ -91,18 +86,19 @@
     world.assert_once();
 }
 
-/// An absurd capacity drew all work to a worker that is not there, or overflowed where it is.
+/// Guards against an oversized capacity that attracts all work to a worker that does not exist, or
+/// that overflows if the worker exists.
 #[test]
-fn an_absurd_capacity_neither_draws_all_work_nor_panics() {
-    for is_there in [false, true] {
+fn an_oversized_capacity_neither_attracts_all_work_nor_panics() {
+    for exists in [false, true] {
         let mut world = World::new(2, 4, desired(1, queue()));
-        let mut odd = match is_there {
+        let mut worker = match exists {
             true => first_worker(&mut world).clone(),
             false => FakeWorker::new(90),
         };
-        odd.entry.capacity = EVERYTHING;
-        odd.entry.labels = vec!["l".repeat(20).into(); 5_000];
-        world.store.put_worker(&odd);
+        worker.entry.capacity = MAX_RESOURCES;
+        worker.entry.labels = vec!["l".repeat(20).into(); 5_000];
+        world.store.put_worker(&worker);
         world.run(3_000);
         let in_rack = StepSpec {
             same_rack: true,
@@ -119,7 +115,7 @@
     }
 }
 
-/// Text from an entry could begin a log line of its own.
+/// Guards against text of an entry that begins a new line of the log.
 #[test]
 fn a_field_with_control_characters_stays_in_its_line() {
     let line = LogEvent::info("x").with("key", "a\r\nlevel\u{1b}[0m");
@@ -130,25 +126,25 @@
     assert!(line.to_string().len() < 2_000);
 }
 
-/// A table that could never be read was read again for ever without a log line.
+/// Guards against a table whose reads fail and are retried without a log line.
 #[test]
 fn a_table_that_cant_be_read_is_logged_and_read_later() {
     let mut world = World::new(2, 2, desired(1, queue()));
-    world.store.lose_worker_reads = true;
+    world.store.worker_reads_lost = true;
     world.run(8_000);
     let lines = world.count("read_failed");
     assert!((1..20).contains(&lines), "{lines}");
-    world.store.lose_worker_reads = false;
+    world.store.worker_reads_lost = false;
     world.submit(0, 1, vec![step(2, 1_000)]);
     world.run(6_000);
     world.assert_state(0, 1, JobState::Completed);
 }
 
-/// A full read never got past a page whose last row has no readable key.
+/// Guards against a full read that can't continue after a page whose last row has no readable key.
 #[test]
-fn a_row_without_a_key_does_not_hold_up_a_full_read() {
+fn a_row_without_a_key_does_not_stop_a_full_read() {
     let mut world = World::new(1, 600, desired(1, queue()));
-    world.store.odd_page_ends = true;
+    world.store.unreadable_page_ends = true;
     world.run(5_000);
     let mut lines = world.lines.iter().map(|(_, _, line)| line);
     let loaded = lines.find(|line| line.event == "leader_loaded");
@@ -156,7 +152,7 @@
     assert!(loaded.contains("workers=600"), "{loaded}");
 }
 
-/// A run number near the largest number ended the process.
+/// Guards against a panic at a run number near the largest number.
 #[test]
 fn extreme_numbers_in_the_lists_of_a_worker_do_not_panic() {
     let mut world = world(2);
@@ -165,23 +161,23 @@
     }
     world.submit(0, 1, vec![step(2, 3_000)]);
     world.run(500);
-    answer_oddly(&mut world, u64::MAX, &[u32::MAX], &[(3, u32::MAX)]);
+    override_lists(&mut world, u64::MAX, &[u32::MAX], &[(3, u32::MAX)]);
     world.run(4_000);
     let id = first_worker(&mut world).id();
-    first_worker(&mut world).odd_answer = None;
+    first_worker(&mut world).answer_override = None;
     world.restart_worker(&id);
     world.run(20_000);
     world.assert_state(0, 1, JobState::Completed);
 }
 
-/// After one end with an absurd number, no later end of the worker was seen.
+/// Guards against an end with an oversized number, after which no end of the worker is seen.
 #[test]
-fn an_absurd_end_number_does_not_hide_later_ends() {
+fn an_oversized_end_number_does_not_hide_later_ends() {
     let mut world = world(1);
     let now = world.now;
-    answer_oddly(&mut world, now, &[], &[(u64::MAX, 1)]);
+    override_lists(&mut world, now, &[], &[(u64::MAX, 1)]);
     world.run(4_000);
-    first_worker(&mut world).odd_answer = None;
+    first_worker(&mut world).answer_override = None;
     world.run(4_000);
     world.submit(0, 1, vec![step(2, 1_000)]);
     world.run(8_000);
@@ -189,46 +185,46 @@
     world.assert_once();
 }
 
-/// A worker that answers each poll at once was polled without a pause.
+/// Guards against polling without a pause a worker that answers each poll at once.
 #[test]
 fn a_worker_that_does_not_wait_is_polled_with_a_pause() {
     let mut world = world(1);
     world.submit(0, 1, vec![step(1, 1_000)]);
     world.run(500);
     let now = world.now;
-    answer_oddly(&mut world, now, &[1], &[]);
+    override_lists(&mut world, now, &[1], &[]);
     world.run(5_000);
     let polls = first_worker(&mut world).polls;
     assert!(polls < 40, "{polls}");
 }
 
-/// A task that a worker listed with two runs took more of the worker's room with each list.
+/// Guards against a task listed with two runs that takes more of the worker's room with each list.
 #[test]
 fn a_task_that_is_listed_twice_takes_its_room_once() {
     let mut world = world(1);
     world.submit(0, 1, vec![step(1, 1_000)]);
     world.run(500);
     let now = world.now;
-    answer_oddly(&mut world, now, &[1, 2], &[]);
+    override_lists(&mut world, now, &[1, 2], &[]);
     world.run(4_000);
-    first_worker(&mut world).odd_answer = None;
+    first_worker(&mut world).answer_override = None;
     world.submit(0, 2, vec![step(1, 4_000)]);
     world.run(12_000);
     world.assert_state(0, 2, JobState::Completed);
 }
 
-/// A job with absurd numbers ended every leader that read it.
+/// Guards against a job whose numbers make every leader that reads it panic.
 #[test]
-fn absurd_numbers_of_a_job_do_not_panic() {
+fn extreme_numbers_of_a_job_do_not_panic() {
     let mut world = world(2);
-    let absurd = StepSpec {
-        need: EVERYTHING,
+    let extreme = StepSpec {
+        need: MAX_RESOURCES,
         estimated_ms: Millis(u64::MAX),
         ..step(3, 1)
     };
-    let mut chained = absurd.clone();
+    let mut chained = extreme.clone();
     chained.after = vec![0];
-    let accepted = world.submit(0, 1, vec![absurd, chained]);
+    let accepted = world.submit(0, 1, vec![extreme, chained]);
     let refused = world.submit(0, 3, vec![step(u32::MAX, 1), gang(u32::MAX, 1)]);
     world.submit(0, 2, vec![step(2, 1_000)]);
     world.run(5_000);
@@ -238,7 +234,7 @@
     world.assert_state(0, 2, JobState::Completed);
 }
 
-/// The longest chain of a job whose steps all depend on each other took hours to find.
+/// Guards against a search for the longest chain that takes exponential time in the number of steps.
 #[test]
 fn the_longest_chain_of_many_dependent_steps_is_found_at_once() {
     let steps = (0..60).map(|at| StepSpec {
@@ -252,11 +248,11 @@
     assert_eq!(work.critical_path_ms(), 60_000);
 }
 
-/// A job whose record can't be read was answered as if there were no such job.
+/// Guards against answering that a job does not exist if its record can't be read.
 #[test]
-fn a_job_whose_record_cant_be_read_is_not_denied() {
+fn a_query_about_a_job_whose_record_cant_be_read_is_refused() {
     let mut world = world(1);
-    let unusable = RowValue::Unusable("odd".into());
+    let unusable = RowValue::Unusable("malformed".into());
     for part in ["0", "1", "2", "3"] {
         let key = format!("{:016x}", 7);
         world
--- a/daemon/tests/connection_pool.rs
+++ b/daemon/tests/connection_pool.rs
@@ -1,4 +1,4 @@
-//! Tests the calls to other processes against servers that answer oddly.
+//! Tests the calls to other processes against servers that send oversized answers.
 
 #![allow(clippy::unwrap_used)]
 
@@ -14,14 +14,14 @@
 };
 use tokio::{runtime, task::LocalSet};
 
-/// The size of the answer, which no caller should read whole.
+/// The size of the answer, in MiB; above the limit that callers set.
 const ANSWER_MIB: usize = 256;
-/// The most that a caller may take of it, with what the sockets hold.
+/// The maximum part of it that the server may send, with what the socket buffers hold, in MiB.
 const MAX_TAKEN_MIB: usize = 64;
 
-/// A server that answers without end took the memory of its caller.
+/// Guards against an oversized answer that uses up the memory of the caller.
 #[test]
-fn an_endless_answer_is_not_read_to_its_end() {
+fn an_oversized_answer_is_not_read_whole() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let server = thread::spawn(move || {
--- a/standins/tests/host_list.rs
+++ b/standins/tests/host_list.rs
@@ -58,20 +58,21 @@
     assert_eq!(client.fetch(), HostListResult::Unchanged);
 }
 
-/// One odd entry made the whole list malformed, so that no later change of the hosts was seen.
+/// Guards against a malformed entry that makes the whole list unusable, so that later changes of the
+/// hosts are not seen.
 #[test]
-fn an_odd_host_does_not_lose_the_list() {
+fn a_malformed_host_does_not_make_the_list_unusable() {
     let good = r#"{"worker":"a","domain":"saiss","rack":"r","address":"127.0.0.1:1","leaving":false,
         "capacity":{"cpu_milli":1,"memory_mib":1,"accelerators":0,"slots":0}}"#;
     let deep = "[".repeat(100_000) + &"]".repeat(100_000);
-    let odd = [
+    let malformed = [
         good.replace("\"a\"", "\"\""),
         good.replace(":1,", ":1e400,"),
         good.replace(":1,", ":18446744073709551616,"),
         good.replace("false", &deep),
         deep,
     ];
-    let body = format!("{{\"hosts\":[{},{good}]}}", odd.join(","));
+    let body = format!("{{\"hosts\":[{},{good}]}}", malformed.join(","));
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let platform = listener.local_addr().unwrap().to_string();
     let server = thread::spawn(move || {
