Cell: reword comments on gangs, tickets and malformed input, name an open poll

Comments that a newcomer can't follow ("tried in vain", "an odd one does not lose the others", "ids of its own") are in plain terms, and functions and fields without a comment say what they hold and when they return nothing. An unanswered poll of a worker is a struct, as its handler took a pair of times as one argument.

No change of behaviour: log events, fields, rows and settings are the same.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -77,8 +77,8 @@
 pub const WORKER_TIMEOUT_MS: Millis = Millis(700);
 /// The delay before a worker is polled again after a lost call.
 pub const POLL_RETRY_DELAY_MS: Millis = Millis(250);
-/// How many polls in a row a worker may answer early without a new ended run before it is polled
-/// with a pause of `POLL_RETRY_DELAY_MS`.
+/// How many polls in a row a worker may answer early without a new ended run before the leader pauses
+/// for `POLL_RETRY_DELAY_MS` between polls.
 pub const MAX_EARLY_ANSWERS: u32 = 4;
 /// How often a worker without runs is polled; keeps the estimate of its clock within 60 ms.
 pub const IDLE_POLL_INTERVAL_MS: Millis = Millis(3_000);
--- a/core/src/cell/job.rs
+++ b/core/src/cell/job.rs
@@ -88,16 +88,17 @@
         None
     }
 
-    /// Returns the longest chain of estimated run times from each step on, in milliseconds.
+    /// Returns, for each step, the longest chain of estimated run times that begins with it, in
+    /// milliseconds.
     pub fn critical_paths_ms(&self) -> Vec<u64> {
         let mut paths_ms = vec![0; self.steps.len()];
-        // Steps follow earlier ones only, so all chains behind a step are known when it is reached.
+        // Steps depend on earlier ones only, so all chains after a step are known when it is reached.
         for (at, step) in self.steps.iter().enumerate().rev() {
             let path_ms = step.estimated_ms.0.saturating_add(paths_ms[at]);
             paths_ms[at] = path_ms;
             for &earlier in &step.after {
-                if let Some(behind_ms) = paths_ms[..at].get_mut(usize::from(earlier)) {
-                    *behind_ms = path_ms.max(*behind_ms);
+                if let Some(after_ms) = paths_ms[..at].get_mut(usize::from(earlier)) {
+                    *after_ms = path_ms.max(*after_ms);
                 }
             }
         }
@@ -133,7 +134,8 @@
     pub submission: Submission,
     /// When it was submitted, in Unix milliseconds by the clock of the daemon that accepted it.
     pub accepted_unix_ms: u64,
-    /// The queue as it was defined then; the job runs by it if the queue is removed.
+    /// The queue's definition at that time, which applies to the job after the queue was removed;
+    /// `None` in rows of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub queue_spec: Option<Box<Queue>>,
 }
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -19,7 +19,8 @@
     collections::{BTreeMap, BTreeSet},
 };
 
-/// The bits of a query id that number the requests of one leader; its token precedes them.
+/// The number of low bits of a query id that hold the number of the request; the bits above them hold
+/// the leader's token.
 const QUERY_ID_BITS: u32 = 24;
 
 /// Whether one worker may run one step.
@@ -50,9 +51,9 @@
         }
     }
 
-    /// Chooses up to [`consts::MAX_ADVICE_WORKERS`] of the workers of a gang for the next call: all
-    /// of them, so that their tickets are valid at the same time; or, of more workers, those whose
-    /// tickets expire before the call is expected to end.
+    /// Chooses at most [`consts::MAX_ADVICE_WORKERS`] workers of a gang for the next call for tickets.
+    /// If all fit into one call, all are named, so that their tickets are valid at the same time.
+    /// Otherwise, those whose tickets expire before the expected end of the call are named.
     pub(crate) fn tickets_to_renew(
         &self,
         places: &[WorkerIx],
@@ -75,7 +76,7 @@
         workers
     }
 
-    /// Returns when the ticket for a worker expires; the past if there is none.
+    /// Returns when the ticket for a worker expires; zero if there is none.
     fn expires_at(&self, ix: WorkerIx) -> Millis {
         match self.permissions.get(&ix) {
             Some(Permission::Allowed(_, until)) => *until,
@@ -160,8 +161,8 @@
 }
 
 impl AdviceDispatcher {
-    /// Creates the dispatcher of the leader with `token`. Daemons send late answers to the next
-    /// leader, so each leader uses ids of its own.
+    /// Creates the dispatcher of the leader with `token`. Daemons send late answers to the next leader,
+    /// so query ids contain the token and differ between leaders.
     pub(crate) fn new(token: FencingToken) -> Self {
         Self {
             requests: BTreeMap::new(),
@@ -356,6 +357,7 @@
         self.refresh_pending_steps(&request.step.job);
     }
 
+    /// Stores the tickets of an answer; workers that it does not name are denied.
     fn on_allowed(
         &mut self,
         ctx: &mut Ctx,
@@ -384,7 +386,8 @@
         }
     }
 
-    /// Avoids the daemon whose call for advice failed.
+    /// Pauses calls through the daemon whose call for advice failed, and then prefers other daemons for
+    /// [`consts::ADVICE_AVOIDANCE_MS`].
     fn on_advice_missing(&mut self, ctx: &mut Ctx, request: &AdviceRequest, reply: &AdviceReply) {
         let sent_at = request.sent.map_or(ctx.now, |(_, at)| at);
         let link = request.sent.map(|(link, _)| link);
--- a/core/src/cell/leader/fit.rs
+++ b/core/src/cell/leader/fit.rs
@@ -46,7 +46,7 @@
     best.map(|(at, _)| *at)
 }
 
-/// One worker in this many is named as a spare in a gang's call for tickets.
+/// A gang's call for tickets names one spare worker for every this many places.
 const SPARE_DIVISOR: usize = 4;
 
 /// Returns workers that could replace some of `places`, those with the lowest penalty first, as many
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -20,16 +20,19 @@
 /// Maximum number of gangs for which one pass reserves workers.
 const MAX_RESERVED_GANGS: usize = 2;
 
-/// What a gang needs.
+/// The resources that a gang needs.
 #[derive(Clone, Copy, Debug)]
 struct GangNeed {
-    /// What each member needs.
+    /// The resources of one member.
     member: Resources,
+    /// The number of members.
     count: u32,
+    /// Whether all members should run in one rack if any has room for them.
     same_rack: bool,
 }
 
 impl GangNeed {
+    /// Chooses a worker for each member; `None` if there is no room for all.
     fn fit(&self, candidates: &[Candidate]) -> Option<Vec<WorkerIx>> {
         fit_gang(candidates, &self.member, self.count, self.same_rack)
     }
@@ -93,7 +96,8 @@
         }
     }
 
-    /// Chooses a worker for each member of a gang, if possible with valid tickets only.
+    /// Chooses a worker for each member of a gang. Workers with valid tickets are preferred, unless the
+    /// gang would spread over more racks than on other workers.
     fn choose_places(
         &self,
         now: Millis,
@@ -160,8 +164,8 @@
         self.reserve_room(ctx.now, queue, pending, pass);
     }
 
-    /// Requests the tickets for a gang's places and for `spares`, which replace workers that have
-    /// become unusable when the answer arrives.
+    /// Requests the tickets for a gang's places and for `spares`, which replace places that are
+    /// unusable when the answer arrives. `previous` are the places of the last pass.
     fn request_tickets(
         &mut self,
         ctx: &mut Ctx,
@@ -184,7 +188,7 @@
         self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
     }
 
-    /// Logs that a gang waits for tickets, with what has changed since the `previous` places.
+    /// Logs that a gang waits for `missing` tickets, and how its places differ from the `previous` ones.
     fn log_missing_tickets(
         &mut self,
         ctx: &mut Ctx,
@@ -261,7 +265,8 @@
         }
     }
 
-    /// Returns the workers reserved for a gang, one for each member, if it can start on them now.
+    /// Returns the workers reserved for a gang, one for each member, if all are usable, have room and
+    /// have valid tickets.
     fn startable_plan(&self, now: Millis, queue: &Queue, key: &StepKey) -> Option<Vec<WorkerIx>> {
         let step = &self.jobs.get(&key.job)?.steps[usize::from(key.step)];
         let places = step.plan.as_ref()?;
@@ -289,8 +294,13 @@
     }
 
     /// Releases the room reserved for a gang that can't start because of its team's limit, so that
-    /// other teams may use it.
-    pub(crate) fn give_up_plan(&mut self, ctx: &mut Ctx, key: &StepKey, pass: &mut SchedulingPass) {
+    /// other teams can use it. Does nothing if no room is reserved.
+    pub(crate) fn release_blocked_plan(
+        &mut self,
+        ctx: &mut Ctx,
+        key: &StepKey,
+        pass: &mut SchedulingPass,
+    ) {
         let previous = self.release_plan(key);
         let Some(job) = self.jobs.get(&key.job).filter(|_| !previous.is_empty()) else {
             return;
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -89,7 +89,7 @@
         self.is_done
     }
 
-    /// Counts a failed read and logs the first of a series, then ever fewer of them.
+    /// Counts a failed read; logs the 1st, 2nd, 4th, 8th and so on of a series.
     fn on_failed_read(&mut self, ctx: &mut Ctx, table: Table, reply: &StoreReply) {
         let failures = self.failures.entry(table).or_default();
         *failures = failures.saturating_add(1);
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -87,7 +87,7 @@
     /// Whether a scheduling pass is needed.
     needs_pass: bool,
     next_pass_at: Millis,
-    /// How many late steps the next pass skips, because the last one tried them in vain.
+    /// How many late steps the next pass skips, because the last one could not place them.
     late_steps_to_skip: usize,
     /// When jobs past their retention are removed next.
     sweep_at: Millis,
@@ -232,8 +232,9 @@
         self.state = Some(self.with_queues_of_open_jobs(state));
     }
 
-    /// Adds the queues that were removed from a desired state, or are not in it yet, and have open
-    /// jobs, because accepted jobs still run.
+    /// Returns the desired state with the queues of open jobs that it lacks added: accepted jobs run
+    /// although their queue was removed. The definition is that of the current state or, for a queue
+    /// that is not in it, that recorded with a job.
     fn with_queues_of_open_jobs(&self, state: &Rc<DesiredState>) -> Rc<DesiredState> {
         let is_missing = |queue: &&Queue| state.queue(&queue.name).is_none();
         let current = self.state.iter().flat_map(|current| &current.queues);
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -116,8 +116,8 @@
         }
     }
 
-    /// Returns whether a placed run may still start: its worker is usable, and there is a valid
-    /// ticket if one is needed.
+    /// Returns whether a placed run may still start: its worker is usable, its room is not exceeded,
+    /// and there is a valid ticket if one is needed.
     fn can_start(&self, now: Millis, ix: WorkerIx, task: &TaskKey) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return false;
--- a/core/src/cell/leader/progress_writes.rs
+++ b/core/src/cell/leader/progress_writes.rs
@@ -88,7 +88,7 @@
         std::mem::take(&mut self.loaded)
     }
 
-    /// Removes the rows of ended jobs. Their progress is removed once they are gone, because a job
+    /// Removes the rows of ended jobs. Their progress rows are removed only after that, because a job
     /// without progress would run again.
     pub(crate) fn remove_jobs(&mut self, ctx: &mut Ctx, ended: &[&JobId]) {
         let unanswered: BTreeSet<&JobId> = self.removals.values().flatten().collect();
@@ -113,15 +113,16 @@
         }
     }
 
-    /// Returns the jobs whose rows a call was to remove.
+    /// Ends the removal `rpc` and returns its jobs; `None` for other calls.
     pub(crate) fn take_removal(&mut self, rpc: RpcId) -> Option<Vec<JobId>> {
         self.removals.remove(&rpc)
     }
 }
 
 impl Leader {
-    /// Forgets the jobs whose rows are removed, with their progress. That call is not repeated: a
-    /// lost one only leaves rows behind. Jobs whose rows may be left are removed by a later sweep.
+    /// Drops the jobs whose rows are removed and removes their progress rows. The removal of progress
+    /// rows is not repeated: if it is lost, only unused rows are left. After any other reply, a later
+    /// sweep removes the jobs.
     pub(crate) fn on_jobs_removed(&mut self, ctx: &mut Ctx, jobs: &[JobId], reply: &StoreReply) {
         if !matches!(reply, StoreReply::Written(_)) {
             return;
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -20,8 +20,8 @@
 /// store.
 const UNKNOWN_RUN_GRACE_MS: Millis = Millis(2_500);
 
-/// The highest number of an ended run that a worker can reach; a higher one would hide all later
-/// ends of the worker.
+/// The maximum number of an ended run. Ends up to the last number seen are ignored, so a malformed
+/// higher number would hide all later ends of the worker.
 const MAX_END_NUMBER: u64 = 1 << 53;
 
 impl Leader {
@@ -270,7 +270,8 @@
         Some(run)
     }
 
-    /// Removes a run that has ended without being listed, and updates what depends on it.
+    /// Removes a run that counts as ended although the worker did not list its end, and updates what
+    /// depends on it.
     fn release_ended_run(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey) {
         if let Some(run) = self.release_run(ix, task) {
             self.after_end(ctx, task, run.number);
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -86,10 +86,11 @@
     }
 }
 
-/// The late steps that one pass tries to place. A pass that tries in vain is followed by one that
-/// begins behind its steps, so that steps which no worker can run keep no others from free room.
+/// The late steps that one pass skips and tries to place. If a pass places none of them, the next one
+/// starts after its late steps, so that steps which no worker can run do not block later ones.
 #[derive(Debug, Default)]
 struct LateAttempts {
+    /// How many late steps the pass skips.
     to_skip: usize,
     skipped: usize,
     attempted: usize,
@@ -97,7 +98,8 @@
 }
 
 impl LateAttempts {
-    /// Returns how many late steps the next pass skips if this one ends before the last step.
+    /// Returns the number of late steps that the next pass skips if this one reaches
+    /// `MAX_ATTEMPTED_STEPS`.
     fn next_to_skip(&self) -> usize {
         match self.has_placed {
             true => 0,
@@ -107,7 +109,7 @@
 }
 
 impl Leader {
-    /// Returns the state of a pass that begins now, with the room of all usable workers.
+    /// Creates the state of a pass at `now` from the free room of all usable workers.
     fn start_pass(&self, now: Millis) -> SchedulingPass {
         let workers = self.fleet.iter();
         let usable = workers.filter(|(_, worker)| worker.is_usable(now, MAX_CLOCK_AGE_MS));
@@ -143,7 +145,7 @@
             };
             let at = usize::from(pending.key.step);
             if !self.can_fit(state, &pass, job, at) {
-                self.give_up_plan(ctx, &pending.key, &mut pass);
+                self.release_blocked_plan(ctx, &pending.key, &mut pass);
                 continue;
             }
             let (step, need) = (&job.steps[at], job.row.submission.steps[at].need);
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -11,18 +11,29 @@
 };
 
 impl Leader {
-    /// Logs the steps that have been ready for long while none of their tasks is running, those
-    /// that have waited the longest first.
+    /// Logs up to [`consts::MAX_LOGGED_STALLS`] stalled steps, those that have waited the longest first.
     pub(crate) fn log_stalled_steps(&mut self, ctx: &mut Ctx) {
         if ctx.now < self.log_stalls_at {
             return;
         }
         self.log_stalls_at = ctx.now + consts::STALL_LOG_INTERVAL_MS;
+        let stalled = self.stalled_steps(ctx.now);
+        let count = stalled.len();
+        for (since, key) in stalled.into_iter().take(consts::MAX_LOGGED_STALLS) {
+            if let Some(event) = self.stall_event(ctx.now, &key) {
+                let event = event.with("ready_ms", ctx.now.since(since).0);
+                ctx.log(event.with("stalled", count));
+            }
+        }
+    }
+
+    /// Returns the steps that have been ready for at least [`consts::STALL_THRESHOLD_MS`] without a
+    /// running task, each with the time since when it has waited, oldest first.
+    fn stalled_steps(&self, now: Millis) -> Vec<(Millis, StepKey)> {
+        let is_stalled = |since: &Millis| now.since(*since) >= consts::STALL_THRESHOLD_MS;
         let mut stalled: Vec<(Millis, StepKey)> = Vec::new();
         for (id, job) in &self.jobs {
             for (at, step) in job.steps.iter().enumerate() {
-                let is_stalled =
-                    |since: &Millis| ctx.now.since(*since) >= consts::STALL_THRESHOLD_MS;
                 if let Some(since) = step.ready_since.filter(is_stalled) {
                     let key = StepKey {
                         job: id.clone(),
@@ -34,16 +45,10 @@
             }
         }
         stalled.sort_unstable();
-        let count = stalled.len();
-        for (since, key) in stalled.into_iter().take(consts::MAX_LOGGED_STALLS) {
-            if let Some(event) = self.stall_event(ctx.now, &key) {
-                let event = event.with("ready_ms", ctx.now.since(since).0);
-                ctx.log(event.with("stalled", count));
-            }
-        }
+        stalled
     }
 
-    /// Describes what a stalled step still lacks.
+    /// Returns the log event for a stalled step, with the inputs of its placement.
     fn stall_event(&self, now: Millis, key: &StepKey) -> Option<LogEvent> {
         let job = self.jobs.get(&key.job)?;
         let at = usize::from(key.step);
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -55,7 +55,7 @@
     pub(crate) next_poll_at: Millis,
     /// How many polls have failed in a row.
     pub(crate) failed_polls: u32,
-    /// How many polls in a row it answered early without a new ended run, though they may wait.
+    /// How many polls in a row it answered before half of their wait without a new ended run.
     pub(crate) early_answers: u32,
     pub(crate) answered_at: Millis,
     /// The number of the last ended run that it listed.
@@ -131,7 +131,7 @@
         has_recent_clock && is_reachable && accepts_work && self.unknown_runs_since.is_none()
     }
 
-    /// Counts the answers in a row that came early without a new ended run.
+    /// Counts an early answer without a new ended run; any other answer resets the count.
     pub(crate) fn count_early_answer(&mut self, is_early: bool) {
         self.early_answers = match is_early {
             true => self.early_answers.saturating_add(1),
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -21,15 +21,21 @@
 /// Maximum drift of a worker's clock, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
 
+/// A poll of a worker that has not been answered yet.
+#[derive(Debug)]
+pub(crate) struct OpenPoll {
+    ix: WorkerIx,
+    sent_at: Millis,
+    /// How long the worker may wait for a new ended run before it answers.
+    wait_ms: Millis,
+    /// Whether it was sent beside a poll that waits.
+    quick: bool,
+}
+
 /// A call to a worker that has not been answered yet.
 #[derive(Debug)]
 pub(crate) enum OpenWorkerRpc {
-    Poll {
-        ix: WorkerIx,
-        sent_at: Millis,
-        wait_ms: Millis,
-        quick: bool,
-    },
+    Poll(OpenPoll),
     Start {
         ix: WorkerIx,
         task: TaskKey,
@@ -143,23 +149,18 @@
             true => worker.quick_poll = Some(rpc),
             false => worker.poll = Some(rpc),
         }
-        let poll = OpenWorkerRpc::Poll {
+        let poll = OpenPoll {
             ix,
             sent_at: now,
             wait_ms,
             quick,
         };
-        self.worker_rpcs.insert(rpc, poll);
+        self.worker_rpcs.insert(rpc, OpenWorkerRpc::Poll(poll));
     }
 
     pub(crate) fn on_worker_answer(&mut self, ctx: &mut Ctx, rpc: RpcId, answer: WorkerAnswer) {
         match self.worker_rpcs.remove(&rpc) {
-            Some(OpenWorkerRpc::Poll {
-                ix,
-                sent_at,
-                wait_ms,
-                quick,
-            }) => self.on_poll(ctx, ix, (sent_at, wait_ms), quick, answer),
+            Some(OpenWorkerRpc::Poll(poll)) => self.on_poll(ctx, poll, answer),
             Some(OpenWorkerRpc::Start { ix, task, run }) => {
                 self.on_start_answer(ctx, ix, &task, run, answer)
             }
@@ -170,14 +171,13 @@
         }
     }
 
-    fn on_poll(
-        &mut self,
-        ctx: &mut Ctx,
-        ix: WorkerIx,
-        (sent_at, wait_ms): (Millis, Millis),
-        quick: bool,
-        answer: WorkerAnswer,
-    ) {
+    fn on_poll(&mut self, ctx: &mut Ctx, poll: OpenPoll, answer: WorkerAnswer) {
+        let OpenPoll {
+            ix,
+            sent_at,
+            wait_ms,
+            quick,
+        } = poll;
         let worker = self.fleet.get_mut(ix);
         let last_end_seen = worker.last_end_seen;
         match quick {
--- a/daemon/src/cell/connection_pool.rs
+++ b/daemon/src/cell/connection_pool.rs
@@ -21,7 +21,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 8;
-/// The maximum size of an answer's body; the store's answers hold about 1 MB of rows.
+/// The maximum size of an answer's body in bytes; a page of the store's rows has about 1 MB.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The time after which an idle connection is not reused, as servers close such connections.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
--- a/wire/src/host_list.rs
+++ b/wire/src/host_list.rs
@@ -14,8 +14,8 @@
 pub enum HostListResult {
     /// The list is the same as in the latest successful request.
     Unchanged,
-    /// The list changed, or the platform does not support ETags; holds the hosts and the reasons for
-    /// which other entries can't be used.
+    /// The list changed, or the platform does not support ETags; holds the valid hosts and, for each
+    /// malformed entry, the parser's message.
     Listed(Vec<Host>, Vec<String>),
     /// The platform did not answer with a list.
     Unavailable,
@@ -23,13 +23,15 @@
     Malformed(String),
 }
 
-/// The host list with its entries as raw text, so that an odd one does not lose the others.
+/// The host list with its entries as raw text; each is decoded separately, so that a malformed one does
+/// not affect others.
 #[derive(Debug, Deserialize)]
 struct RawHosts<'a> {
     #[serde(borrow)]
     hosts: Vec<&'a RawValue>,
 }
 
+/// Parses one entry; returns the parser's message as the error if it is malformed.
 fn parse_host(entry: &RawValue) -> Result<Host, String> {
     let wire: WireHost = serde_json::from_str(entry.get()).map_err(|error| error.to_string())?;
     Host::try_from(&wire).map_err(|error| error.to_string())
