Keep the runs of a task in one place, and stop listed runs that were never placed

A caller saw an accepted job stay "running" for ever: LOST. A worker's list that named an ended run was answered while the task waited for its next run. The leader adopted the run, because the task had no worker, but kept the higher number of its own last run; when the run ended, its number differed from the task's, so the task kept its worker and the step its count of running tasks, and nothing was ready again. A higher run listed once by another worker did the same from the other side.

Now a step holds the runs of its tasks, with their numbers; a run is added and removed there and at its worker by the same two functions, and the counts follow from it. A task starts only when no worker has a run of it, which also covers the run of a removed placement that still is being stopped. A listed run that no placement records is never adopted: placements are stored before their start is sent, so such a run is over, or was started late. It is stopped, and its task waits until the worker confirms that. A worker that lists a higher run of a gang member than the placed one counts as having lost the member.

New log lines: run_unplaced; run_stalled for a run that is not known to be active for 3 s; step_stalled now includes gangs of which not all members have a run. They would have named a step that waits for a counted run. run_adopted is no longer written, since nothing is adopted but recorded placements.

--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -238,8 +238,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let last = job.steps[at].tasks.iter().map(|task| task.run).max();
-        let number = self.next_run(last.unwrap_or(0));
+        let number = self.next_run(job.steps[at].last_run_of_all());
         let event = LogEvent::info("gang_placed")
             .with("step", key)
             .with("members", places.len());
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cell::{
-        leader::{advice::StepAdvice, fleet::WorkerIx, gang_wait::GangWait, Leader},
+        leader::{step::Step, Leader},
         node::Ctx,
         DesiredState, JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue,
         RowVersion, StepKey, StepProgress, TaskKey, ToMember,
@@ -14,40 +14,6 @@
 /// Upper bound of a recorded job's computed age, because the clocks of daemons may jump.
 const MAX_JOB_AGE_MS: u64 = 60_000;
 
-/// A task of a step.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Task {
-    /// The worker on which a run of the task may be active.
-    pub(crate) worker: Option<WorkerIx>,
-    /// The highest run number used so far.
-    pub(crate) run: u32,
-}
-
-/// One step of a job.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Step {
-    pub(crate) tasks: Vec<Task>,
-    /// How many tasks have succeeded.
-    pub(crate) done: u32,
-    /// How many tasks have a run that is placed or may be active.
-    pub(crate) running: u32,
-    pub(crate) advice: StepAdvice,
-    /// Workers on which a run of the step has failed.
-    pub(crate) failed_on: Vec<WorkerIx>,
-    /// Workers reserved for the members of a gang while tickets for them are requested.
-    pub(crate) plan: Option<Vec<WorkerIx>>,
-    /// Workers on which single tasks will start once the requested tickets arrive.
-    pub(crate) awaiting_tickets: Vec<WorkerIx>,
-    /// Why the last pass did not place the gang, and when that was logged last.
-    pub(crate) logged_wait: Option<(GangWait, Millis)>,
-    /// Since when a task of the step has been ready to start while none was running.
-    pub(crate) ready_since: Option<Millis>,
-    /// Whether the gang lost a member, so that all its runs have to end before it starts again.
-    pub(crate) aborted: bool,
-    /// The longest estimated run time from the start of this step to the end of the job.
-    pub(crate) remaining_path_ms: u64,
-}
-
 /// A job.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -78,14 +44,9 @@
             .unix_ms
             .saturating_sub(row.accepted_unix_ms)
             .min(MAX_JOB_AGE_MS);
-        let tasks = |count: u32| vec![Task::default(); count as usize];
         let paths_ms = row.submission.critical_paths_ms();
         let specs = row.submission.steps.iter().zip(paths_ms);
-        let steps = specs.map(|(spec, remaining_path_ms)| Step {
-            tasks: tasks(spec.count),
-            remaining_path_ms,
-            ..Step::default()
-        });
+        let steps = specs.map(|(spec, path_ms)| Step::new(spec.count, path_ms));
         let steps: Vec<Step> = steps.collect();
         Self {
             progress: Progress {
@@ -123,29 +84,28 @@
 
     /// Returns whether the job has ended, its final state is stored and none of its runs is active.
     pub(crate) fn is_removable(&self) -> bool {
-        self.stored_state.is_final() && self.steps.iter().all(|step| step.running == 0)
+        self.stored_state.is_final() && !self.steps.iter().any(Step::has_runs)
     }
 
     /// Returns whether all steps that the step depends on are done.
     pub(crate) fn is_unblocked(&self, step: usize) -> bool {
-        let done = |at: &u16| {
-            let step = &self.steps[usize::from(*at)];
-            step.done as usize == step.tasks.len()
-        };
+        let done = |at: &u16| self.steps[usize::from(*at)].is_done();
         self.row.submission.steps[step].after.iter().all(done)
     }
 
-    /// Returns whether a task has completed successfully.
-    pub(crate) fn is_done(&self, step: usize, index: u32) -> bool {
-        self.progress.steps[step].is_done(index)
-    }
-
     /// Returns whether a task of the step could start now.
     fn is_ready(&self, at: usize) -> bool {
+        let gang = self.row.submission.steps[at].gang;
+        self.steps[at].has_startable_task(gang) && self.is_open() && self.is_unblocked(at)
+    }
+
+    /// Returns whether a task of the step waits for its start while none has a run or, in a gang, while
+    /// not all members have one.
+    fn is_waiting(&self, at: usize) -> bool {
         let step = &self.steps[at];
-        let remaining = step.tasks.len() as u32 - step.done - step.running;
-        let can_place = !self.row.submission.steps[at].gang || step.running == 0;
-        !self.progress.state.is_final() && remaining > 0 && can_place && self.is_unblocked(at)
+        let has_no_progress = self.row.submission.steps[at].gang || step.running() == 0;
+        let is_unfinished = self.is_open() && self.is_unblocked(at);
+        has_no_progress && step.has_task_without_run() && is_unfinished
     }
 
     /// Returns the time after acceptance within which the job should end: its longest path scaled
@@ -224,7 +184,9 @@
             }
             for (at, step) in job.steps.iter_mut().enumerate() {
                 let done = |index: &u32| progress.steps[at].is_done(*index);
-                step.done = (0..step.tasks.len() as u32).filter(done).count() as u32;
+                for index in (0..step.count()).filter(done) {
+                    step.set_done(index);
+                }
             }
             job.progress_version = version;
             job.stored_state = progress.state;
@@ -267,9 +229,9 @@
                 step: at as u16,
             };
             let is_ready = job.is_ready(at);
+            let is_waiting = job.is_waiting(at);
             let step = &mut job.steps[at];
-            let is_idle = is_ready && step.running == 0;
-            step.ready_since = is_idle.then(|| step.ready_since.unwrap_or(self.now));
+            step.waiting_since = is_waiting.then(|| step.waiting_since.unwrap_or(self.now));
             if is_ready {
                 let Some(job) = self.jobs.get(id) else { return };
                 let advice = &job.steps[at].advice;
@@ -339,15 +301,13 @@
         let Some(job) = self.jobs.get(id) else { return };
         let mut runs = Vec::new();
         for (at, step) in job.steps.iter().enumerate() {
-            for (index, task) in step.tasks.iter().enumerate() {
-                let Some(ix) = task.worker else { continue };
+            for (index, run) in step.runs() {
                 let step = StepKey {
                     job: id.clone(),
                     occurrence: 0,
                     step: at as u16,
                 };
-                let index = index as u32;
-                runs.push((ix, TaskKey { step, index }));
+                runs.push((run.worker, TaskKey { step, index }));
             }
         }
         for (ix, task) in runs {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -15,6 +15,7 @@
 mod runs;
 mod schedule;
 mod stalls;
+mod step;
 mod team_rate;
 mod worker;
 mod worker_rpcs;
@@ -157,7 +158,7 @@
         self.retry_stops(ctx);
         self.expire_leases(ctx);
         self.sweep(ctx);
-        self.log_stalled_steps(ctx);
+        self.log_stalls(ctx);
         self.needs_pass |= !self.pending.is_empty();
     }
 
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -10,6 +10,7 @@
             fleet::WorkerIx,
             jobs::Job,
             schedule::MAX_CLOCK_AGE_MS,
+            step::TaskRun,
             worker::{Run, RunPhase},
             worker_rpcs::RecordedStart,
             Leader,
@@ -33,12 +34,13 @@
     }
 }
 
-fn new_run(row: &JobRow, at: usize, number: u32, phase: RunPhase) -> Run {
+fn new_run(row: &JobRow, at: usize, number: u32, phase: RunPhase, now: Millis) -> Run {
     Run {
         number,
         need: row.submission.steps[at].need,
         team: row.team.clone(),
         phase,
+        phase_since: now,
         confirmed_at: None,
         percent: 0,
         checkpoint: None,
@@ -51,15 +53,11 @@
     pub(crate) fn record_placement(&mut self, ix: WorkerIx, task: TaskKey, number: u32) {
         let at = usize::from(task.step.step);
         let edit = self.mark_edited(&task.step.job);
-        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+        let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
-        let mut run = new_run(&job.row, at, number, RunPhase::Placed(edit));
+        let mut run = new_run(&job.row, at, number, RunPhase::Placed(edit), self.now);
         run.checkpoint = job.checkpoint(&task);
-        let step = &mut job.steps[at];
-        step.tasks[task.index as usize].worker = Some(ix);
-        step.tasks[task.index as usize].run = number;
-        step.running += 1;
         self.add_run(ix, &task, run);
     }
 
@@ -67,11 +65,10 @@
     pub(crate) fn progress_with_placements(&self, job: &Job) -> Progress {
         let mut progress = job.progress.clone();
         for (recorded, step) in progress.steps.iter_mut().zip(&job.steps) {
-            let tasks = step.tasks.iter().enumerate();
-            let placed = tasks.filter_map(|(index, task)| {
-                let worker = self.fleet.get(task.worker?).entry.id.clone();
-                let run = task.run;
-                Some((index as u32, Placement { worker, run }))
+            let placed = step.newest_runs().map(|(index, run)| {
+                let worker = self.fleet.get(run.worker).entry.id.clone();
+                let run = run.number;
+                (index, Placement { worker, run })
             });
             recorded.placed = placed.collect();
         }
@@ -83,15 +80,12 @@
     pub(crate) fn queue_recorded_starts(&mut self, id: &JobId, edits: u64) {
         let Some(job) = self.jobs.get(id) else { return };
         for (at, step) in job.steps.iter().enumerate() {
-            for (index, task_state) in step.tasks.iter().enumerate() {
-                let Some(ix) = task_state.worker else {
-                    continue;
-                };
-                let task = task_key(id, at, index as u32);
+            for (index, TaskRun { worker: ix, number }) in step.runs() {
+                let task = task_key(id, at, index);
                 let run = self.fleet.get(ix).runs.get(&task);
                 let phase = run.map(|run| run.phase);
                 if matches!(phase, Some(RunPhase::Placed(edit)) if edit <= edits) {
-                    let run = task_state.run;
+                    let run = number;
                     self.recorded_starts.push(RecordedStart { ix, task, run });
                 }
             }
@@ -155,7 +149,7 @@
         let mut placed = Vec::new();
         for (at, step) in job.progress.steps.iter().enumerate() {
             for (&index, placement) in &step.placed {
-                let task_exists = (index as usize) < job.steps[at].tasks.len();
+                let task_exists = index < job.steps[at].count();
                 if task_exists && !step.is_done(index) {
                     placed.push((task_key(id, at, index), placement.clone()));
                 }
@@ -168,22 +162,18 @@
         for (task, placement) in placed {
             let ix = self.worker_or_placeholder(&placement.worker);
             let at = usize::from(task.step.step);
-            let Some(job) = self.jobs.get_mut(id) else {
+            let Some(job) = self.jobs.get(id) else {
                 return;
             };
             let phase = match ended {
                 true => RunPhase::Stopping(ctx.now),
                 false => RunPhase::Active,
             };
-            let mut run = new_run(&job.row, at, placement.run, phase);
+            let mut run = new_run(&job.row, at, placement.run, phase, ctx.now);
             run.checkpoint = job.checkpoint(&task);
             // Any list that this leader requests shows whether the run is still active, so the run
             // counts as confirmed before the first of them.
             run.confirmed_at = (!ended).then_some(Millis(0));
-            let step = &mut job.steps[at];
-            step.tasks[task.index as usize].worker = Some(ix);
-            step.tasks[task.index as usize].run = placement.run;
-            step.running += 1;
             self.add_run(ix, &task, run);
             let worker = self.fleet.get_mut(ix);
             worker.lease_expires_at = worker.lease_expires_at.max(lease_expires_at);
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -5,7 +5,7 @@
         consts,
         leader::{
             fleet::WorkerIx,
-            jobs::{Step, Task},
+            step::{Step, TaskRun},
             worker::{Run, RunPhase, Worker},
             Leader,
         },
@@ -191,27 +191,19 @@
         let at = usize::from(task.step.step);
         let job = self.jobs.get_mut(id)?;
         let members = match gang {
-            true => 0..job.steps[at].tasks.len() as u32,
+            true => 0..job.steps[at].count(),
             false => task.index..task.index + 1,
         };
-        let mut other_workers = Vec::new();
         let mut changed = false;
-        for index in members
-            .filter(|index| !job.progress.steps[at].is_done(*index))
-            .collect::<Vec<_>>()
-        {
-            job.progress.steps[at].set_done(index);
-            job.progress.steps[at].checkpoints.remove(&index);
-            let step = &mut job.steps[at];
-            step.done += 1;
-            changed = true;
-            if let Some(worker) = step.tasks[index as usize].worker.take() {
-                step.running = step.running.saturating_sub(1);
-                other_workers.push(worker);
+        for index in members {
+            if job.steps[at].set_done(index) {
+                job.progress.steps[at].set_done(index);
+                job.progress.steps[at].checkpoints.remove(&index);
+                changed = true;
             }
         }
-        let is_step_done = |step: &Step| step.done as usize == step.tasks.len();
-        let is_job_done = job.steps.iter().all(is_step_done);
+        let other_runs = job.steps[at].runs_of(task.index).to_vec();
+        let is_job_done = job.steps.iter().all(Step::is_done);
         if changed {
             self.mark_edited(id);
         }
@@ -219,8 +211,8 @@
             self.end_job(ctx, id, JobState::Completed);
         }
         // The other members of a gang end by themselves.
-        for worker in other_workers.into_iter().filter(|_| !gang) {
-            self.stop_run(ctx, worker, task);
+        for run in other_runs.into_iter().filter(|_| !gang) {
+            self.stop_run(ctx, run.worker, task);
         }
         self.jobs.get(id).map(|job| job.edits)
     }
@@ -256,14 +248,8 @@
             .get(at)
             .is_some_and(|spec| spec.gang);
         let step = job.steps.get_mut(at)?;
-        let task_state = step.tasks.get_mut(task.index as usize)?;
-        if task_state.worker == Some(ix) && task_state.run == run.number {
-            task_state.worker = None;
-            step.running = step.running.saturating_sub(1);
-            if step.running == 0 {
-                step.aborted = false;
-            }
-        }
+        let number = run.number;
+        step.remove_run(task.index, TaskRun { worker: ix, number });
         self.save_checkpoint(task, gang, run.checkpoint.clone());
         // The recorded placement no longer holds.
         self.mark_edited(id);
@@ -290,11 +276,11 @@
             .steps
             .get(at)
             .is_some_and(|spec| spec.gang);
-        // The end of an earlier run does not concern the members that have started again.
-        let is_member = |member: &Task| member.worker.is_some() && member.run <= number;
-        let step = job.steps.get(at);
-        let has_members = step.is_some_and(|step| step.tasks.iter().any(is_member));
-        if gang && has_members && !job.is_done(at, 0) {
+        // The members of a gang share a run number; the end of another run does not concern them.
+        let is_member = |(_, run): (u32, TaskRun)| run.number == number;
+        let step = job.steps.get(at).filter(|step| !step.is_done());
+        let has_members = step.is_some_and(|step| step.runs().any(is_member));
+        if gang && has_members {
             self.abort_gang(ctx, task);
         }
         self.refresh_pending_steps(id);
@@ -307,16 +293,14 @@
             return;
         };
         let step = &mut job.steps[at];
-        if step.aborted || step.running == 0 {
+        if step.aborted || !step.has_runs() {
             return;
         }
         step.aborted = true;
-        let members = step.tasks.iter().enumerate();
-        let members = members.filter_map(|(index, member)| Some((member.worker?, index as u32)));
-        let members: Vec<(WorkerIx, u32)> = members.collect();
-        for (ix, index) in members {
+        let members: Vec<(u32, TaskRun)> = step.runs().collect();
+        for (index, run) in members {
             let step = task.step.clone();
-            self.stop_run(ctx, ix, &TaskKey { step, index });
+            self.stop_run(ctx, run.worker, &TaskKey { step, index });
         }
     }
 
@@ -369,7 +353,7 @@
         if let Some(run) = worker.runs.get_mut(&listed.task) {
             if run.number == listed.run {
                 if matches!(run.phase, RunPhase::Starting | RunPhase::Unconfirmed(_)) {
-                    run.phase = RunPhase::Active;
+                    run.set_phase(RunPhase::Active, now);
                     run.confirmed_at = Some(now);
                 }
                 run.percent = listed.percent;
@@ -383,18 +367,18 @@
                 self.send_stop(ctx, ix, &listed.task, listed.run);
                 return true;
             }
-            self.release_run(ix, &listed.task);
+            self.release_ended_run(ctx, ix, &listed.task);
         }
-        self.adopt_run(ctx, ix, listed)
+        self.stop_unplaced_run(ctx, ix, listed)
     }
 
-    /// Adopts a run that an earlier leader started, and stops it if its task does not need it.
-    /// Returns whether the task is known; the run of an unknown job is stopped after a grace
-    /// period.
-    fn adopt_run(&mut self, ctx: &mut Ctx, ix: WorkerIx, listed: &ActiveRun) -> bool {
+    /// Stops a run that no placement records: it has ended and the list is late, or its start was
+    /// carried out late. Its task does not start until the run has ended. Returns whether the task is
+    /// known; the run of an unknown job is stopped after a grace period.
+    fn stop_unplaced_run(&mut self, ctx: &mut Ctx, ix: WorkerIx, listed: &ActiveRun) -> bool {
         let id = &listed.task.step.job;
         let at = usize::from(listed.task.step.step);
-        let Some(job) = self.jobs.get_mut(id).filter(|job| at < job.steps.len()) else {
+        let Some(job) = self.jobs.get(id).filter(|job| at < job.steps.len()) else {
             self.loader.read_jobs_now();
             let since = self.fleet.get(ix).unknown_runs_since.unwrap_or(ctx.now);
             if ctx.now.since(since) > UNKNOWN_RUN_GRACE_MS {
@@ -407,56 +391,51 @@
             }
             return false;
         };
-        let need = job.row.submission.steps[at].need;
-        let team = job.row.team.clone();
-        let ended = job.progress.state.is_final() || job.is_done(at, listed.task.index);
-        let Some(task) = job.steps[at].tasks.get_mut(listed.task.index as usize) else {
+        let step = &job.steps[at];
+        if listed.task.index >= step.count() {
             return false;
-        };
-        let is_wanted = !ended && task.worker.is_none();
-        task.run = task.run.max(listed.run);
-        if is_wanted {
-            task.worker = Some(ix);
-            job.steps[at].running += 1;
         }
+        let event = LogEvent::warn("run_unplaced")
+            .with("task", &listed.task)
+            .with("run", listed.run);
+        let event = event.with("last_run", step.last_run(listed.task.index));
+        let event = event.with("runs", step.runs_of(listed.task.index).len());
+        ctx.log(event.with("worker", &self.fleet.get(ix).entry.id));
         let run = Run {
             number: listed.run,
-            need,
-            team: team.clone(),
+            need: job.row.submission.steps[at].need,
+            team: job.row.team.clone(),
             phase: RunPhase::Active,
+            phase_since: ctx.now,
             confirmed_at: Some(ctx.now),
             percent: listed.percent,
             checkpoint: listed.checkpoint.clone(),
         };
-        let event = LogEvent::info("run_adopted")
-            .with("task", &listed.task)
-            .with("run", listed.run);
-        let event = event.with("worker", &self.fleet.get(ix).entry.id);
-        ctx.log(event.with("wanted", is_wanted));
         self.add_run(ix, &listed.task, run);
         self.mark_started(id);
-        if !is_wanted {
-            self.stop_run(ctx, ix, &listed.task);
-        }
+        self.stop_run(ctx, ix, &listed.task);
         self.refresh_pending_steps(id);
         true
     }
 
-    /// Adds a run to a worker and occupies its room.
+    /// Adds a run to a worker and to its task, and occupies its room.
     pub(crate) fn add_run(&mut self, ix: WorkerIx, task: &TaskKey, run: Run) {
+        if self.fleet.get(ix).runs.contains_key(task) {
+            self.release_run(ix, task);
+        }
         if let Some(team) = &run.team {
             let used = self.used.entry(team.clone()).or_default();
             *used = used.plus(run.need);
         }
+        let at = usize::from(task.step.step);
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(step) = job.and_then(|job| job.steps.get_mut(at)) {
+            let number = run.number;
+            step.add_run(task.index, TaskRun { worker: ix, number });
+        }
         let worker = self.fleet.get_mut(ix);
         worker.used = worker.used.plus(run.need);
-        if let Some(replaced) = worker.runs.insert(task.clone(), run) {
-            worker.used = worker.used.minus(replaced.need);
-            let team = replaced.team.as_ref();
-            if let Some(used) = team.and_then(|team| self.used.get_mut(team)) {
-                *used = used.minus(replaced.need);
-            }
-        }
+        worker.runs.insert(task.clone(), run);
     }
 
     /// Releases the runs of unresponsive workers whose lease has expired.
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -161,7 +161,7 @@
                 late.skipped += 1;
                 continue;
             }
-            let running = step.running;
+            let running = step.running();
             self.place_step(ctx, state, queue, &pending, &mut pass);
             attempted_steps += 1;
             if is_late {
@@ -177,7 +177,7 @@
 
     fn running_tasks(&self, key: &StepKey) -> u32 {
         let job = self.jobs.get(&key.job);
-        job.map_or(0, |job| job.steps[usize::from(key.step)].running)
+        job.map_or(0, |job| job.steps[usize::from(key.step)].running())
     }
 
     /// Returns whether the step's team may run more tasks and some worker has room for one.
@@ -334,12 +334,6 @@
             if !serves || !allowed || !label.is_none_or(|label| worker.has_label(label)) {
                 continue;
             }
-            let running_here = || {
-                step.tasks
-                    .iter()
-                    .filter(|task| task.worker == Some(ix))
-                    .count() as u32
-            };
             let is_remote = spec
                 .affinity
                 .as_ref()
@@ -355,7 +349,7 @@
                 free: room,
                 tasks_left: spec
                     .per_worker
-                    .map_or(u32::MAX, |limit| limit.saturating_sub(running_here())),
+                    .map_or(u32::MAX, |limit| limit.saturating_sub(step.runs_on(ix))),
                 penalty: u32::from(is_remote) * REMOTE_DATA_PENALTY + failed + failing,
                 rack,
             });
@@ -410,10 +404,7 @@
             candidates.drain(..).partition(|candidate| {
                 queue.advice.is_none() || advice.ticket(candidate.ix, now).is_some()
             });
-        let tasks = job.steps[at].tasks.iter().enumerate();
-        let waiting =
-            tasks.filter(|(index, task)| task.worker.is_none() && !job.is_done(at, *index as u32));
-        let waiting: Vec<u32> = waiting.map(|(index, _)| index as u32).collect();
+        let waiting: Vec<u32> = job.steps[at].tasks_without_run().collect();
         let mut to_renew = Vec::new();
         let mut unplaced = 0;
         for index in waiting
@@ -479,7 +470,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let number = self.next_run(job.steps[at].tasks[index as usize].run);
+        let number = self.next_run(job.steps[at].last_run(index));
         let task = TaskKey {
             step: key.clone(),
             index,
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -1,9 +1,13 @@
-//! Log events about steps that are ready but have not started for long.
+//! Log events about steps that have waited for long and about the runs that keep tasks waiting.
 
 use crate::{
     cell::{
         consts,
-        leader::{schedule::MAX_CLOCK_AGE_MS, Leader},
+        leader::{
+            schedule::MAX_CLOCK_AGE_MS,
+            worker::{Run, RunPhase},
+            Leader,
+        },
         node::Ctx,
         LogEvent, StepKey,
     },
@@ -11,12 +15,18 @@
 };
 
 impl Leader {
-    /// Logs up to [`consts::MAX_LOGGED_STALLS`] stalled steps, those that have waited the longest first.
-    pub(crate) fn log_stalled_steps(&mut self, ctx: &mut Ctx) {
+    /// Logs what keeps ready work from starting, from time to time.
+    pub(crate) fn log_stalls(&mut self, ctx: &mut Ctx) {
         if ctx.now < self.log_stalls_at {
             return;
         }
         self.log_stalls_at = ctx.now + consts::STALL_LOG_INTERVAL_MS;
+        self.log_stalled_steps(ctx);
+        self.log_stalled_runs(ctx);
+    }
+
+    /// Logs up to [`consts::MAX_LOGGED_STALLS`] stalled steps, those that have waited the longest first.
+    fn log_stalled_steps(&self, ctx: &mut Ctx) {
         let stalled = self.stalled_steps(ctx.now);
         let count = stalled.len();
         for (since, key) in stalled.into_iter().take(consts::MAX_LOGGED_STALLS) {
@@ -27,14 +37,46 @@
         }
     }
 
-    /// Returns the steps that have been ready for at least [`consts::STALL_THRESHOLD_MS`] without a
-    /// running task, each with the time since when it has waited, oldest first.
+    /// Logs up to [`consts::MAX_LOGGED_STALLS`] runs that have not been known to be active for at least
+    /// [`consts::STALL_THRESHOLD_MS`], the longest first. Their tasks wait until they have ended.
+    fn log_stalled_runs(&self, ctx: &mut Ctx) {
+        let is_stalled = |run: &Run| {
+            let is_active = matches!(run.phase, RunPhase::Active);
+            !is_active && ctx.now.since(run.phase_since) >= consts::STALL_THRESHOLD_MS
+        };
+        let mut stalled = Vec::new();
+        for (ix, worker) in self.fleet.iter() {
+            let runs = worker.runs.iter().filter(|(_, run)| is_stalled(run));
+            stalled.extend(runs.map(|(task, run)| (run.phase_since, ix, task)));
+        }
+        let count = stalled.len();
+        stalled.sort_unstable();
+        for (since, ix, task) in stalled.into_iter().take(consts::MAX_LOGGED_STALLS) {
+            let worker = self.fleet.get(ix);
+            let run = &worker.runs[task];
+            let event = LogEvent::warn("run_stalled")
+                .with("task", task)
+                .with("run", run.number);
+            let event = event
+                .with("worker", &worker.entry.id)
+                .with("phase", run.phase.name())
+                .with("phase_ms", ctx.now.since(since).0)
+                .with("confirmed", run.confirmed_at.is_some());
+            let event = event
+                .with("listed", worker.listed)
+                .with("silent_ms", ctx.now.since(worker.answered_at).0);
+            ctx.log(event.with("stalled", count));
+        }
+    }
+
+    /// Returns the steps that have waited for at least [`consts::STALL_THRESHOLD_MS`], each with the time
+    /// since when, oldest first.
     fn stalled_steps(&self, now: Millis) -> Vec<(Millis, StepKey)> {
         let is_stalled = |since: &Millis| now.since(*since) >= consts::STALL_THRESHOLD_MS;
         let mut stalled: Vec<(Millis, StepKey)> = Vec::new();
         for (id, job) in &self.jobs {
             for (at, step) in job.steps.iter().enumerate() {
-                if let Some(since) = step.ready_since.filter(is_stalled) {
+                if let Some(since) = step.waiting_since.filter(is_stalled) {
                     let key = StepKey {
                         job: id.clone(),
                         occurrence: 0,
@@ -78,6 +120,7 @@
             .with("step", key)
             .with("gang", spec.gang)
             .with("tasks", spec.count)
+            .with("running", step.running())
             .with("pending", self.pending.contains(key))
             .with("call", advice.in_flight.is_some())
             .with("advised", advice.permissions.len())
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -30,12 +30,36 @@
     pub(crate) need: Resources,
     pub(crate) team: Option<TeamName>,
     pub(crate) phase: RunPhase,
+    /// Since when it has been in this phase; repeated stops do not change it.
+    pub(crate) phase_since: Millis,
     /// When its start or stop was last confirmed; if a list requested later lacks it, it has ended.
     pub(crate) confirmed_at: Option<Millis>,
     pub(crate) percent: u8,
     pub(crate) checkpoint: Option<CompactString>,
 }
 
+impl RunPhase {
+    /// Returns the name of the phase in log events.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Placed(_) => "placed",
+            Self::Starting => "starting",
+            Self::Unconfirmed(_) => "unconfirmed",
+            Self::Active => "active",
+            Self::Stopping(_) => "stopping",
+        }
+    }
+}
+
+impl Run {
+    pub(crate) fn set_phase(&mut self, phase: RunPhase, now: Millis) {
+        if self.phase.name() != phase.name() {
+            self.phase_since = now;
+        }
+        self.phase = phase;
+    }
+}
+
 /// A worker, as recorded by the leader.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -238,7 +238,7 @@
         self.mark_started(&task.step.job);
         let worker = self.fleet.get_mut(ix);
         if let Some(current) = worker.runs.get_mut(&task) {
-            current.phase = RunPhase::Starting;
+            current.set_phase(RunPhase::Starting, ctx.now);
         }
         worker.next_poll_at = worker
             .next_poll_at
@@ -264,7 +264,7 @@
                 worker.clock = Some((clock, now));
                 if let Some(run) = current {
                     if matches!(run.phase, RunPhase::Starting | RunPhase::Unconfirmed(_)) {
-                        run.phase = RunPhase::Active;
+                        run.set_phase(RunPhase::Active, now);
                     }
                     // A run that is to be stopped is confirmed by the answer to the stop only.
                     if !matches!(run.phase, RunPhase::Stopping(_)) {
@@ -275,7 +275,7 @@
             }
             WorkerAnswer::Lost | WorkerAnswer::Listed(..) => {
                 if let Some(run) = current.filter(|run| run.phase == RunPhase::Starting) {
-                    run.phase = RunPhase::Unconfirmed(now);
+                    run.set_phase(RunPhase::Unconfirmed(now), now);
                 }
                 worker.backoff_until = now + consts::WORKER_BACKOFF_MS;
                 worker.needs_quick_poll = true;
@@ -354,7 +354,10 @@
             }
             _ => {}
         }
-        run.phase = RunPhase::Stopping(ctx.now + consts::STOP_RETRY_DELAY_MS);
+        run.set_phase(
+            RunPhase::Stopping(ctx.now + consts::STOP_RETRY_DELAY_MS),
+            ctx.now,
+        );
         run.confirmed_at = None;
         let number = run.number;
         self.send_stop(ctx, ix, task, number);
@@ -397,7 +400,7 @@
             // not listed as ended; the quick poll shows that it is missing.
             worker.needs_quick_poll = true;
         } else {
-            run.phase = RunPhase::Stopping(now + consts::STOP_RETRY_DELAY_MS);
+            run.set_phase(RunPhase::Stopping(now + consts::STOP_RETRY_DELAY_MS), now);
         }
     }
 
@@ -414,7 +417,10 @@
         }
         for (ix, task, number) in due {
             if let Some(run) = self.fleet.get_mut(ix).runs.get_mut(&task) {
-                run.phase = RunPhase::Stopping(ctx.now + consts::WORKER_TIMEOUT_MS);
+                run.set_phase(
+                    RunPhase::Stopping(ctx.now + consts::WORKER_TIMEOUT_MS),
+                    ctx.now,
+                );
             }
             self.send_stop(ctx, ix, &task, number);
         }
