Test jobs that are accepted just before all daemons lose power

Callers of a LOST job had a 2xx and saw no start in 40 s, after a loss of power of all daemons. The tests attack each precondition for the next leader to find and start such a job: all daemons are killed 0 to 60 ms after the acceptance, with forwarded submissions, late and unanswered writes, a slow store, partitions of several pages, a lost history, a changed desired state, restarted workers, clocks that jump and leaders that are killed while they load.

The emulated store now refuses transactions of more than 100 entries, 1 MB or one partition, and splits pages and changes as the protocol does.

World::assert_once is split: no run beside another one, and none after a success; it checks as much as before.

--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -67,6 +67,8 @@
     cpu_milli: u64,
     /// How many times its process was started; answers to calls of earlier processes are dropped.
     process: usize,
+    /// How far its Unix clock is ahead.
+    unix_lead_ms: i64,
 }
 
 /// The cell.
@@ -85,6 +87,8 @@
     pub uneven_scans: bool,
     /// The key that clients show.
     pub key: String,
+    /// The data that is passed to the tasks of submitted jobs.
+    pub payload: String,
     /// How long advice takes; no advice is asked for where the queue needs none.
     pub advice_ms: u64,
     pub advice_calls: usize,
@@ -197,6 +201,7 @@
             last_call: 0,
             uneven_scans: false,
             key: KEY.into(),
+            payload: "payload".into(),
             advice_ms: 20,
             advice_calls: 0,
             advice_worker_us: 0,
@@ -226,6 +231,7 @@
                 cut: false,
                 cpu_milli,
                 process: 0,
+                unix_lead_ms: 0,
             });
             world.start(at);
         }
@@ -236,13 +242,27 @@
     pub fn start(&mut self, at: usize) {
         let settings =
             CellSettingsBuilder::new(&format!("host-{at}"), "saiss", &self.daemons[at].address);
-        let unix = UNIX_BASE_MS + self.now;
+        let unix = self.unix_ms(at);
         let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
         let node = Node::new(settings.build(), Millis(self.now), unix);
         self.daemons[at].node = Some(node);
         self.daemons[at].process += 1;
     }
 
+    /// Sets how far a daemon's Unix clock is ahead of that of the others.
+    pub fn set_unix_lead(&mut self, at: usize, lead_ms: i64) {
+        self.daemons[at].unix_lead_ms = lead_ms;
+    }
+
+    fn unix_ms(&self, at: usize) -> u64 {
+        (UNIX_BASE_MS + self.now).saturating_add_signed(self.daemons[at].unix_lead_ms)
+    }
+
+    /// Returns whether a daemon's process runs.
+    pub fn is_running(&self, at: usize) -> bool {
+        self.daemons[at].node.is_some()
+    }
+
     /// Kills a daemon's process: its links break, its calls are lost.
     pub fn kill(&mut self, at: usize) {
         self.daemons[at].node = None;
@@ -322,7 +342,7 @@
         if is_answer && caller != self.caller(at) {
             return;
         }
-        let (now, unix) = (Millis(self.now), UNIX_BASE_MS + self.now);
+        let (now, unix) = (Millis(self.now), self.unix_ms(at));
         let Some(node) = &mut self.daemons[at].node else {
             return;
         };
@@ -562,7 +582,7 @@
     /// Hands a job in at a daemon, to the queue with this prefix.
     pub fn submit_to(&mut self, prefix: &str, at: usize, job: u64, steps: Vec<StepSpec>) -> u64 {
         let work = Submission {
-            payload: "payload".into(),
+            payload: self.payload.as_str().into(),
             steps,
             ..Submission::default()
         };
@@ -616,20 +636,35 @@
 
     /// Asserts that no task ran twice at the same time and none after it was done.
     pub fn assert_once(&self) {
-        let mut spans: BTreeMap<&str, Vec<(u64, u64, bool)>> = BTreeMap::new();
-        for span in self.workers.values().flat_map(|own| &own.spans) {
-            let end = span.end.unwrap_or(u64::MAX);
-            spans
-                .entry(&span.task)
-                .or_default()
-                .push((span.begin, end, span.done));
+        self.assert_no_overlap();
+        for (task, list) in self.spans_by_task() {
+            let is_last = |at: usize| at + 1 == list.len();
+            let done = list.iter().position(|span| span.2);
+            assert!(
+                done.is_none_or(is_last),
+                "{task} started after it was done: {list:?}"
+            );
         }
-        for (task, mut list) in spans {
-            list.sort_unstable();
+    }
+
+    /// Asserts that no task ran twice at the same time.
+    pub fn assert_no_overlap(&self) {
+        for (task, list) in self.spans_by_task() {
             for pair in list.windows(2) {
                 assert!(pair[0].1 <= pair[1].0, "{task} ran twice: {list:?}");
-                assert!(!pair[0].2, "{task} started after it was done: {list:?}");
             }
         }
     }
+
+    /// Returns begin, end and success of the runs of each task, in the order of their begins.
+    fn spans_by_task(&self) -> BTreeMap<&str, Vec<(u64, u64, bool)>> {
+        let mut spans: BTreeMap<&str, Vec<(u64, u64, bool)>> = BTreeMap::new();
+        for span in self.workers.values().flat_map(|own| &own.spans) {
+            let end = span.end.unwrap_or(u64::MAX);
+            let list = spans.entry(&span.task).or_default();
+            list.push((span.begin, end, span.done));
+        }
+        spans.values_mut().for_each(|list| list.sort_unstable());
+        spans
+    }
 }
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -11,6 +11,12 @@
 
 /// How far the store's clock is ahead of that of the daemons.
 const CLOCK_LEAD_MS: u64 = 7_000_000;
+/// The maximum number of rows in a page.
+const PAGE_ROWS: usize = 500;
+/// The maximum size of the rows in a page, and of a transaction.
+const MAX_BYTES: usize = 1_000_000;
+/// The maximum number of entries in a transaction.
+const MAX_ENTRIES: usize = 100;
 
 /// A store that is up unless it is told otherwise.
 pub struct FakeStore {
@@ -29,10 +35,29 @@
     pub worker_reads_lost: bool,
     /// Whether a page that is not the last one ends with a row that can't be read.
     pub unreadable_page_ends: bool,
+    /// The maximum number of rows in a page and in an answer about changes.
+    pub page_rows: usize,
+    /// Whether reads of the desired state get no answer.
+    pub state_reads_lost: bool,
 }
 
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
 
+/// Returns the size of a value as the store's interface encodes it.
+fn value_bytes(value: &RowValue) -> usize {
+    pomelotide_wire::encode(value).unwrap().len().div_ceil(3) * 4
+}
+
+/// Returns whether the store takes a transaction of this size, whose entries share one partition.
+fn is_within_limits(write: &Write) -> bool {
+    let expected = write.expect.iter().map(|(key, _)| key);
+    let put = write.put.iter().map(|(key, _)| key);
+    let keys: Vec<&RowKey> = expected.chain(put).chain(&write.remove).collect();
+    let is_in_first = |key: &&RowKey| key.partition == keys[0].partition;
+    let bytes: usize = write.put.iter().map(|(_, value)| value_bytes(value)).sum();
+    keys.len() <= MAX_ENTRIES && keys.iter().all(is_in_first) && bytes <= MAX_BYTES
+}
+
 impl FakeStore {
     pub fn new(state: DesiredState) -> Self {
         let mut store = Self {
@@ -45,6 +70,8 @@
             writes: 0,
             worker_reads_lost: false,
             unreadable_page_ends: false,
+            page_rows: PAGE_ROWS,
+            state_reads_lost: false,
         };
         store.put_state(state);
         store
@@ -99,6 +126,9 @@
     }
 
     fn write(&mut self, write: Write) -> StoreReply {
+        if !is_within_limits(&write) {
+            return StoreReply::Refused(400);
+        }
         let has = |key: &RowKey| self.rows.get(key).map_or(RowVersion(0), |row| row.0);
         if write
             .expect
@@ -132,7 +162,12 @@
             key.table == from.table && key.partition == from.partition && key.key >= from.key
         };
         let found = self.rows.iter().filter(|(key, _)| is_in_page(key));
-        let page = found.clone().take(most);
+        let mut bytes = 0;
+        let page = found.clone().take(most).take_while(|(_, (_, value))| {
+            let is_first = bytes == 0;
+            bytes += value_bytes(value);
+            is_first || bytes <= MAX_BYTES
+        });
         let mut rows: Vec<Row> = page
             .map(|(key, (version, value))| Row {
                 key: key.clone(),
@@ -140,7 +175,7 @@
                 value: value.clone(),
             })
             .collect();
-        let more = found.count() > most;
+        let more = found.count() > rows.len();
         if more && self.unreadable_page_ends {
             rows.push(Row {
                 key: RowKey::new(from.table, "", ""),
@@ -176,6 +211,14 @@
                 table: Table::Workers,
                 ..
             } if self.worker_reads_lost => (0, StoreReply::Lost),
+            StoreCall::Read {
+                table: Table::DesiredState,
+                ..
+            }
+            | StoreCall::Follow {
+                table: Table::DesiredState,
+                ..
+            } if self.state_reads_lost => (0, StoreReply::Lost),
             StoreCall::Write(write) => {
                 let reply = self.write(write);
                 if self.lose_answers > 0 {
@@ -191,7 +234,10 @@
                 from,
                 limit,
             } => {
-                let most = if limit == 0 { 500 } else { limit as usize };
+                let most = match limit {
+                    0 => self.page_rows,
+                    limit => (limit as usize).min(self.page_rows),
+                };
                 let from = RowKey::new(table, &partition, &from);
                 (0, self.read_page(&from, most, now_ms))
             }
@@ -216,14 +262,23 @@
             return (0, StoreReply::HistoryLost);
         }
         let newer = |row: &&Row| row.key.table == table && row.version > after;
-        let rows: Vec<Row> = self.changes.iter().filter(newer).cloned().collect();
+        let changes: Vec<&Row> = self.changes.iter().filter(newer).collect();
+        // The changes of a transaction share a version and an answer.
+        let last = changes.get(self.page_rows - 1).map(|row| row.version);
+        let is_in_page = |row: &&&Row| last.is_none_or(|last| row.version <= last);
+        let rows: Vec<Row> = changes
+            .iter()
+            .filter(is_in_page)
+            .copied()
+            .cloned()
+            .collect();
+        let more = changes.len() > rows.len();
         let wait_ms = if rows.is_empty() {
             wait_ms.0.min(200)
         } else {
             0
         };
         let version = RowVersion(self.version);
-        let more = false;
         (
             wait_ms,
             StoreReply::Rows {
