Keep the host list when one of its entries is not UTF-8, and bound its reasons

Callers of the mode without a cell would see no change of the fleet any more: one entry with a byte that is not UTF-8 made the whole host list malformed, at every request, so that new, moved and removed workers were not seen. An entry with a port of 0, a port out of range or a text that is no address was listed as a worker and dialed again and again. The reason of an unusable entry was logged at any length.

Cause: `serde_json::from_slice` checks the encoding of the whole body before any entry is decoded on its own. `Host` took over any text as the address. The messages of the parser quote their input.

Fix: the body is decoded lossily, as the client of the cell's store does. Worker, domain, rack and address allow no replacement character, so exactly the entry with the byte is left out. The address must be an IP address with a port, by the check that the cell's entries pass; it and the bound on reasons move from `platform` to `wire`, which both modes use.

Not covered: bytes that are not UTF-8 outside of any string break the JSON text itself; such a list is still malformed as a whole, and the daemon keeps the previous one.

--- a/wire/src/host_list.rs
+++ b/wire/src/host_list.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the host list of one failure domain; the list is sent only if it changed.
 
-use crate::{HttpClient, HttpReply, WireHost};
+use crate::{bounded_reason, HttpClient, HttpReply, WireHost};
+use compact_str::CompactString;
 use pomelotide_core::{DomainName, Host};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -15,12 +16,12 @@
     /// The list is the same as in the latest successful request.
     Unchanged,
     /// The list changed, or the platform does not support ETags; holds the valid hosts and, for each
-    /// malformed entry, the parser's message.
-    Listed(Vec<Host>, Vec<String>),
+    /// malformed entry, why it can't be used.
+    Listed(Vec<Host>, Vec<CompactString>),
     /// The platform did not answer with a list.
     Unavailable,
     /// The list can't be parsed, for the given reason.
-    Malformed(String),
+    Malformed(CompactString),
 }
 
 /// The host list with its entries as raw text; each is decoded separately, so that a malformed one does
@@ -31,10 +32,10 @@
     hosts: Vec<&'a RawValue>,
 }
 
-/// Parses one entry; returns the parser's message as the error if it is malformed.
-fn parse_host(entry: &RawValue) -> Result<Host, String> {
-    let wire: WireHost = serde_json::from_str(entry.get()).map_err(|error| error.to_string())?;
-    Host::try_from(&wire).map_err(|error| error.to_string())
+/// Parses one entry; returns the reason as the error if it is malformed.
+fn parse_host(entry: &RawValue) -> Result<Host, CompactString> {
+    let wire: WireHost = serde_json::from_str(entry.get()).map_err(bounded_reason)?;
+    Host::try_from(&wire).map_err(bounded_reason)
 }
 
 /// Requests the host list and sends the ETag of the latest list, so that an unchanged list is not
@@ -71,9 +72,11 @@
     }
 
     fn parse_reply(&mut self, reply: HttpReply) -> HostListResult {
-        let wire: RawHosts<'_> = match serde_json::from_slice(&reply.body) {
+        // A replaced byte makes only its own entry unusable: no field allows the replacement character.
+        let body = String::from_utf8_lossy(&reply.body);
+        let wire: RawHosts<'_> = match serde_json::from_str(&body) {
             Ok(wire) => wire,
-            Err(error) => return HostListResult::Malformed(error.to_string()),
+            Err(error) => return HostListResult::Malformed(bounded_reason(error)),
         };
         let (mut hosts, mut reasons) = (Vec::new(), Vec::new());
         for entry in wire.hosts {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Wire and file formats of pomelotide: frames between processes, the platform's HTTP protocol, the
 //! HTTP bodies of the API, settings files and release notes.
 
+mod address;
 mod api;
 mod frame;
 mod host_list;
@@ -9,6 +10,7 @@
 mod note_text;
 mod platform;
 mod problem;
+mod reason;
 mod report;
 mod resources_text;
 mod secret;
@@ -17,6 +19,7 @@
 mod views;
 
 pub use crate::{
+    address::is_connectable,
     api::{http_status, refusal_help, ApiAnswer, ApiFieldError, ApiJob, ApiStatus},
     frame::{decode, encode, FrameError, PeerFrame, WorkerFrame},
     host_list::{HostListClient, HostListResult},
@@ -28,6 +31,7 @@
         WireTxnReply,
     },
     problem::{closest_name, Problem, Problems},
+    reason::bounded_reason,
     report::FileReport,
     resources_text::{format_resources, parse_need, parse_resources, ResourcesError},
     secret::secret_digest,
--- a/wire/src/platform.rs
+++ b/wire/src/platform.rs
@@ -1,7 +1,7 @@
 //! HTTP bodies of the platform: transactions and reads of the table, and the host list.
 
 use crate::{
-    decode_key, decode_row, encode_key, encode_row,
+    decode_key, decode_row, encode_key, encode_row, is_connectable,
     table_rows::{DELTA_PREFIX, JOB_PREFIX, MEMBER_PREFIX},
     WireError,
 };
@@ -234,6 +234,10 @@
 
     fn try_from(host: &WireHost) -> Result<Self, WireError> {
         let invalid = |error: pomelotide_core::IdError| WireError::new(error.to_string());
+        if !is_connectable(&host.address) {
+            let text = format!("address: expected IP:port, got {:?}", host.address);
+            return Err(WireError::new(text));
+        }
         Ok(Self {
             worker: host.worker.parse().map_err(invalid)?,
             domain: host.domain.parse().map_err(invalid)?,
--- a/platform/src/reason.rs
+++ b/wire/src/reason.rs
@@ -7,7 +7,7 @@
 const MAX_REASON_CHARS: usize = 200;
 
 /// Returns the message of `error`, truncated to `MAX_REASON_CHARS`.
-pub(crate) fn bounded_reason(error: impl Display) -> CompactString {
+pub fn bounded_reason(error: impl Display) -> CompactString {
     let text = format_compact!("{error}");
     match text.char_indices().nth(MAX_REASON_CHARS) {
         Some((end, _)) => format_compact!("{}...", &text[..end]),
