Reserve only workers that a gang may run on

Callers see: jobs that could run wait beside free workers until a gang that can never be placed is late. With a gang that some workers can hold, the wrong workers are kept free, and the gang never starts.

Cause: reserve_room counted every worker of the service whose capacity fits a member. It ignored the label that the step requires and the limit of members per worker, both of which the placement respects.

Ruled out by the same tests, which passed before for these: members larger than every worker, more members than all workers can hold, and advice that denies too many workers.

A gang that the present workers can't hold is still accepted: the fleet changes, and the gang starts when workers that can hold it join.

--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -352,14 +352,18 @@
                 let serves = worker.entry.service == queue.service
                     && worker.is_usable(now, MAX_CLOCK_AGE_MS);
                 let may_run = queue.advice.is_none() || advice.allows(*ix);
+                let label = spec.requirement.as_ref();
+                let labelled = label.is_none_or(|label| worker.has_label(label));
                 serves
                     && may_run
+                    && labelled
                     && !pass.reserved.contains_key(ix)
                     && spec.need.fits(&worker.entry.capacity)
             })
             .map(|(ix, worker)| (u64::MAX - worker.free().cpu_milli, ix))
             .collect();
         eligible.sort_unstable();
+        let max_on_worker = spec.per_worker.map_or(u64::MAX, u64::from);
         let mut missing = u64::from(spec.count);
         let mut reserved = Vec::new();
         for (_, ix) in eligible {
@@ -367,7 +371,8 @@
                 break;
             }
             let room = self.fleet.get(ix).entry.capacity;
-            missing = missing.saturating_sub(spec.need.count_in(&room));
+            let members = spec.need.count_in(&room).min(max_on_worker);
+            missing = missing.saturating_sub(members);
             reserved.push((ix, room));
         }
         if missing == 0 {
--- /dev/null
+++ b/core/tests/cell_passes.rs
@@ -0,0 +1,139 @@
+//! Steps that wait for their workers, and what they keep from others, in virtual time.
+
+#![allow(clippy::unwrap_used)]
+
+mod cell_world;
+
+use cell_world::{desired, gang, queue, queue_with_advice, step, World};
+use pomelotide_core::{
+    cell::{DesiredState, StepSpec, Team},
+    KeyName, Millis, QueueName, Resources, TeamName,
+};
+
+/// What fills a worker, in thousandths of a core.
+const WORKER_CPU_MILLI: u64 = 4_000;
+/// The estimate with which a step can end in time for as long as a test runs.
+const LONG_ESTIMATE_MS: u64 = 60_000;
+/// The time within which a step that has room must start, in milliseconds.
+const MAX_WAIT_MS: u64 = 3_000;
+/// The key of the team "others", which has no limit.
+const OTHER_KEY: &str = "other-key";
+/// A label that no worker has.
+const NO_WORKERS_LABEL: &str = "nowhere";
+
+fn estimated(estimated_ms: u64, step: StepSpec) -> StepSpec {
+    StepSpec {
+        estimated_ms: Millis(estimated_ms),
+        ..step
+    }
+}
+
+fn on_label(label: &str, step: StepSpec) -> StepSpec {
+    StepSpec {
+        requirement: Some(label.into()),
+        ..step
+    }
+}
+
+fn per_worker(limit: u32, step: StepSpec) -> StepSpec {
+    StepSpec {
+        per_worker: Some(limit),
+        ..step
+    }
+}
+
+/// Returns a desired state whose teams may submit any number of jobs, with the queue "fill" without
+/// advice and the team "others" without a limit.
+fn two_queues(mut state: DesiredState) -> DesiredState {
+    state.teams[0].weight = 100_000;
+    let mut fill = queue();
+    fill.name = QueueName::new("fill");
+    fill.path_prefix = "/fill/".into();
+    state.queues.push(fill);
+    state.teams.push(Team {
+        name: TeamName::new("others"),
+        keys: vec![KeyName::new(OTHER_KEY)],
+        weight: 100_000,
+        limit: Resources::default(),
+    });
+    state.with_sorted_queues()
+}
+
+fn started_world(workers: usize, state: DesiredState) -> World {
+    let mut world = World::new(1, workers, two_queues(state));
+    world.run(3_000);
+    assert!(world.leader().is_some(), "there is no leader");
+    world
+}
+
+/// Returns how many tasks of a job have started.
+fn starts_of(world: &World, job: u64) -> usize {
+    let name = format!("{job:016x}");
+    let starts = world.starts();
+    let of_job = starts.iter().filter(|start| start.1.starts_with(&name));
+    of_job.count()
+}
+
+fn set_work_ms(world: &mut World, work_ms: u64) {
+    for worker in world.workers.values_mut() {
+        worker.work_ms = work_ms;
+    }
+}
+
+/// Guards against workers that are kept free for a gang which no workers could ever hold.
+#[test]
+fn a_gang_that_no_workers_can_hold_reserves_no_workers() {
+    let gangs = [
+        ("no label", on_label(NO_WORKERS_LABEL, gang(2, 4_000))),
+        ("few with the label", on_label("r1-0", gang(5, 4_000))),
+        ("limit per worker", per_worker(1, gang(9, 1_000))),
+        ("large members", gang(2, 5_000)),
+        ("many members", gang(9, 4_000)),
+    ];
+    let mut kept = Vec::new();
+    for (name, gang) in gangs {
+        let mut world = started_world(8, desired(1, queue()));
+        set_work_ms(&mut world, LONG_ESTIMATE_MS);
+        world.submit(0, 1, vec![estimated(LONG_ESTIMATE_MS, gang)]);
+        world.run(500);
+        let other = estimated(2 * LONG_ESTIMATE_MS, step(8, WORKER_CPU_MILLI));
+        world.submit(0, 2, vec![other]);
+        world.run(MAX_WAIT_MS);
+        if starts_of(&world, 2) != 8 {
+            kept.push((name, starts_of(&world, 2)));
+        }
+    }
+    assert_eq!(kept, [], "8 workers run nothing else");
+}
+
+/// Guards against a gang whose advice denies all workers and that keeps them free nevertheless.
+#[test]
+fn a_gang_that_no_worker_may_run_reserves_no_workers() {
+    let mut world = started_world(8, desired(1, queue_with_advice(20_000, 0, 2_000)));
+    world.advice_allows_every = 8;
+    set_work_ms(&mut world, LONG_ESTIMATE_MS);
+    world.submit(0, 1, vec![estimated(LONG_ESTIMATE_MS, gang(2, 4_000))]);
+    world.run(500);
+    let other = estimated(2 * LONG_ESTIMATE_MS, step(8, WORKER_CPU_MILLI));
+    world.submit_to("/fill/", 0, 2, vec![other]);
+    world.run(MAX_WAIT_MS);
+    assert_eq!((starts_of(&world, 1), starts_of(&world, 2)), (0, 8));
+}
+
+/// Guards against a gang for which workers without its label are kept free, while small tasks keep
+/// using those that have it.
+#[test]
+fn a_gang_with_a_label_starts_beside_small_tasks() {
+    let mut world = started_world(8, desired(1, queue()));
+    // Small tasks of which some always run on the four workers with the label.
+    for at in 0..120 {
+        let small = estimated(2 * LONG_ESTIMATE_MS, step(1, 1_000));
+        world.submit(0, 100 + at, vec![small]);
+        if at == 20 {
+            let gang = on_label("r1-0", gang(4, WORKER_CPU_MILLI));
+            world.submit(0, 1, vec![estimated(LONG_ESTIMATE_MS, gang)]);
+        }
+        world.run(100);
+    }
+    assert_eq!(starts_of(&world, 1), 4, "no worker is kept free for it");
+}
