Renew tickets that expire while a placement is stored

Callers saw a job stay pending for as long as the store was slow: its tasks were placed, the tickets expired before the store had answered, the placements were dropped, and all began anew.

Cause: a start was sent only if the ticket was still valid when the write of the placement was answered, and nothing renewed the ticket while the write was under way. Every new placement met the same slow store. A gang was aborted for one expired ticket.

Now a placement is kept while its ticket is renewed. Steps with unsent starts are checked 150 ms after the placement, before their tickets expire and when tickets arrive; one call names all members of a gang, and the members start only if all may. A placement is dropped only if its worker can't run it any more, or if it is stored and gets no ticket for 6 s, so that its room can't be kept from others for as long as the advice service fails.

Ruled out: a separate bound on the age of unstored placements.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -76,8 +76,27 @@
         workers
     }
 
+    /// Returns the workers whose tickets expire before the expected end of a call that names all
+    /// `places`, at most [`consts::MAX_ADVICE_WORKERS`], the earliest first.
+    pub(crate) fn expiring(
+        &self,
+        places: &[WorkerIx],
+        now: Millis,
+        cost: AdviceCost,
+    ) -> Vec<WorkerIx> {
+        let mut workers = places.to_vec();
+        workers.sort_unstable();
+        workers.dedup();
+        let named = workers.len().min(consts::MAX_ADVICE_WORKERS);
+        let ends_at = now + Millis(cost.call_us(named).div_ceil(1_000));
+        workers.retain(|ix| self.expires_at(*ix) <= ends_at);
+        workers.sort_by_key(|ix| self.expires_at(*ix));
+        workers.truncate(consts::MAX_ADVICE_WORKERS);
+        workers
+    }
+
     /// Returns when the ticket for a worker expires; zero if there is none.
-    fn expires_at(&self, ix: WorkerIx) -> Millis {
+    pub(crate) fn expires_at(&self, ix: WorkerIx) -> Millis {
         match self.permissions.get(&ix) {
             Some(Permission::Allowed(_, until)) => *until,
             _ => Millis(0),
@@ -348,7 +367,10 @@
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
         advice.in_flight = None;
         match reply {
-            AdviceReply::Allowed(rows) => self.on_allowed(ctx, &request, rows),
+            AdviceReply::Allowed(rows) => {
+                self.on_allowed(ctx, &request, rows);
+                self.unsent_starts.reschedule(&request.step, ctx.now);
+            }
             AdviceReply::Busy | AdviceReply::Lost => {
                 advice.retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
                 self.on_advice_missing(ctx, &request, &reply);
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -17,6 +17,7 @@
 mod stalls;
 mod step;
 mod team_rate;
+mod unsent_starts;
 mod worker;
 mod worker_rpcs;
 
@@ -32,6 +33,7 @@
             pending::PendingSteps,
             progress_writes::ProgressWrites,
             team_rate::TeamRateLimiter,
+            unsent_starts::UnsentStarts,
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
         node::Ctx,
@@ -85,6 +87,7 @@
     held_queries: VecDeque<queries::HeldQuery>,
     /// Runs whose placement is stored and whose start has not been sent yet.
     recorded_starts: Vec<RecordedStart>,
+    unsent_starts: UnsentStarts,
     /// Whether a scheduling pass is needed.
     needs_pass: bool,
     next_pass_at: Millis,
@@ -117,6 +120,7 @@
             worker_rpcs: BTreeMap::new(),
             held_queries: VecDeque::new(),
             recorded_starts: Vec::new(),
+            unsent_starts: UnsentStarts::default(),
             needs_pass: false,
             next_pass_at: ctx.now,
             late_steps_to_skip: 0,
@@ -217,6 +221,7 @@
             self.run_pass(ctx, &state);
         }
         if valid {
+            self.check_unsent_starts(ctx);
             self.send_recorded_starts(ctx);
             self.dispatch_advice(ctx);
         }
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     cell::{
+        consts,
         leader::{
             fleet::WorkerIx,
             jobs::Job,
@@ -20,6 +21,16 @@
     },
     JobId, Millis,
 };
+use std::collections::BTreeMap;
+
+/// Whether a placed run may start, in ascending order of what prevents it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum StartCheck {
+    Ready,
+    /// Its ticket has expired and is being renewed.
+    TicketExpired,
+    Impossible,
+}
 
 impl Job {
     /// Returns the latest checkpoint of a task; all members of a gang share one.
@@ -59,6 +70,10 @@
         let mut run = new_run(&job.row, at, number, RunPhase::Placed(edit), self.now);
         run.checkpoint = job.checkpoint(&task);
         self.add_run(ix, &task, run);
+        if self.advice_cost(&task.step).is_some() {
+            let check_at = self.now + consts::SLOW_WRITE_THRESHOLD_MS;
+            self.unsent_starts.add(&task.step, check_at);
+        }
     }
 
     /// Returns a job's progress with the placements of its tasks, as it is written to the store.
@@ -92,38 +107,78 @@
         }
     }
 
-    /// Sends the queued starts, and drops the placements whose runs can't start any more.
+    /// Sends the queued starts whose runs may start. The members of a gang start only if all may.
     pub(crate) fn send_recorded_starts(&mut self, ctx: &mut Ctx) {
-        for RecordedStart { ix, task, run } in std::mem::take(&mut self.recorded_starts) {
-            let current = self.fleet.get(ix).runs.get(&task);
-            let is_unsent = |current: &Run| {
-                current.number == run && matches!(current.phase, RunPhase::Placed(_))
-            };
-            if !current.is_some_and(is_unsent) {
-                continue;
+        let mut steps: BTreeMap<StepKey, Vec<RecordedStart>> = BTreeMap::new();
+        for start in std::mem::take(&mut self.recorded_starts) {
+            if self.is_unsent(&start) {
+                let step = start.task.step.clone();
+                steps.entry(step).or_default().push(start);
             }
-            if self.can_start(ctx.now, ix, &task) {
-                self.send_start(ctx, ix, task, run);
+        }
+        for (key, starts) in steps {
+            let job = self.jobs.get(&key.job);
+            let spec = job.map(|job| &job.row.submission.steps[usize::from(key.step)]);
+            if spec.is_some_and(|spec| spec.gang) {
+                self.send_recorded_group(ctx, &key, starts);
             } else {
-                self.drop_placement(ctx, ix, &task, run);
+                for start in starts {
+                    self.send_recorded_group(ctx, &key, vec![start]);
+                }
+            }
+        }
+    }
+
+    /// Sends starts if all of their runs may start, keeps them while tickets are renewed, and drops
+    /// the placements that can't start any more.
+    fn send_recorded_group(&mut self, ctx: &mut Ctx, key: &StepKey, starts: Vec<RecordedStart>) {
+        let check = |start: &RecordedStart| self.check_start(ctx.now, start.ix, &start.task);
+        let worst = starts.iter().map(check).max();
+        for start in starts {
+            // Dropping one member of a gang releases the others.
+            if !self.is_unsent(&start) {
+                continue;
+            }
+            let own = self.check_start(ctx.now, start.ix, &start.task);
+            let RecordedStart { ix, task, run } = start;
+            match (worst, own) {
+                (Some(StartCheck::Ready), _) => self.send_start(ctx, ix, task, run),
+                (Some(StartCheck::TicketExpired), _) => {
+                    self.unsent_starts.hold(key, ctx.now);
+                }
+                (_, StartCheck::Impossible) => self.drop_placement(ctx, ix, &task, run),
+                _ => {}
             }
         }
     }
 
-    /// Returns whether a placed run may still start: its worker is usable, its room is not exceeded,
+    /// Returns whether the run of a queued start is still placed and its start has not been sent.
+    fn is_unsent(&self, start: &RecordedStart) -> bool {
+        let current = self.fleet.get(start.ix).runs.get(&start.task);
+        current.is_some_and(|current| {
+            current.number == start.run && matches!(current.phase, RunPhase::Placed(_))
+        })
+    }
+
+    /// Checks whether a placed run may still start: its worker is usable, its room is not exceeded,
     /// and there is a valid ticket if one is needed.
-    fn can_start(&self, now: Millis, ix: WorkerIx, task: &TaskKey) -> bool {
+    fn check_start(&self, now: Millis, ix: WorkerIx, task: &TaskKey) -> StartCheck {
         let Some(job) = self.jobs.get(&task.step.job) else {
-            return false;
+            return StartCheck::Impossible;
         };
-        let state = self.state.as_ref();
-        let queue = state.and_then(|state| state.queue(&job.row.queue));
-        let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
+        let needs_ticket = self.advice_cost(&task.step).is_some();
         let advice = &job.steps[usize::from(task.step.step)].advice;
-        let ticket = !needs_ticket || advice.ticket(ix, now).is_some();
         let worker = self.fleet.get(ix);
         let has_room = worker.used.fits(&worker.entry.capacity);
-        ticket && has_room && worker.is_usable(now, MAX_CLOCK_AGE_MS)
+        let may_run = !needs_ticket || advice.allows(ix);
+        if !may_run || !has_room || !worker.is_usable(now, MAX_CLOCK_AGE_MS) {
+            return StartCheck::Impossible;
+        }
+        match !needs_ticket || advice.ticket(ix, now).is_some() {
+            true => StartCheck::Ready,
+            false if self.unsent_starts.may_wait(&task.step, now) => StartCheck::TicketExpired,
+            false => StartCheck::Impossible,
+        }
     }
 
     /// Drops a placement whose start was never sent.
--- a/core/tests/cell_gangs.rs
+++ b/core/tests/cell_gangs.rs
@@ -4,11 +4,11 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, FakeWorker, World, KEY};
-use pomelotide_core::{
-    cell::{DesiredState, JobState, Queue, StepSpec, Team},
-    KeyName, QueueName, Resources, TeamName,
+use cell_world::{
+    desired, gang, queue_with_advice, starts_of, step, with_fill_queue, FakeWorker, World, KEY,
+    OTHER_KEY,
 };
+use pomelotide_core::cell::{DesiredState, JobState, Queue, StepSpec};
 
 /// The fixed part of a call for advice, in milliseconds.
 const ADVICE_MS: u64 = 550;
@@ -26,9 +26,6 @@
 /// The time within which a job must start once there is room for it, in milliseconds.
 const MAX_WAIT_MS: u64 = 3_000;
 
-/// The key of the team "others", which has no limit.
-const OTHER_KEY: &str = "other-key";
-
 fn per_worker(limit: u32, step: StepSpec) -> StepSpec {
     StepSpec {
         per_worker: Some(limit),
@@ -59,21 +56,6 @@
     world
 }
 
-/// Adds a queue without advice and the team "others".
-fn with_fill_queue(mut state: DesiredState) -> DesiredState {
-    let mut fill = queue();
-    fill.name = QueueName::new("fill");
-    fill.path_prefix = "/fill/".into();
-    state.queues.push(fill);
-    state.teams.push(Team {
-        name: TeamName::new("others"),
-        keys: vec![KeyName::new(OTHER_KEY)],
-        weight: 10,
-        limit: Resources::default(),
-    });
-    state.with_sorted_queues()
-}
-
 /// Returns a cell of `workers` workers, of which `blocked` are filled by a task of the team "others"
 /// that ends after [`BLOCKED_MS`], on the last `late` workers [`LATE_MS`] later.
 fn world_behind_blockers(
@@ -204,14 +186,6 @@
     world.assert_once();
 }
 
-/// Returns the starts of a job's tasks.
-fn starts_of(world: &World, job: u64) -> usize {
-    let name = format!("{job:016x}");
-    let starts = world.starts();
-    let of_job = starts.iter().filter(|start| start.1.starts_with(&name));
-    of_job.count()
-}
-
 /// Returns a cell of 20 workers in which a gang of 12 of a team with this limit has its workers
 /// reserved and waits for their tickets.
 fn world_with_reserved_gang(limit_cpu_milli: u64) -> World {
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -21,6 +21,8 @@
 
 /// The host name that clients name.
 pub const HOST: &str = "desk.example";
+/// The key of the team "others", which has no limit.
+pub const OTHER_KEY: &str = "other-key";
 /// The beginning of the queue's paths.
 pub const PREFIX: &str = "/q/";
 /// The key that every client shows.
@@ -177,6 +179,29 @@
     }
 }
 
+/// Adds a queue without advice and the team "others".
+pub fn with_fill_queue(mut state: DesiredState) -> DesiredState {
+    let mut fill = queue();
+    fill.name = QueueName::new("fill");
+    fill.path_prefix = "/fill/".into();
+    state.queues.push(fill);
+    state.teams.push(Team {
+        name: TeamName::new("others"),
+        keys: vec![KeyName::new(OTHER_KEY)],
+        weight: 10,
+        limit: Resources::default(),
+    });
+    state.with_sorted_queues()
+}
+
+/// Returns the starts of a job's tasks.
+pub fn starts_of(world: &World, job: u64) -> usize {
+    let name = format!("{job:016x}");
+    let starts = world.starts();
+    let of_job = starts.iter().filter(|start| start.1.starts_with(&name));
+    of_job.count()
+}
+
 impl World {
     /// Starts `daemons` daemons and `workers` workers of four cores.
     pub fn new(daemons: usize, workers: usize, state: DesiredState) -> Self {
