Reserve a part of a team's limit for a step that smaller tasks block

Callers saw a gang stay pending although its team used a quarter of its limit: small tasks of the team took the rest of the limit again and again, so that there was never enough of it for all members at once.

Cause: each pass compared a gang with what the limit had left at that moment, and nothing kept the part that had become free. The same holds for a single task that needs more than the small tasks leave.

Evidence, before (limit of 60 cores, tasks of 4): - a_gang_starts_beside_small_tasks_of_its_team: left: 0, right: 12 after 18 s. - a_gang_starts_beside_small_tasks_that_use_half_of_the_limit: 0 of 8. - a_gang_whose_tickets_take_long_starts_beside_small_tasks_of_its_team: 0 of 12. - a_task_that_needs_most_of_the_limit_starts_beside_small_tasks_of_its_team: 0 of 1. After: all start within the tests' bounds.

Now the first step of a team in a pass that the limit blocks gets a reservation: other steps of the team start only tasks that leave its need free, so that what ends makes room for it. It is for gangs, for tasks that need more than half of the limit, and for others once they have stalled for 3 s. Nothing is placed above the limit, as a reservation only lowers what the others may use. Other teams are not concerned, and no workers are reserved.

Bounds: one reservation a team, for 4 s at first, twice as long (up to 64 s) after one that was too short, and 2.5 s if the team uses less than half of its limit, for then others may not wait for 3 s. A pause of the same length follows. Only the first blocked step counts, so late work gets nothing while work in time is blocked. A step that exceeds the whole limit gets nothing either: as before, its job stays pending until it is cancelled or the limit is raised, and step_stalled names the headroom.

Other tests cover a cancelled gang, a change of leaders, the use of the limit after the gang's end, other teams and the limit itself.

--- /dev/null
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -0,0 +1,234 @@
+//! Parts of the teams' limits that are reserved for steps which need much of the limit at once.
+//!
+//! A gang starts only when its team may run all members. While smaller tasks of the team keep using
+//! the rest of the limit, that never happens. The part that it needs is therefore reserved: other
+//! steps of the team start only tasks that leave it free. A reservation lasts for a limited time and
+//! is followed by a pause of the same length, so that the others are never blocked for more than half
+//! of the time. If it was too short for the team's running tasks to end, the next one is longer.
+//!
+//! No step may wait for 3 s while its team uses less than half of its limit. A reservation therefore
+//! ends earlier if the step that it is for does not start soon after the team's use fell below that.
+
+use crate::{
+    cell::{
+        consts,
+        leader::{jobs::Job, schedule::SchedulingPass, Leader},
+        node::Ctx,
+        DesiredState, LogEvent, StepKey, Team,
+    },
+    JobId, Millis, Resources, TeamName,
+};
+use std::{
+    collections::BTreeMap,
+    fmt::{Display, Formatter, Result},
+};
+
+/// How long the first reservation lasts.
+const MIN_RESERVATION_MS: Millis = Millis(4_000);
+/// How long a reservation lasts at most.
+const MAX_RESERVATION_MS: Millis = Millis(64_000);
+/// How long a reservation may last while the team uses less than half of its limit.
+const MAX_UNDERUSE_MS: Millis = Millis(2_500);
+
+/// A part of a team's limit that is reserved for a step.
+#[derive(Clone, Debug)]
+struct Reservation {
+    step: StepKey,
+    need: Resources,
+    since: Millis,
+    /// Since when the team has used less than half of its limit.
+    underused_since: Option<Millis>,
+    /// Whether a task of the step has been placed since.
+    is_used: bool,
+}
+
+/// The reservations of one team.
+#[derive(Clone, Debug)]
+struct TeamReservation {
+    current: Option<Reservation>,
+    duration_ms: Millis,
+    paused_until: Millis,
+}
+
+/// The reserved part of each team's limit, for at most one step a team.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LimitReservations {
+    teams: BTreeMap<TeamName, TeamReservation>,
+}
+
+/// Why a reservation ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReservationEnd {
+    /// A task of the step has been placed.
+    Placed,
+    /// The step no longer waits, or its need exceeds the team's limit now.
+    NotNeeded,
+    /// It has lasted for its full duration, or for too long while most of the limit was unused.
+    TimedOut,
+}
+
+impl Display for ReservationEnd {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        f.write_str(match self {
+            Self::Placed => "placed",
+            Self::NotNeeded => "not_needed",
+            Self::TimedOut => "timed_out",
+        })
+    }
+}
+
+impl Reservation {
+    fn is_timed_out(&self, now: Millis, duration_ms: Millis) -> bool {
+        let underused_ms = self.underused_since.map(|since| now.since(since));
+        let is_underused = underused_ms.is_some_and(|span_ms| span_ms >= MAX_UNDERUSE_MS);
+        is_underused || now.since(self.since) >= duration_ms
+    }
+}
+
+impl TeamReservation {
+    /// Ends the current reservation and begins the pause after it.
+    fn end(&mut self, now: Millis, why: ReservationEnd) -> Option<Reservation> {
+        let ended = self.current.take()?;
+        self.paused_until = now + now.since(ended.since);
+        self.duration_ms = match why {
+            ReservationEnd::TimedOut => {
+                (self.duration_ms + self.duration_ms).min(MAX_RESERVATION_MS)
+            }
+            _ => MIN_RESERVATION_MS,
+        };
+        Some(ended)
+    }
+}
+
+impl LimitReservations {
+    /// Returns the part of a team's limit that a step of a job may not use.
+    pub(crate) fn reserved_from(&self, team: &TeamName, job: &JobId, at: usize) -> Resources {
+        let reservation = self.teams.get(team).and_then(|team| team.current.as_ref());
+        let is_other = |reservation: &&Reservation| {
+            let own = &reservation.step;
+            own.job != *job || usize::from(own.step) != at
+        };
+        let others = reservation.filter(|reservation| !reservation.is_used);
+        let others = others.filter(is_other);
+        others.map_or(Resources::default(), |reservation| reservation.need)
+    }
+
+    /// Records that a task of a step has been placed.
+    pub(crate) fn mark_placed(&mut self, team: &TeamName, step: &StepKey) {
+        let team = self.teams.get_mut(team);
+        if let Some(reservation) = team.and_then(|team| team.current.as_mut()) {
+            reservation.is_used |= reservation.step == *step;
+        }
+    }
+
+    /// Reserves a part of a team's limit for a step, unless another part is reserved or the pause after
+    /// the last reservation is not over. Returns whether it is reserved now and was not before.
+    fn reserve(&mut self, now: Millis, team: &TeamName, step: &StepKey, need: Resources) -> bool {
+        let team = self
+            .teams
+            .entry(team.clone())
+            .or_insert_with(|| TeamReservation {
+                current: None,
+                duration_ms: MIN_RESERVATION_MS,
+                paused_until: now,
+            });
+        if team.current.is_some() || now < team.paused_until {
+            return false;
+        }
+        team.current = Some(Reservation {
+            step: step.clone(),
+            need,
+            since: now,
+            underused_since: None,
+            is_used: false,
+        });
+        true
+    }
+}
+
+/// Returns a team's limit with the maximum in place of resources that are not limited.
+fn effective_limit(team: &Team) -> Resources {
+    let amounts = team.limit.amounts().map(|amount| match amount {
+        0 => u64::MAX,
+        amount => amount,
+    });
+    Resources::from_amounts(amounts)
+}
+
+/// Returns how many tasks of a step must start at the same time.
+pub(crate) fn min_tasks(job: &Job, at: usize) -> u64 {
+    let spec = &job.row.submission.steps[at];
+    match spec.gang {
+        true => u64::from(spec.count),
+        false => 1,
+    }
+}
+
+impl Leader {
+    /// Ends the reservations that are used, not needed any more or have timed out.
+    pub(crate) fn end_limit_reservations(&mut self, ctx: &mut Ctx, state: &DesiredState) {
+        let pending = &self.pending;
+        let reservations = &mut self.limit_reservations;
+        reservations
+            .teams
+            .retain(|name, _| state.team(name).is_some());
+        for (name, team) in &mut reservations.teams {
+            let Some(current) = &mut team.current else {
+                continue;
+            };
+            let limit = state.team(name).map(effective_limit).unwrap_or_default();
+            let used = self.used.get(name).copied().unwrap_or_default();
+            let is_underused = used.times(2).fits(&limit);
+            let underused_since = current.underused_since.unwrap_or(ctx.now);
+            current.underused_since = is_underused.then_some(underused_since);
+            let is_needed = pending.contains(&current.step) && current.need.fits(&limit);
+            let why = match (current.is_used, is_needed) {
+                (true, _) => ReservationEnd::Placed,
+                (false, false) => ReservationEnd::NotNeeded,
+                (false, true) if current.is_timed_out(ctx.now, team.duration_ms) => {
+                    ReservationEnd::TimedOut
+                }
+                (false, true) => continue,
+            };
+            let age_ms = ctx.now.since(current.since);
+            if let Some(ended) = team.end(ctx.now, why) {
+                let event = LogEvent::info("limit_released").with("step", &ended.step);
+                let event = event.with("team", name).with("why", why);
+                ctx.log(event.with("reserved_ms", age_ms.0));
+            }
+        }
+    }
+
+    /// Reserves a part of its team's limit for a step that the limit blocks. Only the first such step of
+    /// a team in a pass is considered: late work is not placed before work that can still end in time.
+    /// Small tasks usually start in turn, so for them nothing is reserved before they have stalled.
+    pub(crate) fn reserve_limit(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        key: &StepKey,
+        pass: &mut SchedulingPass,
+    ) {
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let team = job.row.team.as_ref().and_then(|name| state.team(name));
+        let Some(team) = team else { return };
+        let (spec, count) = (&job.row.submission.steps[at], min_tasks(job, at));
+        let (need, limit) = (spec.need.times(count), effective_limit(team));
+        let is_blocked = self.team_headroom(state, job, at) < count;
+        // A step that exceeds the whole limit can never start.
+        if !is_blocked || !need.fits(&limit) || !pass.blocked_teams.insert(team.name.clone()) {
+            return;
+        }
+        let is_large = spec.gang || !need.times(2).fits(&limit);
+        let waiting_since = job.steps[at].waiting_since.unwrap_or(ctx.now);
+        let is_stalled = ctx.now.since(waiting_since) >= consts::STALL_THRESHOLD_MS;
+        let reservations = &mut self.limit_reservations;
+        if (is_large || is_stalled) && reservations.reserve(ctx.now, &team.name, key, need) {
+            let event = LogEvent::info("limit_reserved").with("step", key);
+            ctx.log(event.with("team", &team.name).with("need", need));
+        }
+    }
+}
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -6,6 +6,7 @@
 mod gang_wait;
 mod gangs;
 mod jobs;
+mod limit_reservations;
 mod loader;
 mod members;
 pub(crate) mod pending;
@@ -28,6 +29,7 @@
             advice::AdviceDispatcher,
             fleet::Fleet,
             jobs::Job,
+            limit_reservations::LimitReservations,
             loader::Loader,
             members::Members,
             pending::PendingSteps,
@@ -77,6 +79,7 @@
     pending: PendingSteps,
     /// The resources in use by each team's runs.
     used: BTreeMap<TeamName, Resources>,
+    limit_reservations: LimitReservations,
     /// How many jobs of each queue have not started a task yet.
     queued: BTreeMap<QueueName, u64>,
     team_rates: TeamRateLimiter,
@@ -112,6 +115,7 @@
             fleet: Fleet::default(),
             pending: PendingSteps::default(),
             used: BTreeMap::new(),
+            limit_reservations: LimitReservations::default(),
             queued: BTreeMap::new(),
             team_rates: TeamRateLimiter::default(),
             advice: AdviceDispatcher::new(token),
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -69,6 +69,9 @@
         };
         let mut run = new_run(&job.row, at, number, RunPhase::Placed(edit), self.now);
         run.checkpoint = job.checkpoint(&task);
+        if let Some(team) = &run.team {
+            self.limit_reservations.mark_placed(team, &task.step);
+        }
         self.add_run(ix, &task, run);
         if self.advice_cost(&task.step).is_some() {
             let check_at = self.now + consts::SLOW_WRITE_THRESHOLD_MS;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -9,6 +9,7 @@
             fit::{best_fit, Candidate},
             fleet::WorkerIx,
             jobs::Job,
+            limit_reservations::min_tasks,
             pending::Rank,
             Leader,
         },
@@ -17,7 +18,7 @@
     },
     Millis, Resources, TeamName,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum age of the clock reading of a worker on which tasks are started.
 pub(crate) const MAX_CLOCK_AGE_MS: Millis = Millis(6_000);
@@ -55,6 +56,8 @@
     pub(crate) workers: Vec<(WorkerIx, Resources)>,
     /// The maximum of each resource that is left on any of `workers`.
     largest_free: Resources,
+    /// The teams of which the pass has found a step that the team's limit blocks.
+    pub(crate) blocked_teams: BTreeSet<TeamName>,
 }
 
 impl SchedulingPass {
@@ -118,6 +121,7 @@
             reserved_gangs: 0,
             workers: usable.map(|(ix, worker)| (ix, worker.free())).collect(),
             largest_free: Resources::default(),
+            blocked_teams: BTreeSet::new(),
         };
         pass.update_largest_free();
         pass
@@ -126,6 +130,7 @@
     /// Places the pending steps in order, as far as there is room.
     pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
         self.expire_invalidated_tickets();
+        self.end_limit_reservations(ctx, state);
         let mut pass = self.start_pass(ctx.now);
         let mut attempted_steps = 0;
         let mut late = LateAttempts {
@@ -146,6 +151,7 @@
             let at = usize::from(pending.key.step);
             if !self.can_fit(state, &pass, job, at) {
                 self.release_blocked_plan(ctx, &pending.key, &mut pass);
+                self.reserve_limit(ctx, state, &pending.key, &mut pass);
                 continue;
             }
             let (step, need) = (&job.steps[at], job.row.submission.steps[at].need);
@@ -183,10 +189,9 @@
     /// Returns whether the step's team may run more tasks and some worker has room for one.
     fn can_fit(&self, state: &DesiredState, pass: &SchedulingPass, job: &Job, at: usize) -> bool {
         let spec = &job.row.submission.steps[at];
-        let min_tasks = if spec.gang { u64::from(spec.count) } else { 1 };
-        let headroom = self.team_headroom(state, job.row.team.as_ref(), &spec.need);
+        let headroom = self.team_headroom(state, job, at);
         let has_plan = job.steps[at].plan.is_some();
-        headroom >= min_tasks && (has_plan || spec.need.fits(&pass.largest_free))
+        headroom >= min_tasks(job, at) && (has_plan || spec.need.fits(&pass.largest_free))
     }
 
     /// Returns how long after this leader's start all leases granted by earlier leaders have
@@ -357,17 +362,16 @@
         list
     }
 
-    /// Returns how many more tasks of this size the team may run at the same time.
-    pub(crate) fn team_headroom(
-        &self,
-        state: &DesiredState,
-        team: Option<&TeamName>,
-        need: &Resources,
-    ) -> u64 {
+    /// Returns how many more tasks of a step its team may run at the same time.
+    pub(crate) fn team_headroom(&self, state: &DesiredState, job: &Job, at: usize) -> u64 {
+        let team = job.row.team.as_ref();
         let Some(team) = team.and_then(|name| state.team(name)) else {
             return u64::MAX;
         };
+        let need = job.row.submission.steps[at].need;
         let used = self.used.get(&team.name).copied().unwrap_or_default();
+        let reservations = &self.limit_reservations;
+        let used = used.plus(reservations.reserved_from(&team.name, &job.row.id, at));
         let parts = team
             .limit
             .amounts()
@@ -398,13 +402,16 @@
             return;
         };
         let need = job.row.submission.steps[at].need;
-        let headroom = self.team_headroom(state, job.row.team.as_ref(), &need);
+        let headroom = self.team_headroom(state, job, at);
         let advice = &job.steps[at].advice;
         let (mut ready, mut expired): (Vec<Candidate>, Vec<Candidate>) =
             candidates.drain(..).partition(|candidate| {
                 queue.advice.is_none() || advice.ticket(candidate.ix, now).is_some()
             });
         let waiting: Vec<u32> = job.steps[at].tasks_without_run().collect();
+        if let (Some(team), true) = (&job.row.team, waiting.len() as u64 > headroom) {
+            pass.blocked_teams.insert(team.clone());
+        }
         let mut to_renew = Vec::new();
         let mut unplaced = 0;
         for index in waiting
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -115,7 +115,7 @@
                     .min(u64::from(spec.count));
             }
         }
-        let headroom = self.team_headroom(state, job.row.team.as_ref(), &spec.need);
+        let headroom = self.team_headroom(state, job, at);
         let event = LogEvent::warn("step_stalled")
             .with("step", key)
             .with("gang", spec.gang)
