--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -6,6 +6,7 @@
 mod gang_wait;
 mod gangs;
 mod jobs;
+mod limit_reservations;
 mod loader;
 mod members;
 pub(crate) mod pending;
@@ -17,6 +18,7 @@
 mod stalls;
 mod step;
 mod team_rate;
+mod unsent_starts;
 mod worker;
 mod worker_rpcs;
 
@@ -27,11 +29,13 @@
             advice::AdviceDispatcher,
             fleet::Fleet,
             jobs::Job,
+            limit_reservations::LimitReservations,
             loader::Loader,
             members::Members,
             pending::PendingSteps,
             progress_writes::ProgressWrites,
             team_rate::TeamRateLimiter,
+            unsent_starts::UnsentStarts,
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
         node::Ctx,
@@ -75,6 +79,7 @@
     pending: PendingSteps,
     /// The resources in use by each team's runs.
     used: BTreeMap<TeamName, Resources>,
+    limit_reservations: LimitReservations,
     /// How many jobs of each queue have not started a task yet.
     queued: BTreeMap<QueueName, u64>,
     team_rates: TeamRateLimiter,
@@ -85,6 +90,7 @@
     held_queries: VecDeque<queries::HeldQuery>,
     /// Runs whose placement is stored and whose start has not been sent yet.
     recorded_starts: Vec<RecordedStart>,
+    unsent_starts: UnsentStarts,
     /// Whether a scheduling pass is needed.
     needs_pass: bool,
     next_pass_at: Millis,
@@ -109,6 +115,7 @@
             fleet: Fleet::default(),
             pending: PendingSteps::default(),
             used: BTreeMap::new(),
+            limit_reservations: LimitReservations::default(),
             queued: BTreeMap::new(),
             team_rates: TeamRateLimiter::default(),
             advice: AdviceDispatcher::new(token),
@@ -117,6 +124,7 @@
             worker_rpcs: BTreeMap::new(),
             held_queries: VecDeque::new(),
             recorded_starts: Vec::new(),
+            unsent_starts: UnsentStarts::default(),
             needs_pass: false,
             next_pass_at: ctx.now,
             late_steps_to_skip: 0,
@@ -217,6 +225,7 @@
             self.run_pass(ctx, &state);
         }
         if valid {
+            self.check_unsent_starts(ctx);
             self.send_recorded_starts(ctx);
             self.dispatch_advice(ctx);
         }
