Look at all pending steps in turn, however many can't start

Callers see: a job that has room is not started while 600 other steps that can't start come before it; a late one waits behind 600 newer late steps. It waits for as long as they do, for ever if they can never start. With steps for which a placement has to be tried to find that out (a label that no worker has, advice that denies all workers), 100 are enough if they can still end in time.

Cause: a pass looks at the first 600 pending steps in order and tries to place 100 of them, the same ones in each pass. Only late steps were skipped in the next pass, and only within the first 600.

Fix: after the first steps, each pass looks at up to 150 of the others and tries to place up to 25, beginning behind the last one of the previous pass. Every pending step is reached within (steps / 25) passes. The order of the first steps is unchanged, and they are served first.

Evidence, in virtual time: 700 steps wait for a label that no worker has, for a larger worker, for room in their team's limit, or for a worker that advice allows; 3 of 4 workers run nothing.

Not chosen: beginning each pass where the last one ended, since urgent steps would then wait for their turn.

--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -35,8 +35,8 @@
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
         node::Ctx,
-        ConfigFeed, DesiredState, FencingToken, LinkId, Queue, RowVersion, RpcId, StoreReply,
-        ToLeader,
+        ConfigFeed, DesiredState, FencingToken, LinkId, Queue, RowVersion, RpcId, StepKey,
+        StoreReply, ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
@@ -90,6 +90,8 @@
     next_pass_at: Millis,
     /// How many late steps the next pass skips, because the last one could not place them.
     late_steps_to_skip: usize,
+    /// The last step, with its latest start, that the last pass looked at in turn.
+    last_in_turn: Option<(u64, StepKey)>,
     /// When jobs past their retention are removed next.
     sweep_at: Millis,
     /// When stalled steps are logged next.
@@ -120,6 +122,7 @@
             needs_pass: false,
             next_pass_at: ctx.now,
             late_steps_to_skip: 0,
+            last_in_turn: None,
             sweep_at: ctx.now + consts::SWEEP_INTERVAL_MS,
             log_stalls_at: ctx.now + consts::STALL_LOG_INTERVAL_MS,
         };
--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -7,7 +7,10 @@
 //! the least late first.
 
 use crate::cell::StepKey;
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
 
 /// What determines the position of a step in scheduling order.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -84,6 +87,22 @@
         steps
     }
 
+    /// Returns up to `max_count` steps with their latest starts, in a cycle through all steps that
+    /// continues behind `previous`.
+    pub fn in_turn(
+        &self,
+        previous: Option<(u64, StepKey)>,
+        max_count: usize,
+    ) -> Vec<(u64, StepKey)> {
+        let Some(previous) = previous else {
+            return self.by_start.iter().take(max_count).cloned().collect();
+        };
+        let behind = (Bound::Excluded(&previous), Bound::Unbounded);
+        let behind = self.by_start.range::<(u64, StepKey), _>(behind);
+        let cycle = behind.chain(self.by_start.range(..=&previous));
+        cycle.take(max_count).cloned().collect()
+    }
+
     /// Returns the sort key of a step among those that can't end in time.
     fn late_order(&self, now_ms: u64, latest_start_ms: u64, key: &StepKey) -> (bool, u64) {
         let rank = self.ranks.get(key).copied().unwrap_or_default();
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -17,7 +17,7 @@
     },
     Millis, Resources, TeamName,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum age of the clock reading of a worker on which tasks are started.
 pub(crate) const MAX_CLOCK_AGE_MS: Millis = Millis(6_000);
@@ -37,6 +37,10 @@
 const MAX_ATTEMPTED_STEPS: usize = 100;
 /// Maximum number of steps for which one pass checks whether a task could start at all.
 const MAX_SCANNED_STEPS: usize = 600;
+/// Maximum number of further steps that one pass tries to place, in turn.
+const MAX_ATTEMPTED_IN_TURN: usize = MAX_ATTEMPTED_STEPS / 4;
+/// Maximum number of further steps for which one pass checks whether a task could start, in turn.
+const MAX_SCANNED_IN_TURN: usize = MAX_SCANNED_STEPS / 4;
 
 /// A pending step with the latest time at which it can start and still end in time.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -51,6 +55,8 @@
     /// them.
     pub(crate) reserved: BTreeMap<WorkerIx, Resources>,
     pub(crate) reserved_gangs: usize,
+    /// The steps that the pass has looked at.
+    visited: BTreeSet<StepKey>,
     /// The usable workers, with the room that is left for the following steps.
     pub(crate) workers: Vec<(WorkerIx, Resources)>,
     /// The maximum of each resource that is left on any of `workers`.
@@ -108,6 +114,17 @@
     }
 }
 
+/// What a pass can do with a pending step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StepCheck {
+    /// Its team is at its limit, or no worker has room.
+    Blocked,
+    /// A call for its tickets is in flight.
+    AwaitsTickets,
+    /// Its tasks may be placed.
+    Placeable,
+}
+
 impl Leader {
     /// Creates the state of a pass at `now` from the free room of all usable workers.
     fn start_pass(&self, now: Millis) -> SchedulingPass {
@@ -116,6 +133,7 @@
         let mut pass = SchedulingPass {
             reserved: BTreeMap::new(),
             reserved_gangs: 0,
+            visited: BTreeSet::new(),
             workers: usable.map(|(ix, worker)| (ix, worker.free())).collect(),
             largest_free: Resources::default(),
         };
@@ -123,10 +141,22 @@
         pass
     }
 
-    /// Places the pending steps in order, as far as there is room.
+    /// Places the pending steps, as far as there is room: the first ones in order, then some of the
+    /// others in turn.
     pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
         self.expire_invalidated_tickets();
         let mut pass = self.start_pass(ctx.now);
+        self.place_first_steps(ctx, state, &mut pass);
+        self.place_steps_in_turn(ctx, state, &mut pass);
+    }
+
+    /// Places the first pending steps in order.
+    fn place_first_steps(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        pass: &mut SchedulingPass,
+    ) {
         let mut attempted_steps = 0;
         let mut late = LateAttempts {
             to_skip: std::mem::take(&mut self.late_steps_to_skip),
@@ -137,32 +167,16 @@
                 latest_start_ms,
                 key,
             };
-            let Some(job) = self.jobs.get(&pending.key.job) else {
-                continue;
-            };
-            let Some(queue) = state.queue(&job.row.queue) else {
-                continue;
-            };
-            let at = usize::from(pending.key.step);
-            if !self.can_fit(state, &pass, job, at) {
-                self.release_blocked_plan(ctx, &pending.key, &mut pass);
+            if self.check_step(ctx, state, &pending.key, pass) != StepCheck::Placeable {
                 continue;
             }
-            let (step, need) = (&job.steps[at], job.row.submission.steps[at].need);
-            if step.advice.in_flight.is_some() {
-                // The room stays reserved until the requested tickets arrive.
-                for ix in step.awaiting_tickets.clone() {
-                    pass.reserve(ix, &need);
-                }
-                continue;
-            }
-            let is_late = latest_start_ms < ctx.now.0;
+            let is_late = pending.latest_start_ms < ctx.now.0;
             if is_late && late.skipped < late.to_skip {
                 late.skipped += 1;
                 continue;
             }
-            let running = step.running();
-            self.place_step(ctx, state, queue, &pending, &mut pass);
+            let running = self.running_tasks(&pending.key);
+            self.place_step(ctx, state, &pending, pass);
             attempted_steps += 1;
             if is_late {
                 late.attempted += 1;
@@ -175,6 +189,66 @@
         }
     }
 
+    /// Places steps that the pass has not looked at, beginning behind the last one of the previous
+    /// pass, so that any number of steps that can't start hides no other step.
+    fn place_steps_in_turn(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        pass: &mut SchedulingPass,
+    ) {
+        let previous = self.last_in_turn.take();
+        let mut attempted_steps = 0;
+        for (latest_start_ms, key) in self.pending.in_turn(previous, MAX_SCANNED_IN_TURN) {
+            self.last_in_turn = Some((latest_start_ms, key.clone()));
+            let pending = PendingStep {
+                latest_start_ms,
+                key,
+            };
+            if pass.visited.contains(&pending.key)
+                || self.check_step(ctx, state, &pending.key, pass) != StepCheck::Placeable
+            {
+                continue;
+            }
+            self.place_step(ctx, state, &pending, pass);
+            attempted_steps += 1;
+            if attempted_steps == MAX_ATTEMPTED_IN_TURN {
+                break;
+            }
+        }
+    }
+
+    /// Checks whether a task of a step could start now. Room that the step waits for stays reserved.
+    fn check_step(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        key: &StepKey,
+        pass: &mut SchedulingPass,
+    ) -> StepCheck {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return StepCheck::Blocked;
+        };
+        let at = usize::from(key.step);
+        if state.queue(&job.row.queue).is_none() {
+            return StepCheck::Blocked;
+        }
+        if !self.can_fit(state, pass, job, at) {
+            pass.visited.insert(key.clone());
+            self.release_blocked_plan(ctx, key, pass);
+            return StepCheck::Blocked;
+        }
+        let (step, need) = (&job.steps[at], job.row.submission.steps[at].need);
+        if step.advice.in_flight.is_none() {
+            return StepCheck::Placeable;
+        }
+        pass.visited.insert(key.clone());
+        for &ix in &step.awaiting_tickets {
+            pass.reserve(ix, &need);
+        }
+        StepCheck::AwaitsTickets
+    }
+
     fn running_tasks(&self, key: &StepKey) -> u32 {
         let job = self.jobs.get(&key.job);
         job.map_or(0, |job| job.steps[usize::from(key.step)].running())
@@ -229,15 +303,18 @@
         &mut self,
         ctx: &mut Ctx,
         state: &DesiredState,
-        queue: &Queue,
         pending: &PendingStep,
         pass: &mut SchedulingPass,
     ) {
         let key = &pending.key;
+        pass.visited.insert(key.clone());
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
+        let Some(queue) = state.queue(&job.row.queue) else {
+            return;
+        };
         let gang = job.row.submission.steps[at].gang;
         let advice = &job.steps[at].advice;
         if queue.advice.is_some() && advice.permissions.is_empty() {
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -4,7 +4,7 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, World};
+use cell_world::{desired, gang, queue, queue_with_advice, step, World, KEY};
 use pomelotide_core::{
     cell::{DesiredState, StepSpec, Team},
     KeyName, Millis, QueueName, Resources, TeamName,
@@ -137,3 +137,84 @@
     }
     assert_eq!(starts_of(&world, 1), 4, "no worker is kept free for it");
 }
+
+/// How many steps that can't start are pending: more than one pass looks at.
+const BLOCKED_STEPS: u64 = 700;
+
+/// Returns steps that can't start, by why, with the queue and the key to submit them with.
+fn blocked_steps() -> [(&'static str, &'static str, &'static str, StepSpec); 4] {
+    let label = on_label(NO_WORKERS_LABEL, step(1, 100));
+    [
+        ("label", "/fill/", OTHER_KEY, label),
+        ("size", "/fill/", OTHER_KEY, step(1, 5_000)),
+        ("team limit", "/fill/", KEY, step(1, 2_000)),
+        ("advice", cell_world::PREFIX, OTHER_KEY, step(1, 100)),
+    ]
+}
+
+/// Returns a cell with [`BLOCKED_STEPS`] jobs of one blocked step each, after `before` was applied.
+fn world_with_blocked_steps(
+    prefix: &str,
+    key: &str,
+    blocked: &StepSpec,
+    before: impl FnOnce(&mut World),
+) -> World {
+    let mut state = desired(1, queue_with_advice(1_000, 0, 2_000));
+    state.teams[0].limit.cpu_milli = 1_000;
+    let mut world = started_world(4, state);
+    world.advice_ms = 1;
+    world.advice_allows_every = 1_000;
+    // The one worker that the service would allow drains.
+    world.set_draining(0, true);
+    world.run(500);
+    before(&mut world);
+    world.key = key.into();
+    for job in 0..BLOCKED_STEPS {
+        world.submit_to(prefix, 0, 1_000 + job, vec![blocked.clone()]);
+        world.run(2);
+    }
+    world.key = OTHER_KEY.into();
+    world
+}
+
+/// Guards against a step that has room and is not looked at, because more earlier steps than one pass
+/// looks at can't start.
+#[test]
+fn steps_that_cannot_start_do_not_hide_later_ones() {
+    let mut hidden = Vec::new();
+    for (name, prefix, key, blocked) in blocked_steps() {
+        let blocked = estimated(LONG_ESTIMATE_MS, blocked);
+        let mut world = world_with_blocked_steps(prefix, key, &blocked, |_| {});
+        world.run(1_000);
+        let later = estimated(2 * LONG_ESTIMATE_MS, step(1, 1_000));
+        world.submit_to("/fill/", 0, 1, vec![later]);
+        world.run(MAX_WAIT_MS);
+        if starts_of(&world, 1) != 1 {
+            hidden.push(name);
+        }
+    }
+    assert_eq!(hidden, [""; 0], "3 workers run nothing");
+}
+
+/// Guards against a late step that has room and is not looked at, because more newer late steps than
+/// one pass looks at can't start.
+#[test]
+fn late_steps_that_cannot_start_do_not_hide_older_ones() {
+    let mut hidden = Vec::new();
+    for (name, prefix, key, blocked) in blocked_steps() {
+        let mut world = world_with_blocked_steps(prefix, key, &blocked, |world| {
+            world.key = OTHER_KEY.into();
+            set_work_ms(world, 10_000);
+            world.submit_to("/fill/", 0, 2, vec![step(3, WORKER_CPU_MILLI)]);
+            world.run(100);
+            assert_eq!(starts_of(world, 2), 3);
+            world.submit_to("/fill/", 0, 1, vec![step(1, 1_000)]);
+            world.run(100);
+        });
+        world.run(10_000 + MAX_WAIT_MS);
+        if starts_of(&world, 1) != 1 {
+            hidden.push(name);
+        }
+    }
+    assert_eq!(hidden, [""; 0], "3 workers run nothing");
+}
