Look at steps with reserved workers or new tickets in every pass

Callers see: a late gang keeps workers reserved that run nothing, and is not started on them either; late tasks are not started although workers they may run on are free. Both for as long as thousands of newer late steps can't start.

Cause: a plan is released or used only when a pass looks at its step, and tickets are valid for less than 2 s. A step that is not among the first ones is looked at in turn only (never before the last change), also when it was skipped as a late step. With 4,000 blocked steps its turn comes after its tickets have expired; new ones are requested, and so on.

Fix: steps with a plan, and steps whose call for advice has ended since the last pass, are due in the next pass, after the first steps. The gangs with a plan are bounded by the workers, the others by the calls of the daemons. A plan whose step is not pending is released.

Evidence, in virtual time: 8 workers become free for a late step that has 4,000 newer late steps with an unknown label before it. In 20 s, 0 of 6 members of a gang started, and 0 of 6 single tasks; now 6 and 6.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -355,6 +355,7 @@
             }
         }
         self.refresh_pending_steps(&request.step.job);
+        self.due_steps.insert(request.step);
     }
 
     /// Stores the tickets of an answer; workers that it does not name are denied.
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -261,6 +261,7 @@
         }
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.steps[usize::from(key.step)].plan = Some(places);
+            self.due_steps.insert(key.clone());
         }
     }
 
@@ -278,7 +279,7 @@
     }
 
     /// Releases the room reserved for a gang on its workers and returns these workers.
-    fn release_plan(&mut self, key: &StepKey) -> Vec<WorkerIx> {
+    pub(crate) fn release_plan(&mut self, key: &StepKey) -> Vec<WorkerIx> {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return Vec::new();
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -41,7 +41,7 @@
     JobId, Millis, QueueName, Resources, TeamName,
 };
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
 };
 
@@ -90,6 +90,9 @@
     next_pass_at: Millis,
     /// How many late steps the next pass skips, because the last one could not place them.
     late_steps_to_skip: usize,
+    /// Steps that the next pass looks at in any case: those with reserved workers, and those whose
+    /// call for advice has ended since the last pass.
+    due_steps: BTreeSet<StepKey>,
     /// The last step, with its latest start, that the last pass looked at in turn.
     last_in_turn: Option<(u64, StepKey)>,
     /// When jobs past their retention are removed next.
@@ -122,6 +125,7 @@
             needs_pass: false,
             next_pass_at: ctx.now,
             late_steps_to_skip: 0,
+            due_steps: BTreeSet::new(),
             last_in_turn: None,
             sweep_at: ctx.now + consts::SWEEP_INTERVAL_MS,
             log_stalls_at: ctx.now + consts::STALL_LOG_INTERVAL_MS,
--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -59,6 +59,11 @@
         self.ranks.contains_key(key)
     }
 
+    /// Returns the latest start of a pending step.
+    pub fn latest_start_ms(&self, key: &StepKey) -> Option<u64> {
+        self.ranks.get(key).map(|rank| rank.latest_start_ms)
+    }
+
     /// Returns whether no step is pending.
     pub fn is_empty(&self) -> bool {
         self.by_start.is_empty()
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -141,12 +141,13 @@
         pass
     }
 
-    /// Places the pending steps, as far as there is room: the first ones in order, then some of the
-    /// others in turn.
+    /// Places the pending steps, as far as there is room: the first ones in order, then the due ones
+    /// and some of the others in turn.
     pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
         self.expire_invalidated_tickets();
         let mut pass = self.start_pass(ctx.now);
         self.place_first_steps(ctx, state, &mut pass);
+        self.place_due_steps(ctx, state, &mut pass);
         self.place_steps_in_turn(ctx, state, &mut pass);
     }
 
@@ -189,6 +190,44 @@
         }
     }
 
+    /// Places the due steps that the pass has not looked at. Those with reserved workers stay due.
+    fn place_due_steps(&mut self, ctx: &mut Ctx, state: &DesiredState, pass: &mut SchedulingPass) {
+        for key in std::mem::take(&mut self.due_steps) {
+            if !pass.visited.contains(&key) {
+                self.place_due_step(ctx, state, &key, pass);
+            }
+            if self.has_plan(&key) {
+                self.due_steps.insert(key);
+            }
+        }
+    }
+
+    fn place_due_step(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        key: &StepKey,
+        pass: &mut SchedulingPass,
+    ) {
+        let Some(latest_start_ms) = self.pending.latest_start_ms(key) else {
+            // Runs of the step that a worker lists have to end first.
+            self.release_plan(key);
+            return;
+        };
+        let pending = PendingStep {
+            latest_start_ms,
+            key: key.clone(),
+        };
+        if self.check_step(ctx, state, key, pass) == StepCheck::Placeable {
+            self.place_step(ctx, state, &pending, pass);
+        }
+    }
+
+    fn has_plan(&self, key: &StepKey) -> bool {
+        let job = self.jobs.get(&key.job);
+        job.is_some_and(|job| job.steps[usize::from(key.step)].plan.is_some())
+    }
+
     /// Places steps that the pass has not looked at, beginning behind the last one of the previous
     /// pass, so that any number of steps that can't start hides no other step.
     fn place_steps_in_turn(
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -218,3 +218,54 @@
     }
     assert_eq!(hidden, [""; 0], "3 workers run nothing");
 }
+
+/// How many steps that can't start are pending: a pass reaches each of them less often than its
+/// tickets expire.
+const MANY_BLOCKED_STEPS: u64 = 4_000;
+
+/// Returns a cell of 8 workers that run other tasks for some seconds, and in which job 1 with `late`
+/// requests its tickets again, behind [`MANY_BLOCKED_STEPS`] newer late steps that can't start.
+fn world_with_late_step(late: StepSpec) -> World {
+    let mut world = started_world(8, desired(1, queue_with_advice(20_000, 0, 2_000)));
+    for worker in world.workers.values_mut() {
+        worker.ticket_valid_ms = Some(2_000);
+        worker.work_ms = 5_000;
+    }
+    world.key = OTHER_KEY.into();
+    world.submit_to("/fill/", 0, 99, vec![step(8, WORKER_CPU_MILLI)]);
+    world.run(100);
+    world.submit(0, 1, vec![estimated(100, late)]);
+    world.run(4_000);
+    // The workers are free at 5 s; the tickets arrive after newer late steps.
+    world.advice_ms = 800;
+    let calls = world.advice_calls;
+    while world.advice_calls == calls {
+        world.run(25);
+    }
+    set_work_ms(&mut world, LONG_ESTIMATE_MS);
+    for job in 0..MANY_BLOCKED_STEPS {
+        let blocked = on_label(NO_WORKERS_LABEL, step(1, 100));
+        world.submit_to("/fill/", 0, 1_000 + job, vec![estimated(0, blocked)]);
+        if job % 8 == 0 {
+            world.run(1);
+        }
+    }
+    world
+}
+
+/// Guards against a late gang that keeps workers reserved while no pass looks at it, until its tickets
+/// have expired again.
+#[test]
+fn a_late_gang_behind_steps_that_cannot_start_uses_its_reserved_workers() {
+    let mut world = world_with_late_step(gang(6, WORKER_CPU_MILLI));
+    world.run(20_000);
+    assert_eq!(starts_of(&world, 1), 6);
+}
+
+/// Guards against late tasks whose tickets expire before a pass looks at them.
+#[test]
+fn late_tasks_behind_steps_that_cannot_start_use_their_tickets() {
+    let mut world = world_with_late_step(step(6, WORKER_CPU_MILLI));
+    world.run(20_000);
+    assert_eq!(starts_of(&world, 1), 6);
+}
