Request advice again on workers that restarted

Callers see: a step whose advice denied the workers that there are is never started, although a denied worker has restarted as a worker that may run it.

Cause: a denial was kept for the worker's id for the whole life of the job. The protocol says that a new boot may be of another kind, even at the same address. Only the tickets of allowed workers expired at a restart. An answer that arrives after a restart was also applied to the new incarnation.

Fix: a restart removes denials, so that the worker is named in the next call. Requests record the incarnations that they were sent for; what an answer says of an earlier one counts as expired.

Passed before, so ruled out: advice that denies all workers, and a new one joins; all allowed workers drain, and new ones join.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -9,8 +9,8 @@
         consts,
         leader::{fleet::WorkerIx, Leader},
         node::{Ctx, LOCAL_LINK},
-        AdviceCost, AdviceReply, FencingToken, LinkId, LogEvent, QueryId, StepKey, TaskKey, Ticket,
-        ToMember,
+        AdviceCost, AdviceReply, FencingToken, Incarnation, LinkId, LogEvent, QueryId, StepKey,
+        TaskKey, Ticket, ToMember,
     },
     Millis, WorkerId,
 };
@@ -84,6 +84,17 @@
         }
     }
 
+    /// Expires what was received on an earlier incarnation of a worker.
+    fn expire(&mut self, ix: WorkerIx) {
+        match self.permissions.get_mut(&ix) {
+            Some(Permission::Allowed(_, until)) => *until = Millis(0),
+            Some(Permission::Denied) => {
+                self.permissions.remove(&ix);
+            }
+            None => {}
+        }
+    }
+
     /// Returns whether the worker may run the step, even if its ticket has expired.
     pub(crate) fn allows(&self, ix: WorkerIx) -> bool {
         matches!(self.permissions.get(&ix), Some(Permission::Allowed(..)))
@@ -99,6 +110,8 @@
     /// The latest time at which the step can start and still end in time; orders the requests.
     latest_start_ms: u64,
     requested_at: Millis,
+    /// The incarnations of `workers` when the call was sent.
+    incarnations: Vec<Option<Incarnation>>,
     /// The daemon that it was sent to, and when.
     sent: Option<(LinkId, Millis)>,
 }
@@ -299,6 +312,7 @@
             cost,
             latest_start_ms,
             requested_at: now,
+            incarnations: Vec::new(),
             sent: None,
         });
         advice.in_flight = Some(id);
@@ -316,6 +330,8 @@
             };
             let long = request.is_long();
             request.sent = Some((link, now));
+            let incarnation = |ix: &WorkerIx| self.fleet.get(*ix).incarnation;
+            request.incarnations = request.workers.iter().map(incarnation).collect();
             let name = |ix: &WorkerIx| self.fleet.get(*ix).entry.id.clone();
             let message = ToMember::Advise {
                 query: id,
@@ -378,12 +394,16 @@
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
         let until = ctx.now + request.cost.valid_ms.since(consts::TICKET_MARGIN_MS);
         let rows: BTreeMap<WorkerId, Ticket> = rows.into_iter().collect();
-        for &ix in &request.workers {
-            let permission = match rows.get(&self.fleet.get(ix).entry.id) {
+        for (&ix, incarnation) in request.workers.iter().zip(&request.incarnations) {
+            let worker = self.fleet.get(ix);
+            let permission = match rows.get(&worker.entry.id) {
                 Some(ticket) => Permission::Allowed(ticket.clone(), until),
                 None => Permission::Denied,
             };
             advice.permissions.insert(ix, permission);
+            if worker.incarnation != *incarnation {
+                advice.expire(ix);
+            }
         }
     }
 
@@ -412,13 +432,12 @@
         }
     }
 
-    /// Marks the tickets that were issued for earlier incarnations of workers as expired.
+    /// Marks the tickets that were issued for earlier incarnations of workers as expired, and removes
+    /// denials, since the new incarnation may be of another kind.
     pub(crate) fn expire_invalidated_tickets(&mut self) {
         for ix in std::mem::take(&mut self.advice.invalidated) {
             for step in self.jobs.values_mut().flat_map(|job| &mut job.steps) {
-                if let Some(Permission::Allowed(_, until)) = step.advice.permissions.get_mut(&ix) {
-                    *until = Millis(0);
-                }
+                step.advice.expire(ix);
             }
         }
     }
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -4,7 +4,7 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, World, KEY};
+use cell_world::{desired, gang, queue, queue_with_advice, step, FakeWorker, World, KEY};
 use pomelotide_core::{
     cell::{DesiredState, StepSpec, Team},
     KeyName, Millis, QueueName, Resources, TeamName,
@@ -269,3 +269,92 @@
     world.run(20_000);
     assert_eq!(starts_of(&world, 1), 6);
 }
+
+fn add_worker(world: &mut World, number: usize) {
+    let worker = FakeWorker::new(number);
+    world.store.put_worker(&worker);
+    world.workers.insert(worker.id(), worker);
+}
+
+/// Guards against a step that is never started because its advice denied all workers that there were.
+#[test]
+fn a_step_that_all_workers_were_denied_starts_on_a_new_one() {
+    for spec in [step(1, 1_000), gang(1, 1_000)] {
+        let mut world = started_world(4, desired(1, queue_with_advice(20_000, 0, 2_000)));
+        world.advice_allows_every = 100;
+        world.set_draining(0, true);
+        world.run(500);
+        world.submit(0, 1, vec![spec]);
+        world.run(10_000);
+        assert_eq!(starts_of(&world, 1), 0);
+        add_worker(&mut world, 100);
+        world.run(6_000);
+        assert_eq!(starts_of(&world, 1), 1);
+    }
+}
+
+/// Guards against a step that is never started because all workers that it may run on have left.
+#[test]
+fn a_step_whose_allowed_workers_have_left_starts_on_new_ones() {
+    for spec in [step(2, 1_000), gang(2, 1_000)] {
+        let mut world = started_world(4, desired(1, queue_with_advice(20_000, 0, 2_000)));
+        world.submit_to("/fill/", 0, 2, vec![step(4, WORKER_CPU_MILLI)]);
+        world.run(100);
+        world.submit(0, 1, vec![spec]);
+        world.run(500);
+        for number in 0..4 {
+            world.set_draining(number, true);
+        }
+        world.run(3_000);
+        assert_eq!(starts_of(&world, 1), 0);
+        for number in 4..8 {
+            add_worker(&mut world, number);
+        }
+        world.run(6_000);
+        assert_eq!(starts_of(&world, 1), 2);
+    }
+}
+
+/// Guards against a step that is never started because the advice was on an earlier life of the
+/// workers, which may be of another kind now.
+#[test]
+fn a_step_that_a_worker_was_denied_may_start_on_its_next_life() {
+    for spec in [step(1, 1_000), gang(1, 1_000)] {
+        let mut world = started_world(4, desired(1, queue_with_advice(20_000, 0, 2_000)));
+        world.advice_allows_every = 100;
+        world.set_draining(0, true);
+        world.run(500);
+        world.submit(0, 1, vec![spec]);
+        world.run(5_000);
+        assert_eq!(starts_of(&world, 1), 0);
+        world.advice_allows_every = 1;
+        let id = world.workers.keys().nth(1).unwrap().clone();
+        world.restart_worker(&id);
+        world.run(10_000);
+        assert_eq!(starts_of(&world, 1), 1);
+    }
+}
+
+/// Guards against a step that is never started because a worker restarted while a call for advice on
+/// its earlier life was in flight.
+#[test]
+fn a_step_that_a_worker_was_denied_while_it_restarted_may_start_on_its_next_life() {
+    for spec in [step(1, 1_000), gang(1, 1_000)] {
+        let mut world = started_world(4, desired(1, queue_with_advice(1_500_000, 0, 2_000)));
+        world.advice_ms = 1_500;
+        world.advice_allows_every = 100;
+        world.set_draining(0, true);
+        world.run(500);
+        world.submit(0, 1, vec![spec]);
+        world.run(500);
+        assert_eq!(world.advice_calls, 1);
+        world.advice_allows_every = 1;
+        let id = world.workers.keys().nth(1).unwrap().clone();
+        world.restart_worker(&id);
+        world.run(500);
+        assert_eq!(world.count("worker_restarted"), 1);
+        assert_eq!(world.count("advice_given"), 0);
+        world.run(10_000);
+        assert_eq!(starts_of(&world, 1), 1);
+    }
+}
