Request the tickets of a large gang in calls at the same time

Callers see: a gang on more than 200 workers is never started, although they are free.

Cause: a call for tickets names at most 100 workers and takes 1.33 s; a step has one call in flight, and a ticket is valid for 1.8 s. With three calls in turn, the first tickets expire before the last ones arrive. The service handles calls of different daemons at the same time.

Fix: a step may have up to 4 calls in flight, which are spread over the daemons like those of different steps; the third of the daemons that makes no long calls stays reserved. The tickets to renew are those that expire before the expected end of all calls. Single tasks still request 100 tickets at a time: theirs need not be valid together.

Open: with 1 or 2 daemons, which make one long call at a time, gangs on 220 workers and more are still not placed in 60 s; nor can those be that need more than 400 tickets at once.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -108,6 +108,8 @@
 pub const LONG_ADVICE_US: u64 = 250_000;
 /// The most workers that one advice call names.
 pub const MAX_ADVICE_WORKERS: usize = 100;
+/// The most advice calls in flight for one step.
+pub const MAX_ADVICE_CALLS_PER_STEP: usize = 4;
 /// The most workers that an advice call for single tasks names; advice allows at least a third.
 pub const MAX_ADVICE_WORKERS_SINGLE_TASKS: usize = 24;
 /// The delay before a failed advice call is retried.
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -36,8 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
     pub(crate) permissions: BTreeMap<WorkerIx, Permission>,
-    /// The request that is not answered yet.
-    pub(crate) in_flight: Option<QueryId>,
+    /// The requests that are not answered yet.
+    pub(crate) in_flight: Vec<QueryId>,
     /// After a failed call, no advice is requested before this time.
     pub(crate) retry_at: Millis,
 }
@@ -51,14 +51,16 @@
         }
     }
 
-    /// Chooses at most [`consts::MAX_ADVICE_WORKERS`] workers of a gang for the next call for tickets.
-    /// If all fit into one call, all are named, so that their tickets are valid at the same time.
-    /// Otherwise, those whose tickets expire before the expected end of the call are named.
+    /// Chooses the workers of a gang for the next calls for tickets. If all fit into one call, all are
+    /// named, so that their tickets are valid at the same time. Otherwise, those whose tickets expire
+    /// before the expected end of the calls are named, the oldest first. `parallel_calls` are made at
+    /// the same time.
     pub(crate) fn tickets_to_renew(
         &self,
         places: &[WorkerIx],
         now: Millis,
         cost: AdviceCost,
+        parallel_calls: usize,
     ) -> Vec<WorkerIx> {
         let mut workers = places.to_vec();
         workers.sort_unstable();
@@ -68,11 +70,14 @@
         }
         workers.sort_by_key(|ix| self.expires_at(*ix));
         let outlives = |count: usize| {
-            let ends_at = now + Millis(cost.call_us(count).div_ceil(1_000));
+            let calls = count.div_ceil(consts::MAX_ADVICE_WORKERS);
+            let call_us = cost.call_us(count.div_ceil(calls));
+            let rounds = calls.div_ceil(parallel_calls) as u64;
+            let ends_at = now + Millis((rounds * call_us).div_ceil(1_000));
             self.expires_at(workers[count]) > ends_at
         };
-        let count = (1..consts::MAX_ADVICE_WORKERS).find(|&count| outlives(count));
-        workers.truncate(count.unwrap_or(consts::MAX_ADVICE_WORKERS));
+        let count = (1..workers.len()).find(|&count| outlives(count));
+        workers.truncate(count.unwrap_or(workers.len()));
         workers
     }
 
@@ -230,6 +235,19 @@
         Some(request)
     }
 
+    /// Returns how many daemons make no long calls, so that short calls need not wait for one to end.
+    fn reserved_for_short_calls(&self) -> usize {
+        match self.callers.len() {
+            0 | 1 => 0,
+            count => (count / 3).max(1),
+        }
+    }
+
+    /// Returns how many long calls are made at the same time.
+    pub(crate) fn max_long_calls(&self) -> usize {
+        (self.callers.len() - self.reserved_for_short_calls()).max(1)
+    }
+
     /// Returns the calls that have timed out.
     fn timed_out(&self, now: Millis) -> Vec<QueryId> {
         let calls = self.callers.values().flat_map(|caller| &caller.calls);
@@ -241,8 +259,7 @@
     /// for long calls and another third for short ones. Long calls go to the leader's own daemon
     /// last, because it has the most other work.
     fn next(&self, now: Millis) -> Option<(QueryId, LinkId)> {
-        let count = self.callers.len();
-        let third = if count > 1 { (count / 3).max(1) } else { 0 };
+        let third = self.reserved_for_short_calls();
         let long = |caller: &&AdviceCaller| caller.calls.iter().any(|call| call.long);
         let long_sent = self.callers.values().filter(long).count();
         let free = |max_calls: usize| {
@@ -251,7 +268,7 @@
             free.map(|(link, caller)| (now < caller.avoided_until, caller.calls.len(), *link))
         };
         let [short_queue, long_queue] = &self.waiting;
-        let next_long = most_urgent(long_queue, now).filter(|_| long_sent < count - third);
+        let next_long = most_urgent(long_queue, now).filter(|_| long_sent < self.max_long_calls());
         let long_goes_first = next_long.is_some() && long_sent < third;
         let long = next_long.and_then(|request| {
             let (_, _, link) =
@@ -289,7 +306,8 @@
 }
 
 impl Leader {
-    /// Requests advice on a step, unless a call for it is in flight or has just failed.
+    /// Requests advice on a step, unless a call for it is in flight or has just failed. More workers
+    /// than one call names are named in several calls, which different daemons make at the same time.
     pub(crate) fn request_advice(
         &mut self,
         now: Millis,
@@ -298,24 +316,27 @@
         latest_start_ms: u64,
         cost: AdviceCost,
     ) {
-        workers.truncate(consts::MAX_ADVICE_WORKERS);
+        workers.truncate(consts::MAX_ADVICE_WORKERS * consts::MAX_ADVICE_CALLS_PER_STEP);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
         let advice = &mut job.steps[usize::from(step.step)].advice;
-        if advice.in_flight.is_some() || now < advice.retry_at || workers.is_empty() {
+        if !advice.in_flight.is_empty() || now < advice.retry_at || workers.is_empty() {
             return;
         }
-        let id = self.advice.add(AdviceRequest {
-            step: step.clone(),
-            workers,
-            cost,
-            latest_start_ms,
-            requested_at: now,
-            incarnations: Vec::new(),
-            sent: None,
-        });
-        advice.in_flight = Some(id);
+        let calls = workers.len().div_ceil(consts::MAX_ADVICE_WORKERS);
+        for workers in workers.chunks(workers.len().div_ceil(calls)) {
+            let id = self.advice.add(AdviceRequest {
+                step: step.clone(),
+                workers: workers.to_vec(),
+                cost,
+                latest_start_ms,
+                requested_at: now,
+                incarnations: Vec::new(),
+                sent: None,
+            });
+            advice.in_flight.push(id);
+        }
     }
 
     /// Handles calls that timed out as lost, and sends waiting requests to daemons with capacity.
@@ -362,7 +383,7 @@
             return;
         };
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
-        advice.in_flight = None;
+        advice.in_flight.retain(|open| *open != id);
         match reply {
             AdviceReply::Allowed(rows) => self.on_allowed(ctx, &request, rows),
             AdviceReply::Busy | AdviceReply::Lost => {
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -182,7 +182,8 @@
         let advice = &job.steps[usize::from(key.step)].advice;
         let has_ticket = |ix: &&WorkerIx| advice.ticket(**ix, ctx.now).is_some();
         let missing = places.len() - places.iter().filter(has_ticket).count();
-        let mut workers = advice.tickets_to_renew(places, ctx.now, cost);
+        let parallel_calls = self.advice.max_long_calls();
+        let mut workers = advice.tickets_to_renew(places, ctx.now, cost, parallel_calls);
         workers.extend(spares);
         self.log_missing_tickets(ctx, key, previous, places, missing);
         self.request_advice(ctx.now, key, workers, pending.latest_start_ms, cost);
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -235,13 +235,13 @@
             if is_ready {
                 let Some(job) = self.jobs.get(id) else { return };
                 let advice = &job.steps[at].advice;
-                let has_no_advice = advice.permissions.is_empty() && advice.in_flight.is_none();
+                let has_no_advice = advice.permissions.is_empty() && advice.in_flight.is_empty();
                 if let (Some(state), true) = (self.state.clone(), has_no_advice) {
                     self.request_first_advice(self.now, &state, &key);
                 }
                 let Some(job) = self.jobs.get(id) else { return };
                 let advice = &job.steps[at].advice;
-                if advice.permissions.is_empty() && advice.in_flight.is_some() {
+                if advice.permissions.is_empty() && !advice.in_flight.is_empty() {
                     // Without any advice no worker can be chosen yet.
                     self.pending.remove(&key);
                     continue;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -278,7 +278,7 @@
             return StepCheck::Blocked;
         }
         let (step, need) = (&job.steps[at], job.row.submission.steps[at].need);
-        if step.advice.in_flight.is_none() {
+        if step.advice.in_flight.is_empty() {
             return StepCheck::Placeable;
         }
         pass.visited.insert(key.clone());
@@ -357,7 +357,7 @@
         let gang = job.row.submission.steps[at].gang;
         let advice = &job.steps[at].advice;
         if queue.advice.is_some() && advice.permissions.is_empty() {
-            if advice.in_flight.is_none() && ctx.now >= advice.retry_at {
+            if advice.in_flight.is_empty() && ctx.now >= advice.retry_at {
                 self.request_first_advice(ctx.now, state, key);
             }
             return;
@@ -555,25 +555,17 @@
         mut workers: Vec<WorkerIx>,
         cost: AdviceCost,
     ) {
-        let has_call_in_flight = |leader: &Self| {
-            let job = leader.jobs.get(&pending.key.job)?;
-            Some(
-                job.steps[usize::from(pending.key.step)]
-                    .advice
-                    .in_flight
-                    .is_some(),
-            )
-        };
-        if has_call_in_flight(self).unwrap_or(true) {
+        let at = usize::from(pending.key.step);
+        let job = self.jobs.get(&pending.key.job);
+        if job.is_none_or(|job| !job.steps[at].advice.in_flight.is_empty()) {
             return;
         }
         if let Some(job) = self.jobs.get_mut(&pending.key.job) {
-            job.steps[usize::from(pending.key.step)]
-                .awaiting_tickets
-                .clone_from(&workers);
+            job.steps[at].awaiting_tickets.clone_from(&workers);
         }
         workers.sort_unstable();
         workers.dedup();
+        workers.truncate(consts::MAX_ADVICE_WORKERS);
         if workers.is_empty() {
             workers = self.workers_without_advice(now, queue, &pending.key, false);
             workers.retain(|ix| self.fleet.get(*ix).free().cpu_milli > 0);
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -122,7 +122,7 @@
             .with("tasks", spec.count)
             .with("running", step.running())
             .with("pending", self.pending.contains(key))
-            .with("call", advice.in_flight.is_some())
+            .with("call", !advice.in_flight.is_empty())
             .with("advised", advice.permissions.len())
             .with("allowed", allowed)
             .with("tickets", tickets);
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -358,3 +358,22 @@
         assert_eq!(starts_of(&world, 1), 1);
     }
 }
+
+/// Guards against a gang that never starts because it needs tickets for more workers than the calls
+/// that are made one after another name while the first tickets are valid.
+#[test]
+fn a_gang_on_more_workers_than_calls_in_turn_name_in_time_starts() {
+    for members in [150, 220, 300, 400] {
+        let slow = queue_with_advice(550_000, 7_800, 2_000);
+        let mut world = World::new(3, members + 20, two_queues(desired(1, slow)));
+        world.advice_ms = 550;
+        world.advice_worker_us = 7_800;
+        for worker in world.workers.values_mut() {
+            worker.ticket_valid_ms = Some(2_000);
+        }
+        world.run(3_000);
+        world.submit(0, 1, vec![gang(members as u32, WORKER_CPU_MILLI)]);
+        world.run(15_000);
+        assert_eq!(starts_of(&world, 1), members);
+    }
+}
