--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -7,7 +7,10 @@
 //! the least late first.
 
 use crate::cell::StepKey;
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
 
 /// What determines the position of a step in scheduling order.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -56,6 +59,11 @@
         self.ranks.contains_key(key)
     }
 
+    /// Returns the latest start of a pending step.
+    pub fn latest_start_ms(&self, key: &StepKey) -> Option<u64> {
+        self.ranks.get(key).map(|rank| rank.latest_start_ms)
+    }
+
     /// Returns whether no step is pending.
     pub fn is_empty(&self) -> bool {
         self.by_start.is_empty()
@@ -84,6 +92,22 @@
         steps
     }
 
+    /// Returns up to `max_count` steps with their latest starts, in a cycle through all steps that
+    /// continues behind `previous`.
+    pub fn in_turn(
+        &self,
+        previous: Option<(u64, StepKey)>,
+        max_count: usize,
+    ) -> Vec<(u64, StepKey)> {
+        let Some(previous) = previous else {
+            return self.by_start.iter().take(max_count).cloned().collect();
+        };
+        let behind = (Bound::Excluded(&previous), Bound::Unbounded);
+        let behind = self.by_start.range::<(u64, StepKey), _>(behind);
+        let cycle = behind.chain(self.by_start.range(..=&previous));
+        cycle.take(max_count).cloned().collect()
+    }
+
     /// Returns the sort key of a step among those that can't end in time.
     fn late_order(&self, now_ms: u64, latest_start_ms: u64, key: &StepKey) -> (bool, u64) {
         let rank = self.ranks.get(key).copied().unwrap_or_default();
--- a/core/src/cell/leader/unsent_starts.rs
+++ b/core/src/cell/leader/unsent_starts.rs
@@ -178,10 +178,11 @@
         let advice = &job.steps[at].advice;
         let places: Vec<WorkerIx> = unsent.iter().map(|run| run.ix).collect();
         let workers = match job.row.submission.steps[at].gang {
-            true => advice.tickets_to_renew(&places, now, cost),
+            true => advice.tickets_to_renew(&places, now, cost, self.advice.max_long_calls()),
             false => advice.expiring(&places, now, cost),
         };
-        let call_ms = Millis(cost.call_us(workers.len()).div_ceil(1_000));
+        let named = workers.len().min(consts::MAX_ADVICE_WORKERS);
+        let call_ms = Millis(cost.call_us(named).div_ceil(1_000));
         let expires_at = places.iter().map(|ix| advice.expires_at(*ix)).min();
         let renew_at = expires_at.unwrap_or_default().since(call_ms);
         if renew_at > now {
@@ -190,7 +191,7 @@
         let latest_start_ms = self.rank(key).latest_start_ms;
         if let Some(job) = self.jobs.get_mut(&key.job) {
             let step = &mut job.steps[at];
-            if step.advice.in_flight.is_none() {
+            if step.advice.in_flight.is_empty() {
                 // No task of the step waits for the tickets of this call.
                 step.awaiting_tickets.clear();
             }
