Request a worker's list again if the last one shows nothing about a lost start

A caller saw a job start about four seconds late after a start was lost, in two cases: the quick poll that the leader sends then was lost as well, or the stop of the run was confirmed in the millisecond in which the poll for its list was sent. Members of a gang ended alone meanwhile.

Cause: one quick poll was sent, and nothing sent another one. The poll that waits at the worker for up to 2 s was requested before, so its list shows nothing either.

Evidence: a_task_whose_start_and_list_are_lost_starts_again_soon ("no second run in 2.9 s") and a_task_whose_start_is_lost_starts_again_at_once (offset 19 of 25) fail before and pass now. Counting lists of the same millisecond was ruled out: within one millisecond a poll may overtake a start, and the run would be lost.

--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -328,13 +328,19 @@
         };
         let mut vanished = Vec::new();
         let mut unconfirmed = Vec::new();
+        let mut is_inconclusive = false;
         for (task, run) in worker.runs.iter().filter(|(task, run)| missing(task, run)) {
             if run.confirmed_at.is_some_and(|at| at < sent_at) {
                 vanished.push(task.clone());
             } else if matches!(run.phase, RunPhase::Unconfirmed(at) if at <= sent_at) {
                 unconfirmed.push(task.clone());
+            } else {
+                // The list was requested before the stop was confirmed.
+                is_inconclusive |=
+                    matches!(run.phase, RunPhase::Stopping(_)) && run.confirmed_at.is_some();
             }
         }
+        worker.needs_quick_poll |= is_inconclusive;
         for task in vanished {
             let event = LogEvent::warn("run_vanished").with("task", &task);
             ctx.log(event.with("worker", &self.fleet.get(ix).entry.id));
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -116,7 +116,10 @@
             };
             worker.needs_quick_poll = false;
             self.send_poll(ctx, ix, wait_ms, false);
-        } else if worker.needs_quick_poll && worker.quick_poll.is_none() {
+        } else if worker.needs_quick_poll
+            && worker.quick_poll.is_none()
+            && (worker.failed_polls == 0 || now >= worker.next_poll_at)
+        {
             worker.needs_quick_poll = false;
             self.send_poll(ctx, ix, Millis(0), true);
         }
@@ -200,6 +203,8 @@
             other => {
                 let worker = self.fleet.get_mut(ix);
                 worker.failed_polls += 1;
+                // The poll that is open may wait for long.
+                worker.needs_quick_poll |= quick;
                 worker.next_poll_at = ctx.now + consts::POLL_RETRY_DELAY_MS;
                 if worker.failed_polls == 1 {
                     let event = LogEvent::warn("worker_silent").with("worker", &worker.entry.id);
--- a/core/tests/cell_late_orders.rs
+++ b/core/tests/cell_late_orders.rs
@@ -139,7 +139,7 @@
 #[test]
 fn a_task_whose_start_is_lost_starts_again_at_once() {
     let mut slow = Vec::new();
-    for offset_ms in 0..19 {
+    for offset_ms in 0..25 {
         for spec in [step(1, 1_000), gang(2, 3_000)] {
             let case = format!("offset {offset_ms}, gang: {}", spec.gang);
             let members = spec.count as usize;
@@ -162,6 +162,29 @@
     assert!(slow.is_empty(), "no second run in 2 s: {slow:?}");
 }
 
+/// Guards against a task whose start got no answer and that waits for seconds after the call for the
+/// worker's list was lost too.
+#[test]
+fn a_task_whose_start_and_list_are_lost_starts_again_soon() {
+    for spec in [step(1, 1_000), gang(2, 3_000)] {
+        let case = format!("gang: {}", spec.gang);
+        let members = spec.count as usize;
+        let mut world = world(1, 2);
+        let id = first_worker(&world);
+        for kind in [CallKind::Start, CallKind::QuickPoll] {
+            world.call_faults.push(CallFault {
+                lost: true,
+                ..CallFault::one(kind, &id)
+            });
+        }
+        world.submit(0, 1, vec![spec]);
+        world.run(2_900);
+        let again = world.starts().iter().filter(|start| start.2 == 2).count();
+        assert_eq!(again, members, "{case}: no second run in 2.9 s");
+        assert_completed(world, &case);
+    }
+}
+
 /// Guards against a start of a former leader that is carried out under the next one.
 #[test]
 fn a_late_start_of_a_former_leader_runs_nothing_twice() {
