Read on after a page that has no rows although more follow

Callers would see an accepted job stay pending for ever under a leader that got a page with has-more but without a readable key: the full read of the partition ended there, and the jobs behind it were never known. An answer about changes of that kind was taken as complete up to the newest version, so its changes were skipped.

The page is now read again after STORE_RETRY_DELAY_MS, with a line page_without_keys; after such an answer about changes the table is read in full again, as after a lost history. Dropping the rest of a partition is worse than a leader that still loads.

--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -175,6 +175,22 @@
             self.loader.pending_scans.push(scan);
             return;
         };
+        // A row whose key can't be read has an empty one.
+        let mut keys = rows.iter().rev().map(|row| &row.key.key);
+        let last = keys.find(|key| !key.is_empty());
+        let next = last.map(|last| format_compact!("{last}\u{1}"));
+        if more && next.is_none() {
+            // The rest of the partition can't be addressed, so the page is read again.
+            ctx.log(
+                LogEvent::warn("page_without_keys")
+                    .with("table", format_args!("{:?}", scan.table))
+                    .with("from", &scan.from)
+                    .with("rows", rows.len()),
+            );
+            self.loader.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+            self.loader.pending_scans.push(scan);
+            return;
+        }
         self.loader.failures.remove(&scan.table);
         if matches!(scan.table, Table::Jobs | Table::Workers | Table::Members) {
             // A page lacks all later changes, so the oldest page decides where to follow from.
@@ -186,10 +202,8 @@
             let existing = self.loader.feeds.entry(scan.table).or_insert(feed);
             existing.read_up_to = existing.read_up_to.min(version);
         }
-        // A row whose key can't be read has an empty one.
-        let mut keys = rows.iter().rev().map(|row| &row.key.key);
-        if let (true, Some(last)) = (more, keys.find(|key| !key.is_empty())) {
-            scan.from = format_compact!("{last}\u{1}");
+        if let (true, Some(next)) = (more, next) {
+            scan.from = next;
             self.loader.pending_scans.push(scan);
         }
         for row in rows {
@@ -239,12 +253,19 @@
                 let (_, pause_ms) = follow_timing(table);
                 // A page that is not the last one covers only the changes up to its last row.
                 let last = rows.iter().map(|row| row.version).max();
-                let last = last.filter(|last| more && *last > feed.read_up_to);
-                feed.read_up_to = feed.read_up_to.max(last.unwrap_or(version));
+                let last = last.filter(|last| *last > feed.read_up_to);
+                // Without a last row, it is unknown where the next page begins.
+                let is_gapless = !more || last.is_some();
+                feed.read_up_to = feed
+                    .read_up_to
+                    .max(last.filter(|_| more).unwrap_or(version));
                 feed.next_at = ctx.now + pause_ms;
                 for row in rows {
                     self.apply_row(ctx, row);
                 }
+                if !is_gapless {
+                    self.rescan(ctx, table);
+                }
             }
             StoreReply::HistoryLost => self.rescan(ctx, table),
             reply => {
--- a/core/tests/cell_power_loss.rs
+++ b/core/tests/cell_power_loss.rs
@@ -448,6 +448,39 @@
     }
 }
 
+/// Guards against jobs that the next leader does not read because a page has no rows although more rows
+/// follow.
+#[test]
+fn jobs_are_started_although_a_page_has_no_rows() {
+    for empty_pages in [1, 4, 9] {
+        let mut world = fleet(DAEMONS, desired(1, queue()));
+        let jobs = submit_until_outage(&mut world, DAEMONS, 100);
+        world.store.empty_pages = empty_pages;
+        world.run(500);
+        start_all(&mut world, DAEMONS, 0, 0, 0);
+        world.run(RECOVERY_MS);
+        assert_completed(&world, &jobs, &format!("{empty_pages} empty pages"));
+        assert!(world.count("page_without_keys") > 0);
+    }
+}
+
+/// Guards against a job that its daemon could not report and that the leader skips because an answer
+/// about changes has no rows although more changes follow.
+#[test]
+fn a_job_is_started_although_an_answer_about_changes_has_no_rows() {
+    let mut world = fleet(DAEMONS, desired(1, queue()));
+    let daemon = (world.leader().unwrap() + 1) % DAEMONS;
+    world.cut(daemon, true);
+    world.store.empty_pages = 1;
+    let call = world.submit(daemon, 1, vec![large_step()]);
+    assert!(wait_for_answer(&mut world, call), "not accepted");
+    world.kill(daemon);
+    world.run(RECOVERY_MS);
+    assert_eq!(world.store.empty_pages, 0);
+    let jobs = BTreeMap::from([(1, vec![large_step()])]);
+    assert_completed(&world, &jobs, "an answer without rows");
+}
+
 /// A seeded generator of pseudorandom numbers.
 struct Rng(u64);
 
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -37,6 +37,9 @@
     pub unreadable_page_ends: bool,
     /// The maximum number of rows in a page and in an answer about changes.
     pub page_rows: usize,
+    /// How many of the next pages of accepted jobs, and answers about their changes, have no rows although
+    /// there are some.
+    pub empty_pages: usize,
     /// Whether reads of the desired state get no answer.
     pub state_reads_lost: bool,
 }
@@ -71,6 +74,7 @@
             worker_reads_lost: false,
             unreadable_page_ends: false,
             page_rows: PAGE_ROWS,
+            empty_pages: 0,
             state_reads_lost: false,
         };
         store.put_state(state);
@@ -247,9 +251,23 @@
                 wait_ms,
             } => self.follow(table, after, wait_ms, now_ms),
         };
+        let reply = self.without_rows(reply);
         vec![(at, rpc, wait_ms, reply)]
     }
 
+    /// Removes the rows of an answer with accepted jobs, if such answers are due.
+    fn without_rows(&mut self, mut reply: StoreReply) -> StoreReply {
+        if let StoreReply::Rows { rows, more, .. } = &mut reply {
+            let has_jobs = rows.iter().any(|row| row.key.table == Table::Jobs);
+            if has_jobs && self.empty_pages > 0 {
+                self.empty_pages -= 1;
+                rows.clear();
+                *more = true;
+            }
+        }
+        reply
+    }
+
     /// A change that comes while a call waits is seen by the next call only: bounded by the wait.
     fn follow(
         &self,
