Test gangs whose leader is replaced while they start, run or end

Callers of a LOST gang saw it not start again after a change of leader and a failed run. GangRules lets the emulated members work only together, end as broken when another has ended and as alone after 3 s, as PROTOCOL.md says.

--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+mod gang_rules;
 mod store;
 mod workers;
 
@@ -109,6 +110,9 @@
     pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
     pub step_s: f64,
+    /// Whether the members of a gang work only together; otherwise each works on its own.
+    pub gang_rules: bool,
+    gang_runs: gang_rules::GangRuns,
 }
 
 /// Returns a queue of the given priority without advice.
@@ -213,6 +217,8 @@
             late_writes: 0,
             late_lists_ms: 0,
             step_s: 0.0,
+            gang_rules: false,
+            gang_runs: gang_rules::GangRuns::default(),
         };
         for at in 0..workers {
             let worker = FakeWorker::new(at);
@@ -286,6 +292,15 @@
         }
     }
 
+    /// Crashes a worker for good: its runs end, its entry is removed and it answers no call.
+    pub fn crash_worker(&mut self, id: &WorkerId) {
+        self.restart_worker(id);
+        let worker = self.workers.get_mut(id).unwrap();
+        worker.silent = true;
+        worker.drop_late_orders();
+        self.store.remove_worker(id.as_str());
+    }
+
     /// Writes whether worker number `at` drains to its entry.
     pub fn set_draining(&mut self, at: usize, draining: bool) {
         let worker = self.workers.values_mut().find(|worker| worker.number == at);
@@ -382,6 +397,10 @@
     }
 
     fn run_workers(&mut self) {
+        if self.gang_rules {
+            self.gang_runs
+                .apply(self.now, &self.store, &mut self.workers);
+        }
         let mut answers = Vec::new();
         for worker in self.workers.values_mut() {
             answers.append(&mut worker.tick(self.now));
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -136,7 +136,27 @@
         waiting.into_iter().map(|(at, rpc, _)| (at, rpc)).collect()
     }
 
-    fn end(&mut self, now: u64, task: &TaskKey, how: RunOutcome) {
+    /// Drops the orders that would be carried out late.
+    pub(super) fn drop_late_orders(&mut self) {
+        self.late.clear();
+    }
+
+    /// Returns the active runs: task, run number and begin.
+    pub(super) fn active_runs(&self) -> impl Iterator<Item = (&TaskKey, u32, u64)> {
+        let begin = |active: &Active| self.spans[active.span].begin;
+        let runs = self.active.iter();
+        runs.map(move |(task, active)| (task, active.run, begin(active)))
+    }
+
+    /// Sets when an active run ends.
+    pub(super) fn set_until(&mut self, task: &TaskKey, until: u64) {
+        if let Some(active) = self.active.get_mut(task) {
+            active.until = until;
+        }
+    }
+
+    /// Ends an active run.
+    pub(super) fn end(&mut self, now: u64, task: &TaskKey, how: RunOutcome) {
         let Some(active) = self.active.remove(task) else {
             return;
         };
