--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -324,6 +324,15 @@
         }
     }
 
+    /// Crashes a worker for good: its runs end, its entry is removed and it answers no call.
+    pub fn crash_worker(&mut self, id: &WorkerId) {
+        self.restart_worker(id);
+        let worker = self.workers.get_mut(id).unwrap();
+        worker.silent = true;
+        worker.drop_late_orders();
+        self.store.remove_worker(id.as_str());
+    }
+
     /// Writes whether worker number `at` drains to its entry.
     pub fn set_draining(&mut self, at: usize, draining: bool) {
         let worker = self.workers.values_mut().find(|worker| worker.number == at);
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -216,6 +216,11 @@
         waiting.into_iter().map(|(at, rpc, _)| (at, rpc)).collect()
     }
 
+    /// Drops the orders that would be carried out late.
+    pub(super) fn drop_late_orders(&mut self) {
+        self.late.clear();
+    }
+
     fn end(&mut self, now: u64, task: &TaskKey, run: u32, how: RunOutcome) {
         let Some(active) = self.active.remove(&(task.clone(), run)) else {
             return;
