Test what a pass reserves or waits for across other events

Covers releases that depend on an event of another kind: - a worker lists a run of a gang with reserved workers that was never placed: the gang is not pending while the worker lists it.

--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -6,8 +6,11 @@
 
 use cell_world::{desired, gang, queue, queue_with_advice, step, FakeWorker, World, KEY};
 use pomelotide_core::{
-    cell::{DesiredState, StepSpec, Team},
-    KeyName, Millis, QueueName, Resources, TeamName,
+    cell::{
+        ActiveRun, DesiredState, Incarnation, StepKey, StepSpec, TaskKey, Team, WorkerAnswer,
+        WorkerRuns,
+    },
+    JobId, KeyName, Millis, QueueName, Resources, TeamName,
 };
 
 /// What fills a worker, in thousandths of a core.
@@ -377,3 +380,110 @@
         assert_eq!(starts_of(&world, 1), members);
     }
 }
+
+/// Returns a cell of 8 workers of which 6 are reserved for a gang, job 1, whose call for tickets is in
+/// flight.
+fn world_with_reserved_gang() -> World {
+    let mut world = started_world(8, desired(1, queue_with_advice(20_000, 0, 2_000)));
+    set_work_ms(&mut world, 5_000);
+    world.submit_to("/fill/", 0, 99, vec![step(8, WORKER_CPU_MILLI)]);
+    world.run(100);
+    world.submit(0, 1, vec![gang(6, WORKER_CPU_MILLI)]);
+    world.run(4_000);
+    world.advice_ms = 1_000;
+    let calls = world.advice_calls;
+    while world.advice_calls == calls {
+        world.run(25);
+    }
+    set_work_ms(&mut world, LONG_ESTIMATE_MS);
+    world.key = OTHER_KEY.into();
+    world
+}
+
+/// Guards against workers that stay reserved for a gang which can't start, because a worker lists a run
+/// of it that was never placed.
+#[test]
+fn a_gang_that_waits_for_a_listed_run_to_end_reserves_no_workers() {
+    let mut world = world_with_reserved_gang();
+    let step_key = StepKey {
+        job: JobId::new("0000000000000001"),
+        occurrence: 0,
+        step: 0,
+    };
+    let task = TaskKey {
+        step: step_key,
+        index: 0,
+    };
+    let listed = ActiveRun {
+        task,
+        run: 1,
+        checkpoint: None,
+        percent: 0,
+    };
+    let runs = WorkerRuns {
+        incarnation: Some(Incarnation(1)),
+        active: vec![listed],
+        finished: Vec::new(),
+    };
+    let worker = world.workers.values_mut().next().unwrap();
+    worker.answer_override = Some(WorkerAnswer::Listed(Millis(world.now), runs));
+    world.submit_to("/fill/", 0, 3, vec![step(2, 100)]);
+    world.run(500);
+    world.submit_to("/fill/", 0, 2, vec![step(6, 3_000)]);
+    world.run(2 * MAX_WAIT_MS);
+    assert_eq!((starts_of(&world, 1), starts_of(&world, 2)), (0, 6));
+}
+
+/// Guards against workers that stay reserved for a gang whose job was cancelled while a call for its
+/// tickets was in flight.
+#[test]
+fn a_cancelled_gang_reserves_no_workers() {
+    let mut world = world_with_reserved_gang();
+    world.key = KEY.into();
+    world.cancel(0, 1);
+    world.submit_to("/fill/", 0, 2, vec![step(8, WORKER_CPU_MILLI)]);
+    world.run(MAX_WAIT_MS);
+    assert_eq!((starts_of(&world, 1), starts_of(&world, 2)), (0, 8));
+}
+
+/// Guards against a step that waits for ever for advice which a daemon was to request when it died.
+#[test]
+fn a_step_whose_call_for_advice_was_lost_with_its_daemon_starts() {
+    for killed in 0..3 {
+        for spec in [step(1, 1_000), gang(1, 1_000)] {
+            let state = two_queues(desired(1, queue_with_advice(500_000, 0, 2_000)));
+            let mut world = World::new(3, 4, state);
+            world.advice_ms = 500;
+            world.run(3_000);
+            let leader = world.leader().unwrap();
+            world.submit(leader, 1, vec![spec]);
+            world.run(200);
+            assert_eq!(world.advice_calls, 1);
+            world.kill(killed);
+            world.run(10_000);
+            assert_eq!(starts_of(&world, 1), 1, "daemon {killed} killed");
+        }
+    }
+}
+
+/// Guards against a step that is not looked at again after its worker gets the label that it requires,
+/// or its team a higher limit.
+#[test]
+fn a_step_starts_once_its_worker_or_team_may_run_it() {
+    let mut state = desired(1, queue());
+    state.teams[0].limit.cpu_milli = 1_000;
+    let mut world = started_world(1, state);
+    world.submit(0, 1, vec![on_label("new", step(1, 1_000))]);
+    world.submit(0, 2, vec![gang(1, 2_000)]);
+    world.run(MAX_WAIT_MS);
+    assert_eq!(world.starts().len(), 0);
+    let worker = world.workers.values_mut().next().unwrap();
+    worker.entry.labels.insert(0, "new".into());
+    let worker = worker.clone();
+    world.store.put_worker(&worker);
+    world.run(MAX_WAIT_MS);
+    assert_eq!((starts_of(&world, 1), starts_of(&world, 2)), (1, 0));
+    world.store.put_state(two_queues(desired(2, queue())));
+    world.run(MAX_WAIT_MS);
+    assert_eq!(starts_of(&world, 2), 1);
+}
