Keep the readable rows of a worker's lists and of advice when one row is malformed

Callers would see tasks of a worker that start late or twice: one end with an outcome that this version does not know, or one odd row among the active and ended runs, lost the whole answer of the worker. The worker counted as silent, got no work, its lease was not renewed and its runs lapsed; the row was listed again, so this went on for ever. One odd row of advice made the call count as lost; it was repeated for ever, through other daemons.

Cause: the lists were decoded as a whole.

- An active run needs its task and number only.
A row without them may be any run, so the list is no evidence that a run is missing, and the worker gets no new work until its list is readable.
After 2.5 s its lease is no longer renewed, so that runs which it no longer has start elsewhere.
- An end with an unknown outcome ends its run, which starts again; nothing counts as done or failed.
- An end whose task can't be read is logged and acknowledged with the others, unless its number is far ahead of the last one.
Nothing is lost: its run is missing from the active ones, so its task starts again.
Without that, 500 such ends would hide all later ones.
- Workers that an answer of advice with an odd row does not name are asked about again, not denied.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -348,7 +348,8 @@
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
         advice.in_flight = None;
         match reply {
-            AdviceReply::Allowed(rows) => self.on_allowed(ctx, &request, rows),
+            AdviceReply::Allowed(rows) => self.on_allowed(ctx, &request, rows, true),
+            AdviceReply::PartlyAllowed(rows) => self.on_allowed(ctx, &request, rows, false),
             AdviceReply::Busy | AdviceReply::Lost => {
                 advice.retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
                 self.on_advice_missing(ctx, &request, &reply);
@@ -357,15 +358,21 @@
         self.refresh_pending_steps(&request.step.job);
     }
 
-    /// Stores the tickets of an answer; workers that it does not name are denied.
+    /// Stores the tickets of an answer. Workers that a complete answer does not name are denied; after
+    /// another one, advice on them is requested again.
     fn on_allowed(
         &mut self,
         ctx: &mut Ctx,
         request: &AdviceRequest,
         rows: Vec<(WorkerId, Ticket)>,
+        is_complete: bool,
     ) {
         let sent_at = request.sent.map_or(ctx.now, |(_, at)| at);
-        let event = LogEvent::info("advice_given").with("step", &request.step);
+        let event = match is_complete {
+            true => LogEvent::info("advice_given"),
+            false => LogEvent::warn("advice_given").with("complete", is_complete),
+        };
+        let event = event.with("step", &request.step);
         let event = event
             .with("asked", request.workers.len())
             .with("allowed", rows.len());
@@ -380,6 +387,7 @@
         for &ix in &request.workers {
             let permission = match rows.get(&self.fleet.get(ix).entry.id) {
                 Some(ticket) => Permission::Allowed(ticket.clone(), until),
+                None if !is_complete => continue,
                 None => Permission::Denied,
             };
             advice.permissions.insert(ix, permission);
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -10,7 +10,8 @@
             Leader,
         },
         node::Ctx,
-        ActiveRun, FinishedRun, JobState, LogEvent, RunOutcome, TaskKey, WorkerRuns,
+        ActiveRun, FinishedRun, JobState, LogEvent, RunOutcome, TaskKey, UnreadableRows,
+        WorkerRuns,
     },
     Millis,
 };
@@ -23,9 +24,12 @@
 /// The maximum number of an ended run. Ends up to the last number seen are ignored, so a malformed
 /// higher number would hide all later ends of the worker.
 const MAX_END_NUMBER: u64 = 1 << 53;
+/// The most ended runs that a worker lists at a time.
+const MAX_LISTED_ENDS: u64 = 500;
 
 impl Leader {
-    /// Handles a worker's lists of runs, which were requested at `sent_at`.
+    /// Handles a worker's lists of runs, which were requested at `sent_at`, and the rows of these lists
+    /// that can't be read.
     pub(crate) fn on_listed(
         &mut self,
         ctx: &mut Ctx,
@@ -33,6 +37,7 @@
         sent_at: Millis,
         clock: Millis,
         view: WorkerRuns,
+        unreadable: &UnreadableRows,
     ) {
         self.detect_restart(ctx, ix, &view);
         let worker = self.fleet.get_mut(ix);
@@ -52,6 +57,8 @@
         for end in view.finished {
             self.on_finished(ctx, ix, end);
         }
+        self.skip_unreadable_ends(ctx, ix, unreadable);
+        self.note_unreadable_runs(ctx, ix, unreadable.active);
         self.reconcile_active(ctx, ix, sent_at, &view.active);
         let worker = self.fleet.get_mut(ix);
         if worker.unstored.is_empty() {
@@ -59,6 +66,44 @@
         }
     }
 
+    /// Passes over ended runs that can't be read, so that they are acknowledged with the others. No end
+    /// is lost by that: a run that ended is missing from the active ones, and its task starts again.
+    fn skip_unreadable_ends(&mut self, ctx: &mut Ctx, ix: WorkerIx, unreadable: &UnreadableRows) {
+        let worker = self.fleet.get_mut(ix);
+        let had_unnumbered = worker.has_unnumbered_ends;
+        worker.has_unnumbered_ends = unreadable.unnumbered > 0;
+        if worker.has_unnumbered_ends && !had_unnumbered {
+            // They are acknowledged with any later end.
+            let event = LogEvent::warn("end_unreadable").with("worker", &worker.entry.id);
+            ctx.log(event.with("unnumbered", unreadable.unnumbered));
+        }
+        for &number in &unreadable.finished {
+            let worker = self.fleet.get_mut(ix);
+            let last = worker.last_end_seen;
+            if number <= last {
+                continue;
+            }
+            // A number far ahead may be malformed itself, and would hide the next ends.
+            let is_next = number <= last.saturating_add(MAX_LISTED_ENDS);
+            if is_next {
+                worker.last_end_seen = number;
+            }
+            let event = LogEvent::warn("end_unreadable").with("worker", &worker.entry.id);
+            ctx.log(event.with("number", number).with("skipped", is_next));
+        }
+    }
+
+    /// Notes whether a worker's list of active runs has rows that can't be read.
+    fn note_unreadable_runs(&mut self, ctx: &mut Ctx, ix: WorkerIx, count: u32) {
+        let worker = self.fleet.get_mut(ix);
+        let since = worker.unreadable_since;
+        worker.unreadable_since = (count > 0).then(|| since.unwrap_or(ctx.now));
+        if worker.unreadable_since.is_some() && since.is_none() {
+            let event = LogEvent::warn("runs_unreadable").with("worker", &worker.entry.id);
+            ctx.log(event.with("count", count).with("runs", worker.runs.len()));
+        }
+    }
+
     /// Resets the state of a worker's ended runs when it has restarted, or reports for the first
     /// time: each incarnation numbers its ended runs anew.
     fn detect_restart(&mut self, ctx: &mut Ctx, ix: WorkerIx, view: &WorkerRuns) {
@@ -321,6 +366,10 @@
             (true, since) => since.or(Some(ctx.now)),
             (false, _) => None,
         };
+        if worker.unreadable_since.is_some() {
+            // A row that can't be read may be any run, so none counts as missing.
+            return;
+        }
         let missing = |task: &TaskKey, run: &Run| {
             !active
                 .iter()
@@ -442,7 +491,8 @@
     pub(crate) fn expire_leases(&mut self, ctx: &mut Ctx) {
         for ix in self.fleet.ixs().collect::<Vec<_>>() {
             let worker = self.fleet.get(ix);
-            let unresponsive = worker.failed_polls > 0 || !worker.listed;
+            let unresponsive =
+                worker.failed_polls > 0 || !worker.listed || worker.should_lapse(ctx.now);
             if worker.runs.is_empty() || !unresponsive || ctx.now < worker.lease_expires_at {
                 continue;
             }
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -7,6 +7,10 @@
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 
+/// How long a worker may list active runs that can't be read before its lease is no longer renewed;
+/// longer than a poll waits.
+const UNREADABLE_RUN_GRACE_MS: Millis = Millis(2_500);
+
 /// The phase of a run, as known from answered calls and the lists of its worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RunPhase {
@@ -98,6 +102,10 @@
     pub(crate) backoff_until: Millis,
     /// The time since which it has been listing runs that belong to no known task.
     pub(crate) unknown_runs_since: Option<Millis>,
+    /// The time since which it has been listing active runs that can't be read.
+    pub(crate) unreadable_since: Option<Millis>,
+    /// Whether its last list had ended runs whose position can't be read.
+    pub(crate) has_unnumbered_ends: bool,
     /// How many of its runs have failed in a row.
     pub(crate) failures: u32,
     /// It gets no work before this time because its last runs have all failed.
@@ -128,6 +136,8 @@
             lease_expires_at: Millis(0),
             backoff_until: Millis(0),
             unknown_runs_since: None,
+            unreadable_since: None,
+            has_unnumbered_ends: false,
             failures: 0,
             quarantined_until: Millis(0),
         }
@@ -152,7 +162,16 @@
         let is_reachable = self.listed && self.has_reported && self.failed_polls == 0;
         let is_backed_off = now < self.backoff_until || now < self.quarantined_until;
         let accepts_work = !self.entry.draining && !is_backed_off;
-        has_recent_clock && is_reachable && accepts_work && self.unknown_runs_since.is_none()
+        let lists_only_known_runs =
+            self.unknown_runs_since.is_none() && self.unreadable_since.is_none();
+        has_recent_clock && is_reachable && accepts_work && lists_only_known_runs
+    }
+
+    /// Returns whether it has listed active runs that can't be read for so long that its lease should
+    /// expire: such a list does not show which runs are missing.
+    pub(crate) fn should_lapse(&self, now: Millis) -> bool {
+        self.unreadable_since
+            .is_some_and(|since| now.since(since) > UNREADABLE_RUN_GRACE_MS)
     }
 
     /// Counts an early answer without a new ended run; any other answer resets the count.
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -13,7 +13,8 @@
             Leader,
         },
         node::{Ctx, RpcOwner},
-        Effect, LogEvent, RpcId, StartRequest, TaskKey, WorkerAnswer, WorkerCall, WorkerRefusal,
+        Effect, LogEvent, RpcId, StartRequest, TaskKey, UnreadableRows, WorkerAnswer, WorkerCall,
+        WorkerRefusal,
     },
     Millis,
 };
@@ -132,7 +133,8 @@
             now.since(worker.answered_at) < consts::MAX_ACK_AGE_MS && worker.has_reported;
         // The lease of a worker that does not answer is not renewed, so that it can expire. A
         // worker without runs needs no lease.
-        let renews = worker.failed_polls == 0 && !worker.runs.is_empty();
+        let renews =
+            worker.failed_polls == 0 && !worker.runs.is_empty() && !worker.should_lapse(now);
         let clock = worker.clock_at(now).filter(|_| renews);
         let call = WorkerCall::Renew {
             lease_until_ms: clock.map(|clock| clock + lease_ms),
@@ -184,9 +186,14 @@
             true => worker.quick_poll = None,
             false => worker.poll = None,
         }
+        let answer = match answer {
+            WorkerAnswer::Listed(clock, view) => Ok((clock, view, UnreadableRows::default())),
+            WorkerAnswer::PartlyListed(clock, view, unreadable) => Ok((clock, view, unreadable)),
+            other => Err(other),
+        };
         match answer {
-            WorkerAnswer::Listed(clock, view) => {
-                self.on_listed(ctx, ix, sent_at, clock, view);
+            Ok((clock, view, unreadable)) => {
+                self.on_listed(ctx, ix, sent_at, clock, view, &unreadable);
                 let worker = self.fleet.get_mut(ix);
                 if wait_ms > Millis(0) {
                     let is_early = ctx.now.since(sent_at) < Millis(wait_ms.0 / 2);
@@ -197,7 +204,7 @@
                 // once.
                 self.poll_worker(ctx, ix);
             }
-            other => {
+            Err(other) => {
                 let worker = self.fleet.get_mut(ix);
                 worker.failed_polls += 1;
                 worker.next_poll_at = ctx.now + consts::POLL_RETRY_DELAY_MS;
@@ -273,7 +280,7 @@
                 }
                 self.poll_worker(ctx, ix);
             }
-            WorkerAnswer::Lost | WorkerAnswer::Listed(..) => {
+            WorkerAnswer::Lost | WorkerAnswer::Listed(..) | WorkerAnswer::PartlyListed(..) => {
                 if let Some(run) = current.filter(|run| run.phase == RunPhase::Starting) {
                     run.set_phase(RunPhase::Unconfirmed(now), now);
                 }
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -46,8 +46,8 @@
     store::{MemberRow, Row, RowKey, RowValue, StoreCall, StoreReply, Table, TermRow, Write},
     task_key::{StepKey, TaskKey},
     worker_call::{
-        ActiveRun, AdviceReply, FinishedRun, RunOutcome, StartRequest, Ticket, WorkerAnswer,
-        WorkerCall, WorkerRefusal, WorkerRuns,
+        ActiveRun, AdviceReply, FinishedRun, RunOutcome, StartRequest, Ticket, UnreadableRows,
+        WorkerAnswer, WorkerCall, WorkerRefusal, WorkerRuns,
     },
     worker_entry::WorkerEntry,
 };
--- a/core/src/cell/worker_call.rs
+++ b/core/src/cell/worker_call.rs
@@ -66,6 +66,8 @@
     Broken,
     /// The other members of its gang did not start.
     Alone,
+    /// The worker states an outcome that this version does not know.
+    Unknown,
 }
 
 /// A run that a worker lists as running.
@@ -108,6 +110,17 @@
     pub finished: Vec<FinishedRun>,
 }
 
+/// The rows of a worker's lists that can't be read.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UnreadableRows {
+    /// How many active runs the list has whose task or run number can't be read.
+    pub active: u32,
+    /// The positions of the ended runs whose task or run number can't be read.
+    pub finished: Vec<u64>,
+    /// How many ended runs the list has whose position can't be read.
+    pub unnumbered: u32,
+}
+
 /// Why a worker refused a call.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkerRefusal {
@@ -136,6 +149,8 @@
     Carried(Millis),
     /// The worker's runs, at this time by its clock.
     Listed(Millis, WorkerRuns),
+    /// As `Listed`, with rows that can't be read and are missing from the lists.
+    PartlyListed(Millis, WorkerRuns, UnreadableRows),
     /// The call was refused and not carried out; with the time by the worker's clock, if known.
     Refused(WorkerRefusal, Option<Millis>),
     /// No connection could be made; the call was not carried out.
@@ -149,6 +164,8 @@
 pub enum AdviceReply {
     /// The workers that may run the step, with their tickets; the others in the call may not.
     Allowed(Vec<(WorkerId, Ticket)>),
+    /// As `Allowed`, but with rows that can't be read, which may name any of the others.
+    PartlyAllowed(Vec<(WorkerId, Ticket)>),
     /// The service has too many pending calls.
     Busy,
     /// There was no usable answer.
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -3,7 +3,7 @@
 use pomelotide_core::{
     cell::{
         ActiveRun, FencingToken, FinishedRun, Incarnation, RpcId, RunOutcome, TaskKey,
-        WorkerAnswer, WorkerCall, WorkerEntry, WorkerRefusal, WorkerRuns,
+        UnreadableRows, WorkerAnswer, WorkerCall, WorkerEntry, WorkerRefusal, WorkerRuns,
     },
     Millis, Resources, WorkerId,
 };
@@ -62,6 +62,8 @@
     late: Vec<(u64, Order)>,
     /// If set, every poll is answered with it at once instead of with the lists of runs.
     pub answer_override: Option<WorkerAnswer>,
+    /// Whether the rows of its ended runs can't be read, except for their numbers.
+    pub ends_unreadable: bool,
     /// How many polls it has received.
     pub polls: usize,
     /// The highest use of its processors that was seen.
@@ -105,6 +107,7 @@
             late_starts_ms: None,
             late: Vec::new(),
             answer_override: None,
+            ends_unreadable: false,
             polls: 0,
             most_cpu_milli: 0,
             used: Resources::default(),
@@ -115,6 +118,11 @@
         self.entry.id.clone()
     }
 
+    /// Returns how many ends are not acknowledged.
+    pub fn unacknowledged_ends(&self) -> usize {
+        self.finished.len()
+    }
+
     /// Returns what runs.
     pub fn running(&self) -> usize {
         self.active.len()
@@ -197,11 +205,19 @@
             checkpoint: None,
             percent: 0,
         });
-        let view = WorkerRuns {
+        let mut view = WorkerRuns {
             incarnation: self.entry.incarnation,
             active: active.collect(),
             finished: self.finished.clone(),
         };
+        if self.ends_unreadable {
+            let ends = std::mem::take(&mut view.finished);
+            let unreadable = UnreadableRows {
+                finished: ends.iter().map(|end| end.number).collect(),
+                ..UnreadableRows::default()
+            };
+            return WorkerAnswer::PartlyListed(Millis(now), view, unreadable);
+        }
         WorkerAnswer::Listed(Millis(now), view)
     }
 
@@ -232,7 +248,11 @@
             return Some((0, fixed.clone()));
         }
         let waits = wait_ms > 0 && self.finished.is_empty();
-        if waits && matches!(answer, WorkerAnswer::Listed(..)) {
+        let is_list = matches!(
+            answer,
+            WorkerAnswer::Listed(..) | WorkerAnswer::PartlyListed(..)
+        );
+        if waits && is_list {
             self.waiting.push((at, rpc, now + wait_ms));
             return None;
         }
--- a/core/tests/malformed_input.rs
+++ b/core/tests/malformed_input.rs
@@ -8,7 +8,7 @@
 use pomelotide_core::{
     cell::{
         ActiveRun, ClientAnswer, FinishedRun, JobState, LogEvent, RowValue, RunOutcome, StepKey,
-        StepSpec, Submission, Table, TaskKey, WorkerAnswer, WorkerRuns,
+        StepSpec, Submission, Table, TaskKey, UnreadableRows, WorkerAnswer, WorkerRuns,
     },
     JobId, Millis, Resources,
 };
@@ -185,6 +185,96 @@
     world.assert_once();
 }
 
+/// Guards against a task that is never started again after its run ended in a way that this version
+/// does not know.
+#[test]
+fn an_unknown_outcome_ends_the_run() {
+    let mut world = world(1);
+    first_worker(&mut world).how = RunOutcome::Unknown;
+    world.submit(0, 1, vec![step(2, 1_000)]);
+    world.run(1_500);
+    first_worker(&mut world).how = RunOutcome::Done;
+    world.run(4_000);
+    world.assert_state(0, 1, JobState::Completed);
+    world.assert_once();
+    assert_eq!(first_worker(&mut world).unacknowledged_ends(), 0);
+}
+
+/// Guards against an end that can't be read and is listed for ever, or whose task never starts again.
+#[test]
+fn an_unreadable_end_is_acknowledged_and_its_task_starts_again() {
+    let mut world = world(1);
+    first_worker(&mut world).ends_unreadable = true;
+    world.submit(0, 1, vec![step(2, 1_000)]);
+    world.run(1_500);
+    assert!(world.count("end_unreadable") >= 2);
+    assert_eq!(first_worker(&mut world).unacknowledged_ends(), 0);
+    first_worker(&mut world).ends_unreadable = false;
+    world.run(6_000);
+    world.assert_state(0, 1, JobState::Completed);
+    assert_eq!(first_worker(&mut world).unacknowledged_ends(), 0);
+}
+
+/// Lists a run that can't be read in place of the first worker's runs.
+fn list_an_unreadable_run(world: &mut World) {
+    let clock = Millis(world.now);
+    let worker = first_worker(world);
+    let view = WorkerRuns {
+        incarnation: worker.entry.incarnation,
+        ..WorkerRuns::default()
+    };
+    let unreadable = UnreadableRows {
+        active: 1,
+        ..UnreadableRows::default()
+    };
+    worker.answer_override = Some(WorkerAnswer::PartlyListed(clock, view, unreadable));
+    worker.polls = 0;
+}
+
+/// Guards against a second run of a task beside the first one, whose row can't be read.
+#[test]
+fn a_run_does_not_vanish_while_a_row_cant_be_read() {
+    let mut world = world(1);
+    first_worker(&mut world).work_ms = 9_000;
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(1_000);
+    list_an_unreadable_run(&mut world);
+    world.run(2_400);
+    assert!(first_worker(&mut world).polls > 0);
+    first_worker(&mut world).answer_override = None;
+    world.run(9_000);
+    world.assert_state(0, 1, JobState::Completed);
+    assert_eq!(world.starts().len(), 1);
+    world.assert_once();
+}
+
+/// Guards against a worker that lists an unreadable run for ever and keeps the runs that it no longer
+/// has from starting elsewhere.
+#[test]
+fn runs_of_a_worker_whose_list_stays_unreadable_start_elsewhere() {
+    let mut world = world(2);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 60_000;
+    }
+    world.submit(0, 1, vec![step(1, 4_000), step(1, 4_000)]);
+    world.run(1_000);
+    list_an_unreadable_run(&mut world);
+    world.cancel(0, 1);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 1_000;
+    }
+    world.submit(0, 2, vec![step(2, 4_000)]);
+    world.run(30_000);
+    world.assert_state(0, 2, JobState::Completed);
+    world.assert_once();
+    let polls = first_worker(&mut world).polls;
+    assert!(polls < 150, "{polls}");
+    first_worker(&mut world).answer_override = None;
+    world.submit(0, 3, vec![step(2, 4_000)]);
+    world.run(6_000);
+    world.assert_state(0, 3, JobState::Completed);
+}
+
 /// Guards against polling without a pause a worker that answers each poll at once.
 #[test]
 fn a_worker_that_does_not_wait_is_polled_with_a_pause() {
