Read a page of a full read again when none of its rows has a readable key

A new leader could miss accepted jobs, so that they never start: a page of a full read that is not the last one and has no row with a readable key ended the read as if it were the last one.

Cause: the next page begins after the last readable key of a page; without one, no next page was read.

Evidence, before the fix: a_page_without_any_key_is_read_again printed `leader_loaded ... workers=0` although 600 workers are in the table and only the first pages can't be read.

Fix: such a page counts as a failed read. It is read again after the usual pause, at most 8 times in a row, with the usual log lines. After that the read goes on without the rest of the partition, which is logged as `read_cut_short`: a store that returns such pages for ever breaks its own protocol (keys are texts), and a cell without a leader is worse than one without these rows.

Not covered: keys that can't be read are not guessed, so the rest of such a partition stays unread.

--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -14,6 +14,9 @@
 use compact_str::{format_compact, CompactString};
 use std::collections::BTreeMap;
 
+/// How often in a row a page is read again that has no readable key and is not the last one.
+const MAX_UNREADABLE_PAGES: u32 = 8;
+
 /// A full read of a partition.
 #[derive(Clone, Debug)]
 struct Scan {
@@ -90,16 +93,23 @@
     }
 
     /// Counts a failed read; logs the 1st, 2nd, 4th, 8th and so on of a series.
-    fn on_failed_read(&mut self, ctx: &mut Ctx, table: Table, reply: &StoreReply) {
+    fn on_failed_read(&mut self, ctx: &mut Ctx, table: Table, reply: &str) {
         let failures = self.failures.entry(table).or_default();
         *failures = failures.saturating_add(1);
         if failures.is_power_of_two() {
             let event = LogEvent::warn("read_failed").with("table", format_args!("{table:?}"));
-            let event = event.with("reply", reply_name(reply));
+            let event = event.with("reply", reply);
             ctx.log(event.with("failures", failures));
         }
     }
 
+    /// Sends a failed full read again after a pause.
+    fn retry_scan(&mut self, ctx: &mut Ctx, scan: Scan, reply: &str) {
+        self.on_failed_read(ctx, scan.table, reply);
+        self.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+        self.pending_scans.push(scan);
+    }
+
     /// Makes the next read of accepted jobs due at once.
     pub(crate) fn read_jobs_now(&mut self) {
         if let Some(feed) = self.feeds.get_mut(&Table::Jobs) {
@@ -170,11 +180,21 @@
             ..
         } = reply
         else {
-            self.loader.on_failed_read(ctx, scan.table, &reply);
-            self.loader.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
-            self.loader.pending_scans.push(scan);
-            return;
+            return self.loader.retry_scan(ctx, scan, reply_name(&reply));
         };
+        // A row whose key can't be read has an empty one.
+        let mut keys = rows.iter().rev().map(|row| &row.key.key);
+        let last_key = keys.find(|key| !key.is_empty()).cloned();
+        if more && last_key.is_none() {
+            // The next page begins after a key of this one.
+            let failures = self.loader.failures.get(&scan.table).copied().unwrap_or(0);
+            if failures < MAX_UNREADABLE_PAGES {
+                return self.loader.retry_scan(ctx, scan, "unreadable_page");
+            }
+            let event = LogEvent::warn("read_cut_short");
+            let event = event.with("table", format_args!("{:?}", scan.table));
+            ctx.log(event.with("part", &scan.part).with("from", &scan.from));
+        }
         self.loader.failures.remove(&scan.table);
         if matches!(scan.table, Table::Jobs | Table::Workers | Table::Members) {
             // A page lacks all later changes, so the oldest page decides where to follow from.
@@ -186,9 +206,7 @@
             let existing = self.loader.feeds.entry(scan.table).or_insert(feed);
             existing.read_up_to = existing.read_up_to.min(version);
         }
-        // A row whose key can't be read has an empty one.
-        let mut keys = rows.iter().rev().map(|row| &row.key.key);
-        if let (true, Some(last)) = (more, keys.find(|key| !key.is_empty())) {
+        if let (true, Some(last)) = (more, last_key) {
             scan.from = format_compact!("{last}\u{1}");
             self.loader.pending_scans.push(scan);
         }
@@ -249,7 +267,7 @@
             StoreReply::HistoryLost => self.rescan(ctx, table),
             reply => {
                 feed.next_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
-                self.loader.on_failed_read(ctx, table, &reply);
+                self.loader.on_failed_read(ctx, table, reply_name(&reply));
             }
         }
         self.send_reads(ctx);
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -29,6 +29,8 @@
     pub worker_reads_lost: bool,
     /// Whether a page that is not the last one ends with a row that can't be read.
     pub unreadable_page_ends: bool,
+    /// How many of the next pages that are not the last one have no row that can be read.
+    pub unreadable_pages: usize,
 }
 
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
@@ -45,6 +47,7 @@
             writes: 0,
             worker_reads_lost: false,
             unreadable_page_ends: false,
+            unreadable_pages: 0,
         };
         store.put_state(state);
         store
@@ -127,7 +130,7 @@
     }
 
     /// Reads at most `most` rows of a partition, beginning with the key `from`.
-    fn read_page(&self, from: &RowKey, most: usize, now_ms: u64) -> StoreReply {
+    fn read_page(&mut self, from: &RowKey, most: usize, now_ms: u64) -> StoreReply {
         let is_in_page = |key: &RowKey| {
             key.table == from.table && key.partition == from.partition && key.key >= from.key
         };
@@ -148,6 +151,13 @@
                 value: RowValue::Unusable("malformed".into()),
             });
         }
+        if more && self.unreadable_pages > 0 {
+            self.unreadable_pages -= 1;
+            for row in &mut rows {
+                row.key = RowKey::new(from.table, "", "");
+                row.value = RowValue::Unusable("malformed".into());
+            }
+        }
         StoreReply::Rows {
             rows,
             more,
--- a/core/tests/malformed_input.rs
+++ b/core/tests/malformed_input.rs
@@ -152,6 +152,23 @@
     assert!(loaded.contains("workers=600"), "{loaded}");
 }
 
+/// Guards against a full read that ends early, without the rest of the table, after a page on which no
+/// row has a readable key; a table with such a page for ever does not keep a leader from working.
+#[test]
+fn a_page_without_any_key_is_read_again() {
+    for (pages, workers) in [(3, 600), (usize::MAX, 0)] {
+        let mut world = World::new(1, 600, desired(1, queue()));
+        world.store.unreadable_pages = pages;
+        world.run(5_000);
+        let mut lines = world.lines.iter().map(|(_, _, line)| line);
+        let loaded = lines.find(|line| line.event == "leader_loaded");
+        let loaded = loaded.expect("the leader is not loaded").to_string();
+        assert!(loaded.contains(&format!("workers={workers} ")), "{loaded}");
+        let cut_short = usize::from(workers == 0);
+        assert_eq!(world.count("read_cut_short"), cut_short);
+    }
+}
+
 /// Guards against a panic at a run number near the largest number.
 #[test]
 fn extreme_numbers_in_the_lists_of_a_worker_do_not_panic() {
