--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -13,7 +13,8 @@
             Leader,
         },
         node::{Ctx, RpcOwner},
-        Effect, LogEvent, RpcId, StartRequest, TaskKey, WorkerAnswer, WorkerCall, WorkerRefusal,
+        Effect, LogEvent, RpcId, StartRequest, TaskKey, UnreadableRows, WorkerAnswer, WorkerCall,
+        WorkerRefusal,
     },
     Millis,
 };
@@ -144,7 +145,8 @@
         };
         // The lease of a worker that does not answer is not renewed, so that it can expire. A
         // worker without runs needs no lease.
-        let renews = worker.failed_polls == 0 && !worker.runs.is_empty();
+        let renews =
+            worker.failed_polls == 0 && !worker.runs.is_empty() && !worker.should_lapse(now);
         let clock = worker.clock_at(now).filter(|_| renews);
         let call = WorkerCall::Renew {
             lease_until_ms: clock.map(|clock| clock + lease_ms),
@@ -194,10 +196,15 @@
             true => worker.quick_poll = None,
             false => worker.poll = None,
         }
+        let answer = match answer {
+            WorkerAnswer::Listed(clock, view) => Ok((clock, view, UnreadableRows::default())),
+            WorkerAnswer::PartlyListed(clock, view, unreadable) => Ok((clock, view, unreadable)),
+            other => Err(other),
+        };
         match answer {
-            WorkerAnswer::Listed(clock, view) => {
+            Ok((clock, view, unreadable)) => {
                 let incarnation = view.incarnation;
-                self.on_listed(ctx, ix, sent_at, clock, view);
+                self.on_listed(ctx, ix, sent_at, clock, view, &unreadable);
                 let worker = self.fleet.get_mut(ix);
                 if worker.incarnation == incarnation && acknowledge <= worker.last_end_seen {
                     worker.last_end_acknowledged = worker.last_end_acknowledged.max(acknowledge);
@@ -211,7 +218,7 @@
                 // once.
                 self.poll_worker(ctx, ix);
             }
-            other => {
+            Err(other) => {
                 let worker = self.fleet.get_mut(ix);
                 worker.failed_polls += 1;
                 // The poll that is open may wait for long.
@@ -289,7 +296,7 @@
                 }
                 self.poll_worker(ctx, ix);
             }
-            WorkerAnswer::Lost | WorkerAnswer::Listed(..) => {
+            WorkerAnswer::Lost | WorkerAnswer::Listed(..) | WorkerAnswer::PartlyListed(..) => {
                 if let Some(run) = current.filter(|run| run.phase == RunPhase::Starting) {
                     run.set_phase(RunPhase::Unconfirmed(now), now);
                 }
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -42,6 +42,8 @@
     pub empty_pages: usize,
     /// Whether reads of the desired state get no answer.
     pub state_reads_lost: bool,
+    /// How many of the next pages that are not the last one have no row that can be read.
+    pub unreadable_pages: usize,
 }
 
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
@@ -76,6 +78,7 @@
             page_rows: PAGE_ROWS,
             empty_pages: 0,
             state_reads_lost: false,
+            unreadable_pages: 0,
         };
         store.put_state(state);
         store
@@ -161,7 +164,7 @@
     }
 
     /// Reads at most `most` rows of a partition, beginning with the key `from`.
-    fn read_page(&self, from: &RowKey, most: usize, now_ms: u64) -> StoreReply {
+    fn read_page(&mut self, from: &RowKey, most: usize, now_ms: u64) -> StoreReply {
         let is_in_page = |key: &RowKey| {
             key.table == from.table && key.partition == from.partition && key.key >= from.key
         };
@@ -187,6 +190,13 @@
                 value: RowValue::Unusable("malformed".into()),
             });
         }
+        if more && self.unreadable_pages > 0 {
+            self.unreadable_pages -= 1;
+            for row in &mut rows {
+                row.key = RowKey::new(from.table, "", "");
+                row.value = RowValue::Unusable("malformed".into());
+            }
+        }
         StoreReply::Rows {
             rows,
             more,
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -4,7 +4,8 @@
 use pomelotide_core::{
     cell::{
         ActiveRun, FencingToken, FinishedRun, Incarnation, RpcId, RunOutcome, StartRequest,
-        StepKey, TaskKey, WorkerAnswer, WorkerCall, WorkerEntry, WorkerRefusal, WorkerRuns,
+        StepKey, TaskKey, UnreadableRows, WorkerAnswer, WorkerCall, WorkerEntry, WorkerRefusal,
+        WorkerRuns,
     },
     Millis, Resources, WorkerId,
 };
@@ -124,6 +125,8 @@
     late: Vec<(u64, Order)>,
     /// If set, every poll is answered with it at once instead of with the lists of runs.
     pub answer_override: Option<WorkerAnswer>,
+    /// Whether the rows of its ended runs can't be read, except for their numbers.
+    pub ends_unreadable: bool,
     /// How many polls it has received.
     pub polls: usize,
     /// The highest use of its processors that was seen.
@@ -175,6 +178,7 @@
             late_starts_ms: None,
             late: Vec::new(),
             answer_override: None,
+            ends_unreadable: false,
             polls: 0,
             most_cpu_milli: 0,
         }
@@ -184,6 +188,11 @@
         self.entry.id.clone()
     }
 
+    /// Returns how many ends are not acknowledged.
+    pub fn unacknowledged_ends(&self) -> usize {
+        self.finished.len()
+    }
+
     /// Returns what runs.
     pub fn running(&self) -> usize {
         self.active.len()
@@ -351,12 +360,21 @@
             percent: 0,
         });
         let finished = self.finished.iter().take(MAX_LISTED_ENDS);
-        let view = WorkerRuns {
+        let mut view = WorkerRuns {
             incarnation: self.entry.incarnation,
             active: active.collect(),
             finished: finished.map(|finished| finished.end.clone()).collect(),
         };
-        WorkerAnswer::Listed(Millis(self.clock(now)), view)
+        let clock = Millis(self.clock(now));
+        if self.ends_unreadable {
+            let ends = std::mem::take(&mut view.finished);
+            let unreadable = UnreadableRows {
+                finished: ends.iter().map(|end| end.number).collect(),
+                ..UnreadableRows::default()
+            };
+            return WorkerAnswer::PartlyListed(clock, view, unreadable);
+        }
+        WorkerAnswer::Listed(clock, view)
     }
 
     /// Takes a call; returns its answer with a delay, or nothing where it comes with a tick.
@@ -387,7 +405,11 @@
             return Some((0, fixed.clone()));
         }
         let waits = wait_ms > 0 && self.finished.is_empty();
-        if waits && matches!(answer, WorkerAnswer::Listed(..)) {
+        let is_list = matches!(
+            answer,
+            WorkerAnswer::Listed(..) | WorkerAnswer::PartlyListed(..)
+        );
+        if waits && is_list {
             self.waiting.push((at, rpc, now + wait_ms));
             return None;
         }
