Acknowledge each ended run once, and not after a lost poll

A caller saw a job whose tasks ran again although they had succeeded (TWICE): after a worker restarted under its id, ends of the new life were acknowledged before any list named them.

Cause: each poll repeated the number of the last stored end. A worker numbers its ends anew in each life, so a number of the earlier one covers all ends so far. The age of the last answer (1.5 s) bounds that, but starts that are on their way while the worker restarts end sooner.

Now a number is sent in one poll, again only if that poll is lost and another one was answered since, and not while the worker's entry shows another life.

Evidence: an_acknowledgement_is_not_repeated_after_a_restart fails before (restart after 20 ms: tasks 0 and 1 done at 8604, started again at 8632) and passes now. The first poll with a number that is carried out by the next life still acknowledges unseen ends: the leader can't know of that life yet.

--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -77,6 +77,7 @@
         worker.incarnation = view.incarnation;
         worker.last_end_seen = 0;
         worker.last_end_stored = 0;
+        worker.last_end_acknowledged = 0;
         worker.unstored.clear();
         worker.failures = 0;
         self.advice.invalidate_tickets(ix);
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -86,6 +86,8 @@
     pub(crate) last_end_seen: u64,
     /// The number of the last ended run that may be acknowledged, because its effect is stored.
     pub(crate) last_end_stored: u64,
+    /// The number of the last ended run that was acknowledged; zero once that poll is lost.
+    pub(crate) last_end_acknowledged: u64,
     /// The changes of jobs that must be stored before `last_end_seen` may be acknowledged.
     pub(crate) unstored: Vec<(JobId, u64)>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
@@ -121,6 +123,7 @@
             answered_at: Millis(0),
             last_end_seen: 0,
             last_end_stored: 0,
+            last_end_acknowledged: 0,
             unstored: Vec::new(),
             runs: BTreeMap::new(),
             used: Resources::default(),
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -28,6 +28,8 @@
     sent_at: Millis,
     /// How long the worker may wait for a new ended run before it answers.
     wait_ms: Millis,
+    /// The number up to which it acknowledges ended runs.
+    acknowledge: u64,
     /// Whether it was sent beside a poll that waits.
     quick: bool,
 }
@@ -128,22 +130,28 @@
     fn send_poll(&mut self, ctx: &mut Ctx, ix: WorkerIx, wait_ms: Millis, quick: bool) {
         let now = ctx.now;
         let lease_ms = ctx.settings.max_lease_ms;
-        let worker = self.fleet.get(ix);
-        // After a long time without an answer the worker may have restarted, and the number could
-        // acknowledge one of its new ended runs.
-        let may_acknowledge =
-            now.since(worker.answered_at) < consts::MAX_ACK_AGE_MS && worker.has_reported;
+        let worker = self.fleet.get_mut(ix);
+        // After a restart of the worker the number could acknowledge one of its new ended runs. So it is
+        // not sent after a lost poll or a long time without an answer, nor twice unless a poll is lost.
+        let may_acknowledge = now.since(worker.answered_at) < consts::MAX_ACK_AGE_MS
+            && worker.has_reported
+            && worker.failed_polls == 0
+            && worker.clock.is_some();
+        let has_open_ends = worker.last_end_stored > worker.last_end_acknowledged;
+        let acknowledge = match may_acknowledge && has_open_ends {
+            true => worker.last_end_stored,
+            false => 0,
+        };
+        if acknowledge > 0 {
+            worker.last_end_acknowledged = acknowledge;
+        }
         // The lease of a worker that does not answer is not renewed, so that it can expire. A
         // worker without runs needs no lease.
         let renews = worker.failed_polls == 0 && !worker.runs.is_empty();
         let clock = worker.clock_at(now).filter(|_| renews);
         let call = WorkerCall::Renew {
             lease_until_ms: clock.map(|clock| clock + lease_ms),
-            acknowledge: if may_acknowledge {
-                worker.last_end_stored
-            } else {
-                0
-            },
+            acknowledge,
             wait_ms,
         };
         let rpc = self.call_worker(ctx, ix, call, wait_ms + consts::WORKER_TIMEOUT_MS);
@@ -156,6 +164,7 @@
             ix,
             sent_at: now,
             wait_ms,
+            acknowledge,
             quick,
         };
         self.worker_rpcs.insert(rpc, OpenWorkerRpc::Poll(poll));
@@ -179,6 +188,7 @@
             ix,
             sent_at,
             wait_ms,
+            acknowledge,
             quick,
         } = poll;
         let worker = self.fleet.get_mut(ix);
@@ -203,6 +213,9 @@
             other => {
                 let worker = self.fleet.get_mut(ix);
                 worker.failed_polls += 1;
+                if acknowledge > 0 {
+                    worker.last_end_acknowledged = 0;
+                }
                 // The poll that is open may wait for long.
                 worker.needs_quick_poll |= quick;
                 worker.next_poll_at = ctx.now + consts::POLL_RETRY_DELAY_MS;
--- a/core/tests/cell_late_orders.rs
+++ b/core/tests/cell_late_orders.rs
@@ -348,6 +348,34 @@
     }
 }
 
+/// Starts a cell with one worker whose runs are short and that has acknowledged twelve ends.
+fn world_with_acknowledged_ends() -> (World, WorkerId) {
+    let mut world = world(1, 1);
+    for job in 3..6 {
+        world.submit(0, job, vec![step(4, 900)]);
+        world.run(1_500);
+    }
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 60;
+    }
+    let id = first_worker(&world);
+    (world, id)
+}
+
+/// Guards against an acknowledgement that is repeated after the worker restarted: ends are acknowledged
+/// before they are listed, and their tasks run again (TWICE).
+#[test]
+fn an_acknowledgement_is_not_repeated_after_a_restart() {
+    for restart_ms in (20..200).step_by(2) {
+        let (mut world, id) = world_with_acknowledged_ends();
+        world.submit(0, 1, vec![step(40, 1_000)]);
+        world.run(restart_ms);
+        world.restart_worker(&id);
+        world.run(MAX_LATE_MS);
+        assert_completed(world, &format!("restart after {restart_ms} ms"));
+    }
+}
+
 /// Guards against a list that is answered while a start is on its way.
 #[test]
 fn a_list_that_is_answered_before_a_start_arrives_does_not_end_the_run() {
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -14,9 +14,9 @@
 use pomelotide_core::{
     cell::{
         AdviceCost, AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb,
-        DesiredState, Effect, Event, JobState, LinkId, LogEvent, Node, Queue, RequestLimits, RpcId,
-        StepKey, StepSpec, StoreCall, StoreReply, Submission, Table, TaskKey, Team, Ticket,
-        WorkerAnswer, WorkerCall,
+        DesiredState, Effect, Event, Incarnation, JobState, LinkId, LogEvent, Node, Queue,
+        RequestLimits, RpcId, StepKey, StepSpec, StoreCall, StoreReply, Submission, Table, TaskKey,
+        Team, Ticket, WorkerAnswer, WorkerCall,
     },
     CallId, JobId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -114,6 +114,9 @@
     /// How much later the answers of calls to workers arrive.
     answer_delays: BTreeMap<(usize, RpcId), u64>,
     specs: Specs,
+    called_workers: BTreeMap<(usize, RpcId), WorkerId>,
+    /// The incarnations in the last lists that each process has received.
+    seen_incarnations: BTreeMap<(usize, WorkerId), Incarnation>,
 }
 
 /// Returns a queue of the given priority without advice.
@@ -221,6 +224,8 @@
             random_call_faults: None,
             answer_delays: BTreeMap::new(),
             specs: Specs::new(),
+            called_workers: BTreeMap::new(),
+            seen_incarnations: BTreeMap::new(),
         };
         for at in 0..workers {
             let worker = FakeWorker::new(at);
@@ -335,6 +340,13 @@
         if is_answer && caller != self.caller(at) {
             return;
         }
+        if let Event::Worker(rpc, answer) = &event {
+            let worker = self.called_workers.remove(&(caller, *rpc));
+            if let (Some(worker), WorkerAnswer::Listed(_, view)) = (worker, answer) {
+                let seen = view.incarnation.unwrap_or(Incarnation(0));
+                self.seen_incarnations.insert((caller, worker), seen);
+            }
+        }
         let (now, unix) = (Millis(self.now), UNIX_BASE_MS + self.now);
         let Some(node) = &mut self.daemons[at].node else {
             return;
@@ -487,6 +499,10 @@
                 let addressee = self.workers.get(&worker);
                 let call = Order {
                     incarnation: addressee.and_then(|worker| worker.entry.incarnation),
+                    seen: self
+                        .seen_incarnations
+                        .get(&(caller, worker.clone()))
+                        .copied(),
                     worker,
                     token,
                     call,
@@ -495,6 +511,8 @@
                 // The caller's own limit: an answer that came before it makes this one void.
                 let lost = Event::Worker(rpc, WorkerAnswer::Lost);
                 self.later(call.timeout_ms.0, Due::Event(caller, lost));
+                self.called_workers
+                    .insert((caller, rpc), call.worker.clone());
                 let fault = self.draw_call_fault(&call);
                 if fault.answer_ms > 0 {
                     self.answer_delays.insert((caller, rpc), fault.answer_ms);
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -39,6 +39,8 @@
     pub timeout_ms: Millis,
     /// The incarnation of the worker when the call was sent.
     pub incarnation: Option<Incarnation>,
+    /// The incarnation that the caller has seen in the worker's last list.
+    pub seen: Option<Incarnation>,
 }
 
 /// One run as the worker saw it.
@@ -108,6 +110,10 @@
     pub accepts_earlier_calls: bool,
     /// The tasks and times of such calls; no task for a poll.
     pub earlier_calls: Vec<(Option<TaskKey>, u64)>,
+    /// The tasks whose ends were acknowledged by a caller that could not know of this incarnation.
+    pub unseen_ends: Vec<TaskKey>,
+    /// The acknowledgements that were received, with their tokens.
+    acknowledgements: Vec<(FencingToken, u64)>,
     last_end: u64,
     stopped: BTreeMap<TaskKey, u32>,
     waiting: Vec<(usize, RpcId, u64)>,
@@ -164,6 +170,8 @@
             overfull: Vec::new(),
             accepts_earlier_calls: true,
             earlier_calls: Vec::new(),
+            unseen_ends: Vec::new(),
+            acknowledgements: Vec::new(),
             last_end: 0,
             stopped: BTreeMap::new(),
             waiting: Vec::new(),
@@ -431,6 +439,15 @@
                 for finished in self.finished.iter().filter(|finished| !finished.has_lapsed) {
                     self.spans[finished.span].acknowledged |= finished.end.number <= *acknowledge;
                 }
+                // A repeated number is no excuse.
+                let number = (call.token, *acknowledge);
+                let is_repeated = self.acknowledgements.contains(&number);
+                self.acknowledgements.push(number);
+                if call.seen != self.entry.incarnation && !is_repeated {
+                    let ends = self.finished.iter().map(|finished| &finished.end);
+                    let unseen = ends.filter(|end| end.number <= *acknowledge);
+                    self.unseen_ends.extend(unseen.map(|end| end.task.clone()));
+                }
                 let is_open = |finished: &Finished| finished.end.number > *acknowledge;
                 self.finished.retain(is_open);
                 self.view(now)
