Ignore a list of an earlier life of a worker that arrives after one of the present life

A caller saw a job whose tasks ran again although they had succeeded (TWICE), after a worker restarted under its id within the time that an answer may take.

Cause: a list of the earlier life, requested before the restart and delivered after the first list of the new one, counted as another restart. Its numbers of ended runs were acknowledged at once, to the new life, whose ends no list had named yet.

A list of another incarnation than the present one is ignored now if it was requested before the first list of the present one arrived (list_outdated). The order of the incarnations is not used, since it comes from clocks that may jump.

--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -34,6 +34,12 @@
         clock: Millis,
         view: WorkerRuns,
     ) {
+        let worker = self.fleet.get_mut(ix);
+        if view.incarnation != worker.incarnation && sent_at < worker.incarnation_seen_at {
+            // Its numbers of ended runs would acknowledge those of the present incarnation.
+            let event = LogEvent::warn("list_outdated").with("worker", &worker.entry.id);
+            return ctx.log(event.with("age_ms", ctx.now.since(sent_at).0));
+        }
         self.detect_restart(ctx, ix, &view);
         let worker = self.fleet.get_mut(ix);
         if !worker.has_reported {
@@ -75,6 +81,7 @@
             );
         }
         worker.incarnation = view.incarnation;
+        worker.incarnation_seen_at = ctx.now;
         worker.last_end_seen = 0;
         worker.last_end_stored = 0;
         worker.last_end_acknowledged = 0;
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -67,6 +67,9 @@
     /// Whether the store's table of workers lists it.
     pub(crate) listed: bool,
     pub(crate) incarnation: Option<Incarnation>,
+    /// When its first list of this incarnation arrived; a list of another incarnation that was
+    /// requested before is outdated.
+    pub(crate) incarnation_seen_at: Millis,
     /// Whether it has listed its runs under this leader's token.
     pub(crate) has_reported: bool,
     /// A reading of its clock, and the leader's time when that arrived.
@@ -112,6 +115,7 @@
             entry,
             listed: true,
             incarnation: None,
+            incarnation_seen_at: Millis(0),
             has_reported: false,
             clock: None,
             poll: None,
--- a/core/tests/cell_late_orders.rs
+++ b/core/tests/cell_late_orders.rs
@@ -5,11 +5,11 @@
 mod cell_world;
 
 use cell_world::{
-    calls::{CallFault, CallKind},
-    desired, gang, queue, step, World,
+    calls::{CallFault, CallKind, RandomCallFaults},
+    desired, gang, queue, queue_with_advice, step, World,
 };
 use pomelotide_core::{
-    cell::{ClientAnswer, JobState, RunOutcome, StepSpec},
+    cell::{ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec},
     WorkerId,
 };
 
@@ -376,6 +376,44 @@
     }
 }
 
+/// Guards against a list that a worker answered before it restarted and that arrives after a list of
+/// its next incarnation: its numbers of ends acknowledge ends that were not listed, and their tasks run
+/// again (TWICE).
+#[test]
+fn a_list_from_before_a_restart_acknowledges_no_later_ends() {
+    let mut outdated = 0;
+    for restart_ms in (510..680).step_by(10) {
+        let (mut world, id) = world_with_acknowledged_ends();
+        for worker in world.workers.values_mut() {
+            worker.work_ms = 500;
+            worker.how = RunOutcome::Broken;
+        }
+        // The start that gets no answer makes the leader request another list, which the next
+        // incarnation answers first.
+        world.call_faults.push(CallFault {
+            lost: true,
+            ..CallFault::one(CallKind::Start, &id)
+        });
+        world.call_faults.push(CallFault {
+            answer_ms: 1_200,
+            ..CallFault::one(CallKind::Poll, &id)
+        });
+        world.submit(0, 6, vec![step(2, 2_000)]);
+        wait_for_starts(&mut world, 13);
+        world.submit(0, 1, vec![step(80, 1_000)]);
+        world.run(restart_ms);
+        world.restart_worker(&id);
+        for worker in world.workers.values_mut() {
+            worker.work_ms = 60;
+            worker.how = RunOutcome::Done;
+        }
+        world.run(MAX_LATE_MS);
+        outdated += world.count("list_outdated");
+        assert_completed(world, &format!("restart after {restart_ms} ms"));
+    }
+    assert!(outdated > 0, "no list arrived from before a restart");
+}
+
 /// Guards against a list that is answered while a start is on its way.
 #[test]
 fn a_list_that_is_answered_before_a_start_arrives_does_not_end_the_run() {
@@ -398,3 +436,194 @@
         }
     }
 }
+
+/// A seeded generator of pseudorandom numbers.
+struct Rng(u64);
+
+impl Rng {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+const DAEMONS: usize = 3;
+
+fn random_queue(rng: &mut Rng) -> Queue {
+    match rng.below(2) {
+        0 => queue(),
+        _ => queue_with_advice(20_000, 0, 4_000),
+    }
+}
+
+fn random_step(rng: &mut Rng) -> StepSpec {
+    let count = 1 + rng.below(5) as u32;
+    match rng.below(3) {
+        0 => gang(count.max(2), 200 + rng.below(8) * 250),
+        _ => step(count, 200 + rng.below(8) * 250),
+    }
+}
+
+/// Applies a random fault: a leader that changes, or a worker that restarts, fails runs or refuses
+/// starts.
+fn inject_fault(world: &mut World, rng: &mut Rng) {
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    let id = ids[rng.below(ids.len() as u64) as usize].clone();
+    match rng.below(8) {
+        0 => {
+            if let Some(leader) = world.leader() {
+                world.kill(leader);
+                world.run(rng.below(900));
+                world.start(leader);
+            }
+        }
+        1 => {
+            if let Some(leader) = world.leader() {
+                world.deliver_event(leader, Event::Stop);
+                world.run(rng.below(3_000));
+                world.kill(leader);
+                world.start(leader);
+            }
+        }
+        2 | 3 => world.restart_worker(&id),
+        fault => {
+            let worker = world.workers.get_mut(&id).unwrap();
+            match fault {
+                4 => worker.silent = rng.below(3) == 0,
+                5 => worker.refuses_starts = rng.below(2) == 0,
+                6 => worker.how = RunOutcome::Broken,
+                _ => worker.how = RunOutcome::Done,
+            }
+        }
+    }
+}
+
+/// What a series of faults did.
+#[derive(Debug, Default)]
+struct Findings {
+    unfinished: Vec<String>,
+    doubles: Vec<String>,
+    overfull: Vec<String>,
+    alone: Vec<String>,
+}
+
+fn run_series(seed: u64) -> Findings {
+    let mut rng = Rng(seed * 7_919 + 3);
+    let mut world = World::new(DAEMONS, 6, desired(1, random_queue(&mut rng)));
+    let crosses = rng.below(4) == 0;
+    for worker in world.workers.values_mut() {
+        worker.clock_slow_permille = rng.below(21);
+        worker.accepts_earlier_calls = crosses;
+        worker.work_ms = 200 + rng.below(2_000);
+    }
+    world.run(3_000);
+    world.random_call_faults = Some(RandomCallFaults {
+        seed,
+        lost_permille: rng.below(3) * 20,
+        late_permille: rng.below(4) * 40,
+        max_late_ms: MAX_LATE_MS,
+        slow_permille: rng.below(4) * 100,
+        max_answer_ms: 2_500,
+    });
+    let mut calls = Vec::new();
+    for job in 0..80 {
+        let daemon = rng.below(DAEMONS as u64) as usize;
+        let spec = random_step(&mut rng);
+        calls.push((job, world.submit(daemon, job, vec![spec])));
+        world.run(rng.below(500));
+        if rng.below(4) == 0 {
+            inject_fault(&mut world, &mut rng);
+        }
+    }
+    world.random_call_faults = None;
+    for worker in world.workers.values_mut() {
+        worker.silent = false;
+        worker.refuses_starts = false;
+        worker.how = RunOutcome::Done;
+    }
+    let faults_end = world.now + MAX_LATE_MS;
+    world.run(60_000);
+    let mut findings = find_violations(&world, seed, faults_end);
+    for (job, call) in calls {
+        if world.answers.get(&call) != Some(&ClientAnswer::Accepted) {
+            continue;
+        }
+        let state = world.state(0, job);
+        if state != ClientAnswer::State(JobState::Completed) {
+            let found = format!("seed {seed}: job {job} is {state:?}");
+            findings.unfinished.push(found);
+        }
+    }
+    findings
+}
+
+/// Returns what broke a rule, apart from what a call did that reached a later incarnation of a worker.
+fn find_violations(world: &World, seed: u64, faults_end: u64) -> Findings {
+    let mut findings = Findings::default();
+    let workers = || world.workers.values();
+    let is_excused = |task: &pomelotide_core::cell::TaskKey| {
+        let mut unseen = workers().flat_map(|worker| &worker.unseen_ends);
+        if unseen.any(|ended| ended.step == task.step) {
+            return true;
+        }
+        let mut calls = workers().flat_map(|worker| &worker.earlier_calls);
+        calls.any(|(called, _)| {
+            called
+                .as_ref()
+                .is_none_or(|called| called.step == task.step)
+        })
+    };
+    for (task, runs) in world.double_runs() {
+        if !is_excused(&task) {
+            findings.doubles.push(format!("seed {seed}: {task} {runs}"));
+        }
+    }
+    for worker in workers().filter(|worker| worker.earlier_calls.is_empty()) {
+        for (task, at) in &worker.overfull {
+            let id = worker.id();
+            findings
+                .overfull
+                .push(format!("seed {seed}: {id} {task} at {at}"));
+        }
+    }
+    let ends = workers().flat_map(|worker| &worker.spans);
+    for span in ends.filter(|span| span.how == Some(RunOutcome::Alone)) {
+        if span.begin > faults_end {
+            let (task, run, begin) = (&span.task, span.run, span.begin);
+            findings
+                .alone
+                .push(format!("seed {seed}: {task} run {run} at {begin}"));
+        }
+    }
+    findings
+}
+
+/// Returns the number in an environment variable, if it is set.
+fn env_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Guards against accepted jobs that do not end, tasks that run twice, overfull workers and members of
+/// gangs that are left alone, when calls to workers are lost, carried out late and answered late. `SEED`
+/// sets the first seed and `SEEDS` the number of seeds.
+#[test]
+fn rules_hold_although_calls_are_late() {
+    let count = env_number("SEEDS").unwrap_or(20);
+    let first = env_number("SEED").unwrap_or(0);
+    let mut all = Findings::default();
+    for seed in first..first + count {
+        let mut found = run_series(seed);
+        all.unfinished.append(&mut found.unfinished);
+        all.doubles.append(&mut found.doubles);
+        all.overfull.append(&mut found.overfull);
+        all.alone.append(&mut found.alone);
+    }
+    let is_clean = all.unfinished.is_empty() && all.doubles.is_empty();
+    assert!(
+        is_clean && all.overfull.is_empty() && all.alone.is_empty(),
+        "{all:#?}"
+    );
+}
