Start no placed run while a worker lists another run of its task

A caller could see two runs of a task at the same time (TWICE): a run that no placement records was listed, for example a late start on a worker that has restarted, while the next run's placement was being stored. The listed run was stopped, and the placed one started beside it once the placement was stored.

A placement whose start was not sent is dropped now when a worker lists another run of the task; the task starts again when that run has ended. A gang's placement is dropped as a whole.

--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -127,7 +127,7 @@
     }
 
     /// Drops a placement whose start was never sent.
-    fn drop_placement(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey, run: u32) {
+    pub(crate) fn drop_placement(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey, run: u32) {
         let worker = self.fleet.get(ix);
         let event = LogEvent::info("placement_dropped").with("task", task);
         let event = event.with("run", run).with("worker", &worker.entry.id);
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -376,12 +376,14 @@
                 }
                 return true;
             }
-            if run.number > listed.run {
+            if run.number > listed.run && !matches!(run.phase, RunPhase::Placed(_)) {
                 // A later list, which arrived earlier, showed that the listed run has ended.
                 self.send_stop(ctx, ix, &listed.task, listed.run);
                 return true;
             }
-            self.release_ended_run(ctx, ix, &listed.task);
+            if run.number < listed.run {
+                self.release_ended_run(ctx, ix, &listed.task);
+            }
         }
         self.stop_unplaced_run(ctx, ix, listed)
     }
@@ -425,6 +427,7 @@
             percent: listed.percent,
             checkpoint: listed.checkpoint.clone(),
         };
+        self.drop_unsent_runs(ctx, &listed.task);
         self.add_run(ix, &listed.task, run);
         self.mark_started(id);
         self.stop_run(ctx, ix, &listed.task);
@@ -432,6 +435,22 @@
         true
     }
 
+    /// Drops the placed runs of a task whose starts were not sent, and aborts its gang.
+    fn drop_unsent_runs(&mut self, ctx: &mut Ctx, task: &TaskKey) {
+        let at = usize::from(task.step.step);
+        let job = self.jobs.get(&task.step.job);
+        let step = job.and_then(|job| job.steps.get(at));
+        let runs = step.map_or(&[][..], |step| step.runs_of(task.index));
+        let is_unsent = |run: &&TaskRun| {
+            let run = self.fleet.get(run.worker).runs.get(task);
+            run.is_some_and(|run| matches!(run.phase, RunPhase::Placed(_)))
+        };
+        let unsent: Vec<TaskRun> = runs.iter().filter(is_unsent).copied().collect();
+        for run in unsent {
+            self.drop_placement(ctx, run.worker, task, run.number);
+        }
+    }
+
     /// Adds a run to a worker and to its task, and occupies its room.
     pub(crate) fn add_run(&mut self, ix: WorkerIx, task: &TaskKey, run: Run) {
         if self.fleet.get(ix).runs.contains_key(task) {
--- a/core/tests/cell_stale_lists.rs
+++ b/core/tests/cell_stale_lists.rs
@@ -172,6 +172,46 @@
     }
 }
 
+/// Guards against a run that a worker lists while the next run of its task is being stored: the next run
+/// starts although the listed one is active (TWICE).
+#[test]
+fn a_placed_run_does_not_start_while_another_one_is_listed() {
+    for spec in [step(1, 1_000), gang(2, 1_000)] {
+        let case = format!("gang: {}", spec.gang);
+        let mut world = World::new(1, 2, desired(1, queue()));
+        world.run(3_000);
+        let ids: Vec<WorkerId> = world.workers.keys().cloned().collect();
+        let worker = world.workers.get_mut(&ids[0]).unwrap();
+        worker.entry.labels.insert(0, "only".into());
+        let worker = worker.clone();
+        world.store.put_worker(&worker);
+        world.run(500);
+        wait_for_poll(&mut world, &ids[1]);
+        // The next poll of the idle worker comes after 3 s, while the placement is being stored.
+        world.run(1_700);
+        world.store_ms = 400;
+        let spec = StepSpec {
+            requirement: Some("only".into()),
+            ..spec
+        };
+        world.submit(0, 1, vec![spec]);
+        list_as_active(&mut world, &ids[1], 1);
+        wait_for_poll(&mut world, &ids[1]);
+        assert!(world.starts().is_empty(), "{case}: the placement is stored");
+        world.run(1_500);
+        assert!(world.count("run_unplaced") > 0, "{case}");
+        assert!(
+            world.starts().is_empty(),
+            "{case}: it starts beside the listed run"
+        );
+        world.workers.get_mut(&ids[1]).unwrap().answer_override = None;
+        world.store_ms = 10;
+        world.run(RECOVERY_MS);
+        world.assert_state(0, 1, JobState::Completed);
+        world.assert_once();
+    }
+}
+
 /// Guards against a run whose start was never answered and that keeps its task waiting without a log
 /// line.
 #[test]
