Count a call that panics as lost

If reading an answer panicked, the call's task ended without an event, and the reducer waited for the answer for ever: a run would stay "starting", a poll open, and a lease renewal or a write of progress in flight. By reading: the reducer has no timeout of its own for calls to workers and to the store; only calls for advice time out at the leader. No such panic is known.

Each call runs in a task of its own now, and a panic there is logged (call_panicked) and counts as a lost answer.

--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread owns the reducer, one thread serves all sockets and one writes the log.
 
+mod call_event;
 mod channel;
 mod connection_pool;
 mod control;
@@ -12,6 +13,7 @@
 mod telemetry;
 
 pub use self::{
+    call_event::call_event,
     connection_pool::ConnectionPool,
     control::run_cell,
     log_writer::{join_lines, LineAdmission, LogBudget},
--- a/daemon/src/cell/network.rs
+++ b/daemon/src/cell/network.rs
@@ -1,6 +1,7 @@
 //! The network thread: performs effects on sockets and turns what arrives into events.
 
 use crate::cell::{
+    call_event::call_event,
     channel::{ControlInput, EffectBatch},
     connection_pool::ConnectionPool,
     http_server::{self, Endpoint, HttpServer},
@@ -144,7 +145,8 @@
                 };
                 let http = encode_worker_call(&call, token, &worker).ok();
                 let to = address.parse().ok();
-                self.call(kind, to, http, timeout_ms, move |answer| {
+                let lost = Event::Worker(rpc, WorkerAnswer::Lost);
+                self.call(kind, to, http, timeout_ms, lost, move |answer| {
                     let parse = |answer| decode_worker_answer(&call, answer);
                     Event::Worker(rpc, answer.map_or(WorkerAnswer::NotSent, parse))
                 });
@@ -161,6 +163,7 @@
                     self.addresses.advice,
                     http,
                     timeout_ms,
+                    Event::Advice(rpc, AdviceReply::Lost),
                     move |answer| {
                         Event::Advice(rpc, answer.map_or(AdviceReply::Lost, decode_advice_reply))
                     },
@@ -189,32 +192,38 @@
             log::error!("event=store_call_unwritable order={rpc} reason={reason:?}");
         }
         let to = Some(self.addresses.store);
-        self.call(kind, to, http.ok(), timeout_ms, move |answer| {
+        let lost = Event::Store(rpc, StoreReply::Lost);
+        self.call(kind, to, http.ok(), timeout_ms, lost, move |answer| {
             let reply = answer.map(|answer| decode_store_reply(&call, answer));
             Event::Store(rpc, reply.unwrap_or(StoreReply::Refused(0)))
         });
     }
 
     /// Makes a call and sends the control thread the event that `event` creates from the answer, or
-    /// from `None` if there is no valid address or request.
+    /// from `None` if there is no valid address or request; `lost` if that fails.
     fn call(
         &self,
         kind: &'static str,
         to: Option<SocketAddr>,
         http: Option<HttpRequest>,
         timeout_ms: Millis,
+        lost: Event,
         event: impl FnOnce(Option<HttpOutcome>) -> Event + 'static,
     ) {
         counter!("pomelotide_calls_total", "kind" => kind).increment(1);
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         let timeout = Duration::from_millis(timeout_ms.0);
-        spawn_local(async move {
+        let call = async move {
             let answer = match (to, http) {
                 (Some(to), Some(http)) => Some(pool.call(to, &http, timeout).await),
                 _ => None,
             };
+            event(answer)
+        };
+        spawn_local(async move {
+            let event = call_event(call, lost).await;
             // Fails only while the process exits.
-            let _ = inputs.send(ControlInput::Event(event(answer)));
+            let _ = inputs.send(ControlInput::Event(event));
         });
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,7 +18,7 @@
 mod telemetry;
 
 pub use crate::{
-    cell::{join_lines, run_cell, ConnectionPool, LineAdmission, LogBudget},
+    cell::{call_event, join_lines, run_cell, ConnectionPool, LineAdmission, LogBudget},
     control::run,
     journal::Journal,
     log_line::log_line,
