--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -71,6 +71,9 @@
     /// Whether the store's table of workers lists it.
     pub(crate) listed: bool,
     pub(crate) incarnation: Option<Incarnation>,
+    /// When its first list of this incarnation arrived; a list of another incarnation that was
+    /// requested before is outdated.
+    pub(crate) incarnation_seen_at: Millis,
     /// Whether it has listed its runs under this leader's token.
     pub(crate) has_reported: bool,
     /// A reading of its clock, and the leader's time when that arrived.
@@ -90,7 +93,7 @@
     pub(crate) last_end_seen: u64,
     /// The number of the last ended run that may be acknowledged, because its effect is stored.
     pub(crate) last_end_stored: u64,
-    /// The number of the last ended run that the worker is known to have as acknowledged.
+    /// The number of the last ended run that was acknowledged; zero once that poll is lost.
     pub(crate) last_end_acknowledged: u64,
     /// The changes of jobs that must be stored before `last_end_seen` may be acknowledged.
     pub(crate) unstored: Vec<(JobId, u64)>,
@@ -120,6 +123,7 @@
             entry,
             listed: true,
             incarnation: None,
+            incarnation_seen_at: Millis(0),
             has_reported: false,
             clock: None,
             poll: None,
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -131,9 +131,9 @@
     fn send_poll(&mut self, ctx: &mut Ctx, ix: WorkerIx, wait_ms: Millis, quick: bool) {
         let now = ctx.now;
         let lease_ms = ctx.settings.max_lease_ms;
-        let worker = self.fleet.get(ix);
+        let worker = self.fleet.get_mut(ix);
         // After a restart of the worker the number could acknowledge one of its new ended runs. So it is
-        // not sent after a lost poll or a long time without an answer, nor again once it was received.
+        // not sent after a lost poll or a long time without an answer, nor twice unless a poll is lost.
         let may_acknowledge = now.since(worker.answered_at) < consts::MAX_ACK_AGE_MS
             && worker.has_reported
             && worker.failed_polls == 0
@@ -143,6 +143,9 @@
             true => worker.last_end_stored,
             false => 0,
         };
+        if acknowledge > 0 {
+            worker.last_end_acknowledged = acknowledge;
+        }
         // The lease of a worker that does not answer is not renewed, so that it can expire. A
         // worker without runs needs no lease.
         let renews =
@@ -203,12 +206,8 @@
         };
         match answer {
             Ok((clock, view, unreadable)) => {
-                let incarnation = view.incarnation;
                 self.on_listed(ctx, ix, sent_at, clock, view, &unreadable);
                 let worker = self.fleet.get_mut(ix);
-                if worker.incarnation == incarnation && acknowledge <= worker.last_end_seen {
-                    worker.last_end_acknowledged = worker.last_end_acknowledged.max(acknowledge);
-                }
                 if wait_ms > Millis(0) {
                     let is_early = ctx.now.since(sent_at) < Millis(wait_ms.0 / 2);
                     worker.count_early_answer(is_early && worker.last_end_seen == last_end_seen);
@@ -221,6 +220,9 @@
             Err(other) => {
                 let worker = self.fleet.get_mut(ix);
                 worker.failed_polls += 1;
+                if acknowledge > 0 {
+                    worker.last_end_acknowledged = 0;
+                }
                 // The poll that is open may wait for long.
                 worker.needs_quick_poll |= quick;
                 worker.next_poll_at = ctx.now + consts::POLL_RETRY_DELAY_MS;
