Record when the lease of a silent worker ends, so that the next leader does not wait anew

Callers of a job with a task on a crashed worker waited for a whole lease of that worker (10.6 s) after each change of leader: a gang did not start again, and other tasks placed there neither. A new leader knew the placement but not until when the worker's lease may last, so it assumed the longest one from its own start.

The leader now records the end of the lease, by the store's clock, with the placements on a worker that has been silent and without an entry for 4 s; it does not renew a lease in that time anyway. The next leader waits until then, and ignores placements whose lease is over. When the worker answers again, the record is cleared first: no renewal and no start until the progress of all jobs with runs there is stored without it. 4 s are longer than entries are missing after a store outage. Rows without a record read and write as before.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -91,6 +91,9 @@
 /// Added to a worker's lease before its runs count as expired: covers the error of the estimated
 /// clock and a call that arrives late.
 pub const WORKER_LEASE_MARGIN_MS: Millis = Millis(400);
+/// How long a worker without an entry must be silent before the end of its lease is recorded; entries
+/// that expired while the store was unavailable are back earlier.
+pub const LEASE_RECORD_DELAY_MS: Millis = Millis(4_000);
 /// The delay before a call to stop a run is repeated.
 pub const STOP_RETRY_DELAY_MS: Millis = Millis(600);
 /// How long a worker that refused or did not answer a start gets no new work.
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -6,6 +6,7 @@
         consts,
         leader::Leader,
         node::{reply_name, Ctx, RpcOwner},
+        store_clock::StoreClock,
         submissions::partition_name,
         LogEvent, Row, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
     },
@@ -56,6 +57,8 @@
     retry_at: Millis,
     /// How many reads of each table have failed in a row.
     failures: BTreeMap<Table, u32>,
+    /// A reading of the store's clock, and the leader's time when it arrived.
+    clock: Option<(Millis, Millis)>,
     is_done: bool,
 }
 
@@ -78,6 +81,7 @@
             feeds: BTreeMap::new(),
             retry_at: Millis(0),
             failures: BTreeMap::new(),
+            clock: None,
             is_done: false,
         }
     }
@@ -89,6 +93,12 @@
         self.is_done
     }
 
+    /// Returns the time by which the store's clock certainly shows `clock_ms`, if it has been read.
+    pub(crate) fn time_at_clock(&self, clock_ms: Millis) -> Option<Millis> {
+        let (read_ms, read_at) = self.clock?;
+        Some(read_at + StoreClock::longest(clock_ms.since(read_ms)))
+    }
+
     /// Counts a failed read; logs the 1st, 2nd, 4th, 8th and so on of a series.
     fn on_failed_read(&mut self, ctx: &mut Ctx, table: Table, reply: &StoreReply) {
         let failures = self.failures.entry(table).or_default();
@@ -167,7 +177,7 @@
             rows,
             more,
             version,
-            ..
+            clock_ms,
         } = reply
         else {
             self.loader.on_failed_read(ctx, scan.table, &reply);
@@ -175,6 +185,9 @@
             self.loader.pending_scans.push(scan);
             return;
         };
+        self.loader.clock = clock_ms
+            .map(|clock_ms| (clock_ms, ctx.now))
+            .or(self.loader.clock);
         // A row whose key can't be read has an empty one.
         let mut keys = rows.iter().rev().map(|row| &row.key.key);
         let last = keys.find(|key| !key.is_empty());
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -157,6 +157,7 @@
         self.poll_workers(ctx);
         self.retry_stops(ctx);
         self.expire_leases(ctx);
+        self.record_lease_ends(ctx);
         self.sweep(ctx);
         self.log_stalls(ctx);
         self.needs_pass |= !self.pending.is_empty();
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -6,12 +6,13 @@
 
 use crate::{
     cell::{
+        consts,
         leader::{
             fleet::WorkerIx,
             jobs::Job,
             schedule::MAX_CLOCK_AGE_MS,
             step::TaskRun,
-            worker::{Run, RunPhase},
+            worker::{LeaseRecord, Run, RunPhase, Worker},
             worker_rpcs::RecordedStart,
             Leader,
         },
@@ -20,6 +21,7 @@
     },
     JobId, Millis,
 };
+use std::collections::BTreeSet;
 
 impl Job {
     /// Returns the latest checkpoint of a task; all members of a gang share one.
@@ -66,9 +68,13 @@
         let mut progress = job.progress.clone();
         for (recorded, step) in progress.steps.iter_mut().zip(&job.steps) {
             let placed = step.newest_runs().map(|(index, run)| {
-                let worker = self.fleet.get(run.worker).entry.id.clone();
-                let run = run.number;
-                (index, Placement { worker, run })
+                let worker = self.fleet.get(run.worker);
+                let placement = Placement {
+                    worker: worker.entry.id.clone(),
+                    run: run.number,
+                    lease_ends_ms: worker.lease_record.ends_ms(),
+                };
+                (index, placement)
             });
             recorded.placed = placed.collect();
         }
@@ -158,8 +164,18 @@
         if !placed.is_empty() {
             self.mark_started(id);
         }
-        let lease_expires_at = self.started_at + self.max_lease_with_drift_ms(ctx);
+        let longest_lease_ends_at = self.started_at + self.max_lease_with_drift_ms(ctx);
         for (task, placement) in placed {
+            let recorded_end = placement
+                .lease_ends_ms
+                .and_then(|end_ms| self.loader.time_at_clock(end_ms));
+            if recorded_end.is_some_and(|end| end <= ctx.now) {
+                // The run has ended with the lease.
+                continue;
+            }
+            let lease_expires_at = recorded_end
+                .unwrap_or(longest_lease_ends_at)
+                .min(longest_lease_ends_at);
             let ix = self.worker_or_placeholder(&placement.worker);
             let at = usize::from(task.step.step);
             let Some(job) = self.jobs.get(id) else {
@@ -177,8 +193,71 @@
             self.add_run(ix, &task, run);
             let worker = self.fleet.get_mut(ix);
             worker.lease_expires_at = worker.lease_expires_at.max(lease_expires_at);
+            if let Some(ends_ms) = worker.lease_record.ends_ms().max(placement.lease_ends_ms) {
+                worker.lease_record = LeaseRecord::EndsAt(ends_ms);
+            }
+        }
+    }
+
+    /// Records when the leases of silent workers without an entry end, so that the next leader does not
+    /// wait for a whole lease again.
+    pub(crate) fn record_lease_ends(&mut self, ctx: &mut Ctx) {
+        let started_at = self.started_at;
+        let is_due = |worker: &Worker| {
+            let is_silent = worker.failed_polls > 0 || worker.entry.address.is_empty();
+            let silent_ms = ctx.now.since(worker.answered_at.max(started_at));
+            let is_gone = !worker.listed && is_silent;
+            let is_unrecorded = worker.lease_record == LeaseRecord::None;
+            let has_runs = !worker.runs.is_empty();
+            is_gone && silent_ms >= consts::LEASE_RECORD_DELAY_MS && is_unrecorded && has_runs
+        };
+        let workers = self.fleet.iter();
+        let due = workers.filter(|(_, worker)| is_due(worker));
+        for ix in due.map(|(ix, _)| ix).collect::<Vec<_>>() {
+            let worker = self.fleet.get_mut(ix);
+            let Some(ends_ms) = ctx.store_clock.at_most(worker.lease_expires_at) else {
+                continue;
+            };
+            worker.lease_record = LeaseRecord::EndsAt(ends_ms);
+            let event = LogEvent::warn("lease_end_recorded").with("worker", &worker.entry.id);
+            let event = event.with("runs", worker.runs.len());
+            ctx.log(event.with("left_ms", worker.lease_expires_at.since(ctx.now).0));
+            self.mark_jobs_edited(ix);
         }
     }
+
+    /// Clears the recorded end of the lease of a worker that answers, so that it may be renewed again.
+    pub(crate) fn clear_lease_record(&mut self, ix: WorkerIx) {
+        match &self.fleet.get(ix).lease_record {
+            LeaseRecord::None => {}
+            LeaseRecord::EndsAt(_) => {
+                // The changes are written without the end from here on.
+                self.fleet.get_mut(ix).lease_record = LeaseRecord::Clearing(Vec::new());
+                let edits = self.mark_jobs_edited(ix);
+                self.fleet.get_mut(ix).lease_record = LeaseRecord::Clearing(edits);
+            }
+            LeaseRecord::Clearing(edits) => {
+                let is_stored = |(id, edits): &(JobId, u64)| {
+                    let job = self.jobs.get(id);
+                    job.is_none_or(|job| job.stored_edits >= *edits)
+                };
+                if edits.iter().all(is_stored) {
+                    self.fleet.get_mut(ix).lease_record = LeaseRecord::None;
+                }
+            }
+        }
+    }
+
+    /// Schedules a write of the progress of all jobs with runs on a worker; returns the changes.
+    fn mark_jobs_edited(&mut self, ix: WorkerIx) -> Vec<(JobId, u64)> {
+        let tasks = self.fleet.get(ix).runs.keys();
+        let jobs: BTreeSet<JobId> = tasks.map(|task| task.step.job.clone()).collect();
+        let edits = jobs.into_iter().map(|id| {
+            let edits = self.mark_edited(&id);
+            (id, edits)
+        });
+        edits.collect()
+    }
 }
 
 fn task_key(id: &JobId, at: usize, index: u32) -> TaskKey {
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -6,7 +6,7 @@
         leader::{
             fleet::WorkerIx,
             step::{Step, TaskRun},
-            worker::{Run, RunPhase, Worker},
+            worker::{LeaseRecord, Run, RunPhase, Worker},
             Leader,
         },
         node::Ctx,
@@ -234,6 +234,9 @@
         let worker = self.fleet.get_mut(ix);
         let run = worker.runs.remove(task)?;
         worker.used = worker.used.minus(run.need);
+        if worker.runs.is_empty() {
+            worker.lease_record = LeaseRecord::None;
+        }
         if let Some(used) = run.team.as_ref().and_then(|team| self.used.get_mut(team)) {
             *used = used.minus(run.need);
         }
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -23,6 +23,27 @@
     Stopping(Millis),
 }
 
+/// Whether the end of a worker's lease is recorded with its placements. The next leader relies on a
+/// recorded end, so the lease is not renewed before the record is cleared.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum LeaseRecord {
+    None,
+    /// It ends at this time by the store's clock.
+    EndsAt(Millis),
+    /// The record is cleared once these changes of jobs are stored.
+    Clearing(Vec<(JobId, u64)>),
+}
+
+impl LeaseRecord {
+    /// Returns the recorded end of the lease.
+    pub(crate) fn ends_ms(&self) -> Option<Millis> {
+        match self {
+            Self::EndsAt(ends_ms) => Some(*ends_ms),
+            Self::None | Self::Clearing(_) => None,
+        }
+    }
+}
+
 /// A run that occupies room on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -94,6 +115,7 @@
     pub(crate) reserved: Resources,
     /// When its lease expires: if it has not answered by then, none of its runs is active any more.
     pub(crate) lease_expires_at: Millis,
+    pub(crate) lease_record: LeaseRecord,
     /// After a refused or lost call, it gets no work before this time.
     pub(crate) backoff_until: Millis,
     /// The time since which it has been listing runs that belong to no known task.
@@ -126,6 +148,7 @@
             used: Resources::default(),
             reserved: Resources::default(),
             lease_expires_at: Millis(0),
+            lease_record: LeaseRecord::None,
             backoff_until: Millis(0),
             unknown_runs_since: None,
             failures: 0,
@@ -151,7 +174,8 @@
             .is_some_and(|(_, at)| now.since(at) < clock_age_ms);
         let is_reachable = self.listed && self.has_reported && self.failed_polls == 0;
         let is_backed_off = now < self.backoff_until || now < self.quarantined_until;
-        let accepts_work = !self.entry.draining && !is_backed_off;
+        let may_renew = self.lease_record == LeaseRecord::None;
+        let accepts_work = !self.entry.draining && !is_backed_off && may_renew;
         has_recent_clock && is_reachable && accepts_work && self.unknown_runs_since.is_none()
     }
 
@@ -165,6 +189,9 @@
 
     /// Returns the pause between an answered poll and the next one.
     pub(crate) fn poll_pause_ms(&self) -> Millis {
+        if self.lease_record != LeaseRecord::None {
+            return consts::POLL_RETRY_DELAY_MS;
+        }
         match (self.runs.is_empty(), self.unstored.is_empty()) {
             (_, false) => consts::UNSTORED_POLL_INTERVAL_MS,
             (true, true) => consts::IDLE_POLL_INTERVAL_MS,
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -9,7 +9,7 @@
         consts,
         leader::{
             fleet::WorkerIx,
-            worker::{RunPhase, Worker},
+            worker::{LeaseRecord, RunPhase, Worker},
             Leader,
         },
         node::{Ctx, RpcOwner},
@@ -108,8 +108,10 @@
             // Ended runs that can't be acknowledged yet are listed again, so the worker would not
             // wait.
             let has_nothing_to_await = worker.runs.is_empty() || !worker.unstored.is_empty();
-            let needs_state =
-                worker.failed_polls > 0 || !worker.has_reported || worker.clock.is_none();
+            let needs_state = worker.failed_polls > 0
+                || !worker.has_reported
+                || worker.clock.is_none()
+                || worker.lease_record != LeaseRecord::None;
             let wait_ms = match has_nothing_to_await || needs_state || worker.needs_quick_poll {
                 true => Millis(0),
                 false => consts::POLL_WAIT_MS,
@@ -132,7 +134,8 @@
             now.since(worker.answered_at) < consts::MAX_ACK_AGE_MS && worker.has_reported;
         // The lease of a worker that does not answer is not renewed, so that it can expire. A
         // worker without runs needs no lease.
-        let renews = worker.failed_polls == 0 && !worker.runs.is_empty();
+        let may_renew = worker.failed_polls == 0 && worker.lease_record == LeaseRecord::None;
+        let renews = may_renew && !worker.runs.is_empty();
         let clock = worker.clock_at(now).filter(|_| renews);
         let call = WorkerCall::Renew {
             lease_until_ms: clock.map(|clock| clock + lease_ms),
@@ -187,6 +190,7 @@
         match answer {
             WorkerAnswer::Listed(clock, view) => {
                 self.on_listed(ctx, ix, sent_at, clock, view);
+                self.clear_lease_record(ix);
                 let worker = self.fleet.get_mut(ix);
                 if wait_ms > Millis(0) {
                     let is_early = ctx.now.since(sent_at) < Millis(wait_ms.0 / 2);
--- a/core/src/cell/progress.rs
+++ b/core/src/cell/progress.rs
@@ -1,6 +1,6 @@
 //! The recorded progress of jobs.
 
-use crate::WorkerId;
+use crate::{Millis, WorkerId};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -38,6 +38,9 @@
     pub worker: WorkerId,
     /// The number of the run.
     pub run: u32,
+    /// When the worker's lease ends by the store's clock, if the leader no longer renews it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_ends_ms: Option<Millis>,
 }
 
 /// The recorded progress of one step.
--- a/core/src/cell/store_clock.rs
+++ b/core/src/cell/store_clock.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Returns how long a span of the store's clock takes at most by the host's clock.
+    pub(crate) fn longest(span: Millis) -> Millis {
+        span + Millis(span.0 / DRIFT_DIVISOR)
+    }
+
     /// Returns the highest time that the store's clock may show at `now`.
     pub(crate) fn at_most(&self, now: Millis) -> Option<Millis> {
         let (at, clock_ms) = self.bound?;
