Log the open jobs that a new leader has found

After a loss of power it could not be seen whether the next leader knew an accepted job: leader_loaded has only the number of all jobs, and job_learned is not logged while loading. jobs_loaded shows, for each of at most 16 queues, how many jobs are open, how many have no run, and the oldest and the newest with their ages by the Unix clock. It costs one pass over the jobs for each change of leader.

The test failed before because there was no such line.

--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -7,12 +7,14 @@
         DesiredState, JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue,
         RowVersion, StepKey, StepProgress, TaskKey, ToMember,
     },
-    JobId, Millis,
+    JobId, Millis, QueueName,
 };
-use std::rc::Rc;
+use std::{collections::BTreeMap, rc::Rc};
 
 /// Upper bound of a recorded job's computed age, because the clocks of daemons may jump.
 const MAX_JOB_AGE_MS: u64 = 60_000;
+/// The most queues for which the jobs found by a new leader are logged.
+const MAX_LOGGED_QUEUES: usize = 16;
 
 /// A job.
 #[derive(Clone, Debug)]
@@ -205,6 +207,39 @@
         }
     }
 
+    /// Logs the open jobs that were found while loading: for each queue how many there are, how many have
+    /// no run, and the newest and the oldest of them. Logs at most [`MAX_LOGGED_QUEUES`] queues.
+    pub(crate) fn log_loaded_jobs(&self, ctx: &mut Ctx) {
+        let mut by_queue: BTreeMap<&QueueName, Vec<&Job>> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.is_open()) {
+            by_queue.entry(&job.row.queue).or_default().push(job);
+        }
+        let queues = by_queue.len();
+        for (queue, jobs) in by_queue.into_iter().take(MAX_LOGGED_QUEUES) {
+            let accepted_at = |job: &&&Job| job.row.accepted_unix_ms;
+            let (Some(oldest), Some(newest)) = (
+                jobs.iter().min_by_key(accepted_at),
+                jobs.iter().max_by_key(accepted_at),
+            ) else {
+                continue;
+            };
+            let age_ms = |job: &Job| ctx.unix_ms.saturating_sub(job.row.accepted_unix_ms);
+            let has_runs = |job: &&&Job| job.steps.iter().any(Step::has_runs);
+            let with_runs = jobs.iter().filter(has_runs).count();
+            let event = LogEvent::info("jobs_loaded")
+                .with("queue", queue)
+                .with("queues", queues)
+                .with("open", jobs.len())
+                .with("idle", jobs.len() - with_runs);
+            let event = event
+                .with("oldest", &oldest.row.id)
+                .with("oldest_ms", age_ms(oldest))
+                .with("newest", &newest.row.id)
+                .with("newest_ms", age_ms(newest));
+            ctx.log(event);
+        }
+    }
+
     /// Marks the job as started, so that its queue no longer counts it as waiting.
     pub(crate) fn mark_started(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.started) else {
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -246,6 +246,7 @@
         let event = event.with("workers_missing", missing);
         ctx.log(event.with("took_ms", ctx.now.since(self.started_at).0));
         self.attach_progress(ctx);
+        self.log_loaded_jobs(ctx);
         self.poll_workers(ctx);
         self.needs_pass = true;
     }
--- a/core/tests/cell_power_loss.rs
+++ b/core/tests/cell_power_loss.rs
@@ -481,6 +481,36 @@
     assert_completed(&world, &jobs, "an answer without rows");
 }
 
+/// Guards against a new leader whose log does not show which accepted jobs it has found.
+#[test]
+fn a_new_leader_logs_the_jobs_that_it_has_found() {
+    let mut world = fleet(DAEMONS, desired(1, queue()));
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    for id in &ids {
+        world.store.remove_worker(id.as_str());
+    }
+    world.run(2_000);
+    for job in 1..4 {
+        let call = world.submit(0, job, vec![step(1, 500)]);
+        assert!(wait_for_answer(&mut world, call), "not accepted");
+    }
+    kill_all(&mut world, DAEMONS);
+    start_all(&mut world, DAEMONS, 0, 0, 0);
+    world.run(3_000);
+    let mut lines = world.lines.iter().rev().map(|(_, _, line)| line);
+    let line = lines.find(|line| line.event == "jobs_loaded").unwrap();
+    let field = |name: &str| {
+        let found = line.fields.iter().find(|(key, _)| *key == name);
+        found.unwrap().1.as_str()
+    };
+    assert_eq!(
+        (field("queue"), field("open"), field("idle")),
+        ("q", "3", "3")
+    );
+    assert_eq!(field("oldest"), "0000000000000001");
+    assert_eq!(field("newest"), "0000000000000003");
+}
+
 /// A seeded generator of pseudorandom numbers.
 struct Rng(u64);
 
