--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -6,6 +6,7 @@
         consts,
         leader::Leader,
         node::{reply_name, Ctx, RpcOwner},
+        store_clock::StoreClock,
         submissions::partition_name,
         LogEvent, Row, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
     },
@@ -59,6 +60,8 @@
     retry_at: Millis,
     /// How many reads of each table have failed in a row.
     failures: BTreeMap<Table, u32>,
+    /// A reading of the store's clock, and the leader's time when it arrived.
+    clock: Option<(Millis, Millis)>,
     is_done: bool,
 }
 
@@ -81,6 +84,7 @@
             feeds: BTreeMap::new(),
             retry_at: Millis(0),
             failures: BTreeMap::new(),
+            clock: None,
             is_done: false,
         }
     }
@@ -92,6 +96,12 @@
         self.is_done
     }
 
+    /// Returns the time by which the store's clock certainly shows `clock_ms`, if it has been read.
+    pub(crate) fn time_at_clock(&self, clock_ms: Millis) -> Option<Millis> {
+        let (read_ms, read_at) = self.clock?;
+        Some(read_at + StoreClock::longest(clock_ms.since(read_ms)))
+    }
+
     /// Counts a failed read; logs the 1st, 2nd, 4th, 8th and so on of a series.
     fn on_failed_read(&mut self, ctx: &mut Ctx, table: Table, reply: &str) {
         let failures = self.failures.entry(table).or_default();
@@ -177,11 +187,14 @@
             rows,
             more,
             version,
-            ..
+            clock_ms,
         } = reply
         else {
             return self.loader.retry_scan(ctx, scan, reply_name(&reply));
         };
+        self.loader.clock = clock_ms
+            .map(|clock_ms| (clock_ms, ctx.now))
+            .or(self.loader.clock);
         // A row whose key can't be read has an empty one.
         let mut keys = rows.iter().rev().map(|row| &row.key.key);
         let last_key = keys.find(|key| !key.is_empty()).cloned();
@@ -241,6 +254,7 @@
         let event = event.with("workers_missing", missing);
         ctx.log(event.with("took_ms", ctx.now.since(self.started_at).0));
         self.attach_progress(ctx);
+        self.log_loaded_jobs(ctx);
         self.poll_workers(ctx);
         self.needs_pass = true;
     }
