Keep the rows of jobs and of their progress within the store's limits

Callers would see a cell in which nothing starts any more: one job with more than about 1,650 placed tasks made its progress row larger than the store takes. The store refused the transaction, which holds up to 45 jobs, and the leader repeated the same one for ever; ends of the tasks of all these jobs were not acknowledged either. A job of 1,000 steps was answered with 503 for ever, as were the jobs that were submitted with it to the same partition.

Cause: nothing compared the size of a row or of a transaction with the limits of the store.

Fix: - Upper bounds of the encoded sizes (`row_size.rs`). The emulated store of all tests in virtual time asserts for each row that is written that the bound holds. - A pass places tasks of a job only as far as its row has room for their placements; the others follow as these end. The check uses counters of the step, not its tasks. - A row without room for its checkpoints is written without them (`checkpoints_unrecorded`), so that they can't keep the job from being placed. The failed runs of tasks that have succeeded are dropped. - Transactions hold at most 650,000 bytes before base64, those of submissions as well. - After a refusal for the content (400, 413, 422) the jobs of the write are written one by one; one that is refused alone is repeated every 2 s and holds up no other. - A submission whose row, or whose gang, can't be recorded is answered as malformed.

No format changes, so rows of earlier versions stay readable and earlier versions read the new ones.

Ruled out: a more compact encoding of placements alone moves the limit but does not remove it. Not covered: a running leader of an earlier version still writes rows of any size.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -52,6 +52,14 @@
 /// The most rows that a transaction changes; each counts twice against the store's limit of 100.
 pub const MAX_BATCH_ROWS: usize = 45;
 
+/// The most bytes of the rows that a transaction writes, by their upper bound and before they are
+/// encoded as base64; the store takes 1 MB.
+pub const MAX_BATCH_BYTES: usize = 650_000;
+/// How long a write of one row that the store refuses for its content is not repeated.
+pub const REFUSED_ROW_RETRY_MS: Millis = Millis(2_000);
+/// The length of a worker's id that the limit of a gang's size assumes, in bytes.
+pub const ASSUMED_WORKER_ID_BYTES: usize = 40;
+
 /// How long a submission that the store refuses is retried before the client gets a refusal: a
 /// quarter of the shortest latency objective.
 pub const SUBMIT_REFUSED_TIMEOUT_MS: Millis = Millis(400);
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -216,6 +216,11 @@
             accepted_unix_ms: ctx.unix_ms,
             queue_spec: Some(Box::new(queue.clone())),
         };
+        if let Some(fault) = job.size_error(ctx.settings.max_value_bytes()) {
+            let event = LogEvent::warn("job_malformed").with("job", &job.id);
+            ctx.log(event.with("reason", fault));
+            return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
+        }
         submissions.add_client(ctx, call, job);
     }
 
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -64,6 +64,8 @@
 pub struct Leader {
     token: FencingToken,
     generation: u32,
+    /// The most bytes of a row's value before it is encoded as base64.
+    max_value_bytes: usize,
     started_at: Millis,
     /// The time of the event that is being handled.
     now: Millis,
@@ -101,6 +103,7 @@
         let mut leader = Self {
             token,
             generation,
+            max_value_bytes: ctx.settings.max_value_bytes(),
             started_at: ctx.now,
             now: ctx.now,
             state: None,
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -10,7 +10,7 @@
             fleet::WorkerIx,
             jobs::Job,
             schedule::MAX_CLOCK_AGE_MS,
-            step::TaskRun,
+            step::{Step, TaskRun},
             worker::{Run, RunPhase},
             worker_rpcs::RecordedStart,
             Leader,
@@ -61,6 +61,15 @@
         self.add_run(ix, &task, run);
     }
 
+    /// Returns how many more placements a job's row can hold. Checkpoints are not counted: they are left
+    /// out of a row that has no room for them.
+    pub(crate) fn row_headroom(&self, job: &Job, placement_bytes: usize) -> u64 {
+        let runs: usize = job.steps.iter().map(Step::run_count).sum();
+        let used = job.progress.max_base_bytes() + runs * placement_bytes;
+        let free = self.max_value_bytes.saturating_sub(used);
+        (free / placement_bytes) as u64
+    }
+
     /// Returns a job's progress with the placements of its tasks, as it is written to the store.
     pub(crate) fn progress_with_placements(&self, job: &Job) -> Progress {
         let mut progress = job.progress.clone();
--- a/core/src/cell/leader/progress_writes.rs
+++ b/core/src/cell/leader/progress_writes.rs
@@ -32,6 +32,11 @@
     /// The unanswered writes; a job is in one of them at most.
     in_flight: Vec<InFlightWrite>,
     retry_at: Millis,
+    /// The jobs of refused writes and when they may be written again: each in a write of its own, so
+    /// that one whose row can't be stored does not hold up others.
+    refused: BTreeMap<JobId, Millis>,
+    /// The jobs whose rows had no room for their checkpoints.
+    without_checkpoints: BTreeSet<JobId>,
     /// The workers whose ended runs may be acknowledged only after these writes.
     waiting_workers: BTreeSet<WorkerIx>,
     /// The unanswered removals of ended jobs.
@@ -58,13 +63,21 @@
     }
 
     /// Removes and returns the jobs of the next write: the first changed jobs that are in no
-    /// unanswered write.
-    fn next_batch(&mut self) -> Vec<JobId> {
+    /// unanswered write, or one job whose last write was refused.
+    fn next_batch(&mut self, now: Millis) -> Vec<JobId> {
         let unanswered: BTreeSet<&JobId> =
             self.in_flight.iter().flat_map(InFlightWrite::ids).collect();
         let (mut batch, mut remaining) = (Vec::new(), VecDeque::new());
+        let mut max_rows = consts::MAX_BATCH_ROWS;
         for id in std::mem::take(&mut self.dirty) {
-            if batch.len() < consts::MAX_BATCH_ROWS && !unanswered.contains(&id) {
+            let may_join = match self.refused.get(&id) {
+                Some(retry_at) => batch.is_empty() && now >= *retry_at,
+                None => batch.len() < max_rows,
+            };
+            if may_join && !unanswered.contains(&id) {
+                if self.refused.contains_key(&id) {
+                    max_rows = 1;
+                }
                 self.dirty_set.remove(&id);
                 batch.push(id);
             } else {
@@ -75,6 +88,25 @@
         batch
     }
 
+    /// Puts back the jobs that did not fit into a write, ahead of the others.
+    fn return_unsent(&mut self, ids: Vec<JobId>) {
+        for id in ids.into_iter().rev() {
+            if self.dirty_set.insert(id.clone()) {
+                self.dirty.push_front(id);
+            }
+        }
+    }
+
+    /// Notes that the store refused a write for its content.
+    fn on_content_refused(&mut self, now: Millis, jobs: &[(JobId, u64)]) {
+        let retry_at = match jobs.len() {
+            1 => now + consts::REFUSED_ROW_RETRY_MS,
+            _ => now,
+        };
+        let retries = jobs.iter().map(|(id, _)| (id.clone(), retry_at));
+        self.refused.extend(retries);
+    }
+
     pub(crate) fn add_waiting_worker(&mut self, ix: WorkerIx) {
         self.waiting_workers.insert(ix);
     }
@@ -135,6 +167,7 @@
         let call = StoreCall::Write(write);
         ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
         for id in jobs {
+            self.progress_writes.without_checkpoints.remove(id);
             self.jobs.remove(id);
         }
         ctx.log(LogEvent::info("jobs_swept").with("count", jobs.len()));
@@ -155,7 +188,7 @@
         if !may_write || writes.dirty.is_empty() {
             return;
         }
-        let ids = writes.next_batch();
+        let ids = writes.next_batch(ctx.now);
         if ids.is_empty() {
             return;
         }
@@ -166,16 +199,37 @@
             remove: Vec::new(),
         };
         let mut batch = Vec::with_capacity(ids.len());
+        let (mut write_bytes, mut unsent) = (0, Vec::new());
         for id in ids {
             let Some(job) = self.jobs.get(&id) else {
+                self.progress_writes.refused.remove(&id);
+                self.progress_writes.without_checkpoints.remove(&id);
                 continue;
             };
+            if write_bytes > consts::MAX_BATCH_BYTES {
+                unsent.push(id);
+                continue;
+            }
+            let mut progress = Box::new(self.progress_with_placements(job));
+            if progress.max_encoded_bytes() > self.max_value_bytes {
+                for step in &mut progress.steps {
+                    step.checkpoints.clear();
+                }
+                if self.progress_writes.without_checkpoints.insert(id.clone()) {
+                    ctx.log(LogEvent::warn("checkpoints_unrecorded").with("job", &id));
+                }
+            }
+            write_bytes += progress.max_encoded_bytes();
+            if write_bytes > consts::MAX_BATCH_BYTES && !batch.is_empty() {
+                unsent.push(id);
+                continue;
+            }
             let key = progress_key(&id);
             write.expect.push((key.clone(), job.progress_version));
-            let progress = Box::new(self.progress_with_placements(job));
             write.put.push((key, RowValue::Progress(progress)));
             batch.push((id, job.edits));
         }
+        self.progress_writes.return_unsent(unsent);
         let call = StoreCall::Write(write);
         let rpc = ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
         self.progress_writes.in_flight.push(InFlightWrite {
@@ -201,6 +255,7 @@
         match reply {
             StoreReply::Written(version) => {
                 for (id, edits) in batch {
+                    self.progress_writes.refused.remove(&id);
                     self.on_progress_stored(ctx, &id, edits, version);
                 }
                 self.acknowledge_stored_ends(ctx);
@@ -223,7 +278,12 @@
                     .for_each(|(id, _)| self.progress_writes.mark_dirty(id));
             }
             _ => {
-                self.progress_writes.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+                match reply {
+                    StoreReply::Refused(400 | 413 | 422) => {
+                        self.progress_writes.on_content_refused(ctx.now, &batch);
+                    }
+                    _ => self.progress_writes.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS,
+                }
                 let event = LogEvent::warn("progress_unwritten").with("jobs", batch.len());
                 ctx.log(event.with("reply", format_args!("{reply:?}")));
                 batch
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -244,6 +244,7 @@
             if job.steps[at].set_done(index) {
                 job.progress.steps[at].set_done(index);
                 job.progress.steps[at].checkpoints.remove(&index);
+                job.progress.steps[at].failed.remove(&index);
                 changed = true;
             }
         }
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -13,6 +13,7 @@
             Leader,
         },
         node::Ctx,
+        row_size::max_placement_bytes,
         AdviceCost, DesiredState, Queue, StepKey, TaskKey,
     },
     Millis, Resources, TeamName,
@@ -55,6 +56,8 @@
     pub(crate) workers: Vec<(WorkerIx, Resources)>,
     /// The maximum of each resource that is left on any of `workers`.
     largest_free: Resources,
+    /// The most bytes that the placement of a task takes in the row of its job.
+    pub(crate) placement_bytes: usize,
 }
 
 impl SchedulingPass {
@@ -112,12 +115,15 @@
     /// Creates the state of a pass at `now` from the free room of all usable workers.
     fn start_pass(&self, now: Millis) -> SchedulingPass {
         let workers = self.fleet.iter();
+        let ids = self.fleet.iter().map(|(_, worker)| &worker.entry.id);
+        let longest_id = ids.map(|id| id.as_str().len()).max();
         let usable = workers.filter(|(_, worker)| worker.is_usable(now, MAX_CLOCK_AGE_MS));
         let mut pass = SchedulingPass {
             reserved: BTreeMap::new(),
             reserved_gangs: 0,
             workers: usable.map(|(ix, worker)| (ix, worker.free())).collect(),
             largest_free: Resources::default(),
+            placement_bytes: max_placement_bytes(longest_id.unwrap_or(0)),
         };
         pass.update_largest_free();
         pass
@@ -186,6 +192,7 @@
         let min_tasks = if spec.gang { u64::from(spec.count) } else { 1 };
         let headroom = self.team_headroom(state, job.row.team.as_ref(), &spec.need);
         let has_plan = job.steps[at].plan.is_some();
+        let headroom = headroom.min(self.row_headroom(job, pass.placement_bytes));
         headroom >= min_tasks && (has_plan || spec.need.fits(&pass.largest_free))
     }
 
@@ -399,6 +406,7 @@
         };
         let need = job.row.submission.steps[at].need;
         let headroom = self.team_headroom(state, job.row.team.as_ref(), &need);
+        let headroom = headroom.min(self.row_headroom(job, pass.placement_bytes));
         let advice = &job.steps[at].advice;
         let (mut ready, mut expired): (Vec<Candidate>, Vec<Candidate>) =
             candidates.drain(..).partition(|candidate| {
--- a/core/src/cell/leader/step.rs
+++ b/core/src/cell/leader/step.rs
@@ -78,6 +78,11 @@
         self.runs > 0
     }
 
+    /// Returns how many runs the tasks have, those of tasks that have succeeded included.
+    pub(crate) fn run_count(&self) -> usize {
+        self.runs as usize
+    }
+
     /// Returns whether all tasks have succeeded.
     pub(crate) fn is_done(&self) -> bool {
         self.done == self.count()
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -21,6 +21,7 @@
 mod message;
 mod node;
 mod progress;
+mod row_size;
 mod settings;
 mod store;
 mod store_clock;
--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -22,6 +22,15 @@
     pub stop_grace_ms: Millis,
     /// How long the state of an ended job stays available.
     pub retention_ms: Millis,
+    /// The most bytes of a row's value in the store, as base64.
+    pub max_row_bytes: usize,
+}
+
+impl CellSettings {
+    /// Returns the most bytes of a row's value before it is encoded as base64.
+    pub fn max_value_bytes(&self) -> usize {
+        self.max_row_bytes / 4 * 3
+    }
 }
 
 /// Builds [`CellSettings`], with defaults for everything but names and the address.
@@ -40,6 +49,7 @@
             key_revocation_ms: Millis(5_000),
             stop_grace_ms: Millis(6_000),
             retention_ms: Millis(120_000),
+            max_row_bytes: 65_536,
         })
     }
 
@@ -73,6 +83,12 @@
         self
     }
 
+    /// Sets the most bytes of a row's value in the store, as base64.
+    pub fn max_row_bytes(mut self, bytes: usize) -> Self {
+        self.0.max_row_bytes = bytes;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> CellSettings {
         self.0
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -133,10 +133,16 @@
             return;
         }
         let is_not_relayed = |pending: &&PendingSubmission| pending.relay_query.is_none();
+        let mut batch_bytes = 0;
+        let fits = |pending: &&PendingSubmission| {
+            batch_bytes += pending.job.max_encoded_bytes();
+            batch_bytes <= consts::MAX_BATCH_BYTES
+        };
         let ids = partition
             .waiting
             .values()
             .filter(is_not_relayed)
+            .take_while(fits)
             .map(|pending| pending.job.id.clone());
         let ids: Vec<JobId> = ids.take(consts::MAX_BATCH_ROWS).collect();
         if ids.is_empty() {
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -12,6 +12,9 @@
 /// How far the store's clock is ahead of that of the daemons.
 const CLOCK_LEAD_MS: u64 = 7_000_000;
 
+/// The most bytes of the values of a transaction, as base64.
+const MAX_WRITE_BYTES: usize = 1_000_000;
+
 /// A store that is up unless it is told otherwise.
 pub struct FakeStore {
     pub rows: BTreeMap<RowKey, (RowVersion, RowValue)>,
@@ -31,6 +34,10 @@
     pub unreadable_page_ends: bool,
     /// How many of the next pages that are not the last one have no row that can be read.
     pub unreadable_pages: usize,
+    /// The most bytes of a row's value, as base64.
+    pub max_row_bytes: usize,
+    /// How many writes were refused because a row or the transaction was too large.
+    pub oversized: usize,
 }
 
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
@@ -48,6 +55,8 @@
             worker_reads_lost: false,
             unreadable_page_ends: false,
             unreadable_pages: 0,
+            max_row_bytes: 65_536,
+            oversized: 0,
         };
         store.put_state(state);
         store
@@ -101,7 +110,23 @@
         });
     }
 
+    /// Returns whether a row or the transaction is too large, as encoded by the daemon.
+    fn is_oversized(&self, write: &Write) -> bool {
+        let base64_bytes = |value: &RowValue| {
+            let bytes = pomelotide_wire::encode(value).unwrap().len();
+            assert!(bytes <= value.max_encoded_bytes(), "{bytes} {value:?}");
+            bytes.div_ceil(3) * 4
+        };
+        let sizes: Vec<usize> = write.put.iter().map(|(_, row)| base64_bytes(row)).collect();
+        let has_large_row = sizes.iter().any(|bytes| *bytes > self.max_row_bytes);
+        has_large_row || sizes.iter().sum::<usize>() > MAX_WRITE_BYTES
+    }
+
     fn write(&mut self, write: Write) -> StoreReply {
+        if self.is_oversized(&write) {
+            self.oversized += 1;
+            return StoreReply::Refused(400);
+        }
         let has = |key: &RowKey| self.rows.get(key).map_or(RowVersion(0), |row| row.0);
         if write
             .expect
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -74,6 +74,7 @@
         .key_revocation_ms(cell.key_revocation_ms)
         .stop_grace_ms(settings.drain_grace_ms)
         .retention_ms(cell.retention_ms)
+        .max_row_bytes(cell.max_row_bytes)
         .build(),
         now(),
         unix_ms(),
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -47,6 +47,8 @@
     pub key_revocation_ms: Millis,
     /// How long an ended job can be queried, in milliseconds.
     pub retention_ms: Millis,
+    /// The most bytes of a row's value in the store, as base64.
+    pub max_row_bytes: usize,
 }
 
 /// Builds [`Settings`] from defaults.
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldSpec; 15] = [
+const FIELDS: [FieldSpec; 16] = [
     FieldSpec {
         section: "daemon",
         name: "name",
@@ -123,6 +123,13 @@
         default: Some("120s"),
         meaning: "how long an ended job can be asked for",
     },
+    FieldSpec {
+        section: "cell",
+        name: "max_row_bytes",
+        form: "a whole number",
+        default: Some("65536"),
+        meaning: "the most bytes of a row's value in the store, as base64",
+    },
 ];
 
 /// Returns the settings reference as a table in Markdown.
@@ -320,6 +327,7 @@
             max_lease_ms: duration_ms(self, "max_lease", 10_000),
             key_revocation_ms: duration_ms(self, "revoke", 5_000),
             retention_ms: duration_ms(self, "retention", 120_000),
+            max_row_bytes: self.get("cell", "max_row_bytes").unwrap_or(65_536),
         })
     }
 
