Bound the leader's lease row and the run numbers of workers' lists

Two values that can be read and that no daemon writes stopped work for ever:

- A lease row that ends far in the future: callers would get no work done after the leader's death, since no daemon tried to lead.
The row is written before it is seen, so its lease ends at most one lease after that; later ends are cut to that.
- A run with a number near the largest one among the active runs of a worker: it was taken as a run that no placement records, raised the task's last number, and was stopped.
Run numbers saturate there, and a worker refuses all runs up to one that was stopped, so the task never started again.
Numbers more than a million above those of earlier leaders count as rows that can't be read: they are neither stopped nor counted, and the worker gets no work while it lists them.

The simulated worker forgot the highest stopped run when a lower one ended; it keeps it now, as the protocol says.

Ruled out, by tests that passed before, too: progress with too few or too many steps, with numbers out of range, and with a placement of the largest number on an unknown worker; a generation of u32::MAX - 1 while no run of a task fails on all workers.

--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -438,8 +438,10 @@
         if let (Some(until_ms), Some(clock_ms)) = (until_ms, clock_ms) {
             // The store's clock shows at least `clock_ms` by now, so the lease expires no later.
             let expires_at = ctx.now + until_ms.since(clock_ms);
-            let known = self.lease_expires_at.unwrap_or(expires_at);
-            self.lease_expires_at = Some(expires_at.min(known));
+            // The row was written before it was seen, so a later end is malformed.
+            let latest = self.lease_seen_at + consts::LEADER_LEASE_MS;
+            let known = self.lease_expires_at.unwrap_or(latest);
+            self.lease_expires_at = Some(expires_at.min(known).min(latest));
         }
         self.lease = lease;
         self.term = term.0;
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -26,6 +26,9 @@
 const MAX_END_NUMBER: u64 = 1 << 53;
 /// The most ended runs that a worker lists at a time.
 const MAX_LISTED_ENDS: u64 = 500;
+/// How far above the first run number of the current leader a listed run may be. No leader places a
+/// higher one, and a stop of it would make its worker refuse all later runs of the task.
+const MAX_RUN_NUMBERS_AHEAD: u32 = 1_000_000;
 
 impl Leader {
     /// Handles a worker's lists of runs, which were requested at `sent_at`, and the rows of these lists
@@ -36,10 +39,15 @@
         ix: WorkerIx,
         sent_at: Millis,
         clock: Millis,
-        view: WorkerRuns,
+        mut view: WorkerRuns,
         unreadable: &UnreadableRows,
     ) {
         self.detect_restart(ctx, ix, &view);
+        let listed = view.active.len();
+        let first_run = self.first_run();
+        let max_run = first_run.saturating_add(MAX_RUN_NUMBERS_AHEAD);
+        view.active.retain(|run| run.run <= max_run);
+        let unreadable_runs = unreadable.active + (listed - view.active.len()) as u32;
         let worker = self.fleet.get_mut(ix);
         if !worker.has_reported {
             let event = LogEvent::info("worker_held").with("worker", &worker.entry.id);
@@ -58,7 +66,7 @@
             self.on_finished(ctx, ix, end);
         }
         self.skip_unreadable_ends(ctx, ix, unreadable);
-        self.note_unreadable_runs(ctx, ix, unreadable.active);
+        self.note_unreadable_runs(ctx, ix, unreadable_runs);
         self.reconcile_active(ctx, ix, sent_at, &view.active);
         let worker = self.fleet.get_mut(ix);
         if worker.unstored.is_empty() {
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -488,8 +488,12 @@
 
     /// Returns a run number above all that this and earlier leaders may have used.
     pub(crate) fn next_run(&self, last: u32) -> u32 {
+        self.first_run().max(last).saturating_add(1)
+    }
+
+    /// Returns the highest run number that earlier leaders are expected to have used.
+    pub(crate) fn first_run(&self) -> u32 {
         let earlier_leaders = self.generation.saturating_sub(1);
-        let first = earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER);
-        first.max(last).saturating_add(1)
+        earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER)
     }
 }
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -151,7 +151,8 @@
         self.last_end += 1;
         self.spans[active.span].end = Some(now);
         self.spans[active.span].done = how == RunOutcome::Done;
-        self.stopped.insert(task.clone(), active.run);
+        let last = self.stopped.entry(task.clone()).or_default();
+        *last = (*last).max(active.run);
         self.finished.push(FinishedRun {
             number: self.last_end,
             task: task.clone(),
