--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -14,6 +14,7 @@
             Leader,
         },
         node::Ctx,
+        row_size::max_placement_bytes,
         AdviceCost, DesiredState, Queue, StepKey, TaskKey,
     },
     Millis, Resources, TeamName,
@@ -64,6 +65,8 @@
     largest_free: Resources,
     /// The teams of which the pass has found a step that the team's limit blocks.
     pub(crate) blocked_teams: BTreeSet<TeamName>,
+    /// The most bytes that the placement of a task takes in the row of its job.
+    pub(crate) placement_bytes: usize,
 }
 
 impl SchedulingPass {
@@ -132,6 +135,8 @@
     /// Creates the state of a pass at `now` from the free room of all usable workers.
     fn start_pass(&self, now: Millis) -> SchedulingPass {
         let workers = self.fleet.iter();
+        let ids = self.fleet.iter().map(|(_, worker)| &worker.entry.id);
+        let longest_id = ids.map(|id| id.as_str().len()).max();
         let usable = workers.filter(|(_, worker)| worker.is_usable(now, MAX_CLOCK_AGE_MS));
         let mut pass = SchedulingPass {
             reserved: BTreeMap::new(),
@@ -140,6 +145,7 @@
             workers: usable.map(|(ix, worker)| (ix, worker.free())).collect(),
             largest_free: Resources::default(),
             blocked_teams: BTreeSet::new(),
+            placement_bytes: max_placement_bytes(longest_id.unwrap_or(0)),
         };
         pass.update_largest_free();
         pass
@@ -304,6 +310,7 @@
         let spec = &job.row.submission.steps[at];
         let headroom = self.team_headroom(state, job, at);
         let has_plan = job.steps[at].plan.is_some();
+        let headroom = headroom.min(self.row_headroom(job, pass.placement_bytes));
         headroom >= min_tasks(job, at) && (has_plan || spec.need.fits(&pass.largest_free))
     }
 
@@ -519,6 +526,7 @@
         };
         let need = job.row.submission.steps[at].need;
         let headroom = self.team_headroom(state, job, at);
+        let headroom = headroom.min(self.row_headroom(job, pass.placement_bytes));
         let advice = &job.steps[at].advice;
         let (mut ready, mut expired): (Vec<Candidate>, Vec<Candidate>) =
             candidates.drain(..).partition(|candidate| {
@@ -595,8 +603,12 @@
 
     /// Returns a run number above all that this and earlier leaders may have used.
     pub(crate) fn next_run(&self, last: u32) -> u32 {
+        self.first_run().max(last).saturating_add(1)
+    }
+
+    /// Returns the highest run number that earlier leaders are expected to have used.
+    pub(crate) fn first_run(&self) -> u32 {
         let earlier_leaders = self.generation.saturating_sub(1);
-        let first = earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER);
-        first.max(last).saturating_add(1)
+        earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER)
     }
 }
