Apply the recorded end of a lease to all adopted placements of its worker

A caller would see a task run twice at the same time (TWICE).

A leader records the end of the lease of a silent worker with the placements in the rows of their jobs. It clears the record in the rows of the jobs that still have runs on the worker before it renews the lease. The row of a job whose last run there has ended is not waited for, so it may still hold the end after the lease was renewed for runs of other jobs. A next leader that read it applied the end to the worker, and wrote it into the rows of those other jobs. The leader after that took their runs for ended and started their tasks, while the worker was alive under the later lease.

An end that is read now covers the latest lease that any adopted placement of the worker may have. The record is kept rather than dropped: the row with the outdated end is still in the store, so the lease may not be renewed before it is rewritten.

--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -259,7 +259,11 @@
             let worker = self.fleet.get_mut(ix);
             worker.lease_expires_at = worker.lease_expires_at.max(lease_expires_at);
             if let Some(ends_ms) = worker.lease_record.ends_ms().max(placement.lease_ends_ms) {
-                worker.lease_record = LeaseRecord::EndsAt(ends_ms);
+                // The row may be older than the last renewal, so the end also covers the placements on
+                // the worker that have none.
+                let latest_ms = ctx.store_clock.at_most(worker.lease_expires_at);
+                worker.lease_record =
+                    LeaseRecord::EndsAt(ends_ms.max(latest_ms.unwrap_or(ends_ms)));
             }
         }
     }
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -109,6 +109,11 @@
         self.version
     }
 
+    /// Returns what the store's clock shows at `now_ms`.
+    pub fn clock_ms(now_ms: u64) -> Millis {
+        Millis(CLOCK_LEAD_MS + now_ms)
+    }
+
     /// Writes a desired state as an operator does.
     pub fn put_state(&mut self, state: DesiredState) {
         self.version += 1;
@@ -226,7 +231,7 @@
             rows,
             more,
             version: RowVersion(self.version),
-            clock_ms: Some(Millis(CLOCK_LEAD_MS + now_ms)),
+            clock_ms: Some(Self::clock_ms(now_ms)),
         }
     }
 
@@ -338,7 +343,7 @@
                 rows,
                 more,
                 version,
-                clock_ms: Some(Millis(CLOCK_LEAD_MS + now_ms + wait_ms)),
+                clock_ms: Some(Self::clock_ms(now_ms + wait_ms)),
             },
         )
     }
