Reserve no part of a team's limit for a step that no worker can run

Cause: a reservation depended on the team's limit only. For a gang whose label no worker has, it was made, timed out after 2.5 s of underuse and was made again after the pause. Only the first blocked step of a team is considered in a pass, so the reservation of a later gang was never made.

Now the workers that serve the queue, have the label and are not denied must be able to hold the tasks if nothing else ran on them; otherwise the next blocked step is considered. The check is O(workers). It is made only if the team has no reservation and no pause, and for at most 16 steps a pass.

Not covered: a gang whose workers exist but are occupied by others.

--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -12,7 +12,7 @@
 use crate::{
     cell::{
         consts,
-        leader::{jobs::Job, schedule::SchedulingPass, Leader},
+        leader::{advice::Permission, jobs::Job, schedule::SchedulingPass, Leader},
         node::Ctx,
         DesiredState, LogEvent, StepKey, Team,
     },
@@ -27,6 +27,8 @@
 const MIN_RESERVATION_MS: Millis = Millis(4_000);
 /// How long a reservation lasts at most.
 const MAX_RESERVATION_MS: Millis = Millis(64_000);
+/// For how many steps a pass checks whether the workers could run them at all.
+const MAX_CHECKED_STEPS: usize = 16;
 /// How long a reservation may last while the team uses less than half of its limit.
 const MAX_UNDERUSE_MS: Millis = Millis(2_500);
 
@@ -121,9 +123,15 @@
         }
     }
 
-    /// Reserves a part of a team's limit for a step, unless another part is reserved or the pause after
-    /// the last reservation is not over. Returns whether it is reserved now and was not before.
-    fn reserve(&mut self, now: Millis, team: &TeamName, step: &StepKey, need: Resources) -> bool {
+    /// Returns whether a part of a team's limit may be reserved now: no other part is, and the pause
+    /// after the last reservation is over.
+    fn may_reserve(&self, now: Millis, team: &TeamName) -> bool {
+        let team = self.teams.get(team);
+        team.is_none_or(|team| team.current.is_none() && now >= team.paused_until)
+    }
+
+    /// Reserves a part of a team's limit for a step.
+    fn reserve(&mut self, now: Millis, team: &TeamName, step: &StepKey, need: Resources) {
         let team = self
             .teams
             .entry(team.clone())
@@ -132,9 +140,6 @@
                 duration_ms: MIN_RESERVATION_MS,
                 paused_until: now,
             });
-        if team.current.is_some() || now < team.paused_until {
-            return false;
-        }
         team.current = Some(Reservation {
             step: step.clone(),
             need,
@@ -142,7 +147,6 @@
             underused_since: None,
             is_used: false,
         });
-        true
     }
 }
 
@@ -219,16 +223,54 @@
         let (need, limit) = (spec.need.times(count), effective_limit(team));
         let is_blocked = self.team_headroom(state, job, at) < count;
         // A step that exceeds the whole limit can never start.
-        if !is_blocked || !need.fits(&limit) || !pass.blocked_teams.insert(team.name.clone()) {
+        if !is_blocked || !need.fits(&limit) || pass.blocked_teams.contains(&team.name) {
             return;
         }
         let is_large = spec.gang || !need.times(2).fits(&limit);
         let waiting_since = job.steps[at].waiting_since.unwrap_or(ctx.now);
         let is_stalled = ctx.now.since(waiting_since) >= consts::STALL_THRESHOLD_MS;
+        let may_reserve = self.limit_reservations.may_reserve(ctx.now, &team.name);
+        if !may_reserve || !(is_large || is_stalled) {
+            pass.blocked_teams.insert(team.name.clone());
+            return;
+        }
+        // A step that the workers can't run must not block the team's other steps.
+        if pass.checked_steps >= MAX_CHECKED_STEPS {
+            return;
+        }
+        pass.checked_steps += 1;
+        if !self.has_workers_for(state, job, at) {
+            return;
+        }
+        pass.blocked_teams.insert(team.name.clone());
         let reservations = &mut self.limit_reservations;
-        if (is_large || is_stalled) && reservations.reserve(ctx.now, &team.name, key, need) {
-            let event = LogEvent::info("limit_reserved").with("step", key);
-            ctx.log(event.with("team", &team.name).with("need", need));
+        reservations.reserve(ctx.now, &team.name, key, need);
+        let event = LogEvent::info("limit_reserved").with("step", key);
+        ctx.log(event.with("team", &team.name).with("need", need));
+    }
+
+    /// Returns whether the workers that may run a step could hold the tasks that must start at the same
+    /// time, if nothing else ran on them.
+    fn has_workers_for(&self, state: &DesiredState, job: &Job, at: usize) -> bool {
+        let Some(queue) = state.queue(&job.row.queue) else {
+            return false;
+        };
+        let (spec, advice) = (&job.row.submission.steps[at], &job.steps[at].advice);
+        let max_on_worker = spec.per_worker.map_or(u64::MAX, u64::from);
+        let mut missing = min_tasks(job, at);
+        for (ix, worker) in self.fleet.iter() {
+            let serves = worker.listed && worker.entry.service == queue.service;
+            let label = spec.requirement.as_ref();
+            let is_denied = queue.advice.is_some()
+                && matches!(advice.permissions.get(&ix), Some(Permission::Denied));
+            if serves && !is_denied && label.is_none_or(|label| worker.has_label(label)) {
+                let slots = spec.need.count_in(&worker.entry.capacity);
+                missing = missing.saturating_sub(slots.min(max_on_worker));
+            }
+            if missing == 0 {
+                return true;
+            }
         }
+        false
     }
 }
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -65,6 +65,8 @@
     largest_free: Resources,
     /// The teams of which the pass has found a step that the team's limit blocks.
     pub(crate) blocked_teams: BTreeSet<TeamName>,
+    /// For how many steps the pass has checked whether the workers could run them at all.
+    pub(crate) checked_steps: usize,
     /// The most bytes that the placement of a task takes in the row of its job.
     pub(crate) placement_bytes: usize,
 }
@@ -145,6 +147,7 @@
             workers: usable.map(|(ix, worker)| (ix, worker.free())).collect(),
             largest_free: Resources::default(),
             blocked_teams: BTreeSet::new(),
+            checked_steps: 0,
             placement_bytes: max_placement_bytes(longest_id.unwrap_or(0)),
         };
         pass.update_largest_free();
--- a/core/tests/cell_review.rs
+++ b/core/tests/cell_review.rs
@@ -1,12 +1,12 @@
-//! Recorded ends of leases whose rows are out of date when a leader reads them, in virtual time.
+//! Outdated rows of placements, and steps that no worker can run, in virtual time.
 
 #![allow(clippy::unwrap_used)]
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, FakeStore, World};
+use cell_world::{desired, gang, queue, queue_with_advice, starts_of, step, FakeStore, World};
 use pomelotide_core::{
-    cell::{Placement, Progress, RowValue, StepProgress, Table},
+    cell::{Placement, Progress, RowValue, StepProgress, StepSpec, Table},
     JobId,
 };
 
@@ -76,3 +76,79 @@
     doubled.retain(|(task, _)| task.step.job == job);
     assert!(doubled.is_empty(), "{doubled:?}; recorded: {recorded:?}");
 }
+
+/// Returns the longest wait of small jobs that arrive one by one, with calls for advice of `advice_ms`
+/// whose tickets are valid for `ticket_ms`, beside a gang that no worker can run if `gang_label` is
+/// one that no worker has.
+fn longest_wait_ms(advice_ms: u64, ticket_ms: u64, gang_label: Option<&str>) -> u64 {
+    let mut state = desired(1, queue_with_advice(advice_ms * 1_000, 0, ticket_ms));
+    state.teams[0].limit.cpu_milli = 12_000;
+    let mut world = World::new(3, 12, state);
+    world.advice_ms = advice_ms;
+    for worker in world.workers.values_mut() {
+        worker.ticket_valid_ms = Some(ticket_ms);
+    }
+    world.run(3_000);
+    if let Some(label) = gang_label {
+        let hopeless = StepSpec {
+            requirement: Some(label.into()),
+            ..gang(12, 1_000)
+        };
+        world.submit(0, 1, vec![hopeless]);
+        world.run(500);
+    }
+    let mut sent_at = Vec::new();
+    for job in 2..150 {
+        sent_at.push((job, world.now));
+        world.submit(0, job, vec![step(1, 500)]);
+        world.run(200);
+    }
+    world.run(10_000);
+    let starts = world.starts();
+    let wait_ms = |(job, sent_at): (u64, u64)| {
+        let name = format!("{job:016x}");
+        let mut own = starts.iter().filter(|start| start.1.starts_with(&name));
+        own.next().map_or(u64::MAX, |start| start.3 - sent_at)
+    };
+    sent_at.into_iter().map(wait_ms).max().unwrap()
+}
+
+/// Guards against small jobs that wait, again and again, for a part of their team's limit that is
+/// reserved for a gang which no worker can run (LOST).
+#[test]
+fn no_limit_is_reserved_for_a_gang_that_no_worker_can_run() {
+    for (advice_ms, ticket_ms) in [(100, 4_000), (200, 1_500), (300, 2_000)] {
+        let alone_ms = longest_wait_ms(advice_ms, ticket_ms, None);
+        let beside_ms = longest_wait_ms(advice_ms, ticket_ms, Some("none"));
+        assert!(
+            beside_ms <= alone_ms + 200,
+            "advice of {advice_ms} ms: {beside_ms} ms beside the gang, {alone_ms} ms without it"
+        );
+    }
+}
+
+/// Guards against a gang for which no part of its team's limit is reserved because another gang, which
+/// no worker can run, comes before it.
+#[test]
+fn a_gang_behind_one_that_no_worker_can_run_starts_beside_small_tasks() {
+    let mut state = desired(1, queue());
+    state.teams[0].limit.cpu_milli = 12_000;
+    let mut world = World::new(3, 12, state);
+    world.run(3_000);
+    for job in 1..40 {
+        world.submit(0, job, vec![step(1, 1_000)]);
+        world.run(80);
+    }
+    let hopeless = StepSpec {
+        requirement: Some("none".into()),
+        ..gang(12, 1_000)
+    };
+    world.submit(0, 100, vec![hopeless]);
+    world.run(100);
+    world.submit(0, 101, vec![gang(12, 1_000)]);
+    for job in 200..400 {
+        world.submit(0, job, vec![step(1, 1_000)]);
+        world.run(80);
+    }
+    assert_eq!(starts_of(&world, 101), 12);
+}
