Test small jobs beside a gang whose workers another team uses

A reservation lasts up to 2.5 s of underuse. Tickets that expire meanwhile are renewed only after it, one call a job, so the wait passes 3 s. It is made again after each pause, as the gang finds no room for as long as the others run.

The workers of the other tests of a reservation are occupied in the same way now; their bounds are unchanged.

--- a/core/tests/cell_review.rs
+++ b/core/tests/cell_review.rs
@@ -4,7 +4,10 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, starts_of, step, FakeStore, World};
+use cell_world::{
+    desired, gang, queue, queue_with_advice, starts_of, step, with_fill_queue, FakeStore, World,
+    KEY, OTHER_KEY,
+};
 use pomelotide_core::{
     cell::{Placement, Progress, RowValue, StepProgress, StepSpec, Table},
     JobId,
@@ -77,11 +80,18 @@
     assert!(doubled.is_empty(), "{doubled:?}; recorded: {recorded:?}");
 }
 
+fn set_work_ms(world: &mut World, work_ms: u64) {
+    for worker in world.workers.values_mut() {
+        worker.work_ms = work_ms;
+    }
+}
+
 /// Returns the longest wait of small jobs that arrive one by one, with calls for advice of `advice_ms`
-/// whose tickets are valid for `ticket_ms`, beside a gang that no worker can run if `gang_label` is
-/// one that no worker has.
+/// whose tickets are valid for `ticket_ms`, beside a gang with the label `gang_label`. Half of the four
+/// workers with the label "r1-0" is in use by another team.
 fn longest_wait_ms(advice_ms: u64, ticket_ms: u64, gang_label: Option<&str>) -> u64 {
-    let mut state = desired(1, queue_with_advice(advice_ms * 1_000, 0, ticket_ms));
+    let queue = queue_with_advice(advice_ms * 1_000, 0, ticket_ms);
+    let mut state = with_fill_queue(desired(1, queue));
     state.teams[0].limit.cpu_milli = 12_000;
     let mut world = World::new(3, 12, state);
     world.advice_ms = advice_ms;
@@ -89,6 +99,17 @@
         worker.ticket_valid_ms = Some(ticket_ms);
     }
     world.run(3_000);
+    let spread = StepSpec {
+        requirement: Some("r1-0".into()),
+        per_worker: Some(1),
+        ..step(4, 2_000)
+    };
+    set_work_ms(&mut world, 60_000);
+    world.key = OTHER_KEY.into();
+    world.submit_to("/fill/", 0, 1_000, vec![spread]);
+    world.key = KEY.into();
+    world.run(500);
+    set_work_ms(&mut world, 1_000);
     if let Some(label) = gang_label {
         let hopeless = StepSpec {
             requirement: Some(label.into()),
@@ -127,6 +148,19 @@
     }
 }
 
+/// Guards against small jobs that wait for 3 s for a part of their team's limit that is reserved for a
+/// gang whose workers are in use by another team (LOST).
+#[test]
+fn a_gang_whose_workers_are_in_use_does_not_stall_small_jobs() {
+    for (advice_ms, ticket_ms) in [(100, 4_000), (200, 1_500), (300, 2_000)] {
+        let wait_ms = longest_wait_ms(advice_ms, ticket_ms, Some("r1-0"));
+        assert!(
+            wait_ms < 3_000,
+            "advice of {advice_ms} ms: a small job waits for {wait_ms} ms"
+        );
+    }
+}
+
 /// Guards against a gang for which no part of its team's limit is reserved because another gang, which
 /// no worker can run, comes before it.
 #[test]
