Reserve a limit for a gang once half of its slack is over, at the latest after 3 s

A gang, or a task that needs more than half of the limit, now gets its reservation after half of the time in which it can still start in time, at most after 3 s.

--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -205,7 +205,8 @@
 
     /// Reserves a part of its team's limit for a step that the limit blocks. Only the first such step of
     /// a team in a pass is considered: late work is not placed before work that can still end in time.
-    /// Most steps start soon without a reservation, so nothing is reserved before the step has stalled.
+    /// Most steps start soon without a reservation, so nothing is reserved before the step has stalled or,
+    /// if it needs much at once, before half of the time is over in which it can still start in time.
     pub(crate) fn reserve_limit(
         &mut self,
         ctx: &mut Ctx,
@@ -227,7 +228,13 @@
             return;
         }
         let waiting_since = job.steps[at].waiting_since.unwrap_or(ctx.now);
-        let is_stalled = ctx.now.since(waiting_since) >= consts::STALL_THRESHOLD_MS;
+        let is_large = spec.gang || !need.times(2).fits(&limit);
+        let slack_ms = Millis(self.rank(key).latest_start_ms).since(waiting_since);
+        let min_wait_ms = match is_large {
+            true => Millis(slack_ms.0 / 2).min(consts::STALL_THRESHOLD_MS),
+            false => consts::STALL_THRESHOLD_MS,
+        };
+        let is_stalled = ctx.now.since(waiting_since) >= min_wait_ms;
         let may_reserve = self.limit_reservations.may_reserve(ctx.now, &team.name);
         if !may_reserve || !is_stalled {
             pass.blocked_teams.insert(team.name.clone());
--- a/core/tests/cell_reservations.rs
+++ b/core/tests/cell_reservations.rs
@@ -348,7 +348,7 @@
     let mut world = start_world(state);
     start_long_task(&mut world, 60_000);
     world.submit(0, 1, vec![gang(15, TASK_CPU_MILLI)]);
-    run_until(&mut world, 8_000, |world| world.count("limit_released") > 0);
+    run_until(&mut world, 5_000, |world| world.count("limit_released") > 0);
     // The limit allows 14 small tasks a second: 30 at once and 16 a second are too many.
     for at in 0..40 {
         let count = if at == 0 { 30 } else { 4 };
@@ -370,7 +370,7 @@
     let mut world = world_with_limit(LIMIT_CPU_MILLI);
     start_long_task(&mut world, 60_000);
     world.submit(0, 1, vec![gang(15, TASK_CPU_MILLI)]);
-    run_until(&mut world, 5_000, |world| world.count("limit_reserved") > 0);
+    run_until(&mut world, 2_000, |world| world.count("limit_reserved") > 0);
     world.submit_to("/fill/", 0, 3, vec![step(14, TASK_CPU_MILLI)]);
     world.run(500);
     assert_eq!(starts_of(&world, 3), 0, "the limit is not reserved");
@@ -416,7 +416,7 @@
     let mut world = world_with_limit(LIMIT_CPU_MILLI);
     start_long_task(&mut world, 8_000);
     world.submit(0, 1, vec![gang(15, TASK_CPU_MILLI)]);
-    run_until(&mut world, 5_000, |world| world.count("limit_reserved") > 0);
+    run_until(&mut world, 2_000, |world| world.count("limit_reserved") > 0);
     let leader = world.leader().unwrap();
     world.kill(leader);
     world.run(3_000);
