--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -6,8 +6,9 @@
 //! is followed by a pause of the same length, so that the others are never blocked for more than half
 //! of the time. If it was too short for the team's running tasks to end, the next one is longer.
 //!
-//! No step may wait for 3 s while its team uses less than half of its limit. A reservation therefore
-//! ends earlier if the step that it is for does not start soon after the team's use fell below that.
+//! By the terms of the service, no step waits for 3 s while its team uses less than half of its limit. A
+//! reservation therefore ends earlier if the step that it is for does not start soon after the team's
+//! use fell below that.
 
 use crate::{
     cell::{
