--- a/core/tests/cell_late_orders.rs
+++ b/core/tests/cell_late_orders.rs
@@ -6,7 +6,9 @@
 
 use cell_world::{
     calls::{CallFault, CallKind, RandomCallFaults},
-    desired, gang, queue, queue_with_advice, step, World,
+    desired, gang, queue, queue_with_advice,
+    seeds::{env_number, Rng},
+    step, World,
 };
 use pomelotide_core::{
     cell::{ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec},
@@ -437,19 +439,6 @@
     }
 }
 
-/// A seeded generator of pseudorandom numbers.
-struct Rng(u64);
-
-impl Rng {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % bound
-    }
-}
-
 const DAEMONS: usize = 3;
 
 fn random_queue(rng: &mut Rng) -> Queue {
@@ -601,11 +590,6 @@
     findings
 }
 
-/// Returns the number in an environment variable, if it is set.
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 /// Guards against accepted jobs that do not end, tasks that run twice, overfull workers and members of
 /// gangs that are left alone, when calls to workers are lost, carried out late and answered late. `SEED`
 /// sets the first seed and `SEEDS` the number of seeds.
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -4,7 +4,11 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, World};
+use cell_world::{
+    desired, gang, queue, queue_with_advice,
+    seeds::{env_number, Rng},
+    step, World,
+};
 use pomelotide_core::{
     cell::{ClientAnswer, Event, JobState, Queue, RunOutcome, StepSpec, Table},
     WorkerId,
@@ -180,19 +184,6 @@
     assert!(accepted > 0 && refused > 0);
 }
 
-/// A seeded generator of pseudorandom numbers.
-struct Rng(u64);
-
-impl Rng {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % bound
-    }
-}
-
 const DAEMONS: usize = 4;
 
 fn random_step(rng: &mut Rng) -> StepSpec {
@@ -347,11 +338,6 @@
     unfinished
 }
 
-/// Returns the number in an environment variable, if it is set.
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 /// Guards against accepted jobs that do not end although all faults are over. `SEED` sets the first
 /// seed and `SEEDS` the number of seeds.
 #[test]
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -4,13 +4,15 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, FakeWorker, World, KEY};
+use cell_world::{
+    desired, gang, queue, queue_with_advice, starts_of, step, with_fill_queue, FakeWorker, World,
+    KEY, OTHER_KEY,
+};
 use pomelotide_core::{
     cell::{
-        ActiveRun, DesiredState, Incarnation, StepKey, StepSpec, TaskKey, Team, WorkerAnswer,
-        WorkerRuns,
+        ActiveRun, DesiredState, Incarnation, StepKey, StepSpec, TaskKey, WorkerAnswer, WorkerRuns,
     },
-    JobId, KeyName, Millis, QueueName, Resources, TeamName,
+    JobId, Millis,
 };
 
 /// What fills a worker, in thousandths of a core.
@@ -19,8 +21,6 @@
 const LONG_ESTIMATE_MS: u64 = 60_000;
 /// The time within which a step that has room must start, in milliseconds.
 const MAX_WAIT_MS: u64 = 3_000;
-/// The key of the team "others", which has no limit.
-const OTHER_KEY: &str = "other-key";
 /// A label that no worker has.
 const NO_WORKERS_LABEL: &str = "nowhere";
 
@@ -47,19 +47,12 @@
 
 /// Returns a desired state whose teams may submit any number of jobs, with the queue "fill" without
 /// advice and the team "others" without a limit.
-fn two_queues(mut state: DesiredState) -> DesiredState {
-    state.teams[0].weight = 100_000;
-    let mut fill = queue();
-    fill.name = QueueName::new("fill");
-    fill.path_prefix = "/fill/".into();
-    state.queues.push(fill);
-    state.teams.push(Team {
-        name: TeamName::new("others"),
-        keys: vec![KeyName::new(OTHER_KEY)],
-        weight: 100_000,
-        limit: Resources::default(),
-    });
-    state.with_sorted_queues()
+fn two_queues(state: DesiredState) -> DesiredState {
+    let mut state = with_fill_queue(state);
+    for team in &mut state.teams {
+        team.weight = 100_000;
+    }
+    state
 }
 
 fn started_world(workers: usize, state: DesiredState) -> World {
@@ -69,14 +62,6 @@
     world
 }
 
-/// Returns how many tasks of a job have started.
-fn starts_of(world: &World, job: u64) -> usize {
-    let name = format!("{job:016x}");
-    let starts = world.starts();
-    let of_job = starts.iter().filter(|start| start.1.starts_with(&name));
-    of_job.count()
-}
-
 fn set_work_ms(world: &mut World, work_ms: u64) {
     for worker in world.workers.values_mut() {
         worker.work_ms = work_ms;
--- a/core/tests/cell_power_loss.rs
+++ b/core/tests/cell_power_loss.rs
@@ -4,7 +4,11 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, World};
+use cell_world::{
+    desired, gang, queue, queue_with_advice,
+    seeds::{env_number, Rng},
+    step, World,
+};
 use pomelotide_core::cell::{ClientAnswer, DesiredState, Queue, StepSpec};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -511,23 +515,6 @@
     assert_eq!(field("newest"), "0000000000000003");
 }
 
-/// A seeded generator of pseudorandom numbers.
-struct Rng(u64);
-
-impl Rng {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % bound
-    }
-
-    fn one_in(&mut self, count: u64) -> bool {
-        self.below(count) == 0
-    }
-}
-
 /// The number of daemons in the seeded test.
 const SEEDED_DAEMONS: usize = 4;
 
@@ -685,11 +672,6 @@
     (jobs.len(), unfinished(&world, &jobs))
 }
 
-/// Returns the number in an environment variable, if it is set.
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 /// Guards against accepted jobs that are not started after any series of losses of power and other
 /// faults. `SEED` sets the first seed and `SEEDS` the number of seeds.
 #[test]
--- a/core/tests/cell_takeover.rs
+++ b/core/tests/cell_takeover.rs
@@ -4,7 +4,11 @@
 
 mod cell_world;
 
-use cell_world::{desired, gang, queue, queue_with_advice, step, World};
+use cell_world::{
+    desired, gang, queue, queue_with_advice,
+    seeds::{env_number, Rng},
+    step, World,
+};
 use pomelotide_core::{
     cell::{ClientAnswer, Event, Queue, RunOutcome, StepSpec},
     WorkerId,
@@ -326,19 +330,6 @@
     }
 }
 
-/// A seeded generator of pseudorandom numbers.
-struct Rng(u64);
-
-impl Rng {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % bound
-    }
-}
-
 /// Submits gangs to a cell that loses members and leaders at random; returns the accepted gangs that
 /// have not ended in time.
 fn unfinished_gangs(seed: u64) -> Vec<(u64, u64)> {
@@ -405,11 +396,6 @@
     left.map(|(job, _)| (seed, *job)).collect()
 }
 
-/// Returns the number in an environment variable, if it is set.
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 /// Guards against gangs that are not started again after any series of lost members and leaders. `SEED`
 /// sets the first seed and `SEEDS` the number of seeds.
 #[test]
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 pub mod calls;
+pub mod seeds;
 mod store;
 mod workers;
 
