--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -77,6 +77,7 @@
             pass.release(ix, &need.member);
         }
         let candidates = self.candidates(queue, key, pass);
+        self.work.workers_considered += pass.workers.len() as u64;
         match self.choose_places(ctx.now, queue, key, need, &candidates) {
             GangPlaces::Startable(places) => {
                 for ix in &places {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -15,6 +15,7 @@
 mod queries;
 mod runs;
 mod schedule;
+mod scheduling_work;
 mod stalls;
 mod step;
 mod team_rate;
@@ -22,6 +23,7 @@
 mod worker;
 mod worker_rpcs;
 
+pub use crate::cell::leader::scheduling_work::SchedulingWork;
 use crate::{
     cell::{
         consts,
@@ -107,6 +109,7 @@
     sweep_at: Millis,
     /// When stalled steps are logged next.
     log_stalls_at: Millis,
+    work: SchedulingWork,
 }
 
 impl Leader {
@@ -140,6 +143,7 @@
             last_in_turn: None,
             sweep_at: ctx.now + consts::SWEEP_INTERVAL_MS,
             log_stalls_at: ctx.now + consts::STALL_LOG_INTERVAL_MS,
+            work: SchedulingWork::default(),
         };
         leader.send_reads(ctx);
         leader
@@ -150,6 +154,11 @@
         self.token
     }
 
+    /// Returns what scheduling has looked at so far.
+    pub fn scheduling_work(&self) -> SchedulingWork {
+        self.work
+    }
+
     /// Returns whether another connected daemon has reached the store since `at`.
     pub(crate) fn has_member_with_store_since(&self, at: Millis) -> bool {
         self.members.has_store_access_since(at)
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -160,6 +160,7 @@
         self.expire_invalidated_tickets();
         self.end_limit_reservations(ctx, state);
         let mut pass = self.start_pass(ctx.now);
+        self.work.workers_considered += self.fleet.len() as u64;
         self.place_first_steps(ctx, state, &mut pass);
         self.place_due_steps(ctx, state, &mut pass);
         self.place_steps_in_turn(ctx, state, &mut pass);
@@ -279,6 +280,7 @@
         key: &StepKey,
         pass: &mut SchedulingPass,
     ) -> StepCheck {
+        self.work.steps_examined += 1;
         let Some(job) = self.jobs.get(&key.job) else {
             return StepCheck::Blocked;
         };
@@ -524,6 +526,7 @@
         let at = usize::from(key.step);
         let now = ctx.now;
         let mut candidates = self.candidates(queue, key, pass);
+        self.work.workers_considered += pass.workers.len() as u64;
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -38,7 +38,7 @@
     event::Event,
     ids::{FencingToken, Incarnation, LinkId, QueryId, RowVersion, RpcId},
     job::{JobRow, StepSpec, Submission},
-    leader::Leader,
+    leader::{Leader, SchedulingWork},
     log_event::{LogEvent, LogLevel},
     message::{JobStateReply, SubmitOutcome, ToLeader, ToMember},
     node::Node,
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -15,9 +15,9 @@
 use pomelotide_core::{
     cell::{
         AdviceCost, AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb,
-        DesiredState, Effect, Event, Incarnation, JobState, LinkId, LogEvent, Node, Queue,
-        RequestLimits, RpcId, StepKey, StepSpec, StoreCall, StoreReply, Submission, Table, TaskKey,
-        Team, Ticket, WorkerAnswer, WorkerCall,
+        DesiredState, Effect, Event, Incarnation, JobState, Leader, LinkId, LogEvent, Node, Queue,
+        RequestLimits, RpcId, SchedulingWork, StepKey, StepSpec, StoreCall, StoreReply, Submission,
+        Table, TaskKey, Team, Ticket, WorkerAnswer, WorkerCall,
     },
     CallId, JobId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -368,6 +368,13 @@
         self.daemons.iter().position(leads)
     }
 
+    /// Returns what the scheduling of the present leader has looked at.
+    pub fn scheduling_work(&self) -> SchedulingWork {
+        let nodes = self.daemons.iter().filter_map(|own| own.node.as_ref());
+        let leader = nodes.into_iter().find_map(Node::leader);
+        leader.map(Leader::scheduling_work).unwrap_or_default()
+    }
+
     /// Returns whether a daemon is ready.
     pub fn is_ready(&self, at: usize) -> bool {
         self.daemons[at].ready
