Split the shared context, the dispatcher of advice calls and the comparison of listed runs from their modules

No change of behaviour: Ctx and RpcOwner lie below the components now (cell/ctx.rs), so that no component names node.rs; advice.rs and runs.rs each did two jobs.

--- a/core/src/cell/config_feed.rs
+++ b/core/src/cell/config_feed.rs
@@ -3,7 +3,7 @@
 use crate::{
     cell::{
         consts,
-        node::{reply_name, Ctx, RpcOwner},
+        ctx::{reply_name, Ctx, RpcOwner},
         DesiredState, LogEvent, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
     },
     Millis,
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -7,7 +7,7 @@
 use crate::{
     cell::{
         consts,
-        node::{Ctx, RpcOwner},
+        ctx::{Ctx, RpcOwner},
         CellSettings, FencingToken, LinkId, LogEvent, MemberRow, Row, RowKey, RowValue, RowVersion,
         RpcId, StoreCall, StoreReply, Table, TermRow, Write,
     },
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -7,7 +7,7 @@
 use crate::{
     cell::{
         consts,
-        node::{Ctx, RpcOwner, LOCAL_LINK},
+        ctx::{Ctx, RpcOwner, LOCAL_LINK},
         submissions::{job_key, Submissions},
         AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobRow, JobState,
         JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowValue, RowVersion, RpcId,
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -7,21 +7,17 @@
 use crate::{
     cell::{
         consts,
-        leader::{fleet::WorkerIx, Leader},
-        node::{Ctx, LOCAL_LINK},
-        AdviceCost, AdviceReply, FencingToken, Incarnation, LinkId, LogEvent, QueryId, StepKey,
-        TaskKey, Ticket, ToMember,
+        ctx::Ctx,
+        leader::{
+            advice_dispatcher::{AdviceRequest, InFlightCall},
+            fleet::WorkerIx,
+            Leader,
+        },
+        AdviceCost, AdviceReply, LogEvent, QueryId, StepKey, TaskKey, Ticket, ToMember,
     },
     Millis, WorkerId,
 };
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-};
-
-/// The number of low bits of a query id that hold the number of the request; the bits above them hold
-/// the leader's token.
-const QUERY_ID_BITS: u32 = 24;
+use std::collections::BTreeMap;
 
 /// Whether one worker may run one step.
 #[derive(Clone, Debug)]
@@ -138,205 +134,6 @@
     }
 }
 
-/// A request for advice on a step.
-#[derive(Clone, Debug)]
-struct AdviceRequest {
-    step: StepKey,
-    workers: Vec<WorkerIx>,
-    cost: AdviceCost,
-    /// The latest time at which the step can start and still end in time; orders the requests.
-    latest_start_ms: u64,
-    requested_at: Millis,
-    /// The incarnations of `workers` when the call was sent.
-    incarnations: Vec<Option<Incarnation>>,
-    /// The daemon that it was sent to, and when.
-    sent: Option<(LinkId, Millis)>,
-}
-
-impl AdviceRequest {
-    fn cost_us(&self) -> u64 {
-        self.cost.call_us(self.workers.len())
-    }
-
-    fn is_long(&self) -> bool {
-        self.cost_us() >= consts::LONG_ADVICE_US
-    }
-
-    fn timeout_ms(&self) -> Millis {
-        Millis(self.cost_us() / 1_000) + consts::ADVICE_TIMEOUT_MARGIN_MS
-    }
-}
-
-/// A call for advice that has been sent to a daemon.
-#[derive(Clone, Copy, Debug)]
-struct InFlightCall {
-    id: QueryId,
-    long: bool,
-    /// When the call counts as lost.
-    times_out_at: Millis,
-}
-
-/// A daemon that can call the advice service.
-#[derive(Clone, Debug, Default)]
-struct AdviceCaller {
-    /// The calls in flight, which the service handles one after another.
-    calls: Vec<InFlightCall>,
-    /// After a failed call, no call is sent to it before this time.
-    retry_at: Millis,
-    /// After a failed call, the other daemons are preferred until this time.
-    avoided_until: Millis,
-}
-
-impl AdviceCaller {
-    /// Returns whether another call may be sent, so that at most `max_calls` are in flight; none is
-    /// sent behind a long call.
-    fn has_capacity(&self, max_calls: usize, now: Millis) -> bool {
-        let has_long = self.calls.iter().any(|call| call.long);
-        let max_calls = if has_long { 0 } else { max_calls };
-        self.calls.len() < max_calls && now >= self.retry_at
-    }
-}
-
-/// Distributes the requests for advice among the daemons.
-#[derive(Debug)]
-pub(crate) struct AdviceDispatcher {
-    requests: BTreeMap<QueryId, AdviceRequest>,
-    /// The requests that are not sent yet, by latest start: those with short calls, then those with
-    /// long ones.
-    waiting: [BTreeSet<(u64, QueryId)>; 2],
-    last_id: u64,
-    callers: BTreeMap<LinkId, AdviceCaller>,
-    /// Workers whose tickets are invalid because they were issued for an earlier incarnation.
-    invalidated: Vec<WorkerIx>,
-}
-
-impl AdviceDispatcher {
-    /// Creates the dispatcher of the leader with `token`. Daemons send late answers to the next leader,
-    /// so query ids contain the token and differ between leaders.
-    pub(crate) fn new(token: FencingToken) -> Self {
-        Self {
-            requests: BTreeMap::new(),
-            waiting: [BTreeSet::new(), BTreeSet::new()],
-            last_id: token.0 << QUERY_ID_BITS,
-            callers: BTreeMap::from([(LOCAL_LINK, AdviceCaller::default())]),
-            invalidated: Vec::new(),
-        }
-    }
-
-    pub(crate) fn add_caller(&mut self, link: LinkId) {
-        self.callers.insert(link, AdviceCaller::default());
-    }
-
-    /// Removes a daemon; its calls are sent again by others.
-    pub(crate) fn remove_caller(&mut self, link: LinkId) {
-        let caller = self.callers.remove(&link);
-        for call in caller.into_iter().flat_map(|caller| caller.calls) {
-            if let Some(request) = self.requests.get_mut(&call.id) {
-                request.sent = None;
-                self.waiting[usize::from(call.long)].insert((request.latest_start_ms, call.id));
-            }
-        }
-    }
-
-    /// Marks the tickets for a worker as invalid; they expire in the next scheduling pass.
-    pub(crate) fn invalidate_tickets(&mut self, ix: WorkerIx) {
-        self.invalidated.push(ix);
-    }
-
-    fn add(&mut self, request: AdviceRequest) -> QueryId {
-        self.last_id += 1;
-        let id = QueryId(self.last_id);
-        self.waiting[usize::from(request.is_long())].insert((request.latest_start_ms, id));
-        self.requests.insert(id, request);
-        id
-    }
-
-    /// Removes a request, together with its call if one is in flight, and returns the request.
-    fn take(&mut self, id: QueryId) -> Option<AdviceRequest> {
-        let request = self.requests.remove(&id)?;
-        match request.sent {
-            None => {
-                self.waiting[usize::from(request.is_long())].remove(&(request.latest_start_ms, id));
-            }
-            Some((link, _)) => {
-                if let Some(caller) = self.callers.get_mut(&link) {
-                    caller.calls.retain(|call| call.id != id);
-                }
-            }
-        }
-        Some(request)
-    }
-
-    /// Returns how many daemons make no long calls, so that short calls need not wait for one to end.
-    fn reserved_for_short_calls(&self) -> usize {
-        match self.callers.len() {
-            0 | 1 => 0,
-            count => (count / 3).max(1),
-        }
-    }
-
-    /// Returns how many long calls are made at the same time.
-    pub(crate) fn max_long_calls(&self) -> usize {
-        (self.callers.len() - self.reserved_for_short_calls()).max(1)
-    }
-
-    /// Returns the calls that have timed out.
-    fn timed_out(&self, now: Millis) -> Vec<QueryId> {
-        let calls = self.callers.values().flat_map(|caller| &caller.calls);
-        let late = calls.filter(|call| now > call.times_out_at);
-        late.map(|call| call.id).collect()
-    }
-
-    /// Chooses the next request and the daemon that sends it. A third of the daemons is reserved
-    /// for long calls and another third for short ones. Long calls go to the leader's own daemon
-    /// last, because it has the most other work.
-    fn next(&self, now: Millis) -> Option<(QueryId, LinkId)> {
-        let third = self.reserved_for_short_calls();
-        let long = |caller: &&AdviceCaller| caller.calls.iter().any(|call| call.long);
-        let long_sent = self.callers.values().filter(long).count();
-        let free = |max_calls: usize| {
-            let callers = self.callers.iter();
-            let free = callers.filter(move |(_, caller)| caller.has_capacity(max_calls, now));
-            free.map(|(link, caller)| (now < caller.avoided_until, caller.calls.len(), *link))
-        };
-        let [short_queue, long_queue] = &self.waiting;
-        let next_long = most_urgent(long_queue, now).filter(|_| long_sent < self.max_long_calls());
-        let long_goes_first = next_long.is_some() && long_sent < third;
-        let long = next_long.and_then(|request| {
-            let (_, _, link) =
-                free(1).min_by_key(|(avoided, _, link)| (*avoided, Reverse(*link)))?;
-            Some((request, link))
-        });
-        let short = most_urgent(short_queue, now).and_then(|(latest_start_ms, id)| {
-            // For a step that can still end in time, a call is sent while the one before is in
-            // flight. Late and surplus steps wait for an idle daemon, and so do all steps while a
-            // long call waits for one.
-            let max_calls = match latest_start_ms >= now.0 && !long_goes_first {
-                true => consts::MAX_ADVICE_CALLS_PER_DAEMON,
-                false => 1,
-            };
-            let (_, _, link) = free(max_calls).min()?;
-            Some(((latest_start_ms, id), link))
-        });
-        let priority = |((latest_start_ms, id), _): &((u64, QueryId), LinkId)| {
-            (*latest_start_ms < now.0, *latest_start_ms, *id)
-        };
-        let ((_, id), link) = match (short, long) {
-            (Some(_), Some(long)) if long_goes_first => long,
-            (Some(short), Some(long)) if priority(&short) <= priority(&long) => short,
-            (short, long) => long.or(short)?,
-        };
-        Some((id, link))
-    }
-}
-
-/// Returns the first request whose step can still end in time, or else the least late one.
-fn most_urgent(requests: &BTreeSet<(u64, QueryId)>, now: Millis) -> Option<(u64, QueryId)> {
-    let bound = (now.0, QueryId(0));
-    let late = || requests.range(..bound).next_back();
-    requests.range(bound..).next().or_else(late).copied()
-}
-
 impl Leader {
     /// Requests advice on a step, unless a call for it is in flight or has just failed. More workers
     /// than one call names are named in several calls, which different daemons make at the same time.
--- a/core/src/cell/leader/fleet.rs
+++ b/core/src/cell/leader/fleet.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     cell::{
+        ctx::Ctx,
         leader::{schedule::MAX_CLOCK_AGE_MS, worker::Worker, Leader},
-        node::Ctx,
         LogEvent, WorkerEntry,
     },
     Millis, Resources, WorkerId,
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -4,6 +4,7 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{
             candidates::may_run,
             fit::{fit_gang, rack_count, spare_workers, Candidate},
@@ -13,7 +14,6 @@
             schedule::MAX_CLOCK_AGE_MS,
             Leader,
         },
-        node::Ctx,
         LogEvent, Queue, StepKey, TaskKey,
     },
     JobId, Millis, Resources,
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     cell::{
+        ctx::Ctx,
         leader::{step::Step, Leader},
-        node::Ctx,
         DesiredState, JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue,
         RowVersion, StepKey, StepProgress, TaskKey, ToMember,
     },
--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -13,8 +13,8 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{advice::Permission, jobs::Job, Leader},
-        node::Ctx,
         DesiredState, LogEvent, StepKey, Team,
     },
     JobId, Millis, Resources, TeamName,
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -4,8 +4,8 @@
 use crate::{
     cell::{
         consts,
+        ctx::{reply_name, Ctx, RpcOwner},
         leader::Leader,
-        node::{reply_name, Ctx, RpcOwner},
         store_clock::StoreClock,
         submissions::partition_name,
         LogEvent, Row, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -2,8 +2,11 @@
 
 use crate::{
     cell::{
-        consts, election::Election, leader::Leader, node::Ctx, node::LOCAL_LINK, ConfigFeed,
-        Effect, LinkId, LogEvent, MemberRow, RowVersion, ToMember,
+        consts,
+        ctx::{Ctx, LOCAL_LINK},
+        election::Election,
+        leader::Leader,
+        ConfigFeed, Effect, LinkId, LogEvent, MemberRow, RowVersion, ToMember,
     },
     Millis, QueueName,
 };
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader of a cell: places the tasks of accepted jobs on workers and records their progress.
 
 mod advice;
+mod advice_dispatcher;
 mod candidates;
 mod fit;
 mod fleet;
@@ -16,6 +17,7 @@
 mod progress_writes;
 mod queries;
 mod rank;
+mod reconcile;
 mod runs;
 mod schedule;
 mod scheduling_work;
@@ -32,8 +34,9 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{
-            advice::AdviceDispatcher,
+            advice_dispatcher::AdviceDispatcher,
             fleet::Fleet,
             jobs::Job,
             kept_workers::KeptWorkers,
@@ -46,7 +49,6 @@
             unsent_starts::UnsentStarts,
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
-        node::Ctx,
         ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, Queue, RowVersion, RpcId,
         StoreReply, ToLeader,
     },
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -7,6 +7,7 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{
             fleet::WorkerIx,
             jobs::Job,
@@ -16,7 +17,6 @@
             worker_rpcs::RecordedStart,
             Leader,
         },
-        node::Ctx,
         row_size::max_placement_bytes,
         JobRow, LogEvent, Placement, Progress, StepKey, TaskKey,
     },
--- a/core/src/cell/leader/progress_writes.rs
+++ b/core/src/cell/leader/progress_writes.rs
@@ -4,10 +4,10 @@
 use crate::{
     cell::{
         consts,
+        ctx::{Ctx, RpcOwner},
         election::{fence, lease_row},
         frontend::progress_key,
         leader::{fleet::WorkerIx, Leader, LeaseUpdate},
-        node::{Ctx, RpcOwner},
         submissions::{job_key, partition_of},
         LogEvent, Progress, Row, RowKey, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Write,
     },
--- a/core/src/cell/leader/queries.rs
+++ b/core/src/cell/leader/queries.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cell::{
-        consts, leader::Leader, node::Ctx, JobState, JobStateReply, LinkId, LogEvent, QueryId,
+        consts, ctx::Ctx, leader::Leader, JobState, JobStateReply, LinkId, LogEvent, QueryId,
         ToMember,
     },
     JobId, Millis, QueueName, TeamName,
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -6,6 +6,7 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{
             fleet::WorkerIx,
             jobs::Job,
@@ -15,7 +16,6 @@
             wait_list::PendingId,
             Leader,
         },
-        node::Ctx,
         DesiredState, StepKey, TaskKey,
     },
     Millis, Resources, TeamName,
--- a/core/src/cell/leader/scheduling_work.rs
+++ b/core/src/cell/leader/scheduling_work.rs
@@ -13,8 +13,10 @@
     /// Returns what was looked at since `earlier`.
     pub fn since(self, earlier: Self) -> Self {
         Self {
-            steps_examined: self.steps_examined - earlier.steps_examined,
-            workers_considered: self.workers_considered - earlier.workers_considered,
+            steps_examined: self.steps_examined.saturating_sub(earlier.steps_examined),
+            workers_considered: self
+                .workers_considered
+                .saturating_sub(earlier.workers_considered),
         }
     }
 
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -3,6 +3,7 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{
             fit::{best_fit, Candidate},
             fleet::WorkerIx,
@@ -10,7 +11,6 @@
             schedule::MAX_CLOCK_AGE_MS,
             Leader,
         },
-        node::Ctx,
         AdviceCost, DesiredState, Queue, StepKey,
     },
     Millis,
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -3,12 +3,12 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{
             schedule::MAX_CLOCK_AGE_MS,
             worker::{Run, RunPhase},
             Leader,
         },
-        node::Ctx,
         LogEvent, StepKey,
     },
     Millis,
--- a/core/src/cell/leader/unsent_starts.rs
+++ b/core/src/cell/leader/unsent_starts.rs
@@ -6,8 +6,8 @@
 use crate::{
     cell::{
         consts,
+        ctx::Ctx,
         leader::{fleet::WorkerIx, step::TaskRun, worker::RunPhase, Leader},
-        node::Ctx,
         AdviceCost, LogEvent, StepKey, TaskKey,
     },
     Millis,
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -7,12 +7,12 @@
 use crate::{
     cell::{
         consts,
+        ctx::{Ctx, RpcOwner},
         leader::{
             fleet::WorkerIx,
             worker::{LeaseRecord, RunPhase, Worker},
             Leader,
         },
-        node::{Ctx, RpcOwner},
         Effect, LogEvent, RpcId, StartRequest, TaskKey, UnreadableRows, WorkerAnswer, WorkerCall,
         WorkerRefusal,
     },
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 mod config_feed;
 pub mod consts;
+mod ctx;
 mod desired;
 mod effect;
 mod election;
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -3,150 +3,16 @@
 use crate::{
     cell::{
         consts,
+        ctx::{Ctx, RpcOwner, LOCAL_LINK},
         election::{Election, LeadershipChange},
         frontend::Frontend,
         leader::{Leader, LeaseUpdate},
-        store_clock::StoreClock,
         submissions::Submissions,
-        CellSettings, ConfigFeed, Effect, Event, FencingToken, LinkId, LogEvent, RpcId, StoreCall,
-        StoreReply, ToLeader, ToMember,
+        CellSettings, ConfigFeed, Effect, Event, FencingToken, LinkId, LogEvent, RpcId, StoreReply,
+        ToLeader, ToMember,
     },
     Millis,
 };
-use std::collections::BTreeMap;
-
-/// The link for messages between a daemon and the leader in the same process.
-pub(crate) const LOCAL_LINK: LinkId = LinkId(0);
-
-/// The component of a daemon that made a call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RpcOwner {
-    Config,
-    Frontend,
-    Election,
-    Leader,
-    Submissions,
-}
-
-/// State shared by all components: the time, the settings, the open calls and the effects.
-#[derive(Debug)]
-pub(crate) struct Ctx {
-    pub(crate) now: Millis,
-    pub(crate) unix_ms: u64,
-    pub(crate) settings: CellSettings,
-    last_rpc: RpcId,
-    /// The component that made each open call, and when.
-    owners: BTreeMap<RpcId, (RpcOwner, Millis)>,
-    pub(crate) store_clock: StoreClock,
-    effects: Vec<Effect>,
-    /// Messages to and from the leader in this process, which need no connection.
-    pub(crate) inbox: Vec<ToLeader>,
-    pub(crate) outbox: Vec<ToMember>,
-    store_ok_at: Millis,
-    store_failures: u32,
-    store_down: bool,
-}
-
-impl Ctx {
-    /// Returns the id for a new call of a component.
-    pub(crate) fn next_rpc(&mut self, owner: RpcOwner) -> RpcId {
-        self.last_rpc = self.last_rpc.next();
-        self.owners.insert(self.last_rpc, (owner, self.now));
-        self.last_rpc
-    }
-
-    pub(crate) fn call_store(
-        &mut self,
-        owner: RpcOwner,
-        call: StoreCall,
-        timeout_ms: Millis,
-    ) -> RpcId {
-        let rpc = self.next_rpc(owner);
-        self.effects.push(Effect::Store {
-            rpc,
-            call,
-            timeout_ms,
-        });
-        rpc
-    }
-
-    pub(crate) fn push(&mut self, effect: Effect) {
-        self.effects.push(effect);
-    }
-
-    pub(crate) fn log(&mut self, event: LogEvent) {
-        self.effects.push(Effect::Log(event));
-    }
-
-    /// Sends a message to a member, which may be this daemon itself.
-    pub(crate) fn send_member(&mut self, link: LinkId, message: ToMember) {
-        if link == LOCAL_LINK {
-            self.outbox.push(message);
-        } else {
-            self.push(Effect::ToMember(link, message));
-        }
-    }
-
-    /// Returns whether several calls to the store in a row have failed and none was answered
-    /// recently.
-    pub(crate) fn store_is_down(&self) -> bool {
-        self.store_failures >= 2 && self.now.since(self.store_ok_at) > consts::STORE_DOWN_TIMEOUT_MS
-    }
-
-    /// Returns how long ago the store last answered.
-    pub(crate) fn store_age_ms(&self) -> Millis {
-        self.now.since(self.store_ok_at)
-    }
-
-    /// Returns the time since which another daemon must have reached the store for this leader to
-    /// hand over, or `None` if the store has answered this leader recently.
-    fn handover_after(&self) -> Option<Millis> {
-        // A leader renews its lease more often than this, so at least one answer is overdue.
-        let is_overdue = self.store_age_ms() > consts::HANDOVER_THRESHOLD_MS;
-        is_overdue.then_some(self.store_ok_at + consts::HANDOVER_THRESHOLD_MS)
-    }
-
-    /// Updates the store's clock and whether the store is down, from the reply to a call sent at
-    /// `sent_at`.
-    fn record_store_reply(&mut self, reply: &StoreReply, sent_at: Millis) {
-        if let StoreReply::Rows {
-            clock_ms: Some(clock_ms),
-            ..
-        } = reply
-        {
-            self.store_clock.observe(sent_at, *clock_ms);
-        }
-        match reply {
-            StoreReply::Refused(_) | StoreReply::Lost => self.store_failures += 1,
-            _ => {
-                self.store_failures = 0;
-                self.store_ok_at = self.now;
-            }
-        }
-        let down = self.store_is_down();
-        if down != self.store_down {
-            self.store_down = down;
-            let ok_age_ms = self.now.since(self.store_ok_at).0;
-            let event = match down {
-                true => LogEvent::warn("store_lost").with("ok_age_ms", ok_age_ms),
-                false => LogEvent::warn("store_regained"),
-            };
-            self.log(event.with("reply", reply_name(reply)));
-        }
-    }
-}
-
-pub(crate) const fn reply_name(reply: &StoreReply) -> &'static str {
-    match reply {
-        StoreReply::Written(_) => "written",
-        StoreReply::Conflict(_) => "conflict",
-        StoreReply::Rows { .. } => "rows",
-        StoreReply::HistoryLost => "history_lost",
-        StoreReply::Refused(_) => "refused",
-        StoreReply::Lost => "lost",
-    }
-}
-
 /// The reducer of one daemon of a cell.
 #[derive(Debug)]
 pub struct Node {
@@ -173,20 +39,7 @@
             stop_requested_at: None,
             ready: false,
             exited: false,
-            ctx: Ctx {
-                now,
-                unix_ms,
-                settings,
-                last_rpc: RpcId(0),
-                owners: BTreeMap::new(),
-                store_clock: StoreClock::default(),
-                effects: Vec::new(),
-                inbox: Vec::new(),
-                outbox: Vec::new(),
-                store_ok_at: now,
-                store_failures: 0,
-                store_down: false,
-            },
+            ctx: Ctx::new(settings, now, unix_ms),
         }
     }
 
@@ -212,7 +65,7 @@
         self.handle(event);
         self.deliver_local_messages();
         self.finish_step();
-        std::mem::take(&mut self.ctx.effects)
+        self.ctx.take_effects()
     }
 
     fn handle(&mut self, event: Event) {
@@ -231,13 +84,13 @@
             Event::Hangup(call) => self.frontend.on_hangup(call),
             Event::Store(rpc, reply) => self.on_store(rpc, reply),
             Event::Worker(rpc, answer) => {
-                ctx.owners.remove(&rpc);
+                ctx.end_rpc(rpc);
                 if let Some(leader) = &mut self.leader {
                     leader.on_worker_answer(ctx, rpc, answer);
                 }
             }
             Event::Advice(rpc, reply) => {
-                ctx.owners.remove(&rpc);
+                ctx.end_rpc(rpc);
                 self.frontend.on_advice(ctx, rpc, reply);
             }
             Event::Dialed { address, link } => match &mut self.leader {
@@ -310,7 +163,7 @@
 
     fn on_store(&mut self, rpc: RpcId, reply: StoreReply) {
         let ctx = &mut self.ctx;
-        let Some((owner, sent_at)) = ctx.owners.remove(&rpc) else {
+        let Some((owner, sent_at)) = ctx.end_rpc(rpc) else {
             return;
         };
         ctx.record_store_reply(&reply, sent_at);
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -4,8 +4,8 @@
 use crate::{
     cell::{
         consts,
+        ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::Frontend,
-        node::{Ctx, RpcOwner, LOCAL_LINK},
         ClientAnswer, Effect, JobRow, LinkId, LogEvent, QueryId, Row, RowKey, RowValue, RowVersion,
         RpcId, StoreCall, StoreReply, SubmitOutcome, Table, ToLeader, ToMember, Write,
     },
