--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -75,6 +75,8 @@
     process: usize,
     /// How far its Unix clock is ahead.
     unix_lead_ms: i64,
+    /// While its process is paused, the events that wait for it.
+    paused: Option<Vec<(usize, Event)>>,
 }
 
 /// The cell.
@@ -276,6 +278,7 @@
                 cpu_milli,
                 process: 0,
                 unix_lead_ms: 0,
+                paused: None,
             });
             world.start(at);
         }
@@ -316,6 +319,18 @@
         }
     }
 
+    /// Pauses a daemon's process: events wait until it goes on, and its timer does not fire.
+    pub fn pause(&mut self, at: usize) {
+        self.daemons[at].paused = Some(Vec::new());
+    }
+
+    /// Lets a paused process go on: it handles the events that waited.
+    pub fn resume(&mut self, at: usize) {
+        for (caller, event) in self.daemons[at].paused.take().unwrap_or_default() {
+            self.deliver_event(caller, event);
+        }
+    }
+
     /// Starts a worker again under its id: open calls are lost.
     pub fn restart_worker(&mut self, id: &WorkerId) {
         let worker = self.workers.get_mut(id).unwrap();
@@ -395,6 +410,12 @@
     /// of [`Self::caller`]; answers to a process that has ended are dropped.
     pub fn deliver_event(&mut self, caller: usize, event: Event) {
         let at = caller % MAX_DAEMONS;
+        if let Some(held) = &mut self.daemons[at].paused {
+            if event != Event::Tick {
+                held.push((caller, event));
+            }
+            return;
+        }
         let is_answer = matches!(
             event,
             Event::Store(..) | Event::Worker(..) | Event::Advice(..)
