Let an overdue call for advice go as a daemon's second call

The overdue call now goes as the second one, which delays a call for a step in time by one short call.

--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -207,7 +207,7 @@
         let next_long = most_urgent(long_queue, now).filter(|_| long_sent < self.max_long_calls());
         let long_goes_first = next_long.is_some() && long_sent < third;
         if let (Some(id), false) = (self.aged_request(now), long_goes_first) {
-            if let Some((_, _, link)) = free(1).min() {
+            if let Some((_, _, link)) = free(consts::MAX_ADVICE_CALLS_PER_DAEMON).min() {
                 return Some((id, link));
             }
         }
