Revert the overdue calls for advice; split the waking of steps and the kinds of waits

The overdue calls let a late step have its advice beside a flood, but service_is_back_after_an_overload_in_which_all_daemons_were_killed failed with them: 82% served after 20 tenths of the usual load, 88% without the overload.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -123,9 +123,6 @@
 pub const MAX_ADVICE_CALLS_PER_STEP: usize = 4;
 /// The most workers that an advice call for single tasks names; advice allows at least a third.
 pub const MAX_ADVICE_WORKERS_SINGLE_TASKS: usize = 24;
-/// How long a short call for a late step waits before it may go before those for steps in time: twice the
-/// longest short call.
-pub const AGED_ADVICE_MS: Millis = Millis(500);
 /// The delay before a failed advice call is retried.
 pub const ADVICE_RETRY_DELAY_MS: Millis = Millis(100);
 /// How long after a failed advice call the other daemons are preferred for such calls: longer than
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -179,7 +179,6 @@
                 return;
             };
             let long = request.is_long();
-            let aged = request.is_aged(now);
             request.sent = Some((link, now));
             let incarnation = |ix: &WorkerIx| self.fleet.get(*ix).incarnation;
             request.incarnations = request.workers.iter().map(incarnation).collect();
@@ -191,13 +190,11 @@
                 timeout_ms: request.timeout_ms(),
             };
             let times_out_at = now + request.timeout_ms() + consts::STORE_RETRY_DELAY_MS;
-            let latest_start_ms = request.latest_start_ms;
-            self.advice.clear_waiting(id, latest_start_ms, long);
+            self.advice.waiting[usize::from(long)].remove(&(request.latest_start_ms, id));
             if let Some(caller) = self.advice.callers.get_mut(&link) {
                 caller.calls.push(InFlightCall {
                     id,
                     long,
-                    aged,
                     times_out_at,
                 });
             }
--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -41,12 +41,6 @@
         self.cost_us() >= consts::LONG_ADVICE_US
     }
 
-    /// Returns whether it has waited for long, for a step that can't end in time.
-    pub(crate) fn is_aged(&self, now: Millis) -> bool {
-        let is_late = self.latest_start_ms < now.0;
-        is_late && now.since(self.requested_at) >= consts::AGED_ADVICE_MS
-    }
-
     pub(crate) fn timeout_ms(&self) -> Millis {
         Millis(self.cost_us() / 1_000) + consts::ADVICE_TIMEOUT_MARGIN_MS
     }
@@ -57,8 +51,6 @@
 pub(crate) struct InFlightCall {
     pub(crate) id: QueryId,
     pub(crate) long: bool,
-    /// Whether it went before calls for steps in time, because it had waited for long.
-    pub(crate) aged: bool,
     /// When the call counts as lost.
     pub(crate) times_out_at: Millis,
 }
@@ -90,7 +82,7 @@
     pub(crate) requests: BTreeMap<QueryId, AdviceRequest>,
     /// The requests that are not sent yet, by latest start: those with short calls, then those with
     /// long ones.
-    waiting: [BTreeSet<(u64, QueryId)>; 2],
+    pub(crate) waiting: [BTreeSet<(u64, QueryId)>; 2],
     last_id: u64,
     pub(crate) callers: BTreeMap<LinkId, AdviceCaller>,
     /// Workers whose tickets are invalid because they were issued for an earlier incarnation.
@@ -120,8 +112,7 @@
         for call in caller.into_iter().flat_map(|caller| caller.calls) {
             if let Some(request) = self.requests.get_mut(&call.id) {
                 request.sent = None;
-                let latest_start_ms = request.latest_start_ms;
-                self.waiting[usize::from(call.long)].insert((latest_start_ms, call.id));
+                self.waiting[usize::from(call.long)].insert((request.latest_start_ms, call.id));
             }
         }
     }
@@ -139,28 +130,12 @@
         id
     }
 
-    /// Notes that a request no longer waits to be sent.
-    pub(crate) fn clear_waiting(&mut self, id: QueryId, latest_start_ms: u64, long: bool) {
-        self.waiting[usize::from(long)].remove(&(latest_start_ms, id));
-    }
-
-    /// Returns the short request for the step that is late the most, if it has waited for long and few such
-    /// calls are in flight: each may delay one call for a step in time.
-    fn aged_request(&self, now: Millis) -> Option<QueryId> {
-        let calls = self.callers.values().flat_map(|caller| &caller.calls);
-        let in_flight = calls.filter(|call| call.aged).count();
-        let (_, id) = *self.waiting[0].first()?;
-        let request = self.requests.get(&id)?;
-        let may_send = in_flight < self.reserved_for_short_calls().max(1);
-        (may_send && request.is_aged(now)).then_some(id)
-    }
-
     /// Removes a request, together with its call if one is in flight, and returns the request.
     pub(crate) fn take(&mut self, id: QueryId) -> Option<AdviceRequest> {
         let request = self.requests.remove(&id)?;
         match request.sent {
             None => {
-                self.clear_waiting(id, request.latest_start_ms, request.is_long());
+                self.waiting[usize::from(request.is_long())].remove(&(request.latest_start_ms, id));
             }
             Some((link, _)) => {
                 if let Some(caller) = self.callers.get_mut(&link) {
@@ -206,11 +181,6 @@
         let [short_queue, long_queue] = &self.waiting;
         let next_long = most_urgent(long_queue, now).filter(|_| long_sent < self.max_long_calls());
         let long_goes_first = next_long.is_some() && long_sent < third;
-        if let (Some(id), false) = (self.aged_request(now), long_goes_first) {
-            if let Some((_, _, link)) = free(consts::MAX_ADVICE_CALLS_PER_DAEMON).min() {
-                return Some((id, link));
-            }
-        }
         let long = next_long.and_then(|request| {
             let (_, _, link) =
                 free(1).min_by_key(|(avoided, _, link)| (*avoided, Reverse(*link)))?;
--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -265,15 +265,10 @@
             // The next pass wakes it.
             return LimitCheck::Considered;
         }
-        let waiting_since = job.steps[at].waiting_since.unwrap_or(ctx.now);
         let is_large = spec.gang || !need.times(2).fits(&limit);
-        let slack_ms = Millis(self.rank(key).latest_start_ms).since(waiting_since);
-        let min_wait_ms = match is_large {
-            true => Millis(slack_ms.0 / 2).min(consts::STALL_THRESHOLD_MS),
-            false => consts::STALL_THRESHOLD_MS,
-        };
-        let is_stalled = ctx.now.since(waiting_since) >= min_wait_ms;
-        if !is_stalled || !self.limit_reservations.may_reserve(ctx.now, &team.name) {
+        if !self.has_waited_long(ctx.now, key, is_large)
+            || !self.limit_reservations.may_reserve(ctx.now, &team.name)
+        {
             return LimitCheck::Considered;
         }
         // A step that the workers can't run must not block the team's other steps.
@@ -292,6 +287,20 @@
         LimitCheck::Considered
     }
 
+    /// Returns whether a step has stalled or, if it needs much of the limit at once, has waited for half of
+    /// the time in which it can still start in time.
+    fn has_waited_long(&self, now: Millis, key: &StepKey, is_large: bool) -> bool {
+        let job = self.jobs.get(&key.job);
+        let waiting_since = job.and_then(|job| job.steps[usize::from(key.step)].waiting_since);
+        let waiting_since = waiting_since.unwrap_or(now);
+        let slack_ms = Millis(self.rank(key).latest_start_ms).since(waiting_since);
+        let min_wait_ms = match is_large {
+            true => Millis(slack_ms.0 / 2).min(consts::STALL_THRESHOLD_MS),
+            false => consts::STALL_THRESHOLD_MS,
+        };
+        now.since(waiting_since) >= min_wait_ms
+    }
+
     /// Returns whether the workers that may run a step could hold the tasks that must start at the same
     /// time, if no other tasks of the team ran on them.
     fn has_workers_for(&self, state: &DesiredState, job: &Job, at: usize) -> bool {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -26,7 +26,9 @@
 mod step;
 mod team_rate;
 mod unsent_starts;
+mod wait;
 mod wait_list;
+mod waking;
 mod worker;
 mod worker_rpcs;
 
--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -9,53 +9,18 @@
         leader::{
             fleet::WorkerIx,
             rank::{Order, Rank, Tier},
+            wait::{Pool, Wait},
             wait_list::{PendingId, WaitList},
         },
         StepKey,
     },
     Millis, TeamName,
 };
-use compact_str::CompactString;
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
 };
 
-/// The workers of a service, or those of them with one label.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct Pool {
-    pub(crate) service: CompactString,
-    pub(crate) label: Option<CompactString>,
-}
-
-/// The workers on which a step waits for room.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RoomWait {
-    /// The processors that one task needs, in thousandths of a core.
-    pub(crate) cpu_milli: u64,
-    /// The workers that it is known to be allowed on.
-    pub(crate) workers: Vec<WorkerIx>,
-    /// The workers on which it might be allowed too.
-    pub(crate) pool: Option<Pool>,
-}
-
-/// What a step waits for.
-#[derive(Clone, Debug)]
-pub(crate) enum Wait {
-    /// The limit of its team allows more: at least these thousandths of a core.
-    Team(TeamName, u64),
-    /// A worker has room.
-    Room(RoomWait),
-    /// Several workers have room for a large gang.
-    GangRoom,
-    /// A call for advice is answered.
-    Advice,
-    /// A time is reached.
-    Until(Millis),
-    /// Something else changes, which is not tracked.
-    Other,
-}
-
 /// Where a pending step is.
 #[derive(Clone, Debug)]
 enum Place {
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -7,8 +7,8 @@
         leader::{
             fit::{best_fit, Candidate},
             fleet::WorkerIx,
-            pending::{RoomWait, Wait},
             schedule::MAX_CLOCK_AGE_MS,
+            wait::{RoomWait, Wait},
             Leader,
         },
         AdviceCost, DesiredState, Queue, StepKey,
@@ -45,9 +45,8 @@
         let (mut ready, mut expired): (Vec<Candidate>, Vec<Candidate>) =
             candidates.into_iter().partition(has_ticket);
         let waiting: Vec<u32> = job.steps[at].tasks_without_run().collect();
-        let startable = waiting
-            .len()
-            .min(usize::try_from(headroom).unwrap_or(usize::MAX));
+        let startable =
+            usize::try_from(headroom).map_or(waiting.len(), |max| max.min(waiting.len()));
         let is_limited = startable < waiting.len();
         let limit = job.row.team.clone().filter(|_| team_headroom <= headroom);
         let mut to_renew = Vec::new();
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -1,7 +1,7 @@
 //! The leader's state of one worker and its runs.
 
 use crate::{
-    cell::{consts, leader::pending::Pool, Incarnation, RpcId, TaskKey, WorkerEntry},
+    cell::{consts, leader::wait::Pool, Incarnation, RpcId, TaskKey, WorkerEntry},
     JobId, Millis, Resources, TeamName,
 };
 use compact_str::CompactString;
--- a/core/tests/cell_advice_order.rs
+++ b/core/tests/cell_advice_order.rs
@@ -27,7 +27,7 @@
     world.advice_ms = ADVICE_MS;
     world.run(3_000);
     world.key = OTHER_KEY.into();
-    let mut flood = |world: &mut World, first: u64, span_ms: u64| {
+    let flood = |world: &mut World, first: u64, span_ms: u64| {
         world.key = OTHER_KEY.into();
         for at in 0..span_ms / 10 {
             for job in 0..3 {
