Call may_run and denies in place of their copies

Cause: the check that a worker serves a queue and has a step's label stood again in workers_without_advice and has_workers_for beside may_run, and that of a denied worker beside StepAdvice::denies. No change of behaviour.

--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -14,7 +14,7 @@
     cell::{
         consts,
         ctx::Ctx,
-        leader::{advice::Permission, jobs::Job, Leader},
+        leader::{candidates::may_run, jobs::Job, Leader},
         DesiredState, LogEvent, StepKey, Team,
     },
     JobId, Millis, Resources, TeamName,
@@ -311,11 +311,8 @@
         let max_on_worker = spec.per_worker.map_or(u64::MAX, u64::from);
         let mut missing = min_tasks(job, at);
         for (ix, worker) in self.fleet.iter() {
-            let serves = worker.listed && worker.entry.service == queue.service;
-            let label = spec.requirement.as_ref();
-            let is_denied = queue.advice.is_some()
-                && matches!(advice.permissions.get(&ix), Some(Permission::Denied));
-            if serves && !is_denied && label.is_none_or(|label| worker.has_label(label)) {
+            let is_denied = queue.advice.is_some() && advice.denies(ix);
+            if worker.listed && !is_denied && may_run(worker, queue, spec) {
                 let others = worker.runs.values().filter(|run| run.team != job.row.team);
                 let others = others.fold(Resources::default(), |sum, run| sum.plus(run.need));
                 let slots = spec.need.count_in(&worker.entry.capacity.minus(others));
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -5,6 +5,7 @@
         consts,
         ctx::Ctx,
         leader::{
+            candidates::may_run,
             fit::{best_fit, Candidate},
             fleet::WorkerIx,
             schedule::MAX_CLOCK_AGE_MS,
@@ -184,12 +185,10 @@
         let may_ask = |ix: &WorkerIx| {
             considered += 1;
             let worker = self.fleet.get(*ix);
-            let serves =
-                worker.entry.service == queue.service && worker.is_usable(now, MAX_CLOCK_AGE_MS);
-            let label = spec.requirement.as_ref();
-            let labelled = label.is_none_or(|label| worker.has_label(label));
+            let is_eligible =
+                may_run(worker, queue, spec) && worker.is_usable(now, MAX_CLOCK_AGE_MS);
             let fits = spec.need.fits(&worker.entry.capacity);
-            serves && labelled && fits && !advice.permissions.contains_key(ix)
+            is_eligible && fits && !advice.permissions.contains_key(ix)
         };
         let emptiest_first = self.fleet.by_free(min_free_milli).rev();
         let workers = emptiest_first.filter(may_ask).take(max_workers).collect();
--- a/core/src/cell/leader/waking.rs
+++ b/core/src/cell/leader/waking.rs
@@ -25,6 +25,7 @@
 const MAX_FRUITLESS_WAKES: u32 = 4;
 /// How many large gangs a pass examines when workers have new room.
 const MAX_WOKEN_LARGE_GANGS: usize = 2;
+
 /// The steps that were woken for new room on a worker.
 #[derive(Debug)]
 pub(crate) struct WokenByWorker {
