Share the look-up of a waiting step's job and the set-ups of tests; place steps without a copy

Cause: reading the whole change once more.

No change of behaviour; the assertions of the tests are the same.

--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -182,13 +182,14 @@
 
     /// Puts aside a step that was examined, until what it waits for changes.
     pub(crate) fn set_waiting(&mut self, key: &StepKey, wait: Wait) {
-        let step = self.steps.get_mut(key);
-        let Some(step) = step.filter(|step| matches!(step.place, Place::Examined)) else {
+        let Some((key, mut step)) = self.steps.remove_entry(key) else {
             return;
         };
-        step.place = Place::Waiting(wait);
-        let step = step.clone();
-        self.link(&step);
+        if matches!(step.place, Place::Examined) {
+            step.place = Place::Waiting(wait);
+            self.link(&step);
+        }
+        self.steps.insert(key, step);
     }
 
     /// Returns whether a step waits for its team's limit.
--- a/core/src/cell/leader/waking.rs
+++ b/core/src/cell/leader/waking.rs
@@ -4,10 +4,10 @@
 use crate::{
     cell::{
         leader::{
-            fleet::WorkerIx, limit_reservations::min_tasks, schedule::MAX_CLOCK_AGE_MS,
+            fleet::WorkerIx, jobs::Job, limit_reservations::min_tasks, schedule::MAX_CLOCK_AGE_MS,
             wait_list::PendingId, Leader,
         },
-        DesiredState,
+        DesiredState, StepKey,
     },
     Millis, Resources, TeamName,
 };
@@ -57,10 +57,7 @@
                 .waiting_for_team(&team, left_milli, MAX_COMPARED_STEPS);
             let mut steps = Vec::new();
             for id in waiting {
-                let Some(key) = self.pending.key(id).cloned() else {
-                    continue;
-                };
-                let Some(job) = self.jobs.get(&key.job) else {
+                let Some((key, job)) = self.job_of_step(id) else {
                     continue;
                 };
                 let at = usize::from(key.step);
@@ -116,10 +113,7 @@
                 .waiting_for_worker(ix, &pools, room.cpu_milli, MAX_COMPARED_STEPS);
         let (mut steps, mut gangs) = (Vec::new(), 0);
         for id in waiting {
-            let Some(key) = self.pending.key(id).cloned() else {
-                continue;
-            };
-            let Some(job) = self.jobs.get(&key.job) else {
+            let Some((key, job)) = self.job_of_step(id) else {
                 continue;
             };
             let at = usize::from(key.step);
@@ -147,6 +141,12 @@
         steps
     }
 
+    /// Returns the key of a pending step, and its job.
+    fn job_of_step(&self, id: PendingId) -> Option<(StepKey, &Job)> {
+        let key = self.pending.key(id)?;
+        Some((key.clone(), self.jobs.get(&key.job)?))
+    }
+
     /// Wakes further steps in the next pass for the workers and teams whose new room was not used up: the
     /// woken steps were placed, or turned out to wait for something else.
     pub(crate) fn keep_changed_room(
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -101,18 +101,7 @@
                     }
                 }
             },
-            Event::LinkDown(link) => {
-                if self.election.link == Some(link) {
-                    ctx.log(
-                        LogEvent::warn("leader_link_lost")
-                            .with("token", self.election.leader_token),
-                    );
-                }
-                self.election.on_link_down(link);
-                if let Some(leader) = &mut self.leader {
-                    leader.on_link_down(ctx, link);
-                }
-            }
+            Event::LinkDown(link) => self.on_link_down(link),
             Event::ToLeader(link, message) => self.on_to_leader(link, message),
             Event::ToMember(link, message) => self.on_to_member(link, message),
             Event::Stop => {
@@ -127,6 +116,18 @@
         }
     }
 
+    fn on_link_down(&mut self, link: LinkId) {
+        let ctx = &mut self.ctx;
+        if self.election.link == Some(link) {
+            let event = LogEvent::warn("leader_link_lost");
+            ctx.log(event.with("token", self.election.leader_token));
+        }
+        self.election.on_link_down(link);
+        if let Some(leader) = &mut self.leader {
+            leader.on_link_down(ctx, link);
+        }
+    }
+
     fn tick(&mut self) {
         let ctx = &mut self.ctx;
         self.config.tick(ctx);
--- a/core/tests/cell_late_orders.rs
+++ b/core/tests/cell_late_orders.rs
@@ -187,6 +187,24 @@
     }
 }
 
+/// Replaces the leader after it has sent the starts of job 1, of which that on the first worker arrives
+/// `late_ms` later; returns that worker.
+fn replace_leader_after_start(world: &mut World, spec: StepSpec, late_ms: u64) -> WorkerId {
+    let leader = world.leader().unwrap();
+    let id = first_worker(world);
+    world.call_faults.push(CallFault {
+        call_ms: late_ms,
+        ..CallFault::one(CallKind::Start, &id)
+    });
+    world.submit(leader, 1, vec![spec]);
+    while world.count("run_ordered") == 0 {
+        world.run(1);
+    }
+    world.kill(leader);
+    world.start(leader);
+    id
+}
+
 /// Guards against a start of a former leader that is carried out under the next one.
 #[test]
 fn a_late_start_of_a_former_leader_runs_nothing_twice() {
@@ -194,18 +212,7 @@
         for spec in [step(1, 1_000), gang(2, 3_000)] {
             let case = format!("{late_ms} ms late, gang: {}", spec.gang);
             let mut world = world(2, 2);
-            let leader = world.leader().unwrap();
-            let id = first_worker(&world);
-            world.call_faults.push(CallFault {
-                call_ms: late_ms,
-                ..CallFault::one(CallKind::Start, &id)
-            });
-            world.submit(leader, 1, vec![spec]);
-            while world.count("run_ordered") == 0 {
-                world.run(1);
-            }
-            world.kill(leader);
-            world.start(leader);
+            replace_leader_after_start(&mut world, spec, late_ms);
             world.run(MAX_LATE_MS + 3_000);
             assert_completed(world, &case);
         }
@@ -249,18 +256,7 @@
         worker.work_ms = 800;
         worker.how = RunOutcome::Broken;
     }
-    let leader = world.leader().unwrap();
-    let id = first_worker(&world);
-    world.call_faults.push(CallFault {
-        call_ms: restart_ms + after_ms,
-        ..CallFault::one(CallKind::Start, &id)
-    });
-    world.submit(leader, 1, vec![spec]);
-    while world.count("run_ordered") == 0 {
-        world.run(1);
-    }
-    world.kill(leader);
-    world.start(leader);
+    let id = replace_leader_after_start(&mut world, spec, restart_ms + after_ms);
     // The next leader places the runs on the other worker.
     let number = world.workers[&id].number;
     world.set_draining(number, true);
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -303,21 +303,34 @@
     }
 }
 
+/// Returns a cell of 4 workers whose advice takes `advice_ms` and denies all workers but one that drains.
+fn world_that_denies_all_workers(advice_ms: u64) -> World {
+    let queue = queue_with_advice(advice_ms * 1_000, 0, 2_000);
+    let mut world = started_world(4, desired(1, queue));
+    world.advice_ms = advice_ms;
+    world.advice_allows_every = 100;
+    world.set_draining(0, true);
+    world.run(500);
+    world
+}
+
+/// Lets the advice allow all workers from now on, and restarts one that it denied.
+fn allow_all_and_restart_a_worker(world: &mut World) {
+    world.advice_allows_every = 1;
+    let id = world.workers.keys().nth(1).unwrap().clone();
+    world.restart_worker(&id);
+}
+
 /// Guards against a step that is never started because the advice was on an earlier life of the
 /// workers, which may be of another kind now.
 #[test]
 fn a_step_that_a_worker_was_denied_may_start_on_its_next_life() {
     for spec in [step(1, 1_000), gang(1, 1_000)] {
-        let mut world = started_world(4, desired(1, queue_with_advice(20_000, 0, 2_000)));
-        world.advice_allows_every = 100;
-        world.set_draining(0, true);
-        world.run(500);
+        let mut world = world_that_denies_all_workers(20);
         world.submit(0, 1, vec![spec]);
         world.run(5_000);
         assert_eq!(starts_of(&world, 1), 0);
-        world.advice_allows_every = 1;
-        let id = world.workers.keys().nth(1).unwrap().clone();
-        world.restart_worker(&id);
+        allow_all_and_restart_a_worker(&mut world);
         world.run(10_000);
         assert_eq!(starts_of(&world, 1), 1);
     }
@@ -328,17 +341,11 @@
 #[test]
 fn a_step_that_a_worker_was_denied_while_it_restarted_may_start_on_its_next_life() {
     for spec in [step(1, 1_000), gang(1, 1_000)] {
-        let mut world = started_world(4, desired(1, queue_with_advice(1_500_000, 0, 2_000)));
-        world.advice_ms = 1_500;
-        world.advice_allows_every = 100;
-        world.set_draining(0, true);
-        world.run(500);
+        let mut world = world_that_denies_all_workers(1_500);
         world.submit(0, 1, vec![spec]);
         world.run(500);
         assert_eq!(world.advice_calls, 1);
-        world.advice_allows_every = 1;
-        let id = world.workers.keys().nth(1).unwrap().clone();
-        world.restart_worker(&id);
+        allow_all_and_restart_a_worker(&mut world);
         world.run(500);
         assert_eq!(world.count("worker_restarted"), 1);
         assert_eq!(world.count("advice_given"), 0);
