Show that an accepted gang never starts where workers' ids are long

Whether a gang fits into its row is checked at submission with ids of 40 bytes, and before its start with the fleet's longest id. A gang between the two is accepted and stays pending for ever.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 mod cancelled;
 mod http;
 mod json;
+mod long_ids;
 mod many_ends;
 mod public_route;
 mod record;
@@ -34,6 +35,7 @@
         "public-route" => public_route::run(dir, &record, has_trouble),
         "zone-cut" => zone_cut::run(dir, &record, has_trouble),
         "cancelled" => cancelled::run(dir, &record, has_trouble),
+        "long-ids" => long_ids::run(dir, &record, has_trouble),
         "many-ends" => many_ends::run(dir, &record, has_trouble),
         _ => Outcome::NotRun("no such case".into()),
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -172,8 +172,13 @@
 impl Site {
     /// Starts the platform, the workers and the daemons; settings and logs go into `dir`.
     pub fn start(dir: &str, record: Arc<Record>) -> Self {
+        Self::start_with_ids(dir, record, "i-")
+    }
+
+    /// As [`Site::start`], with workers whose ids begin with `id_prefix`.
+    pub fn start_with_ids(dir: &str, record: Arc<Record>, id_prefix: &str) -> Self {
         let store = Store::new();
-        let fleet = Fleet::new(&ZONES, record.clone());
+        let fleet = Fleet::new(&ZONES, id_prefix, record.clone());
         let mut links = Vec::new();
         let mut path = |from: usize, to: End| {
             let is_near = to.zone().is_none_or(|zone| zone == from);
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -90,9 +90,9 @@
 
 impl Fleet {
     /// Creates two workers in each zone.
-    pub fn new(zones: &[&str], record: Arc<Record>) -> Arc<Self> {
+    pub fn new(zones: &[&str], id_prefix: &str, record: Arc<Record>) -> Arc<Self> {
         let worker = |at: usize| Worker {
-            id: format!("i-{at}"),
+            id: format!("{id_prefix}{at}"),
             zone: zones[at / 2].to_string(),
             token: 0,
             lease_until_ms: 0,
