Let no worker's lease outlast the leader's by more than its span

Cause: only the timer looked at the leader's lease. A poll that follows an answer, a start or a stored write did not. The same held for a leader that has resigned and does not know yet that the store has recorded it, and a refused resignation was never repeated.

The end of the leader's lease is in one place now, and one function derives from it the end of every lease that a start or a renewal grants, so a call that some other event leads to can't pass it by. A leader that has handed over no longer leads again under the same token.

--- a/core/src/cell/ctx.rs
+++ b/core/src/cell/ctx.rs
@@ -39,6 +39,7 @@
     store_ok_at: Millis,
     store_failures: u32,
     store_down: bool,
+    lead_until: Millis,
 }
 
 impl Ctx {
@@ -56,9 +57,30 @@
             store_ok_at: now,
             store_failures: 0,
             store_down: false,
+            lead_until: Millis(0),
         }
     }
 
+    /// Returns whether this daemon's lease as the leader is certainly valid.
+    pub(crate) fn has_lead(&self) -> bool {
+        self.now < self.lead_until
+    }
+
+    /// Returns the time until which this daemon's lease as the leader is certainly valid.
+    pub(crate) fn lead_until(&self) -> Millis {
+        self.lead_until
+    }
+
+    /// Extends the lease as the leader.
+    pub(crate) fn extend_lead(&mut self, until: Millis) {
+        self.lead_until = self.lead_until.max(until);
+    }
+
+    /// Ends the lease as the leader now.
+    pub(crate) fn end_lead(&mut self) {
+        self.lead_until = self.lead_until.min(self.now);
+    }
+
     /// Removes an open call; returns the component that made it, and when.
     pub(crate) fn end_rpc(&mut self, rpc: RpcId) -> Option<(RpcOwner, Millis)> {
         self.owners.remove(&rpc)
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -65,8 +65,6 @@
     pub(crate) strongest_cpu_milli: u64,
     next_acquire_at: Millis,
     pub(crate) own_token: Option<FencingToken>,
-    /// The time until which this daemon's own lease is certainly valid.
-    pub(crate) lease_valid_until: Millis,
     next_renew_at: Millis,
     next_read_at: Millis,
     open: Vec<(RpcId, ElectionCall)>,
@@ -75,6 +73,9 @@
     pub(crate) leader_token: FencingToken,
     pub(crate) heartbeat_at: Option<Millis>,
     resigning: bool,
+    /// The last token under which this daemon led; it never leads under it again, because others may
+    /// have been told that it no longer does.
+    ended_token: FencingToken,
     /// The highest token of a leader that has announced its resignation.
     resigned_token: FencingToken,
     resigned_at: Millis,
@@ -125,7 +126,6 @@
             strongest_cpu_milli: settings.cpu_milli.max(consts::DEFAULT_STRONGEST_CPU_MILLI),
             next_acquire_at: Millis(0),
             own_token: None,
-            lease_valid_until: Millis(0),
             next_renew_at: Millis(0),
             next_read_at: Millis(0),
             open: Vec::new(),
@@ -133,6 +133,7 @@
             leader_token: FencingToken(0),
             heartbeat_at: None,
             resigning: false,
+            ended_token: FencingToken(0),
             resigned_token: FencingToken(0),
             resigned_at: Millis(0),
             first_nonce: nonce,
@@ -140,12 +141,6 @@
         }
     }
 
-    /// Returns whether this daemon leads with a lease that is certainly valid, and so may call
-    /// workers.
-    pub(crate) fn has_valid_lease(&self, now: Millis) -> bool {
-        self.own_token.is_some() && now < self.lease_valid_until
-    }
-
     /// Returns whether the connection to the leader is open and a heartbeat arrived recently.
     pub(crate) fn has_live_leader(&self, now: Millis) -> bool {
         let is_recent = |at: Millis| now.since(at) < consts::LEADER_TIMEOUT_MS;
@@ -189,7 +184,7 @@
         };
         self.next_renew_at = ctx.now + consts::LEASE_RENEW_INTERVAL_MS;
         if self.resigning {
-            return;
+            return self.write_resignation(ctx, token);
         }
         let write = Write {
             expect: vec![fence(token)],
@@ -285,12 +280,23 @@
         self.call(ctx, open, StoreCall::Write(write), consts::STORE_TIMEOUT_MS);
     }
 
-    /// Resigns as leader, so that another daemon can take over at once.
+    /// Resigns as leader, so that another daemon can take over at once. The lease ends with that: another
+    /// daemon may lead as soon as the write is stored, which the answer shows later or not at all.
     pub(crate) fn resign(&mut self, ctx: &mut Ctx) {
         let Some(token) = self.own_token.filter(|_| !self.resigning) else {
             return;
         };
         self.resigning = true;
+        ctx.end_lead();
+        ctx.log(LogEvent::info("lead_resigned").with("token", token));
+        self.write_resignation(ctx, token);
+    }
+
+    /// Writes that this daemon has resigned, unless that write is in flight.
+    fn write_resignation(&mut self, ctx: &mut Ctx, token: FencingToken) {
+        if self.is_open(|open| matches!(open, ElectionCall::Resign)) {
+            return;
+        }
         let row = TermRow {
             holder: None,
             nonce: 0,
@@ -301,7 +307,6 @@
             put: vec![(term_key(), RowValue::Term(row))],
             remove: Vec::new(),
         };
-        ctx.log(LogEvent::info("lead_resigned").with("token", token));
         let call = StoreCall::Write(write);
         self.call(ctx, ElectionCall::Resign, call, consts::STORE_TIMEOUT_MS);
     }
@@ -332,7 +337,7 @@
                 StoreReply::Written(version),
             ) => {
                 let change = self.become_leader(ctx, version, generation);
-                self.on_renewed(sent_at, version);
+                self.on_renewed(ctx, sent_at, version);
                 return change;
             }
             (ElectionCall::Acquire { .. }, StoreReply::Conflict(rows)) => {
@@ -346,7 +351,7 @@
                 self.next_read_at = ctx.now;
             }
             (ElectionCall::Renew { sent_at }, StoreReply::Written(version)) => {
-                self.on_renewed(sent_at, version);
+                self.on_renewed(ctx, sent_at, version);
             }
             (ElectionCall::Renew { .. } | ElectionCall::Resign, StoreReply::Conflict(_))
             | (ElectionCall::Resign, StoreReply::Written(_)) => return self.step_down(ctx),
@@ -356,10 +361,13 @@
     }
 
     /// Extends the lease after a committed write of the lease row that was sent at `sent_at`.
-    pub(crate) fn on_renewed(&mut self, sent_at: Millis, version: RowVersion) {
+    pub(crate) fn on_renewed(&mut self, ctx: &mut Ctx, sent_at: Millis, version: RowVersion) {
         self.lease = self.lease.max(version);
+        if self.own_token.is_none() || self.resigning {
+            return;
+        }
         let span = consts::LEADER_LEASE_MS.since(consts::LEADER_LEASE_MARGIN_MS);
-        self.lease_valid_until = self.lease_valid_until.max(sent_at + span);
+        ctx.extend_lead(sent_at + span);
         self.next_renew_at = self
             .next_renew_at
             .max(sent_at + consts::LEASE_RENEW_INTERVAL_MS);
@@ -382,7 +390,7 @@
         self.link = None;
         // After a read that found this daemon's own term row, the lease must be renewed before it
         // counts as valid.
-        self.lease_valid_until = ctx.now;
+        ctx.end_lead();
         self.next_renew_at = ctx.now;
         ctx.log(
             LogEvent::warn("lead_taken")
@@ -398,6 +406,8 @@
             return LeadershipChange::None;
         };
         ctx.log(LogEvent::warn("lead_lost").with("token", token));
+        ctx.end_lead();
+        self.ended_token = token;
         self.resigning = false;
         self.rows_known = false;
         self.lease_seen_at = ctx.now;
@@ -448,7 +458,9 @@
         self.term_row = term.1;
         self.rows_known = true;
         let mine = self.term_row.holder.as_ref() == Some(&self.host);
-        if mine && self.term_row.nonce == self.nonce && self.own_token.is_none() {
+        let is_own_write = mine && self.term_row.nonce == self.nonce;
+        let is_new = self.term.0 > self.ended_token.0;
+        if is_own_write && is_new && self.own_token.is_none() {
             return self.become_leader(ctx, self.term, self.term_row.generation);
         }
         LeadershipChange::None
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -213,7 +213,7 @@
         let store_slow = ctx.store_age_ms() > consts::STORE_SLOW_THRESHOLD_MS;
         let is_early_due = (has_new_lease || store_slow)
             && now.since(self.members.last_heartbeat_at) >= consts::MIN_HEARTBEAT_INTERVAL_MS;
-        if now < self.members.next_heartbeat_at && !is_early_due || !election.has_valid_lease(now) {
+        if now < self.members.next_heartbeat_at && !is_early_due || !ctx.has_lead() {
             return;
         }
         self.members.heartbeat_lease = election.lease();
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -110,6 +110,8 @@
     next_pass_at: Millis,
     /// How many events waited to be handled at the last tick.
     event_backlog: usize,
+    /// Whether this daemon's lease was valid at the last tick.
+    had_lead: bool,
     /// When it is logged next that many events wait.
     log_backlog_at: Millis,
     kept_workers: KeptWorkers,
@@ -151,6 +153,7 @@
             needs_pass: false,
             next_pass_at: ctx.now,
             event_backlog: 0,
+            had_lead: false,
             log_backlog_at: ctx.now,
             kept_workers: KeptWorkers::default(),
             freed_teams: BTreeSet::new(),
@@ -192,9 +195,16 @@
     ) {
         self.send_reads(ctx);
         self.tick_members(ctx, config, election);
-        if !self.loader.is_done() || !election.has_valid_lease(ctx.now) {
+        if !self.loader.is_done() {
+            return;
+        }
+        let had_lead = std::mem::replace(&mut self.had_lead, ctx.has_lead());
+        if !self.had_lead {
             return;
         }
+        if !had_lead {
+            self.renew_capped_leases();
+        }
         self.poll_workers(ctx);
         self.retry_stops(ctx);
         self.expire_leases(ctx);
@@ -242,23 +252,24 @@
     }
 
     /// Runs a scheduling pass if one is due, sends start and advice calls, writes progress and
-    /// answers held queries. Nothing is started unless the lease is `valid`.
-    pub(crate) fn run_due_work(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>, valid: bool) {
+    /// answers held queries. Nothing is started without a valid lease.
+    pub(crate) fn run_due_work(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>) {
         self.now = ctx.now;
         self.update_state(state);
         if !self.loader.is_done() {
             return;
         }
+        let has_lead = ctx.has_lead();
         let state = self.state.clone();
         if let (Some(state), true) = (
             state,
-            valid && self.needs_pass && ctx.now >= self.next_pass_at,
+            has_lead && self.needs_pass && ctx.now >= self.next_pass_at,
         ) {
             self.needs_pass = false;
             self.next_pass_at = ctx.now + self.pass_interval_ms();
             self.run_pass(ctx, &state);
         }
-        if valid {
+        if has_lead {
             self.check_unsent_starts(ctx);
             self.send_recorded_starts(ctx);
             self.dispatch_advice(ctx);
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -125,6 +125,8 @@
     /// When its lease expires: if it has not answered by then, none of its runs is active any more.
     pub(crate) lease_expires_at: Millis,
     pub(crate) lease_record: LeaseRecord,
+    /// Whether its lease was last renewed while the leader's own lease was not valid.
+    pub(crate) has_capped_lease: bool,
     /// After a refused or lost call, it gets no work before this time.
     pub(crate) backoff_until: Millis,
     /// The time since which it has been listing runs that belong to no known task.
@@ -168,6 +170,7 @@
             reserved: Resources::default(),
             lease_expires_at: Millis(0),
             lease_record: LeaseRecord::None,
+            has_capped_lease: false,
             backoff_until: Millis(0),
             unknown_runs_since: None,
             unreadable_since: None,
@@ -232,9 +235,12 @@
         }
     }
 
-    /// Estimates its clock from the last reading; the true clock is never behind the estimate.
-    pub(crate) fn clock_at(&self, now: Millis) -> Option<Millis> {
-        self.clock.map(|(clock, at)| clock + now.since(at))
+    /// Estimates its clock at a time before or after the last reading; the true clock is never behind the
+    /// estimate. Returns `None` for a time before the clock began.
+    pub(crate) fn clock_at(&self, time: Millis) -> Option<Millis> {
+        let (clock, at) = self.clock?;
+        let clock_ms = (clock + time.since(at)).0.checked_sub(at.since(time).0)?;
+        Some(Millis(clock_ms))
     }
 
     /// Returns whether it has a label.
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -3,6 +3,9 @@
 //! A poll renews the worker's lease, acknowledges ended runs and lists the worker's runs. It waits
 //! at the worker until a run ends, so a second, quick poll is sent when the lists are needed at
 //! once.
+//!
+//! No worker's lease outlasts the leader's own by more than its full span: the next leader waits for
+//! that time before it starts a silent worker's tasks elsewhere.
 
 use crate::{
     cell::{
@@ -78,7 +81,9 @@
         if renews {
             let lease_ms = ctx.settings.max_lease_ms.0;
             let span = Millis(lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100);
-            worker.lease_expires_at = ctx.now + span + consts::WORKER_LEASE_MARGIN_MS;
+            let begin = ctx.now.min(ctx.lead_until());
+            let expires_at = begin + span + consts::WORKER_LEASE_MARGIN_MS;
+            worker.lease_expires_at = worker.lease_expires_at.max(expires_at);
         }
         ctx.push(Effect::Worker {
             rpc,
@@ -130,9 +135,17 @@
         }
     }
 
+    /// Requests polls of the workers whose leases could not be renewed in full while this daemon's own
+    /// lease was not valid.
+    pub(crate) fn renew_capped_leases(&mut self) {
+        for ix in self.fleet.ixs().collect::<Vec<_>>() {
+            let worker = self.fleet.get_mut(ix);
+            worker.needs_quick_poll |= std::mem::take(&mut worker.has_capped_lease);
+        }
+    }
+
     fn send_poll(&mut self, ctx: &mut Ctx, ix: WorkerIx, wait_ms: Millis, quick: bool) {
         let now = ctx.now;
-        let lease_ms = ctx.settings.max_lease_ms;
         let worker = self.fleet.get_mut(ix);
         // After a restart of the worker the number could acknowledge one of its new ended runs. So it is
         // not sent after a lost poll or a long time without an answer, nor twice unless a poll is lost.
@@ -152,9 +165,10 @@
         // worker without runs needs no lease.
         let may_renew = worker.failed_polls == 0 && worker.lease_record == LeaseRecord::None;
         let renews = may_renew && !worker.runs.is_empty() && !worker.should_lapse(now);
-        let clock = worker.clock_at(now).filter(|_| renews);
+        let lease_until_ms = lease_end(ctx, worker).filter(|_| renews);
+        worker.has_capped_lease = renews && !ctx.has_lead();
         let call = WorkerCall::Renew {
-            lease_until_ms: clock.map(|clock| clock + lease_ms),
+            lease_until_ms,
             acknowledge,
             wait_ms,
         };
@@ -247,8 +261,8 @@
     pub(crate) fn send_start(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: TaskKey, run: u32) {
         let at = usize::from(task.step.step);
         let worker = self.fleet.get(ix);
-        let (Some(clock), Some(current)) = (worker.clock_at(ctx.now), worker.runs.get(&task))
-        else {
+        let lease_until_ms = lease_end(ctx, worker).filter(|_| ctx.has_lead());
+        let (Some(lease_until_ms), Some(current)) = (lease_until_ms, worker.runs.get(&task)) else {
             return;
         };
         let Some(job) = self.jobs.get(&task.step.job) else {
@@ -258,7 +272,7 @@
             task: task.clone(),
             run,
             payload: job.row.submission.payload.clone(),
-            lease_until_ms: clock + ctx.settings.max_lease_ms,
+            lease_until_ms,
             checkpoint: current.checkpoint.clone(),
             ticket: job.steps[at].advice.ticket(ix, ctx.now).cloned(),
         };
@@ -455,6 +469,13 @@
     }
 }
 
+/// Returns the latest end of a worker's lease that the leader may grant now, by the worker's clock.
+/// The lease counts from the end of the leader's own lease if that is over.
+fn lease_end(ctx: &Ctx, worker: &Worker) -> Option<Millis> {
+    let begin = worker.clock_at(ctx.now.min(ctx.lead_until()))?;
+    Some(begin + ctx.settings.max_lease_ms)
+}
+
 fn log_start(ctx: &mut Ctx, worker: &Worker, task: &TaskKey, number: u32, accepted_at: Millis) {
     let event = LogEvent::info("run_ordered")
         .with("task", task)
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -181,7 +181,7 @@
                 match leader.on_store_reply(ctx, rpc, reply) {
                     LeaseUpdate::Unchanged => {}
                     LeaseUpdate::Renewed { sent_at, version } => {
-                        self.election.on_renewed(sent_at, version)
+                        self.election.on_renewed(ctx, sent_at, version)
                     }
                     LeaseUpdate::Deposed => {
                         self.election.step_down(ctx);
@@ -295,8 +295,7 @@
     fn finish_step(&mut self) {
         let ctx = &mut self.ctx;
         if let (Some(leader), Some(state)) = (&mut self.leader, self.config.current()) {
-            let valid = self.election.has_valid_lease(ctx.now);
-            leader.run_due_work(ctx, state, valid);
+            leader.run_due_work(ctx, state);
         }
         let link = match &self.leader {
             Some(_) => Some(LOCAL_LINK),
--- /dev/null
+++ b/core/tests/cell_leases.rs
@@ -0,0 +1,141 @@
+//! Leases of workers around the end of a leader's own lease, in virtual time.
+
+#![allow(clippy::unwrap_used)]
+
+mod cell_world;
+
+use cell_world::{desired, queue, step, World};
+use pomelotide_core::{
+    cell::{ClientAnswer, Event, JobState, RunOutcome},
+    WorkerId,
+};
+
+/// After which time without a heartbeat the store removes a worker's entry.
+const ENTRY_LAPSE_MS: u64 = 4_500;
+/// How long the tasks run.
+const WORK_MS: u64 = 18_000;
+
+/// Returns a cell whose leader has started the two tasks of job 1, with their workers.
+fn world_at_work(offset_ms: u64) -> (World, usize, Vec<WorkerId>) {
+    let mut world = World::new(3, 6, desired(1, queue()));
+    world.run(3_000 + offset_ms);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = WORK_MS;
+    }
+    let leader = world.leader().unwrap();
+    world.submit(leader, 1, vec![step(2, 3_000)]);
+    world.run(2_000);
+    let own: Vec<WorkerId> = world.starts().into_iter().map(|start| start.0).collect();
+    assert_eq!(own.len(), 2);
+    (world, leader, own)
+}
+
+/// Cuts workers from all daemons but one, or ends that cut.
+fn cut_workers(world: &mut World, workers: &[WorkerId], except: usize, cut: bool) {
+    for worker in workers {
+        for daemon in (0..3).filter(|daemon| *daemon != except) {
+            let pair = (daemon, worker.clone());
+            match cut {
+                true => world.cut_workers.insert(pair),
+                false => world.cut_workers.remove(&pair),
+            };
+        }
+    }
+}
+
+fn assert_completed_once(mut world: World, case: &str) {
+    world.run(40_000);
+    let leader = world.leader().unwrap();
+    let state = world.state(leader, 1);
+    assert_eq!(state, ClientAnswer::State(JobState::Completed), "{case}");
+    let doubles = world.double_runs();
+    assert!(doubles.is_empty(), "{case}: {doubles:?}");
+}
+
+/// Guards against a task that runs twice because a leader whose own lease has expired renews the leases
+/// of its workers, behind a cut that the next leader can't look across (TWICE; review/1).
+#[test]
+fn a_leader_without_a_lease_does_not_extend_the_leases_of_its_workers() {
+    for cut_ms in [6_500, 11_000, 13_000, 16_000] {
+        for offset_ms in [0, 700, 1_400] {
+            let (mut world, leader, own) = world_at_work(offset_ms);
+            world.cut(leader, true);
+            world.silence_store(leader, true);
+            cut_workers(&mut world, &own, leader, true);
+            world.run(ENTRY_LAPSE_MS);
+            for worker in &own {
+                world.store.remove_worker(worker.as_str());
+            }
+            world.run(cut_ms - ENTRY_LAPSE_MS);
+            world.cut(leader, false);
+            world.silence_store(leader, false);
+            cut_workers(&mut world, &own, leader, false);
+            for worker in &own {
+                world.store.put_worker(&world.workers[worker]);
+            }
+            assert_completed_once(world, &format!("cut for {cut_ms} ms, offset {offset_ms}"));
+        }
+    }
+}
+
+/// Guards against a task that runs twice because a leader that has resigned, and does not know yet that
+/// the store has recorded it, renews the leases of its workers (TWICE).
+#[test]
+fn a_leader_that_resigns_does_not_extend_the_leases_of_its_workers() {
+    for offset_ms in (0..2_000).step_by(100) {
+        let (mut world, leader, own) = world_at_work(offset_ms);
+        world.store.lose_answers = 1;
+        world.deliver_event(leader, Event::Stop);
+        world.run(50);
+        world.cut(leader, true);
+        world.silence_store(leader, true);
+        cut_workers(&mut world, &own, leader, true);
+        world.run(ENTRY_LAPSE_MS);
+        for worker in &own {
+            world.store.remove_worker(worker.as_str());
+        }
+        world.run(13_000 - ENTRY_LAPSE_MS);
+        cut_workers(&mut world, &own, leader, false);
+        for worker in &own {
+            world.store.put_worker(&world.workers[worker]);
+        }
+        assert_completed_once(world, &format!("offset {offset_ms}"));
+    }
+}
+
+/// Guards against a planned stop that lasts for the whole lease because the store refused the leader's
+/// resignation once.
+#[test]
+fn a_refused_resignation_is_repeated() {
+    let (mut world, leader, _) = world_at_work(0);
+    world.refuse_store(leader, true);
+    world.deliver_event(leader, Event::Stop);
+    world.run(300);
+    world.refuse_store(leader, false);
+    world.run(900);
+    let successor = world.leader();
+    assert!(
+        successor.is_some_and(|next| next != leader),
+        "{successor:?}"
+    );
+}
+
+/// Guards against runs that lapse because no lease is renewed while the store is down, for less than the
+/// workers' leases.
+#[test]
+fn an_outage_of_the_store_shorter_than_the_leases_ends_no_run() {
+    for outage_ms in [3_000, 6_000, 9_000] {
+        for offset_ms in (0..2_000).step_by(250) {
+            let (mut world, _, _) = world_at_work(offset_ms);
+            world.store.down = true;
+            world.run(outage_ms);
+            world.store.down = false;
+            world.run(4_000);
+            let case = format!("down for {outage_ms} ms, offset {offset_ms}");
+            let spans = world.workers.values().flat_map(|own| &own.spans);
+            let lapsed = spans.filter(|span| span.how == Some(RunOutcome::Lapsed));
+            assert_eq!(lapsed.count(), 0, "{case}");
+            assert_completed_once(world, &case);
+        }
+    }
+}
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -21,7 +21,7 @@
     },
     CallId, JobId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The host name that clients name.
 pub const HOST: &str = "desk.example";
@@ -120,6 +120,8 @@
     /// Faults of single calls to workers; each affects the first calls that it names.
     pub call_faults: Vec<CallFault>,
     pub random_call_faults: Option<RandomCallFaults>,
+    /// The daemons and workers that do not reach each other.
+    pub cut_workers: BTreeSet<(usize, WorkerId)>,
     /// How much later the answers of calls to workers arrive.
     answer_delays: BTreeMap<(usize, RpcId), u64>,
     specs: Specs,
@@ -255,6 +257,7 @@
             step_s: 0.0,
             call_faults: Vec::new(),
             random_call_faults: None,
+            cut_workers: BTreeSet::new(),
             answer_delays: BTreeMap::new(),
             specs: Specs::new(),
             called_workers: BTreeMap::new(),
@@ -513,7 +516,16 @@
         }
     }
 
+    fn is_cut(&self, caller: usize, worker: &WorkerId) -> bool {
+        let pair = (caller % MAX_DAEMONS, worker.clone());
+        self.cut_workers.contains(&pair)
+    }
+
     fn answer_worker_call(&mut self, delay_ms: u64, at: usize, rpc: RpcId, answer: WorkerAnswer) {
+        let worker = self.called_workers.get(&(at, rpc));
+        if worker.is_some_and(|worker| self.is_cut(at, worker)) {
+            return;
+        }
         let late_ms = self.answer_delays.remove(&(at, rpc)).unwrap_or(0);
         let answer = Event::Worker(rpc, answer);
         self.later(HOP_MS + delay_ms + late_ms, Due::Event(at, answer));
@@ -549,6 +561,9 @@
                     WorkerCall::Renew { wait_ms, .. } if wait_ms.0 == 0 => self.late_lists_ms,
                     _ => 0,
                 };
+                if self.is_cut(at, &call.worker) {
+                    return;
+                }
                 let worker = self.workers.get_mut(&call.worker);
                 let answer = match worker {
                     Some(worker) => worker.call(self.now, at, rpc, call, &self.specs),
