Take no run for ended because a full list of ended runs does not name it

Cause: the first part of the list was taken for the whole.

The only place that concludes that a run is missing draws no conclusion from such a list; the next list comes with the acknowledgement of this one.

--- a/core/src/cell/leader/reconcile.rs
+++ b/core/src/cell/leader/reconcile.rs
@@ -10,7 +10,7 @@
             worker::{Run, RunPhase},
             Leader,
         },
-        ActiveRun, LogEvent, TaskKey,
+        ActiveRun, LogEvent, TaskKey, WorkerRuns,
     },
     Millis,
 };
@@ -26,8 +26,9 @@
         ctx: &mut Ctx,
         ix: WorkerIx,
         sent_at: Millis,
-        active: &[ActiveRun],
+        view: &WorkerRuns,
     ) {
+        let active = &view.active;
         let mut has_unknown = false;
         for listed in active {
             has_unknown |= !self.on_active(ctx, ix, listed);
@@ -37,8 +38,9 @@
             (true, since) => since.or(Some(ctx.now)),
             (false, _) => None,
         };
-        if worker.unreadable_since.is_some() {
-            // A row that can't be read may be any run, so none counts as missing.
+        if worker.unreadable_since.is_some() || view.has_more_finished {
+            // A row that can't be read may be any run, and so may an end that is not listed yet. None
+            // counts as missing.
             return;
         }
         let missing = |task: &TaskKey, run: &Run| {
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -63,12 +63,13 @@
         worker.clock = Some((clock, ctx.now));
         worker.answered_at = ctx.now;
         worker.failed_polls = 0;
-        for end in view.finished {
+        for end in std::mem::take(&mut view.finished) {
             self.on_finished(ctx, ix, end);
         }
         self.skip_unreadable_ends(ctx, ix, unreadable);
         self.note_unreadable_runs(ctx, ix, unreadable_runs);
-        self.reconcile_active(ctx, ix, sent_at, &view.active);
+        self.note_unlisted_ends(ctx, ix, view.has_more_finished);
+        self.reconcile_active(ctx, ix, sent_at, &view);
         let worker = self.fleet.get_mut(ix);
         if worker.unstored.is_empty() {
             worker.last_end_stored = worker.last_end_seen;
@@ -113,6 +114,17 @@
         }
     }
 
+    /// Notes whether a worker may hold ended runs that its list does not name.
+    fn note_unlisted_ends(&mut self, ctx: &mut Ctx, ix: WorkerIx, has_more: bool) {
+        let worker = self.fleet.get_mut(ix);
+        let had_more = std::mem::replace(&mut worker.has_more_ends, has_more);
+        if has_more != had_more {
+            let event = LogEvent::info("ends_unlisted").with("worker", &worker.entry.id);
+            let event = event.with("more", has_more).with("runs", worker.runs.len());
+            ctx.log(event.with("seen", worker.last_end_seen));
+        }
+    }
+
     /// Resets the state of a worker's ended runs when it has restarted, or reports for the first
     /// time: each incarnation numbers its ended runs anew.
     fn detect_restart(&mut self, ctx: &mut Ctx, ix: WorkerIx, view: &WorkerRuns) {
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -135,6 +135,8 @@
     pub(crate) unreadable_since: Option<Millis>,
     /// Whether its last list had ended runs whose position can't be read.
     pub(crate) has_unnumbered_ends: bool,
+    /// Whether it may hold ended runs that its last list did not name.
+    pub(crate) has_more_ends: bool,
     /// How many of its runs have failed in a row.
     pub(crate) failures: u32,
     /// It gets no work before this time because its last runs have all failed.
@@ -175,6 +177,7 @@
             unknown_runs_since: None,
             unreadable_since: None,
             has_unnumbered_ends: false,
+            has_more_ends: false,
             failures: 0,
             quarantined_until: Millis(0),
             was_usable: false,
--- a/core/src/cell/worker_call.rs
+++ b/core/src/cell/worker_call.rs
@@ -106,8 +106,11 @@
     pub incarnation: Option<Incarnation>,
     /// The active runs.
     pub active: Vec<ActiveRun>,
-    /// The ended runs that were not acknowledged.
+    /// The first of the ended runs that were not acknowledged.
     pub finished: Vec<FinishedRun>,
+    /// Whether the worker may hold more ended runs, which it lists once these are acknowledged.
+    #[serde(default)]
+    pub has_more_finished: bool,
 }
 
 /// The rows of a worker's lists that can't be read.
--- a/core/tests/cell_absurd_rows.rs
+++ b/core/tests/cell_absurd_rows.rs
@@ -50,6 +50,7 @@
             incarnation: worker.entry.incarnation,
             active: vec![run],
             finished: Vec::new(),
+            ..WorkerRuns::default()
         };
         worker.answer_override = Some(WorkerAnswer::Listed(now, view));
         let polls = worker.polls;
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -416,6 +416,7 @@
         incarnation: Some(Incarnation(1)),
         active: vec![listed],
         finished: Vec::new(),
+        ..WorkerRuns::default()
     };
     let worker = world.workers.values_mut().next().unwrap();
     worker.answer_override = Some(WorkerAnswer::Listed(Millis(world.now), runs));
--- a/core/tests/cell_stale_lists.rs
+++ b/core/tests/cell_stale_lists.rs
@@ -46,6 +46,7 @@
         incarnation: worker.entry.incarnation,
         active: vec![active],
         finished: Vec::new(),
+        ..WorkerRuns::default()
     };
     worker.answer_override = Some(WorkerAnswer::Listed(now, runs));
 }
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -372,6 +372,7 @@
             incarnation: self.entry.incarnation,
             active: active.collect(),
             finished: finished.map(|finished| finished.end.clone()).collect(),
+            has_more_finished: self.finished.len() >= MAX_LISTED_ENDS,
         };
         let clock = Millis(self.clock(now));
         if self.ends_unreadable {
--- a/core/tests/malformed_input.rs
+++ b/core/tests/malformed_input.rs
@@ -58,6 +58,7 @@
         incarnation: worker.entry.incarnation,
         active: active.collect(),
         finished: finished.collect(),
+        ..WorkerRuns::default()
     };
     worker.answer_override = Some(WorkerAnswer::Listed(Millis(clock_ms), view));
     worker.polls = 0;
