Deny no job because an answer of the store may hide its row

Callers could get 410 for an accepted job (LOST): a look-up took an answer without rows that announces more, or whose row has no readable key, and a body without rows and version, for the absence of the row.

Found by looking for it in the other readers of lists; no run with real processes shows it.

Whether a row is absent is decided in one place now (found_row.rs); what is unclear is refused with a time to come back.

--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -8,6 +8,7 @@
     cell::{
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
+        found_row::FoundRow,
         submissions::{job_key, Submissions},
         AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobRow, JobState,
         JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowValue, RowVersion, RpcId,
@@ -317,31 +318,26 @@
         let Some(lookup) = self.lookups.remove(&rpc) else {
             return;
         };
-        let StoreReply::Rows { rows, .. } = reply else {
-            let (Lookup::Job(query) | Lookup::Progress(query)) = lookup;
-            return self.refuse(ctx, query.call, "the store does not answer");
+        let (key, call) = match &lookup {
+            Lookup::Job(query) => (job_key(&query.job), query.call),
+            Lookup::Progress(query) => (progress_key(&query.job), query.call),
+        };
+        let found = match FoundRow::new(reply, &key) {
+            FoundRow::Found(row) => Some((row.value, row.version)),
+            FoundRow::Absent => None,
+            FoundRow::Unclear(reason) => return self.refuse(ctx, call, reason),
         };
         match lookup {
             Lookup::Job(query) => {
-                let key = job_key(&query.job);
-                let row = rows.into_iter().find(|row| row.key == key);
-                let found = match row.map(|row| (row.value, row.version)) {
+                let found = match found {
                     Some((RowValue::Job(job), version)) => Some((*job, version)),
-                    Some((RowValue::Unusable(_), _)) => {
-                        return self.refuse(ctx, query.call, "the job's record can't be read")
-                    }
                     _ => None,
                 };
                 self.on_job_row(ctx, query, found);
             }
             Lookup::Progress(query) => {
-                let key = progress_key(&query.job);
-                let row = rows.into_iter().find(|row| row.key == key);
-                let state = match row.map(|row| row.value) {
-                    Some(RowValue::Progress(progress)) => progress.state,
-                    Some(RowValue::Unusable(_)) => {
-                        return self.refuse(ctx, query.call, "the job's record can't be read")
-                    }
+                let state = match found {
+                    Some((RowValue::Progress(progress), _)) => progress.state,
                     _ => JobState::Pending,
                 };
                 self.answer(ctx, query.call, ClientAnswer::State(state));
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod effect;
 mod election;
 mod event;
+mod found_row;
 mod frontend;
 mod ids;
 mod job;
--- a/core/tests/cell_partial_lists.rs
+++ b/core/tests/cell_partial_lists.rs
@@ -6,7 +6,7 @@
 
 use cell_world::{desired, queue, step, World};
 use pomelotide_core::{
-    cell::{JobState, StepSpec},
+    cell::{ClientAnswer, JobState, StepSpec},
     Resources,
 };
 
@@ -78,3 +78,30 @@
     world.kill(leader);
     assert_each_task_ran_once(world);
 }
+
+/// Guards against a job that is answered as unknown because an answer of the store does not show its row,
+/// and does not show either that there is none (LOST).
+#[test]
+fn an_answer_that_may_hide_a_row_does_not_deny_the_job() {
+    for unreadable in [false, true] {
+        let mut world = World::new(3, 4, desired(1, queue()));
+        world.run(3_000);
+        for job in 1..=40 {
+            world.submit(0, job, vec![step(1, 500)]);
+        }
+        world.run(500);
+        let leader = world.leader().unwrap();
+        let other = (leader + 1) % 3;
+        world.kill(leader);
+        // The daemon notices that the link to the leader is down.
+        world.run(50);
+        match unreadable {
+            true => world.store.unreadable_pages = 1,
+            false => world.store.empty_pages = 1,
+        }
+        let answer = world.state(other, 1);
+        assert_ne!(answer, ClientAnswer::NoJob, "unreadable: {unreadable}");
+        world.run(5_000);
+        world.assert_state(other, 1, JobState::Completed);
+    }
+}
