Record a cancellation that comes before the record of its job

Cause: a cancellation of a job without a row left no trace that a later write would meet. Of the same class: the removal of an ended job's row had no condition, so a late one removed a new job with the same id; and a cancellation was answered with 410 although the row had been found, if the leader did not know the job yet.

The cancellation now takes the place of the job's row, if it is still free, before it is answered; each late write of the job fails on it. Removals expect the version of what they remove.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -189,6 +189,9 @@
 pub const QUARANTINE_MS: Millis = Millis(4_000);
 /// At most one worker in this many is quarantined at a time.
 pub const QUARANTINE_DIVISOR: usize = 8;
+/// The delay before a client may hand in a job again whose id was cancelled before it was recorded; the
+/// id stays cancelled for the retention time of jobs.
+pub const WITHDRAWN_RETRY_AFTER_MS: Millis = Millis(120_000);
 /// The delay before a client may retry a job of a kind that this version does not run; only an
 /// upgrade changes that.
 pub const UNSUPPORTED_RETRY_AFTER_MS: Millis = Millis(60_000);
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -10,9 +10,9 @@
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         found_row::FoundRow,
         submissions::{job_key, Submissions},
-        AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobRow, JobState,
-        JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowValue, RowVersion, RpcId,
-        StoreCall, StoreReply, Submission, Table, ToLeader, ToMember,
+        AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobAccess, JobRow,
+        JobState, JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowValue, RowVersion,
+        RpcId, StoreCall, StoreReply, Submission, Table, ToLeader, ToMember, Withdrawal, Write,
     },
     CallId, JobId, Millis, QueueName, TeamName,
 };
@@ -26,18 +26,20 @@
 struct LeaderQuery {
     call: CallId,
     job: JobId,
-    team: Option<TeamName>,
+    access: JobAccess,
     cancels: bool,
     since: Millis,
     /// Whether the job's row was already read from the store for this call.
     row_looked_up: bool,
 }
 
-/// A read of a row in the store for a client's call.
+/// A call to the store for a client's call.
 #[derive(Debug)]
 enum Lookup {
     Job(LeaderQuery),
     Progress(LeaderQuery),
+    /// The write of a cancellation in the place of a job that is not recorded.
+    Withdrawal(LeaderQuery),
 }
 
 /// The contents of the leader's latest heartbeat.
@@ -170,8 +172,17 @@
                 ctx.log(event.with("queue", &queue.name).with("reason", &reason));
                 self.answer(ctx, call, ClientAnswer::Malformed(reason));
             }
-            ClientVerb::Get => self.query_leader(ctx, call, job, team, false, false),
-            ClientVerb::Cancel => self.query_leader(ctx, call, job, team, true, false),
+            ClientVerb::Get | ClientVerb::Cancel => {
+                let query = LeaderQuery {
+                    call,
+                    job,
+                    access: JobAccess { team },
+                    cancels: verb == ClientVerb::Cancel,
+                    since: ctx.now,
+                    row_looked_up: false,
+                };
+                self.query_leader(ctx, query);
+            }
         }
     }
 
@@ -256,40 +267,23 @@
         self.answer(ctx, call, ClientAnswer::Count(count));
     }
 
-    fn query_leader(
-        &mut self,
-        ctx: &mut Ctx,
-        call: CallId,
-        job: JobId,
-        team: Option<TeamName>,
-        cancels: bool,
-        row_looked_up: bool,
-    ) {
-        let since = ctx.now;
-        let query = LeaderQuery {
-            call,
-            job,
-            team,
-            cancels,
-            since,
-            row_looked_up,
-        };
+    fn query_leader(&mut self, ctx: &mut Ctx, query: LeaderQuery) {
         let Some(link) = self.leader else {
             return self.on_leader_unavailable(ctx, query);
         };
         self.last_query += 1;
         let id = QueryId(self.last_query);
-        let (job, team) = (query.job.clone(), query.team.clone());
-        let message = match cancels {
+        let (job, access) = (query.job.clone(), query.access.clone());
+        let message = match query.cancels {
             true => ToLeader::Cancel {
                 query: id,
                 job,
-                team,
+                access,
             },
             false => ToLeader::State {
                 query: id,
                 job,
-                team,
+                access,
             },
         };
         self.queries.insert(id, query);
@@ -321,51 +315,94 @@
         let (key, call) = match &lookup {
             Lookup::Job(query) => (job_key(&query.job), query.call),
             Lookup::Progress(query) => (progress_key(&query.job), query.call),
+            Lookup::Withdrawal(query) => {
+                return self.on_withdrawal_written(ctx, query.clone(), reply);
+            }
         };
         let found = match FoundRow::new(reply, &key) {
             FoundRow::Found(row) => Some((row.value, row.version)),
             FoundRow::Absent => None,
             FoundRow::Unclear(reason) => return self.refuse(ctx, call, reason),
         };
-        match lookup {
-            Lookup::Job(query) => {
-                let found = match found {
-                    Some((RowValue::Job(job), version)) => Some((*job, version)),
-                    _ => None,
-                };
-                self.on_job_row(ctx, query, found);
+        match (lookup, found) {
+            (Lookup::Job(query), Some((RowValue::Job(job), version))) => {
+                self.on_job_row(ctx, query, *job, version);
+            }
+            (Lookup::Job(query), found) if query.cancels => {
+                self.withdraw(ctx, query, found);
             }
-            Lookup::Progress(query) => {
+            (Lookup::Job(query), _) => self.answer(ctx, query.call, ClientAnswer::NoJob),
+            (Lookup::Progress(query), found) => {
                 let state = match found {
                     Some((RowValue::Progress(progress), _)) => progress.state,
                     _ => JobState::Pending,
                 };
                 self.answer(ctx, query.call, ClientAnswer::State(state));
             }
+            (Lookup::Withdrawal(_), _) => {}
         }
     }
 
     /// Continues a query after the job's row was read: a cancellation goes to the leader again, for
     /// another query the progress is read.
-    fn on_job_row(
-        &mut self,
-        ctx: &mut Ctx,
-        query: LeaderQuery,
-        found: Option<(JobRow, RowVersion)>,
-    ) {
-        let own = found.filter(|(row, _)| row.team.is_none() || row.team == query.team);
-        let Some((row, version)) = own else {
+    fn on_job_row(&mut self, ctx: &mut Ctx, query: LeaderQuery, row: JobRow, version: RowVersion) {
+        if !query.access.covers(&row) {
             return self.answer(ctx, query.call, ClientAnswer::NoJob);
-        };
+        }
         if query.cancels {
             self.report_accepted(ctx, row, version);
-            return self.query_leader(ctx, query.call, query.job, query.team, true, true);
+            let since = ctx.now;
+            let query = LeaderQuery {
+                since,
+                row_looked_up: true,
+                ..query
+            };
+            return self.query_leader(ctx, query);
         }
         let call = read_row_call(progress_key(&query.job));
         let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
         self.lookups.insert(rpc, Lookup::Progress(query));
     }
 
+    /// Records a cancellation in the place of a job that is not recorded, because a write of the job may
+    /// still be under way.
+    fn withdraw(
+        &mut self,
+        ctx: &mut Ctx,
+        query: LeaderQuery,
+        found: Option<(RowValue, RowVersion)>,
+    ) {
+        let (mut withdrawal, version) = match found {
+            Some((RowValue::Withdrawn(earlier), version)) => (*earlier, version),
+            _ => (Withdrawal::default(), RowVersion(0)),
+        };
+        if !withdrawal.add(query.access.clone()) {
+            return self.answer(ctx, query.call, ClientAnswer::NoJob);
+        }
+        let key = job_key(&query.job);
+        let write = Write {
+            expect: vec![(key.clone(), version)],
+            put: vec![(key, RowValue::Withdrawn(Box::new(withdrawal)))],
+            remove: Vec::new(),
+        };
+        let call = StoreCall::Write(write);
+        let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
+        self.lookups.insert(rpc, Lookup::Withdrawal(query));
+    }
+
+    /// Answers a cancellation once it is recorded; after a conflict, the row that took its place counts.
+    fn on_withdrawal_written(&mut self, ctx: &mut Ctx, query: LeaderQuery, reply: StoreReply) {
+        match reply {
+            StoreReply::Written(version) => {
+                let event = LogEvent::info("job_withdrawn").with("job", &query.job);
+                ctx.log(event.with("version", version));
+                self.answer(ctx, query.call, ClientAnswer::NoJob);
+            }
+            StoreReply::Conflict(_) => self.look_up(ctx, query),
+            _ => self.refuse(ctx, query.call, "the store does not answer"),
+        }
+    }
+
     /// Reports a recorded job to the leader.
     pub(crate) fn report_accepted(&mut self, ctx: &mut Ctx, job: JobRow, version: RowVersion) {
         let Some(link) = self.leader else { return };
@@ -457,7 +494,8 @@
                 self.refuse(ctx, query.call, "the leader is starting")
             }
             (JobStateReply::UnknownToLeader, true) if query.row_looked_up => {
-                self.answer(ctx, query.call, ClientAnswer::NoJob);
+                // The job is recorded, so it may run.
+                self.refuse(ctx, query.call, "the leader does not know the job yet");
             }
             (JobStateReply::UnknownToLeader | JobStateReply::Loading, _) => {
                 self.look_up(ctx, query)
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) row: JobRow,
+    /// The version of the row, which never changes.
+    pub(crate) row_version: RowVersion,
     pub(crate) progress: Progress,
     pub(crate) progress_version: RowVersion,
     /// The number of changes of `progress` so far.
@@ -41,7 +43,7 @@
 }
 
 impl Job {
-    fn new(ctx: &Ctx, row: JobRow) -> Self {
+    fn new(ctx: &Ctx, row: JobRow, row_version: RowVersion) -> Self {
         let age_ms = ctx
             .unix_ms
             .saturating_sub(row.accepted_unix_ms)
@@ -51,6 +53,7 @@
         let steps = specs.map(|(spec, path_ms)| Step::new(spec.count, path_ms));
         let steps: Vec<Step> = steps.collect();
         Self {
+            row_version,
             progress: Progress {
                 steps: vec![StepProgress::default(); steps.len()],
                 ..Progress::default()
@@ -136,7 +139,7 @@
         }
         let id = row.id.clone();
         let queue = row.queue.clone();
-        let mut job = Job::new(ctx, row);
+        let mut job = Job::new(ctx, row, version);
         job.surplus = !self.is_within_share(ctx.now, &job.row);
         let event = LogEvent::info("job_learned")
             .with("job", &id)
@@ -153,6 +156,7 @@
         *self.queued.entry(queue).or_default() += 1;
         let is_queue_unknown = |state: &&Rc<DesiredState>| state.queue(&job.row.queue).is_none();
         let outdated = self.state.as_ref().filter(is_queue_unknown).cloned();
+        self.withdrawn.remove(&id);
         self.jobs.insert(id.clone(), job);
         if let Some(state) = outdated {
             self.state = Some(self.with_queues_of_open_jobs(&state));
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -10,7 +10,7 @@
         submissions::partition_name,
         LogEvent, Row, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
     },
-    Millis,
+    JobId, Millis,
 };
 use compact_str::{format_compact, CompactString};
 use std::collections::BTreeMap;
@@ -313,10 +313,19 @@
         }
     }
 
-    fn apply_row(&mut self, ctx: &mut Ctx, row: Row) {
+    pub(crate) fn apply_row(&mut self, ctx: &mut Ctx, row: Row) {
         let table = row.key.table;
         match row.value {
             RowValue::Job(job) => self.add_job(ctx, *job, row.version),
+            RowValue::Withdrawn(_) if table == Table::Jobs => {
+                let seen_at = ctx.now;
+                let id = JobId::new(&row.key.key);
+                let known = self.withdrawn.entry(id).or_insert((row.version, seen_at));
+                known.0 = known.0.max(row.version);
+            }
+            RowValue::Gone if table == Table::Jobs => {
+                self.withdrawn.remove(&JobId::new(&row.key.key));
+            }
             RowValue::Progress(progress) => {
                 self.progress_writes
                     .add_loaded(&row.key, row.version, *progress);
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -88,6 +88,9 @@
     state: Option<Rc<DesiredState>>,
     loader: Loader,
     jobs: BTreeMap<JobId, Job>,
+    /// Cancellations that came before the record of their job: the versions of their rows, and when each
+    /// was read first.
+    withdrawn: BTreeMap<JobId, (RowVersion, Millis)>,
     fleet: Fleet,
     /// Steps with a task that may start now.
     pending: PendingSteps,
@@ -137,6 +140,7 @@
             state: None,
             loader: Loader::default(),
             jobs: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
             fleet: Fleet::default(),
             pending: PendingSteps::default(),
             used: BTreeMap::new(),
@@ -225,7 +229,7 @@
             return self.on_progress_written(ctx, rpc, reply);
         }
         if let Some(jobs) = self.progress_writes.take_removal(rpc) {
-            self.on_jobs_removed(ctx, &jobs, &reply);
+            self.on_jobs_removed(ctx, &jobs, reply);
             return LeaseUpdate::Unchanged;
         }
         self.on_read_reply(ctx, rpc, reply);
@@ -235,10 +239,12 @@
     pub(crate) fn on_member_message(&mut self, ctx: &mut Ctx, link: LinkId, message: ToLeader) {
         match message {
             ToLeader::Accepted { job, version } => self.add_job(ctx, *job, version),
-            ToLeader::State { query, job, team } => {
-                self.answer_state_query(ctx, link, query, &job, team)
+            ToLeader::State { query, job, access } => {
+                self.answer_state_query(ctx, link, query, &job, &access)
+            }
+            ToLeader::Cancel { query, job, access } => {
+                self.cancel_job(ctx, link, query, &job, &access)
             }
-            ToLeader::Cancel { query, job, team } => self.cancel_job(ctx, link, query, &job, team),
             ToLeader::Advice { query, reply } => self.on_advice(ctx, query, reply),
             ToLeader::Ping {
                 sent_ms,
@@ -347,7 +353,7 @@
         self.jobs.values().any(is_open)
     }
 
-    /// Removes jobs that ended longer ago than the retention time.
+    /// Removes jobs that ended, and withdrawals that were read, longer ago than the retention time.
     fn sweep(&mut self, ctx: &mut Ctx) {
         if ctx.now < self.sweep_at {
             return;
@@ -356,8 +362,13 @@
         let retention_ms = ctx.settings.retention_ms;
         let is_expired =
             |job: &&Job| job.is_removable() && ctx.now.since(job.ended_at) > retention_ms;
-        let expired = self.jobs.values().filter(is_expired);
-        let ids: Vec<&JobId> = expired.map(|job| &job.row.id).collect();
-        self.progress_writes.remove_jobs(ctx, &ids);
+        let jobs = self.jobs.values().filter(is_expired);
+        let jobs = jobs.map(|job| (job.row.id.clone(), job.row_version));
+        let withdrawn = self.withdrawn.iter();
+        let withdrawn =
+            withdrawn.filter(|(_, (_, seen_at))| ctx.now.since(*seen_at) > retention_ms);
+        let withdrawn = withdrawn.map(|(id, (version, _))| (id.clone(), *version));
+        let expired: Vec<(JobId, RowVersion)> = jobs.chain(withdrawn).collect();
+        self.progress_writes.remove_jobs(ctx, &expired);
     }
 }
--- a/core/src/cell/leader/progress_writes.rs
+++ b/core/src/cell/leader/progress_writes.rs
@@ -40,7 +40,7 @@
     /// The workers whose ended runs may be acknowledged only after these writes.
     waiting_workers: BTreeSet<WorkerIx>,
     /// The unanswered removals of ended jobs.
-    removals: BTreeMap<RpcId, Vec<JobId>>,
+    removals: BTreeMap<RpcId, Vec<(JobId, RowVersion)>>,
     /// Progress rows that were read, until they are applied to their jobs.
     loaded: BTreeMap<JobId, (RowVersion, Progress)>,
 }
@@ -125,23 +125,22 @@
         std::mem::take(&mut self.loaded)
     }
 
-    /// Removes the rows of ended jobs. Their progress rows are removed only after that, because a job
-    /// without progress would run again.
-    pub(crate) fn remove_jobs(&mut self, ctx: &mut Ctx, ended: &[&JobId]) {
-        let unanswered: BTreeSet<&JobId> = self.removals.values().flatten().collect();
-        let is_due = |job: &&&JobId| !unanswered.contains(*job);
-        let due: Vec<JobId> = ended
-            .iter()
-            .filter(is_due)
-            .map(|job| (*job).clone())
-            .collect();
+    /// Removes the rows of ended jobs and of withdrawals, unless a row was written anew. The progress
+    /// rows of jobs are removed only after that, because a job without progress would run again.
+    pub(crate) fn remove_jobs(&mut self, ctx: &mut Ctx, ended: &[(JobId, RowVersion)]) {
+        let unanswered = self.removals.values().flatten().map(|(id, _)| id);
+        let unanswered: BTreeSet<&JobId> = unanswered.collect();
+        let is_due = |(id, _): &&(JobId, RowVersion)| !unanswered.contains(id);
+        let due: Vec<_> = ended.iter().filter(is_due).cloned().collect();
         for part in 0..consts::JOB_PARTITIONS {
-            let in_part = due.iter().filter(|job| partition_of(job) == part).cloned();
-            let in_part: Vec<JobId> = in_part.collect();
+            let in_part = due.iter().filter(|(id, _)| partition_of(id) == part);
+            let in_part: Vec<_> = in_part.cloned().collect();
             for jobs in in_part.chunks(consts::MAX_BATCH_ROWS) {
+                let expect = jobs.iter().map(|(id, version)| (job_key(id), *version));
                 let write = Write {
-                    remove: jobs.iter().map(job_key).collect(),
-                    ..Write::default()
+                    expect: expect.collect(),
+                    put: Vec::new(),
+                    remove: jobs.iter().map(|(id, _)| job_key(id)).collect(),
                 };
                 let call = StoreCall::Write(write);
                 let rpc = ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
@@ -151,31 +150,65 @@
     }
 
     /// Ends the removal `rpc` and returns its jobs; `None` for other calls.
-    pub(crate) fn take_removal(&mut self, rpc: RpcId) -> Option<Vec<JobId>> {
+    pub(crate) fn take_removal(&mut self, rpc: RpcId) -> Option<Vec<(JobId, RowVersion)>> {
         self.removals.remove(&rpc)
     }
 }
 
 impl Leader {
-    /// Drops the jobs whose rows are removed and removes their progress rows. The removal of progress
-    /// rows is not repeated: if it is lost, only unused rows are left. After any other reply, a later
-    /// sweep removes the jobs.
-    pub(crate) fn on_jobs_removed(&mut self, ctx: &mut Ctx, jobs: &[JobId], reply: &StoreReply) {
-        if !matches!(reply, StoreReply::Written(_)) {
-            return;
+    /// Drops the jobs and withdrawals whose rows are removed, and removes the progress rows. The removal of
+    /// progress rows is not repeated: if it is lost, only unused rows are left. After a conflict, what
+    /// took the place of a row counts. After any other reply, a later sweep removes the rows.
+    pub(crate) fn on_jobs_removed(
+        &mut self,
+        ctx: &mut Ctx,
+        jobs: &[(JobId, RowVersion)],
+        reply: StoreReply,
+    ) {
+        match reply {
+            StoreReply::Written(_) => {
+                let ids: Vec<&JobId> = jobs.iter().map(|(id, _)| id).collect();
+                self.remove_progress(ctx, &ids);
+                ids.into_iter().for_each(|id| self.forget_job(id));
+                ctx.log(LogEvent::info("jobs_swept").with("count", jobs.len()));
+            }
+            StoreReply::Conflict(rows) => {
+                for (id, version) in jobs {
+                    let key = job_key(id);
+                    let current = rows.iter().find(|row| row.key == key);
+                    if current.is_none_or(|row| row.version != *version) {
+                        self.forget_job(id);
+                    }
+                }
+                rows.into_iter().for_each(|row| self.apply_row(ctx, row));
+            }
+            _ => {}
         }
-        let write = Write {
+    }
+
+    fn forget_job(&mut self, id: &JobId) {
+        self.progress_writes.without_checkpoints.remove(id);
+        self.jobs.remove(id);
+        self.withdrawn.remove(id);
+    }
+
+    /// Removes the progress rows of jobs, unless one was written meanwhile.
+    fn remove_progress(&self, ctx: &mut Ctx, ids: &[&JobId]) {
+        let mut write = Write {
             expect: vec![fence(self.token)],
-            put: Vec::new(),
-            remove: jobs.iter().map(progress_key).collect(),
+            ..Write::default()
         };
-        let call = StoreCall::Write(write);
-        ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
-        for id in jobs {
-            self.progress_writes.without_checkpoints.remove(id);
-            self.jobs.remove(id);
+        for id in ids {
+            let version = self.jobs.get(*id).map(|job| job.progress_version);
+            if let Some(version) = version.filter(|version| *version > RowVersion(0)) {
+                write.expect.push((progress_key(id), version));
+                write.remove.push(progress_key(id));
+            }
+        }
+        if !write.remove.is_empty() {
+            let call = StoreCall::Write(write);
+            ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
         }
-        ctx.log(LogEvent::info("jobs_swept").with("count", jobs.len()));
     }
 
     /// Returns whether the rows of a conflict still show this leader's term.
--- a/core/src/cell/leader/queries.rs
+++ b/core/src/cell/leader/queries.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     cell::{
-        consts, ctx::Ctx, leader::Leader, JobState, JobStateReply, LinkId, LogEvent, QueryId,
-        ToMember,
+        consts, ctx::Ctx, leader::Leader, JobAccess, JobState, JobStateReply, LinkId, LogEvent,
+        QueryId, ToMember,
     },
-    JobId, Millis, QueueName, TeamName,
+    JobId, Millis, QueueName,
 };
 
 /// A query about an open job, whose answer is held for a short time because the job may end.
@@ -69,10 +69,9 @@
         link: LinkId,
         query: QueryId,
         id: &JobId,
-        team: Option<TeamName>,
+        access: &JobAccess,
     ) {
-        let job = self.jobs.get(id);
-        let job = job.filter(|job| job.row.team.is_none() || job.row.team == team);
+        let job = self.jobs.get(id).filter(|job| access.covers(&job.row));
         if self.loader.is_done() && job.is_some_and(|job| !job.visible_state().is_final()) {
             self.hold_query(ctx.now, link, query, id);
             return;
@@ -92,14 +91,14 @@
         link: LinkId,
         query: QueryId,
         id: &JobId,
-        team: Option<TeamName>,
+        access: &JobAccess,
     ) {
         if !self.loader.is_done() {
             let view = JobStateReply::Loading;
             return ctx.send_member(link, ToMember::State { query, view });
         }
         let job = self.jobs.get_mut(id);
-        let Some(job) = job.filter(|job| job.row.team.is_none() || job.row.team == team) else {
+        let Some(job) = job.filter(|job| access.covers(&job.row)) else {
             let view = JobStateReply::UnknownToLeader;
             return ctx.send_member(link, ToMember::State { query, view });
         };
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     cell::{
-        AdviceReply, DesiredState, FencingToken, JobRow, JobState, QueryId, RowVersion, StepKey,
+        AdviceReply, DesiredState, FencingToken, JobAccess, JobRow, JobState, QueryId, RowVersion,
+        StepKey,
     },
-    JobId, Millis, QueueName, TeamName, WorkerId,
+    JobId, Millis, QueueName, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +28,8 @@
     Accepted,
     /// The job is not recorded and will not be.
     NotRun,
+    /// The job was cancelled before it was recorded, and will not be.
+    Withdrawn,
     /// The job may or may not be recorded.
     Unknown,
 }
@@ -56,8 +59,9 @@
         query: QueryId,
         /// The job.
         job: JobId,
-        /// The team that the caller's key belongs to; `None` without a key on an open queue.
-        team: Option<TeamName>,
+        /// The jobs that the caller may see and end.
+        #[serde(flatten)]
+        access: JobAccess,
     },
     /// Cancels a job.
     Cancel {
@@ -66,8 +70,9 @@
         query: QueryId,
         /// The job.
         job: JobId,
-        /// The team that the caller's key belongs to; `None` without a key on an open queue.
-        team: Option<TeamName>,
+        /// The jobs that the caller may see and end.
+        #[serde(flatten)]
+        access: JobAccess,
     },
     /// Answers [`ToMember::Advise`].
     Advice {
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -18,6 +18,7 @@
 mod frontend;
 mod ids;
 mod job;
+mod job_access;
 mod leader;
 mod log_event;
 mod message;
@@ -29,6 +30,7 @@
 mod store_clock;
 mod submissions;
 mod task_key;
+mod withdrawal;
 mod worker_call;
 mod worker_entry;
 
@@ -40,6 +42,7 @@
     event::Event,
     ids::{FencingToken, Incarnation, LinkId, QueryId, RowVersion, RpcId},
     job::{JobRow, StepSpec, Submission},
+    job_access::JobAccess,
     leader::{Leader, SchedulingWork},
     log_event::{LogEvent, LogLevel},
     message::{JobStateReply, SubmitOutcome, ToLeader, ToMember},
@@ -48,6 +51,7 @@
     settings::{CellSettings, CellSettingsBuilder},
     store::{MemberRow, Row, RowKey, RowValue, StoreCall, StoreReply, Table, TermRow, Write},
     task_key::{StepKey, TaskKey},
+    withdrawal::Withdrawal,
     worker_call::{
         ActiveRun, AdviceReply, FinishedRun, RunOutcome, StartRequest, Ticket, UnreadableRows,
         WorkerAnswer, WorkerCall, WorkerRefusal, WorkerRuns,
--- a/core/src/cell/row_size.rs
+++ b/core/src/cell/row_size.rs
@@ -109,6 +109,7 @@
     pub fn max_encoded_bytes(&self) -> usize {
         match self {
             RowValue::Job(job) => job.max_encoded_bytes(),
+            RowValue::Withdrawn(withdrawal) => ROW_BYTES + withdrawal.text_bytes(),
             RowValue::Progress(progress) => progress.max_encoded_bytes(),
             RowValue::Term(term) => ROW_BYTES + text_bytes(term.holder.as_ref()),
             RowValue::Member(member) => ROW_BYTES + member.address.len(),
--- a/core/src/cell/store.rs
+++ b/core/src/cell/store.rs
@@ -1,7 +1,7 @@
 //! Calls to the store and its answers.
 
 use crate::{
-    cell::{DesiredState, JobRow, Progress, RowVersion, WorkerEntry},
+    cell::{DesiredState, JobRow, Progress, RowVersion, Withdrawal, WorkerEntry},
     Millis,
 };
 use compact_str::CompactString;
@@ -18,7 +18,7 @@
     Leadership,
     /// The daemons' addresses.
     Members,
-    /// Accepted jobs.
+    /// Accepted jobs, and cancellations that came before the record of their job.
     Jobs,
     /// The progress of jobs.
     Progress,
@@ -82,6 +82,8 @@
     Member(MemberRow),
     /// An accepted job.
     Job(Box<JobRow>),
+    /// No job, but a cancellation that came first, in the place of the job.
+    Withdrawn(Box<Withdrawal>),
     /// The progress of a job.
     Progress(Box<Progress>),
     /// A row of another writer that can't be parsed; holds the reason.
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -28,6 +28,8 @@
     submitted_at: Millis,
     /// Whether a write without an answer may have recorded the job.
     maybe_written: bool,
+    /// The version of the row in its place: zero, or that of a withdrawal by callers that may not end it.
+    expected: RowVersion,
     /// The query to the leader to record the job, if one is open.
     relay_query: Option<QueryId>,
 }
@@ -65,8 +67,13 @@
     Accepted(RowVersion),
     /// Another job with the same id is recorded.
     IdTaken,
-    /// The write has to be repeated, or the job forwarded to the leader.
-    Retry { maybe_written: bool },
+    /// A caller that may end the job has cancelled it.
+    Withdrawn,
+    /// The write has to be repeated while the row has this version, or the job forwarded to the leader.
+    Retry {
+        maybe_written: bool,
+        expected: RowVersion,
+    },
 }
 
 /// Returns the number of a job's partition.
@@ -113,6 +120,7 @@
             waiters: vec![waiter],
             submitted_at: ctx.now,
             maybe_written: false,
+            expected: RowVersion(0),
             relay_query: None,
             job,
         };
@@ -157,7 +165,7 @@
         let write = Write {
             expect: batch
                 .iter()
-                .map(|pending| (key(pending), RowVersion(0)))
+                .map(|pending| (key(pending), pending.expected))
                 .collect(),
             put: batch
                 .iter()
@@ -221,8 +229,15 @@
                 ctx.log(LogEvent::warn("job_id_taken").with("job", &pending.job.id));
                 answer_waiters(ctx, frontend, &pending, SubmitOutcome::NotRun);
             }
-            WriteResult::Retry { maybe_written } => {
+            WriteResult::Withdrawn => {
+                answer_waiters(ctx, frontend, &pending, SubmitOutcome::Withdrawn);
+            }
+            WriteResult::Retry {
+                maybe_written,
+                expected,
+            } => {
                 pending.maybe_written |= maybe_written;
+                pending.expected = expected;
                 self.relay(ctx, &mut pending);
                 let partition = self.partitions.entry(number).or_default();
                 partition.waiting.insert(pending.job.id.clone(), pending);
@@ -273,7 +288,9 @@
         });
         let Some(mut pending) = found else { return };
         match outcome {
-            SubmitOutcome::Accepted => answer_waiters(ctx, frontend, &pending, outcome),
+            SubmitOutcome::Accepted | SubmitOutcome::Withdrawn => {
+                answer_waiters(ctx, frontend, &pending, outcome);
+            }
             SubmitOutcome::NotRun | SubmitOutcome::Unknown => {
                 pending.relay_query = None;
                 pending.maybe_written |= outcome == SubmitOutcome::Unknown;
@@ -326,7 +343,9 @@
     let waited_ms = ctx.now.since(pending.submitted_at);
     let event = match outcome {
         SubmitOutcome::Accepted => LogEvent::info("job_accepted"),
-        SubmitOutcome::NotRun | SubmitOutcome::Unknown => LogEvent::warn("job_not_accepted"),
+        SubmitOutcome::NotRun | SubmitOutcome::Unknown | SubmitOutcome::Withdrawn => {
+            LogEvent::warn("job_not_accepted")
+        }
     };
     let team = pending.job.team.as_ref().map_or("-", |team| team.as_str());
     let event = event
@@ -353,32 +372,40 @@
             reason: "the job could not be put on record",
             retry_after_ms: consts::RETRY_AFTER_MS,
         },
+        SubmitOutcome::Withdrawn => ClientAnswer::NotRun {
+            reason: "the job was cancelled before it was accepted",
+            retry_after_ms: consts::WITHDRAWN_RETRY_AFTER_MS,
+        },
         SubmitOutcome::Unknown => ClientAnswer::Unknown,
     }
 }
 
 fn write_result(pending: &PendingSubmission, reply: &StoreReply) -> WriteResult {
+    let retry = |maybe_written, expected| WriteResult::Retry {
+        maybe_written,
+        expected,
+    };
     match reply {
         StoreReply::Written(version) => WriteResult::Accepted(*version),
         StoreReply::Conflict(rows) => {
             let key = job_key(&pending.job.id);
             let exists = |row: &&Row| row.key == key && row.version > RowVersion(0);
             match rows.iter().find(exists) {
-                None => WriteResult::Retry {
-                    maybe_written: false,
+                None => retry(false, RowVersion(0)),
+                Some(row) => match &row.value {
+                    RowValue::Withdrawn(withdrawal) if withdrawal.covers(&pending.job) => {
+                        WriteResult::Withdrawn
+                    }
+                    RowValue::Withdrawn(_) => retry(false, row.version),
+                    value if is_same_submission(value, &pending.job) => {
+                        WriteResult::Accepted(row.version)
+                    }
+                    _ => WriteResult::IdTaken,
                 },
-                Some(row) if is_same_submission(&row.value, &pending.job) => {
-                    WriteResult::Accepted(row.version)
-                }
-                Some(_) => WriteResult::IdTaken,
             }
         }
-        StoreReply::Refused(_) => WriteResult::Retry {
-            maybe_written: false,
-        },
-        _ => WriteResult::Retry {
-            maybe_written: true,
-        },
+        StoreReply::Refused(_) => retry(false, pending.expected),
+        _ => retry(true, pending.expected),
     }
 }
 
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -17,7 +17,7 @@
         AdviceCost, AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb,
         DesiredState, Effect, Event, Incarnation, JobState, Leader, LinkId, LogEvent, Node, Queue,
         RequestLimits, RpcId, SchedulingWork, StepKey, StepSpec, StoreCall, StoreReply, Submission,
-        Table, TaskKey, Team, Ticket, WorkerAnswer, WorkerCall,
+        Table, TaskKey, Team, Ticket, WorkerAnswer, WorkerCall, Write,
     },
     CallId, JobId, KeyName, Millis, QueueName, Resources, TeamName, WorkerId,
 };
@@ -46,6 +46,16 @@
 /// How long a call to a worker or a message takes.
 const HOP_MS: u64 = 4;
 
+/// Which writes to the store are late.
+#[derive(Clone, Copy, Debug)]
+pub enum WriteKind {
+    Any,
+    /// Those of a daemon.
+    Of(usize),
+    /// The removals of accepted jobs.
+    Removal,
+}
+
 /// What is on its way.
 #[derive(Debug)]
 enum Due {
@@ -111,8 +121,11 @@
     advice_free_at: Vec<u64>,
     /// The daemon whose calls for advice get no answer.
     pub advice_lost_at: Option<usize>,
-    /// How many of the next writes take effect after [`LATE_WRITE_MS`], without an answer.
+    /// How many of the next writes take effect after `late_write_ms`, without an answer.
     pub late_writes: usize,
+    /// Which of the writes `late_writes` counts.
+    pub late_kind: WriteKind,
+    pub late_write_ms: u64,
     /// The additional delay of the answers to polls with a wait of zero.
     pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
@@ -253,6 +266,8 @@
             advice_free_at: vec![0; shares.len()],
             advice_lost_at: None,
             late_writes: 0,
+            late_kind: WriteKind::Any,
+            late_write_ms: LATE_WRITE_MS,
             late_lists_ms: 0,
             step_s: 0.0,
             call_faults: Vec::new(),
@@ -521,6 +536,15 @@
         self.cut_workers.contains(&pair)
     }
 
+    fn is_late_write(&self, caller: usize, write: &Write) -> bool {
+        let is_kind = match self.late_kind {
+            WriteKind::Any => true,
+            WriteKind::Of(daemon) => caller % MAX_DAEMONS == daemon,
+            WriteKind::Removal => write.remove.iter().any(|key| key.table == Table::Jobs),
+        };
+        self.late_writes > 0 && is_kind
+    }
+
     fn answer_worker_call(&mut self, delay_ms: u64, at: usize, rpc: RpcId, answer: WorkerAnswer) {
         let worker = self.called_workers.get(&(at, rpc));
         if worker.is_some_and(|worker| self.is_cut(at, worker)) {
@@ -538,12 +562,12 @@
                 let lost = Event::Store(rpc, StoreReply::Lost);
                 self.later(STORE_SILENCE_MS, Due::Event(at, lost));
             }
-            Due::StoreCall(at, rpc, StoreCall::Write(write)) if self.late_writes > 0 => {
+            Due::StoreCall(at, rpc, StoreCall::Write(write)) if self.is_late_write(at, &write) => {
                 self.late_writes -= 1;
                 let lost = Event::Store(rpc, StoreReply::Lost);
                 self.later(STORE_SILENCE_MS, Due::Event(at, lost));
                 let call = StoreCall::Write(write);
-                self.later(LATE_WRITE_MS, Due::StoreCall(at, rpc, call));
+                self.later(self.late_write_ms, Due::StoreCall(at, rpc, call));
             }
             Due::StoreCall(at, rpc, call) => {
                 let refuses = self.daemons[at % MAX_DAEMONS].store_refuses;
