Let callers see and end the jobs of a queue that became open

Cause: who may see and end a job was decided by the key alone, at three places. Of the same class: a retry without the key was refused as not run although the job ran; and two different submissions with one id that met at one daemon were both answered as accepted.

One type, made where a call is routed, says which jobs the call may see and end; queries, cancellations, withdrawals and the comparison of submissions ask it.

--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -176,7 +176,7 @@
                 let query = LeaderQuery {
                     call,
                     job,
-                    access: JobAccess { team },
+                    access: JobAccess::new(queue, team),
                     cancels: verb == ClientVerb::Cancel,
                     since: ctx.now,
                     row_looked_up: false,
@@ -233,7 +233,7 @@
             ctx.log(event.with("reason", fault));
             return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
         }
-        submissions.add_client(ctx, call, job);
+        submissions.add_client(ctx, self, call, job);
     }
 
     /// Returns why a submission is refused and the delay before a retry, or `None` if it is not.
--- a/core/src/cell/job_access.rs
+++ b/core/src/cell/job_access.rs
@@ -1,26 +1,83 @@
 //! Which jobs a caller may see and end.
 
-use crate::{cell::JobRow, TeamName};
+use crate::{
+    cell::{JobRow, Queue},
+    QueueName, TeamName,
+};
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 /// The fixed part of the encoded size.
-const ACCESS_BYTES: usize = 64;
+const ACCESS_BYTES: usize = 128;
 
 /// The jobs that a call may see and end, as decided when the call came in.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobAccess {
     /// The team that the caller's key belongs to; `None` without a key on an open queue.
     pub team: Option<TeamName>,
+    /// The queue of the call if it is open: whoever calls may see and end its jobs, also those that were
+    /// submitted with a key before it was open.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub open_queue: Option<Box<OpenQueue>>,
+}
+
+/// An open queue, by its name and by the address that clients use.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OpenQueue {
+    name: QueueName,
+    host: CompactString,
+    path_prefix: CompactString,
 }
 
 impl JobAccess {
+    /// Returns the access of a call to a queue by a team.
+    pub fn new(queue: &Queue, team: Option<TeamName>) -> Self {
+        let open_queue = queue.open.then(|| {
+            Box::new(OpenQueue {
+                name: queue.name.clone(),
+                host: queue.host.clone(),
+                path_prefix: queue.path_prefix.clone(),
+            })
+        });
+        Self { team, open_queue }
+    }
+
+    /// Returns the access of the call that submitted a job.
+    pub(crate) fn of_submitter(job: &JobRow) -> Self {
+        let team = job.team.clone();
+        match &job.queue_spec {
+            Some(queue) => Self::new(queue, team),
+            None => Self {
+                team,
+                open_queue: None,
+            },
+        }
+    }
+
     /// Returns whether a job is one of them.
     pub fn covers(&self, job: &JobRow) -> bool {
-        job.team.is_none() || job.team == self.team
+        let is_of_team = job.team.is_none() || job.team == self.team;
+        let open_queue = self.open_queue.as_deref();
+        is_of_team || open_queue.is_some_and(|queue| queue.has_job(job))
     }
 
     /// Returns an upper bound of the encoded size.
     pub(crate) fn max_encoded_bytes(&self) -> usize {
-        ACCESS_BYTES + self.team.as_ref().map_or(0, |team| team.as_str().len())
+        let team = self.team.as_ref().map_or(0, |team| team.as_str().len());
+        let queue = self.open_queue.as_deref().map_or(0, OpenQueue::text_bytes);
+        ACCESS_BYTES + team + queue
+    }
+}
+
+impl OpenQueue {
+    /// Returns whether a job was submitted to this queue, or to one with the same address.
+    fn has_job(&self, job: &JobRow) -> bool {
+        let has_same_address =
+            |queue: &Queue| queue.host == self.host && queue.path_prefix == self.path_prefix;
+        job.queue == self.name || job.queue_spec.as_deref().is_some_and(has_same_address)
+    }
+
+    fn text_bytes(&self) -> usize {
+        self.name.as_str().len() + self.host.len() + self.path_prefix.len()
     }
 }
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -220,7 +220,8 @@
         };
         match message {
             ToLeader::Submit { query, job } => {
-                self.submissions.add_relayed(ctx, link, query, *job);
+                self.submissions
+                    .add_relayed(ctx, &mut self.frontend, link, query, *job);
             }
             ToLeader::ConfigRequest => {
                 if let Some(state) = self.config.current() {
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -6,8 +6,8 @@
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::Frontend,
-        ClientAnswer, Effect, JobRow, LinkId, LogEvent, QueryId, Row, RowKey, RowValue, RowVersion,
-        RpcId, StoreCall, StoreReply, SubmitOutcome, Table, ToLeader, ToMember, Write,
+        ClientAnswer, Effect, JobAccess, JobRow, LinkId, LogEvent, QueryId, Row, RowKey, RowValue,
+        RowVersion, RpcId, StoreCall, StoreReply, SubmitOutcome, Table, ToLeader, ToMember, Write,
     },
     CallId, JobId, Millis,
 };
@@ -63,8 +63,12 @@
 
 /// The result of a write for one of its submissions.
 enum WriteResult {
-    /// The job is recorded.
-    Accepted(RowVersion),
+    /// The job is recorded, with this version of its row. The row of an earlier write is given; its team
+    /// may differ.
+    Accepted {
+        version: RowVersion,
+        earlier: Option<Box<JobRow>>,
+    },
     /// Another job with the same id is recorded.
     IdTaken,
     /// A caller that may end the job has cancelled it.
@@ -98,23 +102,40 @@
 
 impl Submissions {
     /// Adds a client's submission.
-    pub(crate) fn add_client(&mut self, ctx: &mut Ctx, call: CallId, job: JobRow) {
-        self.add(ctx, Waiter::Client(call), job);
+    pub(crate) fn add_client(
+        &mut self,
+        ctx: &mut Ctx,
+        frontend: &mut Frontend,
+        call: CallId,
+        job: JobRow,
+    ) {
+        self.add(ctx, frontend, Waiter::Client(call), job);
     }
 
     /// Adds a submission that another daemon forwarded.
-    pub(crate) fn add_relayed(&mut self, ctx: &mut Ctx, link: LinkId, query: QueryId, job: JobRow) {
-        self.add(ctx, Waiter::Peer(link, query), job);
+    pub(crate) fn add_relayed(
+        &mut self,
+        ctx: &mut Ctx,
+        frontend: &mut Frontend,
+        link: LinkId,
+        query: QueryId,
+        job: JobRow,
+    ) {
+        self.add(ctx, frontend, Waiter::Peer(link, query), job);
     }
 
-    fn add(&mut self, ctx: &mut Ctx, waiter: Waiter, job: JobRow) {
+    fn add(&mut self, ctx: &mut Ctx, frontend: &mut Frontend, waiter: Waiter, job: JobRow) {
         let number = partition_of(&job.id);
         let partition = self.partitions.entry(number).or_default();
         let open = partition.in_flight.as_mut().map(|(_, batch)| batch);
         let sent = open.and_then(|batch| batch.iter_mut().find(|pending| pending.job.id == job.id));
         if let Some(pending) = sent.or_else(|| partition.waiting.get_mut(&job.id)) {
-            pending.waiters.push(waiter);
-            return;
+            if is_same_submission(&pending.job, &job) {
+                pending.waiters.push(waiter);
+                return;
+            }
+            ctx.log(LogEvent::warn("job_id_taken").with("job", &job.id));
+            return answer_waiter(ctx, frontend, waiter, SubmitOutcome::NotRun);
         }
         let mut pending = PendingSubmission {
             waiters: vec![waiter],
@@ -221,9 +242,10 @@
         result: WriteResult,
     ) {
         match result {
-            WriteResult::Accepted(version) => {
+            WriteResult::Accepted { version, earlier } => {
                 answer_waiters(ctx, frontend, &pending, SubmitOutcome::Accepted);
-                frontend.report_accepted(ctx, pending.job, version);
+                let job = earlier.map_or(pending.job, |earlier| *earlier);
+                frontend.report_accepted(ctx, job, version);
             }
             WriteResult::IdTaken => {
                 ctx.log(LogEvent::warn("job_id_taken").with("job", &pending.job.id));
@@ -356,12 +378,14 @@
         .with("outcome", format_args!("{outcome:?}"));
     ctx.log(event.with("waited_ms", waited_ms.0));
     for waiter in &pending.waiters {
-        match *waiter {
-            Waiter::Client(call) => frontend.answer(ctx, call, client_answer(outcome)),
-            Waiter::Peer(link, query) => {
-                ctx.send_member(link, ToMember::Submitted { query, outcome })
-            }
-        }
+        answer_waiter(ctx, frontend, *waiter, outcome);
+    }
+}
+
+fn answer_waiter(ctx: &mut Ctx, frontend: &mut Frontend, waiter: Waiter, outcome: SubmitOutcome) {
+    match waiter {
+        Waiter::Client(call) => frontend.answer(ctx, call, client_answer(outcome)),
+        Waiter::Peer(link, query) => ctx.send_member(link, ToMember::Submitted { query, outcome }),
     }
 }
 
@@ -386,7 +410,10 @@
         expected,
     };
     match reply {
-        StoreReply::Written(version) => WriteResult::Accepted(*version),
+        StoreReply::Written(version) => WriteResult::Accepted {
+            version: *version,
+            earlier: None,
+        },
         StoreReply::Conflict(rows) => {
             let key = job_key(&pending.job.id);
             let exists = |row: &&Row| row.key == key && row.version > RowVersion(0);
@@ -397,8 +424,11 @@
                         WriteResult::Withdrawn
                     }
                     RowValue::Withdrawn(_) => retry(false, row.version),
-                    value if is_same_submission(value, &pending.job) => {
-                        WriteResult::Accepted(row.version)
+                    RowValue::Job(earlier) if is_same_submission(earlier, &pending.job) => {
+                        WriteResult::Accepted {
+                            version: row.version,
+                            earlier: Some(earlier.clone()),
+                        }
                     }
                     _ => WriteResult::IdTaken,
                 },
@@ -409,13 +439,16 @@
     }
 }
 
-/// Returns whether a recorded row holds the same submission, regardless of when it was accepted.
-fn is_same_submission(value: &RowValue, job: &JobRow) -> bool {
-    match value {
-        RowValue::Job(stored) => {
-            (&stored.queue, &stored.team, &stored.submission)
-                == (&job.queue, &job.team, &job.submission)
-        }
-        _ => false,
-    }
+/// Returns whether two jobs with one id are the same submission, regardless of when they came in: the
+/// later caller may see the earlier job, whose key it need not show if the queue has become open.
+fn is_same_submission(earlier: &JobRow, job: &JobRow) -> bool {
+    let address = |job: &JobRow| {
+        let queue = job.queue_spec.as_deref();
+        queue.map(|queue| (queue.host.clone(), queue.path_prefix.clone()))
+    };
+    let has_same_address = address(earlier).is_some() && address(earlier) == address(job);
+    let is_same_queue = earlier.queue == job.queue || has_same_address;
+    is_same_queue
+        && earlier.submission == job.submission
+        && JobAccess::of_submitter(job).covers(earlier)
 }
