Refuse a cancellation where another row takes the place of the job's record

A cancellation that met a row which is neither a job nor a withdrawal was written again and again, since its write expected that no row exists. Found by rereading the withdrawals; callers of the deployments can't bring it about. a_cancellation_is_refused_where_the_record_can_not_be_read got no answer before.

The open calls about a job's row are named for what they do.

--- a/core/src/cell/ctx.rs
+++ b/core/src/cell/ctx.rs
@@ -39,6 +39,7 @@
     store_ok_at: Millis,
     store_failures: u32,
     store_down: bool,
+    /// The end of this daemon's lease as the leader; it lies in the past while the daemon does not lead.
     lead_until: Millis,
 }
 
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -33,13 +33,13 @@
     row_looked_up: bool,
 }
 
-/// A call to the store for a client's call.
+/// An open call to the store about the row of a client's job.
 #[derive(Debug)]
-enum Lookup {
-    Job(LeaderQuery),
-    Progress(LeaderQuery),
+enum RowCall {
+    ReadJob(LeaderQuery),
+    ReadProgress(LeaderQuery),
     /// The write of a cancellation in the place of a job that is not recorded.
-    Withdrawal(LeaderQuery),
+    Withdraw(LeaderQuery),
 }
 
 /// The contents of the leader's latest heartbeat.
@@ -56,7 +56,7 @@
 pub(crate) struct Frontend {
     open_calls: BTreeMap<CallId, Millis>,
     queries: BTreeMap<QueryId, LeaderQuery>,
-    lookups: BTreeMap<RpcId, Lookup>,
+    row_calls: BTreeMap<RpcId, RowCall>,
     advice: BTreeMap<RpcId, QueryId>,
     leader: Option<LinkId>,
     report: LeaderReport,
@@ -305,17 +305,17 @@
     fn look_up(&mut self, ctx: &mut Ctx, query: LeaderQuery) {
         let call = read_row_call(job_key(&query.job));
         let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
-        self.lookups.insert(rpc, Lookup::Job(query));
+        self.row_calls.insert(rpc, RowCall::ReadJob(query));
     }
 
     pub(crate) fn on_store(&mut self, ctx: &mut Ctx, rpc: RpcId, reply: StoreReply) {
-        let Some(lookup) = self.lookups.remove(&rpc) else {
+        let Some(row_call) = self.row_calls.remove(&rpc) else {
             return;
         };
-        let (key, call) = match &lookup {
-            Lookup::Job(query) => (job_key(&query.job), query.call),
-            Lookup::Progress(query) => (progress_key(&query.job), query.call),
-            Lookup::Withdrawal(query) => {
+        let (key, call) = match &row_call {
+            RowCall::ReadJob(query) => (job_key(&query.job), query.call),
+            RowCall::ReadProgress(query) => (progress_key(&query.job), query.call),
+            RowCall::Withdraw(query) => {
                 return self.on_withdrawal_written(ctx, query.clone(), reply);
             }
         };
@@ -324,22 +324,22 @@
             FoundRow::Absent => None,
             FoundRow::Unclear(reason) => return self.refuse(ctx, call, reason),
         };
-        match (lookup, found) {
-            (Lookup::Job(query), Some((RowValue::Job(job), version))) => {
+        match (row_call, found) {
+            (RowCall::ReadJob(query), Some((RowValue::Job(job), version))) => {
                 self.on_job_row(ctx, query, *job, version);
             }
-            (Lookup::Job(query), found) if query.cancels => {
+            (RowCall::ReadJob(query), found) if query.cancels => {
                 self.withdraw(ctx, query, found);
             }
-            (Lookup::Job(query), _) => self.answer(ctx, query.call, ClientAnswer::NoJob),
-            (Lookup::Progress(query), found) => {
+            (RowCall::ReadJob(query), _) => self.answer(ctx, query.call, ClientAnswer::NoJob),
+            (RowCall::ReadProgress(query), found) => {
                 let state = match found {
                     Some((RowValue::Progress(progress), _)) => progress.state,
                     _ => JobState::Pending,
                 };
                 self.answer(ctx, query.call, ClientAnswer::State(state));
             }
-            (Lookup::Withdrawal(_), _) => {}
+            (RowCall::Withdraw(_), _) => {}
         }
     }
 
@@ -361,7 +361,7 @@
         }
         let call = read_row_call(progress_key(&query.job));
         let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
-        self.lookups.insert(rpc, Lookup::Progress(query));
+        self.row_calls.insert(rpc, RowCall::ReadProgress(query));
     }
 
     /// Records a cancellation in the place of a job that is not recorded, because a write of the job may
@@ -373,8 +373,9 @@
         found: Option<(RowValue, RowVersion)>,
     ) {
         let (mut withdrawal, version) = match found {
+            None => (Withdrawal::default(), RowVersion(0)),
             Some((RowValue::Withdrawn(earlier), version)) => (*earlier, version),
-            _ => (Withdrawal::default(), RowVersion(0)),
+            Some(_) => return self.refuse(ctx, query.call, "the job's record can't be read"),
         };
         if !withdrawal.add(query.access.clone()) {
             return self.answer(ctx, query.call, ClientAnswer::NoJob);
@@ -387,7 +388,7 @@
         };
         let call = StoreCall::Write(write);
         let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
-        self.lookups.insert(rpc, Lookup::Withdrawal(query));
+        self.row_calls.insert(rpc, RowCall::Withdraw(query));
     }
 
     /// Answers a cancellation once it is recorded; after a conflict, the row that took its place counts.
--- a/core/tests/cell_withdrawals.rs
+++ b/core/tests/cell_withdrawals.rs
@@ -7,7 +7,7 @@
 use cell_world::{
     desired, queue, starts_of, step, with_fill_queue, World, WriteKind, KEY, OTHER_KEY,
 };
-use pomelotide_core::cell::{ClientAnswer, JobState};
+use pomelotide_core::cell::{ClientAnswer, JobState, RowValue, Table, TermRow};
 
 /// How long jobs that ended, and cancellations of jobs that were never recorded, are kept, with the time
 /// until they are removed.
@@ -126,6 +126,23 @@
     }
 }
 
+/// Guards against a cancellation that is written again and again where another writer's row takes the
+/// place of the job's.
+#[test]
+fn a_cancellation_is_refused_where_the_record_can_not_be_read() {
+    let (mut world, _, second) = world();
+    for part in ["0", "1", "2", "3"] {
+        let row = RowValue::Term(TermRow::default());
+        let key = format!("{:016x}", 1);
+        world.store.put_row(Table::Jobs, part, &key, row);
+    }
+    let call = world.cancel(second, 1);
+    world.run(1_000);
+    let answer = world.answers.get(&call);
+    let is_refused = matches!(answer, Some(ClientAnswer::NotRun { .. }));
+    assert!(is_refused, "{answer:?}");
+}
+
 /// Guards against an accepted job whose record is removed by a late removal of an earlier job with the
 /// same id (LOST).
 #[test]
