Use one span of a worker's lease, one comparison of addresses and one limit of listed ends; split the look-ups

- What a leader grants and what the next one waits for is one function now (max_lease_with_drift_ms).
Each computed it, with a constant of its own.
- Whether a worker's lease is to be renewed in full follows from the worker and the leader's lease at its poll; the flag of the leader and a second walk over all workers at each regained lease are gone.
- The addresses of queues are compared in one place and no longer copied; the fields of JobAccess are private.
- Tests share their set-ups; their assertions are unchanged.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -102,6 +102,9 @@
 /// How long a worker without an entry must be silent before the end of its lease is recorded; entries
 /// that expired while the store was unavailable are back earlier.
 pub const LEASE_RECORD_DELAY_MS: Millis = Millis(4_000);
+/// The most ended runs that a worker lists at a time. It holds back the others until these are
+/// acknowledged.
+pub const MAX_LISTED_ENDS: u64 = 500;
 /// The delay before a call to stop a run is repeated.
 pub const STOP_RETRY_DELAY_MS: Millis = Millis(600);
 /// How long a worker that refused or did not answer a start gets no new work.
--- a/core/src/cell/desired.rs
+++ b/core/src/cell/desired.rs
@@ -49,6 +49,13 @@
     pub advice: Option<AdviceCost>,
 }
 
+impl Queue {
+    /// Returns whether clients reach it at this address.
+    pub(crate) fn is_at(&self, host: &str, path_prefix: &str) -> bool {
+        self.host == host && self.path_prefix == path_prefix
+    }
+}
+
 /// A team with its API keys, its share and its limit.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Team {
--- a/core/src/cell/found_row.rs
+++ b/core/src/cell/found_row.rs
@@ -20,13 +20,14 @@
             return Self::Unclear("the store does not answer");
         };
         // A row whose key can't be read has an empty one, and may be any row.
-        let is_candidate = |row: &&Row| row.key == *key || row.key.key.is_empty();
-        match rows.iter().find(is_candidate) {
+        let is_candidate = |row: &Row| row.key == *key || row.key.key.is_empty();
+        let is_cut_short = rows.is_empty() && more;
+        match rows.into_iter().find(is_candidate) {
             Some(row) if matches!(row.value, RowValue::Unusable(_)) => {
                 Self::Unclear("the job's record can't be read")
             }
-            Some(row) => Self::Found(row.clone()),
-            None if rows.is_empty() && more => Self::Unclear("the store's answer is incomplete"),
+            Some(row) => Self::Found(row),
+            None if is_cut_short => Self::Unclear("the store's answer is incomplete"),
             None => Self::Absent,
         }
     }
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -4,15 +4,17 @@
 //! are recorded in the store. Queries go to the leader, or to the store if the leader does not
 //! answer.
 
+mod row_calls;
+
 use crate::{
     cell::{
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
-        found_row::FoundRow,
-        submissions::{job_key, Submissions},
+        frontend::row_calls::RowCall,
+        submissions::Submissions,
         AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobAccess, JobRow,
-        JobState, JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowValue, RowVersion,
-        RpcId, StoreCall, StoreReply, Submission, Table, ToLeader, ToMember, Withdrawal, Write,
+        JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowVersion, RpcId, Submission,
+        Table, ToLeader, ToMember,
     },
     CallId, JobId, Millis, QueueName, TeamName,
 };
@@ -33,15 +35,6 @@
     row_looked_up: bool,
 }
 
-/// An open call to the store about the row of a client's job.
-#[derive(Debug)]
-enum RowCall {
-    ReadJob(LeaderQuery),
-    ReadProgress(LeaderQuery),
-    /// The write of a cancellation in the place of a job that is not recorded.
-    Withdraw(LeaderQuery),
-}
-
 /// The contents of the leader's latest heartbeat.
 #[derive(Debug, Default)]
 struct LeaderReport {
@@ -301,109 +294,6 @@
         self.look_up(ctx, query);
     }
 
-    /// Reads the job's row from the store.
-    fn look_up(&mut self, ctx: &mut Ctx, query: LeaderQuery) {
-        let call = read_row_call(job_key(&query.job));
-        let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
-        self.row_calls.insert(rpc, RowCall::ReadJob(query));
-    }
-
-    pub(crate) fn on_store(&mut self, ctx: &mut Ctx, rpc: RpcId, reply: StoreReply) {
-        let Some(row_call) = self.row_calls.remove(&rpc) else {
-            return;
-        };
-        let (key, call) = match &row_call {
-            RowCall::ReadJob(query) => (job_key(&query.job), query.call),
-            RowCall::ReadProgress(query) => (progress_key(&query.job), query.call),
-            RowCall::Withdraw(query) => {
-                return self.on_withdrawal_written(ctx, query.clone(), reply);
-            }
-        };
-        let found = match FoundRow::new(reply, &key) {
-            FoundRow::Found(row) => Some((row.value, row.version)),
-            FoundRow::Absent => None,
-            FoundRow::Unclear(reason) => return self.refuse(ctx, call, reason),
-        };
-        match (row_call, found) {
-            (RowCall::ReadJob(query), Some((RowValue::Job(job), version))) => {
-                self.on_job_row(ctx, query, *job, version);
-            }
-            (RowCall::ReadJob(query), found) if query.cancels => {
-                self.withdraw(ctx, query, found);
-            }
-            (RowCall::ReadJob(query), _) => self.answer(ctx, query.call, ClientAnswer::NoJob),
-            (RowCall::ReadProgress(query), found) => {
-                let state = match found {
-                    Some((RowValue::Progress(progress), _)) => progress.state,
-                    _ => JobState::Pending,
-                };
-                self.answer(ctx, query.call, ClientAnswer::State(state));
-            }
-            (RowCall::Withdraw(_), _) => {}
-        }
-    }
-
-    /// Continues a query after the job's row was read: a cancellation goes to the leader again, for
-    /// another query the progress is read.
-    fn on_job_row(&mut self, ctx: &mut Ctx, query: LeaderQuery, row: JobRow, version: RowVersion) {
-        if !query.access.covers(&row) {
-            return self.answer(ctx, query.call, ClientAnswer::NoJob);
-        }
-        if query.cancels {
-            self.report_accepted(ctx, row, version);
-            let since = ctx.now;
-            let query = LeaderQuery {
-                since,
-                row_looked_up: true,
-                ..query
-            };
-            return self.query_leader(ctx, query);
-        }
-        let call = read_row_call(progress_key(&query.job));
-        let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
-        self.row_calls.insert(rpc, RowCall::ReadProgress(query));
-    }
-
-    /// Records a cancellation in the place of a job that is not recorded, because a write of the job may
-    /// still be under way.
-    fn withdraw(
-        &mut self,
-        ctx: &mut Ctx,
-        query: LeaderQuery,
-        found: Option<(RowValue, RowVersion)>,
-    ) {
-        let (mut withdrawal, version) = match found {
-            None => (Withdrawal::default(), RowVersion(0)),
-            Some((RowValue::Withdrawn(earlier), version)) => (*earlier, version),
-            Some(_) => return self.refuse(ctx, query.call, "the job's record can't be read"),
-        };
-        if !withdrawal.add(query.access.clone()) {
-            return self.answer(ctx, query.call, ClientAnswer::NoJob);
-        }
-        let key = job_key(&query.job);
-        let write = Write {
-            expect: vec![(key.clone(), version)],
-            put: vec![(key, RowValue::Withdrawn(Box::new(withdrawal)))],
-            remove: Vec::new(),
-        };
-        let call = StoreCall::Write(write);
-        let rpc = ctx.call_store(RpcOwner::Frontend, call, consts::STORE_TIMEOUT_MS);
-        self.row_calls.insert(rpc, RowCall::Withdraw(query));
-    }
-
-    /// Answers a cancellation once it is recorded; after a conflict, the row that took its place counts.
-    fn on_withdrawal_written(&mut self, ctx: &mut Ctx, query: LeaderQuery, reply: StoreReply) {
-        match reply {
-            StoreReply::Written(version) => {
-                let event = LogEvent::info("job_withdrawn").with("job", &query.job);
-                ctx.log(event.with("version", version));
-                self.answer(ctx, query.call, ClientAnswer::NoJob);
-            }
-            StoreReply::Conflict(_) => self.look_up(ctx, query),
-            _ => self.refuse(ctx, query.call, "the store does not answer"),
-        }
-    }
-
     /// Reports a recorded job to the leader.
     pub(crate) fn report_accepted(&mut self, ctx: &mut Ctx, job: JobRow, version: RowVersion) {
         let Some(link) = self.leader else { return };
@@ -551,15 +441,6 @@
     RowKey::new(Table::Progress, consts::CELL_PARTITION, job.as_str())
 }
 
-fn read_row_call(key: RowKey) -> StoreCall {
-    StoreCall::Read {
-        table: key.table,
-        partition: key.partition,
-        from: key.key,
-        limit: 1,
-    }
-}
-
 fn parse_job_id(rest: &str) -> Result<JobId, ClientAnswer> {
     if rest.contains('/') || rest.is_empty() {
         return Err(ClientAnswer::NoQueue);
--- a/core/src/cell/job_access.rs
+++ b/core/src/cell/job_access.rs
@@ -11,19 +11,19 @@
 const ACCESS_BYTES: usize = 128;
 
 /// The jobs that a call may see and end, as decided when the call came in.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobAccess {
     /// The team that the caller's key belongs to; `None` without a key on an open queue.
-    pub team: Option<TeamName>,
+    team: Option<TeamName>,
     /// The queue of the call if it is open: whoever calls may see and end its jobs, also those that were
     /// submitted with a key before it was open.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub open_queue: Option<Box<OpenQueue>>,
+    open_queue: Option<Box<OpenQueue>>,
 }
 
 /// An open queue, by its name and by the address that clients use.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct OpenQueue {
+struct OpenQueue {
     name: QueueName,
     host: CompactString,
     path_prefix: CompactString,
@@ -72,8 +72,7 @@
 impl OpenQueue {
     /// Returns whether a job was submitted to this queue, or to one with the same address.
     fn has_job(&self, job: &JobRow) -> bool {
-        let has_same_address =
-            |queue: &Queue| queue.host == self.host && queue.path_prefix == self.path_prefix;
+        let has_same_address = |queue: &Queue| queue.is_at(&self.host, &self.path_prefix);
         job.queue == self.name || job.queue_spec.as_deref().is_some_and(has_same_address)
     }
 
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -113,8 +113,6 @@
     next_pass_at: Millis,
     /// How many events waited to be handled at the last tick.
     event_backlog: usize,
-    /// Whether this daemon's lease was valid at the last tick.
-    had_lead: bool,
     /// When it is logged next that many events wait.
     log_backlog_at: Millis,
     kept_workers: KeptWorkers,
@@ -157,7 +155,6 @@
             needs_pass: false,
             next_pass_at: ctx.now,
             event_backlog: 0,
-            had_lead: false,
             log_backlog_at: ctx.now,
             kept_workers: KeptWorkers::default(),
             freed_teams: BTreeSet::new(),
@@ -199,16 +196,9 @@
     ) {
         self.send_reads(ctx);
         self.tick_members(ctx, config, election);
-        if !self.loader.is_done() {
-            return;
-        }
-        let had_lead = std::mem::replace(&mut self.had_lead, ctx.has_lead());
-        if !self.had_lead {
+        if !self.loader.is_done() || !ctx.has_lead() {
             return;
         }
-        if !had_lead {
-            self.renew_capped_leases();
-        }
         self.poll_workers(ctx);
         self.retry_stops(ctx);
         self.expire_leases(ctx);
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -19,8 +19,6 @@
 /// The maximum number of an ended run. Ends up to the last number seen are ignored, so a malformed
 /// higher number would hide all later ends of the worker.
 const MAX_END_NUMBER: u64 = 1 << 53;
-/// The most ended runs that a worker lists at a time.
-const MAX_LISTED_ENDS: u64 = 500;
 /// How far above the first run number of the current leader a listed run may be. No leader places a
 /// higher one, and a stop of it would make its worker refuse all later runs of the task.
 const MAX_RUN_NUMBERS_AHEAD: u32 = 1_000_000;
@@ -94,7 +92,7 @@
                 continue;
             }
             // A number far ahead may be malformed itself, and would hide the next ends.
-            let is_next = number <= last.saturating_add(MAX_LISTED_ENDS);
+            let is_next = number <= last.saturating_add(consts::MAX_LISTED_ENDS);
             if is_next {
                 worker.last_end_seen = number;
             }
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -141,8 +141,8 @@
         })
     }
 
-    /// Returns how long after this leader's start all leases granted by earlier leaders have
-    /// expired.
+    /// Returns how long after it was granted a worker's lease has certainly expired. A new leader waits
+    /// for as long after its start, so both have to go by the same span.
     pub(crate) fn max_lease_with_drift_ms(&self, ctx: &Ctx) -> Millis {
         let lease_ms = ctx.settings.max_lease_ms;
         lease_ms + Millis(lease_ms.0 / CLOCK_DRIFT_DIVISOR) + consts::WORKER_LEASE_MARGIN_MS
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -22,9 +22,6 @@
     Millis,
 };
 
-/// Maximum drift of a worker's clock, in percent.
-const CLOCK_DRIFT_PERCENT: u64 = 2;
-
 /// A poll of a worker that has not been answered yet.
 #[derive(Debug)]
 pub(crate) struct OpenPoll {
@@ -77,12 +74,10 @@
             WorkerCall::Stop { .. } => false,
             WorkerCall::Renew { lease_until_ms, .. } => lease_until_ms.is_some(),
         };
+        let span_ms = self.max_lease_with_drift_ms(ctx);
         let worker = self.fleet.get_mut(ix);
         if renews {
-            let lease_ms = ctx.settings.max_lease_ms.0;
-            let span = Millis(lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100);
-            let begin = ctx.now.min(ctx.lead_until());
-            let expires_at = begin + span + consts::WORKER_LEASE_MARGIN_MS;
+            let expires_at = ctx.now.min(ctx.lead_until()) + span_ms;
             worker.lease_expires_at = worker.lease_expires_at.max(expires_at);
         }
         ctx.push(Effect::Worker {
@@ -112,6 +107,9 @@
         if !is_relevant || worker.entry.address.is_empty() {
             return;
         }
+        if ctx.has_lead() {
+            worker.needs_quick_poll |= std::mem::take(&mut worker.has_capped_lease);
+        }
         if worker.poll.is_none() && now >= worker.next_poll_at {
             // Ended runs that can't be acknowledged yet are listed again, so the worker would not
             // wait.
@@ -135,15 +133,6 @@
         }
     }
 
-    /// Requests polls of the workers whose leases could not be renewed in full while this daemon's own
-    /// lease was not valid.
-    pub(crate) fn renew_capped_leases(&mut self) {
-        for ix in self.fleet.ixs().collect::<Vec<_>>() {
-            let worker = self.fleet.get_mut(ix);
-            worker.needs_quick_poll |= std::mem::take(&mut worker.has_capped_lease);
-        }
-    }
-
     fn send_poll(&mut self, ctx: &mut Ctx, ix: WorkerIx, wait_ms: Millis, quick: bool) {
         let now = ctx.now;
         let worker = self.fleet.get_mut(ix);
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -42,7 +42,7 @@
     event::Event,
     ids::{FencingToken, Incarnation, LinkId, QueryId, RowVersion, RpcId},
     job::{JobRow, StepSpec, Submission},
-    job_access::{JobAccess, OpenQueue},
+    job_access::JobAccess,
     leader::{Leader, SchedulingWork},
     log_event::{LogEvent, LogLevel},
     message::{JobStateReply, SubmitOutcome, ToLeader, ToMember},
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -442,11 +442,10 @@
 /// Returns whether two jobs with one id are the same submission, regardless of when they came in: the
 /// later caller may see the earlier job, whose key it need not show if the queue has become open.
 fn is_same_submission(earlier: &JobRow, job: &JobRow) -> bool {
-    let address = |job: &JobRow| {
-        let queue = job.queue_spec.as_deref();
-        queue.map(|queue| (queue.host.clone(), queue.path_prefix.clone()))
+    let has_same_address = match (&earlier.queue_spec, &job.queue_spec) {
+        (Some(earlier), Some(queue)) => earlier.is_at(&queue.host, &queue.path_prefix),
+        _ => false,
     };
-    let has_same_address = address(earlier).is_some() && address(earlier) == address(job);
     let is_same_queue = earlier.queue == job.queue || has_same_address;
     is_same_queue
         && earlier.submission == job.submission
--- a/core/tests/cell_leases.rs
+++ b/core/tests/cell_leases.rs
@@ -43,6 +43,22 @@
     }
 }
 
+/// Cuts workers, which only the leader reaches, and the leader from the store and the other daemons.
+fn cut_off(world: &mut World, leader: usize, own: &[WorkerId], cut_ms: u64) {
+    world.cut(leader, true);
+    world.silence_store(leader, true);
+    cut_workers(world, own, leader, true);
+    world.run(ENTRY_LAPSE_MS);
+    for worker in own {
+        world.store.remove_worker(worker.as_str());
+    }
+    world.run(cut_ms - ENTRY_LAPSE_MS);
+    cut_workers(world, own, leader, false);
+    for worker in own {
+        world.store.put_worker(&world.workers[worker]);
+    }
+}
+
 fn assert_completed_once(mut world: World, case: &str) {
     world.run(40_000);
     let leader = world.leader().unwrap();
@@ -59,20 +75,9 @@
     for cut_ms in [6_500, 11_000, 13_000, 16_000] {
         for offset_ms in [0, 700, 1_400] {
             let (mut world, leader, own) = world_at_work(offset_ms);
-            world.cut(leader, true);
-            world.silence_store(leader, true);
-            cut_workers(&mut world, &own, leader, true);
-            world.run(ENTRY_LAPSE_MS);
-            for worker in &own {
-                world.store.remove_worker(worker.as_str());
-            }
-            world.run(cut_ms - ENTRY_LAPSE_MS);
+            cut_off(&mut world, leader, &own, cut_ms);
             world.cut(leader, false);
             world.silence_store(leader, false);
-            cut_workers(&mut world, &own, leader, false);
-            for worker in &own {
-                world.store.put_worker(&world.workers[worker]);
-            }
             assert_completed_once(world, &format!("cut for {cut_ms} ms, offset {offset_ms}"));
         }
     }
@@ -87,18 +92,7 @@
         world.store.lose_answers = 1;
         world.deliver_event(leader, Event::Stop);
         world.run(50);
-        world.cut(leader, true);
-        world.silence_store(leader, true);
-        cut_workers(&mut world, &own, leader, true);
-        world.run(ENTRY_LAPSE_MS);
-        for worker in &own {
-            world.store.remove_worker(worker.as_str());
-        }
-        world.run(13_000 - ENTRY_LAPSE_MS);
-        cut_workers(&mut world, &own, leader, false);
-        for worker in &own {
-            world.store.put_worker(&world.workers[worker]);
-        }
+        cut_off(&mut world, leader, &own, 13_000);
         assert_completed_once(world, &format!("offset {offset_ms}"));
     }
 }
--- a/core/tests/cell_withdrawals.rs
+++ b/core/tests/cell_withdrawals.rs
@@ -23,6 +23,14 @@
     (world, first, second)
 }
 
+/// Hands job 1 in at a daemon; it has to be accepted and to complete.
+fn assert_job_is_served(world: &mut World, daemon: usize, other: usize) {
+    let call = world.submit(daemon, 1, vec![step(2, 1_000)]);
+    world.run(5_000);
+    assert_eq!(world.answers.get(&call), Some(&ClientAnswer::Accepted));
+    world.assert_state(other, 1, JobState::Completed);
+}
+
 /// Hands job 1 in at a daemon whose write is carried out 2.5 s late, and cancels it at another after
 /// `wait_ms`.
 fn world_with_late_write(wait_ms: u64) -> (World, usize) {
@@ -78,10 +86,7 @@
     );
     world.run(RETENTION_MS);
     assert_eq!(starts_of(&world, 1), 0);
-    let call = world.submit(first, 1, vec![step(2, 1_000)]);
-    world.run(5_000);
-    assert_eq!(world.answers.get(&call), Some(&ClientAnswer::Accepted));
-    world.assert_state(second, 1, JobState::Completed);
+    assert_job_is_served(&mut world, first, second);
 }
 
 /// Guards against a team whose job is refused because another team has cancelled an id of its own that
@@ -93,10 +98,7 @@
     world.cancel(second, 1);
     world.run(200);
     world.key = KEY.into();
-    let call = world.submit(first, 1, vec![step(2, 1_000)]);
-    world.run(5_000);
-    assert_eq!(world.answers.get(&call), Some(&ClientAnswer::Accepted));
-    world.assert_state(second, 1, JobState::Completed);
+    assert_job_is_served(&mut world, first, second);
 }
 
 /// Guards against a cancellation that is answered as if no job existed while its record is there and the
