Count the wait for silent workers from the end of the earlier leaders' leases, not from the takeover

Callers see a task run twice at the same time (TWICE): on a worker that only the former leader reaches, and elsewhere.

Cause: the next leader took its own start as the end of all earlier leaders' leases. It leads once the end has passed that the lease row states. The store may carry out an earlier renewal after later ones, and the row then states an end that is over, while the former leader counts on the later one for up to 1.7 s. Until then it grants leases of its workers.

An attempt to lead succeeds only if the lease row still has the version that this daemon knows. So all renewals of earlier leaders were carried out before that version was first seen, and none of their leases lasts longer than one lease from there, whatever end a row states. The leader gets that time with its term, and the wait is counted from there. A takeover is as fast as before; the wait is longer only where the last renewal was first seen less than a lease before the takeover, and only for workers that do not answer.

--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -30,16 +30,22 @@
     Resign,
 }
 
+/// The leadership of one daemon until another one leads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Term {
+    pub(crate) token: FencingToken,
+    pub(crate) generation: u32,
+    /// When the leases of all earlier leaders have certainly expired.
+    pub(crate) earlier_leads_end_at: Millis,
+}
+
 /// How the store's answer changes this daemon's leadership.
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) enum LeadershipChange {
     /// The leadership is unchanged.
     None,
     /// This daemon has become the leader.
-    Elected {
-        token: FencingToken,
-        generation: u32,
-    },
+    Elected(Term),
     /// This daemon no longer leads.
     Lost,
 }
@@ -64,6 +70,9 @@
     /// The largest processor share of all daemons, as reported by the last leader.
     pub(crate) strongest_cpu_milli: u64,
     next_acquire_at: Millis,
+    /// When the leases of all earlier leaders have certainly expired, if the latest attempt to lead
+    /// succeeds.
+    earlier_leads_end_at: Millis,
     pub(crate) own_token: Option<FencingToken>,
     next_renew_at: Millis,
     next_read_at: Millis,
@@ -125,6 +134,7 @@
             cpu_milli: settings.cpu_milli,
             strongest_cpu_milli: settings.cpu_milli.max(consts::DEFAULT_STRONGEST_CPU_MILLI),
             next_acquire_at: Millis(0),
+            earlier_leads_end_at: Millis(0),
             own_token: None,
             next_renew_at: Millis(0),
             next_read_at: Millis(0),
@@ -250,6 +260,20 @@
         self.rows_known && expired
     }
 
+    /// Returns when the leases of all earlier leaders have certainly expired, if this daemon's attempt to
+    /// lead succeeds: the store then takes no renewal after the version of the lease row that is known
+    /// now. The end that the row states is no bound, because the store may carry out an earlier renewal
+    /// after later ones.
+    fn earlier_leads_end_at(&self, now: Millis) -> Millis {
+        let has_ended = self.term_row.holder.is_none()
+            || self.resigned_token.0 == self.term.0
+            || self.is_own_earlier_incarnation();
+        match has_ended {
+            true => now,
+            false => now.max(self.lease_seen_at + consts::LEADER_LEASE_MS),
+        }
+    }
+
     /// Returns whether the term row names an earlier process on this host, which has ended by now.
     fn is_own_earlier_incarnation(&self) -> bool {
         let own = self.term_row.holder.as_ref() == Some(&self.host);
@@ -258,6 +282,7 @@
 
     fn acquire(&mut self, ctx: &mut Ctx) {
         self.nonce += 1;
+        self.earlier_leads_end_at = self.earlier_leads_end_at(ctx.now);
         let generation = self.term_row.generation.saturating_add(1);
         let row = TermRow {
             holder: Some(self.host.clone()),
@@ -392,12 +417,18 @@
         // counts as valid.
         ctx.end_lead();
         self.next_renew_at = ctx.now;
-        ctx.log(
-            LogEvent::warn("lead_taken")
-                .with("token", token)
-                .with("generation", generation),
-        );
-        LeadershipChange::Elected { token, generation }
+        let term = Term {
+            token,
+            generation,
+            earlier_leads_end_at: self.earlier_leads_end_at.max(ctx.now),
+        };
+        let event = LogEvent::warn("lead_taken").with("token", token);
+        let event = event.with("generation", generation);
+        ctx.log(event.with(
+            "earlier_left_ms",
+            term.earlier_leads_end_at.since(ctx.now).0,
+        ));
+        LeadershipChange::Elected(term)
     }
 
     /// Ends this daemon's leadership.
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -37,6 +37,7 @@
     cell::{
         consts,
         ctx::Ctx,
+        election::{Election, Term},
         leader::{
             advice_dispatcher::AdviceDispatcher,
             fleet::Fleet,
@@ -83,6 +84,9 @@
     /// The most bytes of a row's value before it is encoded as base64.
     max_value_bytes: usize,
     started_at: Millis,
+    /// When the leases of all earlier leaders have certainly expired. They may have granted workers' leases
+    /// until then.
+    earlier_leads_end_at: Millis,
     /// The time of the event that is being handled.
     now: Millis,
     state: Option<Rc<DesiredState>>,
@@ -128,10 +132,16 @@
 }
 
 impl Leader {
-    pub(crate) fn new(ctx: &mut Ctx, token: FencingToken, generation: u32) -> Self {
+    pub(crate) fn new(ctx: &mut Ctx, term: Term) -> Self {
+        let Term {
+            token,
+            generation,
+            earlier_leads_end_at,
+        } = term;
         let mut leader = Self {
             token,
             generation,
+            earlier_leads_end_at,
             max_value_bytes: ctx.settings.max_value_bytes(),
             started_at: ctx.now,
             now: ctx.now,
@@ -188,12 +198,7 @@
     }
 
     /// Does the work that is due by time: reads, heartbeats, polls, repeated stops, expired leases.
-    pub(crate) fn tick(
-        &mut self,
-        ctx: &mut Ctx,
-        config: &ConfigFeed,
-        election: &crate::cell::election::Election,
-    ) {
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx, config: &ConfigFeed, election: &Election) {
         self.send_reads(ctx);
         self.tick_members(ctx, config, election);
         if !self.loader.is_done() || !ctx.has_lead() {
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -142,7 +142,7 @@
     }
 
     /// Returns how long after it was granted a worker's lease has certainly expired. A new leader waits
-    /// for as long after its start, so both have to go by the same span.
+    /// for as long after the end of the earlier leaders' leases, so both have to go by the same span.
     pub(crate) fn max_lease_with_drift_ms(&self, ctx: &Ctx) -> Millis {
         let lease_ms = ctx.settings.max_lease_ms;
         lease_ms + Millis(lease_ms.0 / CLOCK_DRIFT_DIVISOR) + consts::WORKER_LEASE_MARGIN_MS
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -4,12 +4,12 @@
     cell::{
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
-        election::{Election, LeadershipChange},
+        election::{Election, LeadershipChange, Term},
         frontend::Frontend,
         leader::{Leader, LeaseUpdate},
         submissions::Submissions,
-        CellSettings, ConfigFeed, Effect, Event, FencingToken, LinkId, LogEvent, RpcId, StoreReply,
-        ToLeader, ToMember,
+        CellSettings, ConfigFeed, Effect, Event, LinkId, LogEvent, RpcId, StoreReply, ToLeader,
+        ToMember,
     },
     Millis,
 };
@@ -191,16 +191,14 @@
             }
             RpcOwner::Election => match self.election.on_store(ctx, rpc, reply) {
                 LeadershipChange::None => {}
-                LeadershipChange::Elected { token, generation } => {
-                    self.start_leading(token, generation)
-                }
+                LeadershipChange::Elected(term) => self.start_leading(term),
                 LeadershipChange::Lost => self.stop_leading(),
             },
         }
     }
 
-    fn start_leading(&mut self, token: FencingToken, generation: u32) {
-        let leader = Leader::new(&mut self.ctx, token, generation);
+    fn start_leading(&mut self, term: Term) {
+        let leader = Leader::new(&mut self.ctx, term);
         self.leader = Some(Box::new(leader));
     }
 
--- a/core/tests/cell_leases.rs
+++ b/core/tests/cell_leases.rs
@@ -4,10 +4,10 @@
 
 mod cell_world;
 
-use cell_world::{desired, queue, step, World};
+use cell_world::{desired, queue, step, World, WriteKind};
 use pomelotide_core::{
-    cell::{ClientAnswer, Event, JobState, RunOutcome},
-    WorkerId,
+    cell::{consts, ClientAnswer, Event, JobState, RowKey, RowValue, RunOutcome, Table},
+    Millis, WorkerId,
 };
 
 /// After which time without a heartbeat the store removes a worker's entry.
@@ -17,7 +17,15 @@
 
 /// Returns a cell whose leader has started the two tasks of job 1, with their workers.
 fn world_at_work(offset_ms: u64) -> (World, usize, Vec<WorkerId>) {
+    world_with_clocks(offset_ms, 0)
+}
+
+/// Returns such a cell in which the workers' clocks are slow by this many thousandths.
+fn world_with_clocks(offset_ms: u64, slow_permille: u64) -> (World, usize, Vec<WorkerId>) {
     let mut world = World::new(3, 6, desired(1, queue()));
+    for worker in world.workers.values_mut() {
+        worker.clock_slow_permille = slow_permille;
+    }
     world.run(3_000 + offset_ms);
     for worker in world.workers.values_mut() {
         worker.work_ms = WORK_MS;
@@ -43,6 +51,35 @@
     }
 }
 
+/// Returns the end of the leader's lease that the store shows.
+fn recorded_lease_end(world: &World) -> Option<Millis> {
+    let key = RowKey::new(Table::Leadership, consts::CELL_PARTITION, "lease");
+    match world.store.rows.get(&key) {
+        Some((_, RowValue::Lease(until_ms))) => *until_ms,
+        _ => None,
+    }
+}
+
+/// Lets the store carry out a renewal of the leader's lease after later ones, while the others do not hear
+/// the leader; returns as soon as the store shows the earlier end.
+fn record_earlier_lease_end(world: &mut World, leader: usize, own: &[WorkerId]) {
+    world.late_kind = WriteKind::Of(leader);
+    world.late_writes = 1;
+    world.run(1_000);
+    world.cut(leader, true);
+    cut_workers(world, own, leader, true);
+    let mut last = recorded_lease_end(world);
+    for _ in 0..5_000 {
+        world.run(1);
+        let shown = recorded_lease_end(world);
+        if shown < last {
+            return;
+        }
+        last = shown;
+    }
+    panic!("no renewal was carried out late");
+}
+
 /// Cuts workers, which only the leader reaches, and the leader from the store and the other daemons.
 fn cut_off(world: &mut World, leader: usize, own: &[WorkerId], cut_ms: u64) {
     world.cut(leader, true);
@@ -97,6 +134,24 @@
     }
 }
 
+/// Guards against a task that runs twice because a renewal of the leader's lease that the store carries out
+/// late shows an earlier end than a later one did, and the next leader, which can't reach the workers,
+/// counts the end of their leases from there (TWICE).
+#[test]
+fn a_late_renewal_does_not_shorten_the_wait_for_the_leases_of_silent_workers() {
+    for slow_permille in [0, 20] {
+        for offset_ms in (0..400).step_by(25) {
+            let (mut world, leader, own) = world_with_clocks(offset_ms, slow_permille);
+            record_earlier_lease_end(&mut world, leader, &own);
+            cut_off(&mut world, leader, &own, 16_000);
+            world.cut(leader, false);
+            world.silence_store(leader, false);
+            let case = format!("offset {offset_ms}, clocks {slow_permille} permille slow");
+            assert_completed_once(world, &case);
+        }
+    }
+}
+
 /// Guards against a planned stop that lasts for the whole lease because the store refused the leader's
 /// resignation once.
 #[test]
