--- a/core/tests/cell_reservations.rs
+++ b/core/tests/cell_reservations.rs
@@ -441,3 +441,41 @@
     world.assert_state(0, 1, JobState::Pending);
     assert!(world.count("step_stalled") > 0);
 }
+
+/// Submits a step of the queue with advice `offset_ms` after the whole limit was reserved for a gang that
+/// waits for the end of a long task; returns how long the step waits for its start, at most 40 s.
+fn wait_beside_reservation_ms(advice_ms: u64, offset_ms: u64) -> u64 {
+    let mut state = desired(1, queue_with_advice(advice_ms * 1_000, 0, 2_000));
+    state.teams[0].limit.cpu_milli = LIMIT_CPU_MILLI;
+    let mut world = start_world(with_fill_queue(state));
+    world.advice_ms = advice_ms;
+    start_long_task(&mut world, 60_000);
+    world.submit(0, 1, vec![gang(15, TASK_CPU_MILLI)]);
+    run_until(&mut world, 10_000, |world| {
+        world.count("limit_reserved") > 0
+    });
+    world.run(offset_ms);
+    let begin = world.now;
+    world.submit(0, 3, vec![step(6, TASK_CPU_MILLI)]);
+    while starts_of(&world, 3) == 0 && world.now < begin + 40_000 {
+        world.run(25);
+    }
+    world.now - begin
+}
+
+/// Guards against a step that starts too late, or never, because its tickets are requested only once the
+/// limit that was reserved for a gang is released (LOST: the team uses less than half of its limit).
+#[test]
+fn a_step_that_needs_tickets_starts_while_a_gang_waits_for_the_whole_limit() {
+    let mut late = Vec::new();
+    for advice_ms in [100, 650, 1_330, 2_000, 2_600, 3_000] {
+        for offset_ms in (0..5_000).step_by(250) {
+            let waited_ms = wait_beside_reservation_ms(advice_ms, offset_ms);
+            // The first call for advice comes on top.
+            if waited_ms >= MAX_UNDERUSE_WAIT_MS.max(2 * advice_ms + 500) {
+                late.push((advice_ms, offset_ms, waited_ms));
+            }
+        }
+    }
+    assert!(late.is_empty(), "call, offset, wait: {late:?}");
+}
