Let steps that need tickets through a reserved limit early enough for their call

While its team uses less than half of its limit, a step waits for at most 3 s. One that a reservation for another step held back asked for its tickets only after the reservation, 2.5 s later, and if the call took longer than the pause, the tickets arrived under the next reservation and expired there.

--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -8,7 +8,8 @@
 //!
 //! By the terms of the service, no step waits for 3 s while its team uses less than half of its limit. A
 //! reservation therefore ends earlier if the step that it is for does not start soon after the team's
-//! use fell below that.
+//! use fell below that. A step that needs tickets is let through before that end, by the time that a
+//! call for them takes.
 
 use crate::{
     cell::{
@@ -17,7 +18,7 @@
         leader::{candidates::may_run, jobs::Job, Leader},
         DesiredState, LogEvent, StepKey, Team,
     },
-    JobId, Millis, Resources, TeamName,
+    Millis, Resources, TeamName,
 };
 use std::{
     collections::BTreeMap,
@@ -90,6 +91,15 @@
 }
 
 impl Reservation {
+    /// Returns whether a step that has waited since `waiting_since` may use the reserved part, because its
+    /// tickets take `call_ms` and would arrive too late if they were requested after the reservation.
+    fn lets_through(&self, now: Millis, waiting_since: Option<Millis>, call_ms: Millis) -> bool {
+        let (Some(since), Some(waiting_since)) = (self.underused_since, waiting_since) else {
+            return false;
+        };
+        call_ms > Millis(0) && now.since(since.max(waiting_since)) >= MAX_UNDERUSE_MS.since(call_ms)
+    }
+
     fn is_timed_out(&self, now: Millis, duration_ms: Millis) -> bool {
         let underused_ms = self.underused_since.map(|since| now.since(since));
         let is_underused = underused_ms.is_some_and(|span_ms| span_ms >= MAX_UNDERUSE_MS);
@@ -113,15 +123,26 @@
 }
 
 impl LimitReservations {
-    /// Returns the part of a team's limit that a step of a job may not use.
-    pub(crate) fn reserved_from(&self, team: &TeamName, job: &JobId, at: usize) -> Resources {
+    /// Returns the part of a team's limit that a step of a job may not use. A call for its tickets takes
+    /// `call_ms`.
+    pub(crate) fn reserved_from(
+        &self,
+        now: Millis,
+        team: &TeamName,
+        job: &Job,
+        at: usize,
+        call_ms: Millis,
+    ) -> Resources {
         let reservation = self.teams.get(team).and_then(|team| team.current.as_ref());
         let is_other = |reservation: &&Reservation| {
             let own = &reservation.step;
-            own.job != *job || usize::from(own.step) != at
+            own.job != job.row.id || usize::from(own.step) != at
         };
-        let others = reservation.filter(|reservation| !reservation.is_used);
-        let others = others.filter(is_other);
+        let waiting_since = job.steps[at].waiting_since;
+        let holds = |reservation: &&Reservation| {
+            !reservation.is_used && !reservation.lets_through(now, waiting_since, call_ms)
+        };
+        let others = reservation.filter(is_other).filter(holds);
         others.map_or(Resources::default(), |reservation| reservation.need)
     }
 
@@ -196,6 +217,10 @@
             let underused_since = current.underused_since.unwrap_or(ctx.now);
             current.underused_since = is_underused.then_some(underused_since);
             let is_needed = pending.contains(&current.step) && current.need.fits(&limit);
+            if is_underused && self.limits_due {
+                // Steps may be let through by now.
+                self.freed_teams.insert(name.clone());
+            }
             let why = match (current.is_used, is_needed) {
                 (true, _) => ReservationEnd::Placed,
                 (false, false) => ReservationEnd::NotNeeded,
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -203,8 +203,10 @@
         };
         let need = job.row.submission.steps[at].need;
         let used = self.used.get(&team.name).copied().unwrap_or_default();
+        let call_ms = ticket_call_ms(state, job);
         let reservations = &self.limit_reservations;
-        let used = used.plus(reservations.reserved_from(&team.name, &job.row.id, at));
+        let reserved = reservations.reserved_from(self.now, &team.name, job, at, call_ms);
+        let used = used.plus(reserved);
         let parts = team
             .limit
             .amounts()
@@ -242,3 +244,11 @@
         earlier_leaders.saturating_mul(consts::RUN_NUMBERS_PER_LEADER)
     }
 }
+
+/// Returns the longest time that a call for the tickets of a job's step takes; zero if it needs none.
+fn ticket_call_ms(state: &DesiredState, job: &Job) -> Millis {
+    let cost = state.queue(&job.row.queue).and_then(|queue| queue.advice);
+    cost.map_or(Millis(0), |cost| {
+        Millis(cost.call_us(consts::MAX_ADVICE_WORKERS).div_ceil(1_000))
+    })
+}
