Count the wait from the last lease row that was seen, also after a leader that resigned or was killed

Callers see a task run twice at the same time (TWICE) where the leader after a late renewal ends at once, by a planned stop or a restart: the leader after it took that for the end of all earlier leaders' leases, while the one before it could still count on its own.

Found in review.

The leader in the middle wrote the lease row after all renewals of the ones before it, so the version that is known bounds them too. After a planned stop or a restart the wait for workers that do not answer is longer by up to 2 s; all others start as before.

The offsets of the test before now act after the job's submission too, whose writes begin the interval of renewals anew.

--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -263,15 +263,9 @@
     /// Returns when the leases of all earlier leaders have certainly expired, if this daemon's attempt to
     /// lead succeeds: the store then takes no renewal after the version of the lease row that is known
     /// now. The end that the row states is no bound, because the store may carry out an earlier renewal
-    /// after later ones.
+    /// after later ones; nor is the end of the last leader, because the ones before it may outlast it.
     fn earlier_leads_end_at(&self, now: Millis) -> Millis {
-        let has_ended = self.term_row.holder.is_none()
-            || self.resigned_token.0 == self.term.0
-            || self.is_own_earlier_incarnation();
-        match has_ended {
-            true => now,
-            false => now.max(self.lease_seen_at + consts::LEADER_LEASE_MS),
-        }
+        now.max(self.lease_seen_at + consts::LEADER_LEASE_MS)
     }
 
     /// Returns whether the term row names an earlier process on this host, which has ended by now.
--- a/core/tests/cell_leases.rs
+++ b/core/tests/cell_leases.rs
@@ -32,7 +32,8 @@
     }
     let leader = world.leader().unwrap();
     world.submit(leader, 1, vec![step(2, 3_000)]);
-    world.run(2_000);
+    // Writes of progress renew the leader's lease, so its interval begins anew with the job.
+    world.run(2_000 + offset_ms / 2);
     let own: Vec<WorkerId> = world.starts().into_iter().map(|start| start.0).collect();
     assert_eq!(own.len(), 2);
     (world, leader, own)
@@ -80,6 +81,21 @@
     panic!("no renewal was carried out late");
 }
 
+/// Runs until a daemon other than `former` leads; returns it.
+fn next_leader(world: &mut World, former: usize) -> usize {
+    let taken = world.count("lead_taken");
+    for _ in 0..6_000 {
+        world.run(1);
+        if world.count("lead_taken") > taken {
+            let lines = world.lines.iter().rev();
+            let mut leaders = lines.filter(|line| line.2.event == "lead_taken");
+            let next = leaders.next().map(|line| line.1);
+            return next.filter(|next| *next != former).unwrap();
+        }
+    }
+    panic!("no daemon takes the lead")
+}
+
 /// Cuts workers, which only the leader reaches, and the leader from the store and the other daemons.
 fn cut_off(world: &mut World, leader: usize, own: &[WorkerId], cut_ms: u64) {
     world.cut(leader, true);
@@ -152,6 +168,36 @@
     }
 }
 
+/// Guards against a task that runs twice because the next leader ends at once, and the one after it takes
+/// that for the end of all earlier leaders' leases (TWICE).
+#[test]
+fn a_short_leader_does_not_shorten_the_wait_for_the_leases_of_silent_workers() {
+    for is_killed in [false, true] {
+        for offset_ms in (0..400).step_by(25) {
+            let (mut world, leader, own) = world_with_clocks(offset_ms, 20);
+            record_earlier_lease_end(&mut world, leader, &own);
+            world.cut(leader, true);
+            world.silence_store(leader, true);
+            cut_workers(&mut world, &own, leader, true);
+            let next = next_leader(&mut world, leader);
+            world.run(30);
+            match is_killed {
+                true => world.kill(next),
+                false => world.deliver_event(next, Event::Stop),
+            }
+            world.run(50);
+            if is_killed {
+                world.start(next);
+            }
+            cut_off(&mut world, leader, &own, 16_000);
+            world.cut(leader, false);
+            world.silence_store(leader, false);
+            let case = format!("offset {offset_ms}, killed: {is_killed}");
+            assert_completed_once(world, &case);
+        }
+    }
+}
+
 /// Guards against a planned stop that lasts for the whole lease because the store refused the leader's
 /// resignation once.
 #[test]
