Let the simulated cell cut off failure domains and stop a process before it sends

A domain that is cut off keeps its daemons and workers in touch with each other, while they reach neither the store nor other domains. Calls and answers on the way are lost or delivered late, messages are lost or wait in order. A process can stop between a decision and its calls.

--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 pub mod calls;
+mod domains;
 pub mod seeds;
 mod store;
 mod workers;
@@ -12,6 +13,7 @@
 pub use workers::{FakeWorker, Order, Specs, StepRules};
 
 use calls::{CallFault, RandomCallFaults};
+use domains::Domains;
 use pomelotide_core::{
     cell::{
         AdviceCost, AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb,
@@ -65,6 +67,8 @@
     StoreCall(usize, RpcId, StoreCall),
     /// A call with its caller.
     WorkerCall(usize, RpcId, Order),
+    /// The removal or return of a worker's entry, see [`World::update_entry`].
+    Entry(WorkerId, u64, bool),
 }
 
 struct Daemon {
@@ -87,6 +91,10 @@
     unix_lead_ms: i64,
     /// While its process is paused, the events that wait for it.
     paused: Option<Vec<(usize, Event)>>,
+    /// Whether its process stops before it next sends something.
+    stops_before_sending: bool,
+    /// What its process had decided when it stopped.
+    unsent: Vec<Effect>,
 }
 
 /// The cell.
@@ -135,6 +143,9 @@
     pub random_call_faults: Option<RandomCallFaults>,
     /// The daemons and workers that do not reach each other.
     pub cut_workers: BTreeSet<(usize, WorkerId)>,
+    pub domains: Domains,
+    /// The incarnations that the calls of stopped processes are meant for.
+    meant: BTreeMap<(usize, RpcId), Option<Incarnation>>,
     /// How much later the answers of calls to workers arrive.
     answer_delays: BTreeMap<(usize, RpcId), u64>,
     specs: Specs,
@@ -273,6 +284,8 @@
             call_faults: Vec::new(),
             random_call_faults: None,
             cut_workers: BTreeSet::new(),
+            domains: Domains::default(),
+            meant: BTreeMap::new(),
             answer_delays: BTreeMap::new(),
             specs: Specs::new(),
             called_workers: BTreeMap::new(),
@@ -297,6 +310,8 @@
                 process: 0,
                 unix_lead_ms: 0,
                 paused: None,
+                stops_before_sending: false,
+                unsent: Vec::new(),
             });
             world.start(at);
         }
@@ -331,6 +346,8 @@
     /// Kills a daemon's process: its links break, its calls are lost.
     pub fn kill(&mut self, at: usize) {
         self.daemons[at].node = None;
+        self.daemons[at].stops_before_sending = false;
+        self.daemons[at].unsent.clear();
         for (_, (peer, link)) in std::mem::take(&mut self.daemons[at].links) {
             self.daemons[peer].links.remove(&link);
             self.later(HOP_MS, Due::Event(peer, Event::LinkDown(link)));
@@ -342,8 +359,12 @@
         self.daemons[at].paused = Some(Vec::new());
     }
 
-    /// Lets a paused process go on: it handles the events that waited.
+    /// Lets a paused process go on: it sends what it had decided and handles the events that waited.
     pub fn resume(&mut self, at: usize) {
+        self.daemons[at].stops_before_sending = false;
+        for effect in std::mem::take(&mut self.daemons[at].unsent) {
+            self.carry_out(at, effect);
+        }
         for (caller, event) in self.daemons[at].paused.take().unwrap_or_default() {
             self.deliver_event(caller, event);
         }
@@ -354,7 +375,9 @@
         let worker = self.workers.get_mut(id).unwrap();
         let lost = worker.restart(self.now);
         let worker = worker.clone();
-        self.store.put_worker(&worker);
+        if !self.is_store_cut(self.domain_of_worker(id)) {
+            self.store.put_worker(&worker);
+        }
         for (at, rpc) in lost {
             self.later(
                 HOP_MS,
@@ -401,6 +424,12 @@
         self.daemons.iter().position(leads)
     }
 
+    /// Returns all daemons that consider themselves the leader.
+    pub fn leaders(&self) -> Vec<usize> {
+        let leads = |at: &usize| self.daemons[*at].node.as_ref().is_some_and(Node::is_leader);
+        (0..self.daemons.len()).filter(leads).collect()
+    }
+
     /// Returns what the scheduling of the present leader has looked at.
     pub fn scheduling_work(&self) -> SchedulingWork {
         let nodes = self.daemons.iter().filter_map(|own| own.node.as_ref());
@@ -455,7 +484,7 @@
         let begin = std::time::Instant::now();
         let effects = node.step(now, unix, event);
         self.step_s += begin.elapsed().as_secs_f64();
-        for effect in effects {
+        for effect in self.hold_effects(at, effects) {
             self.carry_out(at, effect);
         }
     }
@@ -556,7 +585,11 @@
     }
 
     fn deliver(&mut self, due: Due) {
+        let Some(due) = self.pass_cuts(due) else {
+            return;
+        };
         match due {
+            Due::Entry(id, change, cut) => self.update_entry(&id, change, cut),
             Due::Event(at, event) => self.deliver_event(at, event),
             Due::StoreCall(at, rpc, _) if self.daemons[at % MAX_DAEMONS].store_silent => {
                 let lost = Event::Store(rpc, StoreReply::Lost);
@@ -619,8 +652,10 @@
                 ..
             } => {
                 let addressee = self.workers.get(&worker);
+                let addressed = addressee.and_then(|worker| worker.entry.incarnation);
+                let meant = self.meant.remove(&(caller, rpc));
                 let call = Order {
-                    incarnation: addressee.and_then(|worker| worker.entry.incarnation),
+                    incarnation: meant.unwrap_or(addressed),
                     seen: self
                         .seen_incarnations
                         .get(&(caller, worker.clone()))
@@ -673,7 +708,7 @@
     /// a ticket holds the time of its issue.
     fn advise(&mut self, at: usize, rpc: RpcId, workers: Vec<WorkerId>, timeout_ms: u64) {
         let caller = self.caller(at);
-        if self.advice_lost_at == Some(at) {
+        if self.advice_lost_at == Some(at) || self.is_store_cut(self.domain_of(at)) {
             let lost = Event::Advice(rpc, AdviceReply::Lost);
             return self.later(timeout_ms, Due::Event(caller, lost));
         }
@@ -727,6 +762,7 @@
         let found = self.daemons.iter().position(|own| own.address == address);
         let open = |own: &Daemon| own.node.is_some() && !own.cut;
         let peer = found.filter(|&peer| open(&self.daemons[peer]) && open(&self.daemons[at]));
+        let peer = peer.filter(|&peer| !self.are_daemons_separated(at, peer));
         let link = peer.map(|peer| {
             let ends = [at, peer].map(|end| {
                 self.daemons[end].last_link += 1;
