Resign at once where an attempt to lead succeeds after a stop was requested

Callers find no leader for the whole grace period of a planned stop, and 2 s more: a daemon that is asked to stop while its attempt to lead is on its way becomes the leader, is not ready, and never resigns.

Evidence: a_daemon_that_wins_the_lead_while_it_stops_resigns failed before.

The stop resigned only a lead that it had by then. Now the answer that makes such a daemon the leader is followed by its resignation.

--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -191,7 +191,13 @@
             }
             RpcOwner::Election => match self.election.on_store(ctx, rpc, reply) {
                 LeadershipChange::None => {}
-                LeadershipChange::Elected(term) => self.start_leading(term),
+                LeadershipChange::Elected(term) => {
+                    self.start_leading(term);
+                    if self.stop_requested_at.is_some() {
+                        // The attempt was on its way when the stop was requested.
+                        self.election.resign(&mut self.ctx);
+                    }
+                }
                 LeadershipChange::Lost => self.stop_leading(),
             },
         }
--- a/core/tests/cell_leases.rs
+++ b/core/tests/cell_leases.rs
@@ -215,6 +215,32 @@
     );
 }
 
+/// Guards against a cell without a leader for the whole grace period because a daemon that stops wins the lead
+/// by an attempt that was on its way, and does not resign.
+#[test]
+fn a_daemon_that_wins_the_lead_while_it_stops_resigns() {
+    for delay_ms in [5, 12, 18] {
+        let (mut world, leader, _) = world_at_work(0);
+        world.kill(leader);
+        let wanted = world.count("lead_wanted");
+        while world.count("lead_wanted") == wanted {
+            world.run(1);
+        }
+        let lines = world.lines.iter();
+        let mut attempts = lines.filter(|line| line.2.event == "lead_wanted");
+        let next = attempts.nth(wanted).unwrap().1;
+        world.run(delay_ms);
+        world.deliver_event(next, Event::Stop);
+        world.run(1_500);
+        let successor = world.leader();
+        let is_other = successor.is_some_and(|successor| successor != next);
+        assert!(
+            is_other,
+            "stopped {delay_ms} ms after its attempt: {successor:?}"
+        );
+    }
+}
+
 /// Guards against runs that lapse because no lease is renewed while the store is down, for less than the
 /// workers' leases.
 #[test]
