--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -8,6 +8,7 @@
     cell::{
         consts,
         ctx::{Ctx, RpcOwner},
+        term::Term,
         CellSettings, FencingToken, LinkId, LogEvent, MemberRow, Row, RowKey, RowValue, RowVersion,
         RpcId, StoreCall, StoreReply, Table, TermRow, Write,
     },
@@ -30,15 +31,6 @@
     Resign,
 }
 
-/// The leadership of one daemon until another one leads.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Term {
-    pub(crate) token: FencingToken,
-    pub(crate) generation: u32,
-    /// When the leases of all earlier leaders have certainly expired.
-    pub(crate) earlier_leads_end_at: Millis,
-}
-
 /// How the store's answer changes this daemon's leadership.
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) enum LeadershipChange {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -37,7 +37,7 @@
     cell::{
         consts,
         ctx::Ctx,
-        election::{Election, Term},
+        election::Election,
         leader::{
             advice_dispatcher::AdviceDispatcher,
             fleet::Fleet,
@@ -52,6 +52,7 @@
             unsent_starts::UnsentStarts,
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
+        term::Term,
         ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, Queue, RowVersion, RpcId,
         StoreReply, ToLeader,
     },
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -30,6 +30,7 @@
 mod store_clock;
 mod submissions;
 mod task_key;
+mod term;
 mod withdrawal;
 mod worker_call;
 mod worker_entry;
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -4,10 +4,11 @@
     cell::{
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
-        election::{Election, LeadershipChange, Term},
+        election::{Election, LeadershipChange},
         frontend::Frontend,
         leader::{Leader, LeaseUpdate},
         submissions::Submissions,
+        term::Term,
         CellSettings, ConfigFeed, Effect, Event, LinkId, LogEvent, RpcId, StoreReply, ToLeader,
         ToMember,
     },
