Simplify the tests of cuts: one beginning and one end of a cut, one look at who leads, no second name for a cut domain

Found when the change was read again. cell_leases.rs wrote out the cut of a leader twice and its end three times; the emulator looked for leaders in two ways, named Domains::is_cut a second time and worked a worker's domain out in two places.

--- a/core/tests/cell_leases.rs
+++ b/core/tests/cell_leases.rs
@@ -97,10 +97,21 @@
 }
 
 /// Cuts workers, which only the leader reaches, and the leader from the store and the other daemons.
-fn cut_off(world: &mut World, leader: usize, own: &[WorkerId], cut_ms: u64) {
+fn begin_cut(world: &mut World, leader: usize, own: &[WorkerId]) {
     world.cut(leader, true);
     world.silence_store(leader, true);
     cut_workers(world, own, leader, true);
+}
+
+/// Connects the leader with the store and the other daemons again.
+fn reconnect(world: &mut World, leader: usize) {
+    world.cut(leader, false);
+    world.silence_store(leader, false);
+}
+
+/// Cuts the leader and its workers off for `cut_ms`, then connects the workers again.
+fn cut_off(world: &mut World, leader: usize, own: &[WorkerId], cut_ms: u64) {
+    begin_cut(world, leader, own);
     world.run(ENTRY_LAPSE_MS);
     for worker in own {
         world.store.remove_worker(worker.as_str());
@@ -129,8 +140,7 @@
         for offset_ms in [0, 700, 1_400] {
             let (mut world, leader, own) = world_at_work(offset_ms);
             cut_off(&mut world, leader, &own, cut_ms);
-            world.cut(leader, false);
-            world.silence_store(leader, false);
+            reconnect(&mut world, leader);
             assert_completed_once(world, &format!("cut for {cut_ms} ms, offset {offset_ms}"));
         }
     }
@@ -160,8 +170,7 @@
             let (mut world, leader, own) = world_with_clocks(offset_ms, slow_permille);
             record_earlier_lease_end(&mut world, leader, &own);
             cut_off(&mut world, leader, &own, 16_000);
-            world.cut(leader, false);
-            world.silence_store(leader, false);
+            reconnect(&mut world, leader);
             let case = format!("offset {offset_ms}, clocks {slow_permille} permille slow");
             assert_completed_once(world, &case);
         }
@@ -176,9 +185,7 @@
         for offset_ms in (0..400).step_by(25) {
             let (mut world, leader, own) = world_with_clocks(offset_ms, 20);
             record_earlier_lease_end(&mut world, leader, &own);
-            world.cut(leader, true);
-            world.silence_store(leader, true);
-            cut_workers(&mut world, &own, leader, true);
+            begin_cut(&mut world, leader, &own);
             let next = next_leader(&mut world, leader);
             world.run(30);
             match is_killed {
@@ -190,8 +197,7 @@
                 world.start(next);
             }
             cut_off(&mut world, leader, &own, 16_000);
-            world.cut(leader, false);
-            world.silence_store(leader, false);
+            reconnect(&mut world, leader);
             let case = format!("offset {offset_ms}, killed: {is_killed}");
             assert_completed_once(world, &case);
         }
--- a/core/tests/cell_world/domains.rs
+++ b/core/tests/cell_world/domains.rs
@@ -116,18 +116,13 @@
         }
     }
 
-    /// Returns whether a daemon or worker of a domain does not reach the store.
-    pub(super) fn is_store_cut(&self, domain: usize) -> bool {
-        self.domains.is_cut(domain)
-    }
-
     /// Returns whether a daemon does not reach a worker because of a cut.
     pub(super) fn is_worker_separated(&self, caller: usize, worker: &WorkerId) -> bool {
-        let worker = self.workers.get(worker);
-        worker.is_some_and(|worker| {
-            let domain = worker.number % self.domains.count;
-            self.domains.are_separated(self.domain_of(caller), domain)
-        })
+        if !self.workers.contains_key(worker) {
+            return false;
+        }
+        let domain = self.domain_of_worker(worker);
+        self.domains.are_separated(self.domain_of(caller), domain)
     }
 
     pub(super) fn are_daemons_separated(&self, one: usize, other: usize) -> bool {
@@ -138,10 +133,10 @@
     /// Returns what a cut does not stop; what it stops is lost or delivered late.
     pub(super) fn pass_cuts(&mut self, due: Due) -> Option<Due> {
         let is_stopped = match &due {
-            Due::StoreCall(at, ..) => self.is_store_cut(self.domain_of(*at)),
+            Due::StoreCall(at, ..) => self.domains.is_cut(self.domain_of(*at)),
             Due::WorkerCall(at, _, call) => self.is_worker_separated(*at, &call.worker),
             Due::Event(_, Event::Store(_, StoreReply::Lost)) => false,
-            Due::Event(at, Event::Store(..)) => self.is_store_cut(self.domain_of(*at)),
+            Due::Event(at, Event::Store(..)) => self.domains.is_cut(self.domain_of(*at)),
             Due::Event(_, Event::Worker(_, WorkerAnswer::Lost)) => false,
             Due::Event(at, Event::Worker(rpc, _)) => {
                 let worker = self.called_workers.get(&(*at, *rpc));
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -375,7 +375,7 @@
         let worker = self.workers.get_mut(id).unwrap();
         let lost = worker.restart(self.now);
         let worker = worker.clone();
-        if !self.is_store_cut(self.domain_of_worker(id)) {
+        if !self.domains.is_cut(self.domain_of_worker(id)) {
             self.store.put_worker(&worker);
         }
         for (at, rpc) in lost {
@@ -420,8 +420,7 @@
 
     /// Returns the daemon that leads.
     pub fn leader(&self) -> Option<usize> {
-        let leads = |own: &Daemon| own.node.as_ref().is_some_and(Node::is_leader);
-        self.daemons.iter().position(leads)
+        self.leaders().first().copied()
     }
 
     /// Returns all daemons that consider themselves the leader.
@@ -708,7 +707,7 @@
     /// a ticket holds the time of its issue.
     fn advise(&mut self, at: usize, rpc: RpcId, workers: Vec<WorkerId>, timeout_ms: u64) {
         let caller = self.caller(at);
-        if self.advice_lost_at == Some(at) || self.is_store_cut(self.domain_of(at)) {
+        if self.advice_lost_at == Some(at) || self.domains.is_cut(self.domain_of(at)) {
             let lost = Event::Advice(rpc, AdviceReply::Lost);
             return self.later(timeout_ms, Due::Event(caller, lost));
         }
@@ -832,6 +831,11 @@
         panic!("no answer on the state of job {job}")
     }
 
+    /// Asks a daemon for the number of waiting jobs; returns the call.
+    pub fn count_jobs(&mut self, at: usize) -> u64 {
+        self.call(at, PREFIX.into(), ClientVerb::Get)
+    }
+
     /// Gives a job up at a daemon; returns the call.
     pub fn cancel(&mut self, at: usize, job: u64) -> u64 {
         self.call(at, format!("{PREFIX}{job:016x}"), ClientVerb::Cancel)
