Show that jobs count as started whose starts were refused

Cause, by reading: a job counts as started once a start is sent, or, under a next leader, once a placement is on record. The test shows it for refused starts: 0 instead of 4.

--- a/core/tests/cell_operators.rs
+++ b/core/tests/cell_operators.rs
@@ -105,3 +105,27 @@
     world.run(3_000);
     assert_eq!(starts_of(&world, 1), 0);
 }
+
+/// Returns the number of waiting jobs that a daemon shows.
+fn shown_count(world: &mut World, daemon: usize) -> ClientAnswer {
+    let call = world.count_jobs(daemon);
+    world.run(100);
+    world.answers.remove(&call).unwrap()
+}
+
+/// Guards against accepted jobs that are not counted as waiting although no task of theirs has started: all
+/// workers refuse their starts (MIXED).
+#[test]
+fn a_job_whose_starts_are_refused_counts_as_waiting() {
+    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.refuses_starts = true;
+    }
+    for job in 1..5 {
+        world.submit(0, job, vec![step(1, 1_000)]);
+    }
+    world.run(6_000);
+    assert!(world.starts().is_empty());
+    assert_eq!(shown_count(&mut world, 0), ClientAnswer::Count(4));
+}
