--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -146,6 +146,13 @@
         Some(request)
     }
 
+    /// Returns when the oldest request that is not sent yet was made.
+    pub(crate) fn oldest_waiting_since(&self) -> Option<Millis> {
+        let ids = self.waiting.iter().flatten().map(|(_, id)| id);
+        let requests = ids.filter_map(|id| self.requests.get(id));
+        requests.map(|request| request.requested_at).min()
+    }
+
     /// Returns how many daemons make no long calls, so that short calls need not wait for one to end.
     fn reserved_for_short_calls(&self) -> usize {
         match self.callers.len() {
--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -197,6 +197,15 @@
         matches!(self.wait(id), Some(Wait::Team(..)))
     }
 
+    /// Returns the name of what a step waits for. One that is not pending waits for its first advice.
+    pub(crate) fn wait_name(&self, key: &StepKey) -> &'static str {
+        match self.steps.get(key).map(|step| &step.place) {
+            Some(Place::Ready | Place::Examined) => "turn",
+            Some(Place::Waiting(wait)) => wait.name(),
+            None => "first_advice",
+        }
+    }
+
     fn wait(&self, id: PendingId) -> Option<&Wait> {
         match &self.steps.get(self.keys.get(&id)?)?.place {
             Place::Waiting(wait) => Some(wait),
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -13,6 +13,7 @@
     },
     Millis,
 };
+use std::collections::BTreeMap;
 
 impl Leader {
     /// Logs what keeps ready work from starting, from time to time.
@@ -29,6 +30,9 @@
     fn log_stalled_steps(&self, ctx: &mut Ctx) {
         let stalled = self.stalled_steps(ctx.now);
         let count = stalled.len();
+        if count > 0 {
+            self.log_waiting_work(ctx, &stalled);
+        }
         for (since, key) in stalled.into_iter().take(consts::MAX_LOGGED_STALLS) {
             if let Some(event) = self.stall_event(ctx.now, &key) {
                 let event = event.with("ready_ms", ctx.now.since(since).0);
@@ -37,6 +41,47 @@
         }
     }
 
+    /// Logs what all stalled steps wait for, the calls for advice that wait, and how much of the usable
+    /// workers' processors is in use or reserved.
+    fn log_waiting_work(&self, ctx: &mut Ctx, stalled: &[(Millis, StepKey)]) {
+        let mut waits: BTreeMap<&str, usize> = BTreeMap::new();
+        for (_, key) in stalled {
+            *waits.entry(self.pending.wait_name(key)).or_default() += 1;
+        }
+        let waits: Vec<String> = waits
+            .into_iter()
+            .map(|(name, steps)| format!("{name}:{steps}"))
+            .collect();
+        let [short_calls, long_calls] = &self.advice.waiting;
+        let oldest_call = self.advice.oldest_waiting_since();
+        let (mut usable, mut capacity, mut used, mut reserved) = (0, 0u64, 0u64, 0u64);
+        for (_, worker) in self.fleet.iter() {
+            if worker.is_usable(ctx.now, MAX_CLOCK_AGE_MS) {
+                usable += 1;
+                capacity = capacity.saturating_add(worker.entry.capacity.cpu_milli);
+                used = used.saturating_add(worker.used.cpu_milli);
+                reserved = reserved.saturating_add(worker.reserved.cpu_milli);
+            }
+        }
+        let event = LogEvent::info("work_waiting")
+            .with("stalled", stalled.len())
+            .with("waits", waits.join(","))
+            .with("pending", self.pending.len())
+            .with("callers", self.advice.callers.len())
+            .with("short_calls", short_calls.len())
+            .with("long_calls", long_calls.len());
+        let event = event
+            .with(
+                "oldest_call_ms",
+                oldest_call.map_or(0, |at| ctx.now.since(at).0),
+            )
+            .with("usable", usable)
+            .with("cpu_milli", capacity)
+            .with("used_milli", used)
+            .with("reserved_milli", reserved);
+        ctx.log(event);
+    }
+
     /// Logs up to [`consts::MAX_LOGGED_STALLS`] runs that have not been known to be active for at least
     /// [`consts::STALL_THRESHOLD_MS`], the longest first. Their tasks wait until they have ended.
     fn log_stalled_runs(&self, ctx: &mut Ctx) {
@@ -116,13 +161,18 @@
             }
         }
         let headroom = self.team_headroom(state, job, at);
+        let calls = advice.in_flight.iter();
+        let calls = calls.filter_map(|id| self.advice.requests.get(id));
+        let call_since = calls.map(|request| request.requested_at).min();
         let event = LogEvent::warn("step_stalled")
             .with("step", key)
+            .with("wait", self.pending.wait_name(key))
             .with("gang", spec.gang)
             .with("tasks", spec.count)
             .with("running", step.running())
             .with("pending", self.pending.contains(key))
             .with("call", !advice.in_flight.is_empty())
+            .with("call_ms", call_since.map_or(0, |at| now.since(at).0))
             .with("advised", advice.permissions.len())
             .with("allowed", allowed)
             .with("tickets", tickets);
--- a/core/src/cell/leader/wait.rs
+++ b/core/src/cell/leader/wait.rs
@@ -37,3 +37,17 @@
     /// Something else changes, which no event tells; the step is examined in its turn.
     Other,
 }
+
+impl Wait {
+    /// Returns the name by which it is logged.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Team(..) => "team_limit",
+            Self::Room(_) => "room",
+            Self::GangRoom => "gang_room",
+            Self::Advice => "advice",
+            Self::Until(_) => "time",
+            Self::Other => "other",
+        }
+    }
+}
