Show that late steps stand still on a fleet that is more than half unused

The simulated cell learns advice that differs by queue and by job, and runs that take their estimated time.

--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -71,6 +71,15 @@
     Entry(WorkerId, u64, bool),
 }
 
+/// What the advice service says about the steps of a kind of job.
+#[derive(Clone, Copy, Debug)]
+pub struct FakeAdvice {
+    /// How long a call takes, beside the time for each worker.
+    pub call_ms: u64,
+    /// The part of the workers that may run a step; it differs from job to job.
+    pub allowed_permille: u64,
+}
+
 struct Daemon {
     node: Option<Node>,
     address: String,
@@ -117,6 +126,9 @@
     pub payload: String,
     /// How long advice takes; no advice is asked for where the queue needs none.
     pub advice_ms: u64,
+    /// The advice on jobs that are handed in with a prefix, where it differs.
+    pub advice_by_prefix: BTreeMap<String, FakeAdvice>,
+    advice_by_job: BTreeMap<JobId, FakeAdvice>,
     pub advice_calls: usize,
     /// How much longer advice takes for each worker that the call names, in microseconds.
     pub advice_worker_us: u64,
@@ -149,6 +161,8 @@
     /// How much later the answers of calls to workers arrive.
     answer_delays: BTreeMap<(usize, RpcId), u64>,
     specs: Specs,
+    /// Whether runs take the time that their step states.
+    pub works_as_estimated: bool,
     called_workers: BTreeMap<(usize, RpcId), WorkerId>,
     /// The incarnations in the last lists that each process has received.
     seen_incarnations: BTreeMap<(usize, WorkerId), Incarnation>,
@@ -269,6 +283,8 @@
             key: KEY.into(),
             payload: "payload".into(),
             advice_ms: 20,
+            advice_by_prefix: BTreeMap::new(),
+            advice_by_job: BTreeMap::new(),
             advice_calls: 0,
             advice_worker_us: 0,
             advice_allows_every: 1,
@@ -288,6 +304,7 @@
             meant: BTreeMap::new(),
             answer_delays: BTreeMap::new(),
             specs: Specs::new(),
+            works_as_estimated: false,
             called_workers: BTreeMap::new(),
             seen_incarnations: BTreeMap::new(),
         };
@@ -680,10 +697,10 @@
             }
             Effect::Advise {
                 rpc,
+                step,
                 workers,
                 timeout_ms,
-                ..
-            } => self.advise(at, rpc, workers, timeout_ms.0),
+            } => self.advise(at, rpc, &step.job, workers, timeout_ms.0),
             Effect::Dial(address) => self.dial(at, &address),
             Effect::Close(link) => {
                 if let Some((peer, other)) = self.daemons[at].links.remove(&link) {
@@ -705,7 +722,14 @@
 
     /// Answers a daemon's call for advice. The service takes the calls of a daemon one after another;
     /// a ticket holds the time of its issue.
-    fn advise(&mut self, at: usize, rpc: RpcId, workers: Vec<WorkerId>, timeout_ms: u64) {
+    fn advise(
+        &mut self,
+        at: usize,
+        rpc: RpcId,
+        job: &JobId,
+        workers: Vec<WorkerId>,
+        timeout_ms: u64,
+    ) {
         let caller = self.caller(at);
         if self.advice_lost_at == Some(at) || self.domains.is_cut(self.domain_of(at)) {
             let lost = Event::Advice(rpc, AdviceReply::Lost);
@@ -714,11 +738,13 @@
         self.advice_calls += 1;
         let begins = self.advice_free_at[at].max(self.now + self.advice_way_ms);
         let workers_ms = self.advice_worker_us * workers.len() as u64 / 1_000;
-        let ends = begins + self.advice_ms + workers_ms;
+        let advice = self.advice_by_job.get(job).copied();
+        let call_ms = advice.map_or(self.advice_ms, |advice| advice.call_ms);
+        let ends = begins + call_ms + workers_ms;
         self.advice_free_at[at] = ends;
         let is_allowed = |id: &WorkerId| {
             let worker = self.workers.get(id);
-            worker.is_some_and(|worker| worker.number.is_multiple_of(self.advice_allows_every))
+            worker.is_some_and(|worker| self.advice_allows(job, worker.number))
         };
         let ticket = Ticket(ends.to_string().into());
         let reply = if workers.len() > MAX_ADVISED_WORKERS {
@@ -731,6 +757,20 @@
         self.later(delay_ms, Due::Event(caller, Event::Advice(rpc, reply)));
     }
 
+    /// Returns whether the advice service allows a worker, by its number, for the steps of a job.
+    pub fn advice_allows(&self, job: &JobId, number: usize) -> bool {
+        let Some(advice) = self.advice_by_job.get(job) else {
+            return number.is_multiple_of(self.advice_allows_every);
+        };
+        let text = format!("{}/{number}", job.as_str());
+        let seed = text.bytes().fold(0, |sum: u64, byte| {
+            sum.wrapping_mul(257).wrapping_add(u64::from(byte))
+        });
+        let mut rng = seeds::Rng(seed);
+        rng.below(1);
+        rng.below(1_000) < advice.allowed_permille
+    }
+
     /// Returns how much later than others a scan of jobs is made, or its answer comes.
     fn scan_ms(&self, call: &StoreCall, answer: bool) -> u64 {
         match call {
@@ -804,9 +844,14 @@
             let rules = StepRules {
                 need: step.need,
                 members: if step.gang { step.count } else { 0 },
+                work_ms: self.works_as_estimated.then_some(step.estimated_ms.0),
             };
             self.specs.insert(key, rules);
         }
+        if let Some(advice) = self.advice_by_prefix.get(prefix) {
+            let id = JobId::new(format!("{job:016x}"));
+            self.advice_by_job.insert(id, *advice);
+        }
         let work = Submission {
             payload: self.payload.as_str().into(),
             steps,
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -26,6 +26,8 @@
     pub need: Resources,
     /// The number of members; 0 if the step is no gang.
     pub members: u32,
+    /// How long its runs take, where that is not the same for all steps.
+    pub work_ms: Option<u64>,
 }
 
 /// The rules of all steps that were handed in.
@@ -68,6 +70,7 @@
     span: usize,
     need: Resources,
     members: u32,
+    work_ms: u64,
 }
 
 /// A run that is over, whose end is not acknowledged.
@@ -303,10 +306,9 @@
 
     /// Lets the members of a complete gang work from `begin` on.
     pub fn complete_gang(&mut self, step: &StepKey, run: u32, begin: u64) {
-        let until = begin + self.work_ms;
         for ((task, number), active) in &mut self.active {
             if task.step == *step && *number == run {
-                active.until.get_or_insert(until);
+                active.until.get_or_insert(begin + active.work_ms);
             }
         }
     }
@@ -540,9 +542,11 @@
             how: None,
             acknowledged: false,
         });
+        let work_ms = rules.work_ms.unwrap_or(self.work_ms);
         let active = Active {
             begin: now,
-            until: (rules.members == 0).then_some(now + self.work_ms),
+            until: (rules.members == 0).then_some(now + work_ms),
+            work_ms,
             stopped_at: None,
             span: self.spans.len() - 1,
             need: rules.need,
