Reserve room for a task only once the call for its ticket is sent

Cause: a gang that has its advice, or a single task whose ticket has expired, reserved room when its call for tickets was requested. The call may wait behind others for a minute; all that time the room was in use by nobody and offered to nobody.

Fix: a step notes where its tasks are to start, and the one place that sends calls for advice reserves that room right before it sends the call. If others have taken it, the request is withdrawn and the next pass looks for other room. So a reservation lasts for one call at most, whoever waits. The places of gangs and of single tasks are one type now.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -10,6 +10,7 @@
         ctx::Ctx,
         leader::{
             advice_dispatcher::{AdviceRequest, InFlightCall},
+            awaited_places::RoomCheck,
             fleet::WorkerIx,
             Leader,
         },
@@ -135,8 +136,9 @@
 }
 
 impl Leader {
-    /// Requests advice on a step, unless a call for it is in flight or has just failed. More workers
-    /// than one call names are named in several calls, which different daemons make at the same time.
+    /// Requests advice on a step, unless a call for it is in flight or has just failed; returns whether it
+    /// did. More workers than one call names are named in several calls, which different daemons make at
+    /// the same time.
     pub(crate) fn request_advice(
         &mut self,
         now: Millis,
@@ -144,14 +146,14 @@
         mut workers: Vec<WorkerIx>,
         latest_start_ms: u64,
         cost: AdviceCost,
-    ) {
+    ) -> bool {
         workers.truncate(consts::MAX_ADVICE_WORKERS * consts::MAX_ADVICE_CALLS_PER_STEP);
         let Some(job) = self.jobs.get_mut(&step.job) else {
-            return;
+            return false;
         };
         let advice = &mut job.steps[usize::from(step.step)].advice;
         if !advice.in_flight.is_empty() || now < advice.retry_at || workers.is_empty() {
-            return;
+            return false;
         }
         let calls = workers.len().div_ceil(consts::MAX_ADVICE_WORKERS);
         for workers in workers.chunks(workers.len().div_ceil(calls)) {
@@ -166,6 +168,7 @@
             });
             advice.in_flight.push(id);
         }
+        true
     }
 
     /// Handles calls that timed out as lost, and sends waiting requests to daemons with capacity.
@@ -175,6 +178,18 @@
             self.on_advice(ctx, id, AdviceReply::Lost);
         }
         while let Some((id, link)) = self.advice.next(now) {
+            let Some(step) = self
+                .advice
+                .requests
+                .get(&id)
+                .map(|request| request.step.clone())
+            else {
+                return;
+            };
+            if self.reserve_awaited(&step) == RoomCheck::Taken {
+                self.withdraw_requests(&step);
+                continue;
+            }
             let Some(request) = self.advice.requests.get_mut(&id) else {
                 return;
             };
@@ -190,7 +205,8 @@
                 timeout_ms: request.timeout_ms(),
             };
             let times_out_at = now + request.timeout_ms() + consts::STORE_RETRY_DELAY_MS;
-            self.advice.waiting[usize::from(long)].remove(&(request.latest_start_ms, id));
+            let latest_start_ms = request.latest_start_ms;
+            self.advice.waiting[usize::from(long)].remove(&(latest_start_ms, id));
             if let Some(caller) = self.advice.callers.get_mut(&link) {
                 caller.calls.push(InFlightCall {
                     id,
@@ -202,6 +218,18 @@
         }
     }
 
+    /// Withdraws a step's requests, none of which has been sent, because others have taken the room that its
+    /// tasks were to start on. The next pass looks for other room.
+    fn withdraw_requests(&mut self, step: &StepKey) {
+        let at = usize::from(step.step);
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            for id in std::mem::take(&mut job.steps[at].advice.in_flight) {
+                self.advice.take(id);
+            }
+        }
+        self.needs_pass |= self.pending.wake(step);
+    }
+
     /// Handles the advice service's answer to a request.
     pub(crate) fn on_advice(&mut self, ctx: &mut Ctx, id: QueryId, reply: AdviceReply) {
         let Some(request) = self.advice.take(id) else {
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -65,13 +65,13 @@
             count: spec.count,
             same_rack: spec.same_rack,
         };
-        if let Some(places) = self.startable_plan(ctx.now, queue, key) {
-            self.release_plan(key);
+        if let Some(places) = self.startable_places(ctx.now, queue, key) {
+            self.release_awaited(key);
             self.release_kept_workers(key);
             self.place_gang_members(ctx, key, &places);
             return Wait::Other;
         }
-        let previous = self.release_plan(key);
+        let previous = self.release_awaited(key);
         let candidates = self.candidates(ctx.now, queue, key);
         match self.choose_places(ctx.now, queue, key, need, &candidates) {
             GangPlaces::Startable(places) => {
@@ -82,8 +82,9 @@
             GangPlaces::TicketsMissing(places) => {
                 self.release_kept_workers(key);
                 let spares = spare_workers(&candidates, &places);
-                self.request_tickets(ctx, queue, key, &previous, &places, spares);
-                self.reserve_places(key, places, need.member);
+                if self.request_tickets(ctx, queue, key, &previous, &places, spares) {
+                    self.await_places(key, places);
+                }
                 let retry_at = ctx.now + consts::ADVICE_RETRY_DELAY_MS;
                 self.advice_wait(ctx.now, key, Wait::Until(retry_at))
             }
@@ -165,7 +166,8 @@
     }
 
     /// Requests the tickets for a gang's places and for `spares`, which replace places that are
-    /// unusable when the answer arrives. `previous` are the places of the last pass.
+    /// unusable when the answer arrives; returns whether a call was requested. `previous` are the places of
+    /// the last pass.
     fn request_tickets(
         &mut self,
         ctx: &mut Ctx,
@@ -174,9 +176,9 @@
         previous: &[WorkerIx],
         places: &[WorkerIx],
         spares: Vec<WorkerIx>,
-    ) {
+    ) -> bool {
         let (Some(cost), Some(job)) = (queue.advice, self.jobs.get(&key.job)) else {
-            return;
+            return false;
         };
         let advice = &job.steps[usize::from(key.step)].advice;
         let has_ticket = |ix: &&WorkerIx| advice.ticket(**ix, ctx.now).is_some();
@@ -186,7 +188,7 @@
         workers.extend(spares);
         self.log_missing_tickets(ctx, key, previous, places, missing);
         let latest_start_ms = self.rank(key).latest_start_ms;
-        self.request_advice(ctx.now, key, workers, latest_start_ms, cost);
+        self.request_advice(ctx.now, key, workers, latest_start_ms, cost)
     }
 
     /// Logs that a gang waits for `missing` tickets, and how its places differ from the `previous` ones.
@@ -254,47 +256,24 @@
         self.refresh_pending_steps(&key.job);
     }
 
-    /// Reserves the room of a gang's members while their tickets are requested.
-    fn reserve_places(&mut self, key: &StepKey, places: Vec<WorkerIx>, need: Resources) {
-        for &ix in &places {
-            self.fleet.reserve(ix, need);
-        }
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.steps[usize::from(key.step)].plan = Some(places);
-        }
-    }
-
-    /// Returns the workers reserved for a gang, one for each member, if all are usable, have room and
-    /// have valid tickets.
-    fn startable_plan(&self, now: Millis, queue: &Queue, key: &StepKey) -> Option<Vec<WorkerIx>> {
+    /// Returns the workers on which a gang awaited tickets, one for each member, if all are usable, have
+    /// room and have valid tickets.
+    fn startable_places(&self, now: Millis, queue: &Queue, key: &StepKey) -> Option<Vec<WorkerIx>> {
         let step = &self.jobs.get(&key.job)?.steps[usize::from(key.step)];
-        let places = step.plan.as_ref()?;
+        let places = &step.awaited.workers;
         let is_usable_place = |ix: &WorkerIx| {
             let ticket = queue.advice.is_none() || step.advice.ticket(*ix, now).is_some();
             let worker = self.fleet.get(*ix);
             ticket && worker.is_usable(now, MAX_CLOCK_AGE_MS) && worker.has_reserved_room()
         };
-        places.iter().all(is_usable_place).then(|| places.clone())
-    }
-
-    /// Releases the room reserved for a gang on its workers and returns these workers.
-    pub(crate) fn release_plan(&mut self, key: &StepKey) -> Vec<WorkerIx> {
-        let at = usize::from(key.step);
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return Vec::new();
-        };
-        let need = job.row.submission.steps[at].need;
-        let places = job.steps[at].plan.take().unwrap_or_default();
-        for &ix in &places {
-            self.fleet.unreserve(ix, need);
-        }
-        places
+        let can_start = !places.is_empty() && places.iter().all(is_usable_place);
+        can_start.then(|| places.clone())
     }
 
     /// Releases the room reserved for a gang that can't start because of its team's limit, so that
     /// other teams can use it. Does nothing if no room is reserved.
-    pub(crate) fn release_blocked_plan(&mut self, ctx: &mut Ctx, key: &StepKey) {
-        let previous = self.release_plan(key);
+    pub(crate) fn release_blocked_places(&mut self, ctx: &mut Ctx, key: &StepKey) {
+        let previous = self.release_awaited(key);
         if !previous.is_empty() {
             self.log_gang_wait(ctx, key, GangWait::TeamLimit, |event| {
                 event.with("released", previous.len())
@@ -303,7 +282,7 @@
     }
 
     /// Releases the room reserved for the steps of a job that has ended.
-    pub(crate) fn release_plans(&mut self, id: &JobId) {
+    pub(crate) fn release_job_rooms(&mut self, id: &JobId) {
         let count = self.jobs.get(id).map_or(0, |job| job.steps.len());
         for step in 0..count as u16 {
             let key = StepKey {
@@ -311,8 +290,7 @@
                 occurrence: 0,
                 step,
             };
-            self.release_plan(&key);
-            self.release_awaiting_tickets(&key);
+            self.release_awaited(&key);
             self.release_kept_workers(&key);
         }
     }
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -289,8 +289,7 @@
                 self.needs_pass |= self.pending.insert(&key, rank);
             } else {
                 self.pending.remove(&key);
-                self.release_plan(&key);
-                self.release_awaiting_tickets(&key);
+                self.release_awaited(&key);
                 self.release_kept_workers(&key);
             }
         }
@@ -331,7 +330,7 @@
         }
         self.mark_started(id);
         self.mark_edited(id);
-        self.release_plans(id);
+        self.release_job_rooms(id);
         self.refresh_pending_steps(id);
         if state != JobState::Completed {
             self.stop_job_runs(ctx, id);
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod advice_dispatcher;
+mod awaited_places;
 mod candidates;
 mod fit;
 mod fleet;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -74,7 +74,6 @@
 
     /// Places the tasks of a step, as far as it can start; returns what the others wait for.
     fn place_step(&mut self, ctx: &mut Ctx, state: &DesiredState, key: &StepKey) -> Wait {
-        self.release_awaiting_tickets(key);
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
             return Wait::Other;
@@ -83,7 +82,7 @@
             return Wait::Other;
         };
         if let Some(wait) = self.limit_wait(state, key) {
-            self.release_blocked_plan(ctx, key);
+            self.release_blocked_places(ctx, key);
             self.release_kept_workers(key);
             return wait;
         }
@@ -97,7 +96,8 @@
             }
             return self.advice_wait(ctx.now, key, Wait::Other);
         }
-        match job.row.submission.steps[at].gang {
+        let is_gang = job.row.submission.steps[at].gang;
+        match is_gang {
             true => self.place_gang(ctx, queue, key),
             false => self.place_single_tasks(ctx, state, queue, key),
         }
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -32,6 +32,7 @@
     ) -> Wait {
         let at = usize::from(key.step);
         let now = ctx.now;
+        self.release_awaited(key);
         let candidates = self.candidates(now, queue, key);
         let Some(job) = self.jobs.get(&key.job) else {
             return Wait::Other;
@@ -92,7 +93,7 @@
         }
     }
 
-    /// Requests new tickets for `workers`, whose room is reserved until the answer, or, if there are none,
+    /// Requests new tickets for `workers`, where tasks start once they arrive, or, if there are none,
     /// advice on workers on which none has been received yet.
     fn request_more_advice(
         &mut self,
@@ -126,35 +127,8 @@
                 workers.clear();
             }
         }
-        self.request_advice(now, key, workers, latest_start_ms, cost);
-        self.reserve_awaiting_tickets(key, places);
-    }
-
-    /// Reserves the room of tasks that start once their tickets arrive.
-    fn reserve_awaiting_tickets(&mut self, key: &StepKey, places: Vec<WorkerIx>) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let at = usize::from(key.step);
-        let need = job.row.submission.steps[at].need;
-        if job.steps[at].advice.in_flight.is_empty() {
-            return;
-        }
-        for &ix in &places {
-            self.fleet.reserve(ix, need);
-        }
-        job.steps[at].awaiting_tickets = places;
-    }
-
-    /// Releases the room that is reserved for tasks whose tickets were requested.
-    pub(crate) fn release_awaiting_tickets(&mut self, key: &StepKey) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let at = usize::from(key.step);
-        let need = job.row.submission.steps[at].need;
-        for ix in std::mem::take(&mut job.steps[at].awaiting_tickets) {
-            self.fleet.unreserve(ix, need);
+        if self.request_advice(now, key, workers, latest_start_ms, cost) {
+            self.await_places(key, places);
         }
     }
 
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -180,7 +180,7 @@
             .with("usable", usable)
             .with("slots", slots)
             .with("headroom", headroom.min(u64::from(u32::MAX)))
-            .with("planned", step.plan.as_ref().map_or(0, Vec::len));
+            .with("planned", step.awaited.workers.len());
         Some(event.with("surplus", job.surplus))
     }
 }
--- a/core/src/cell/leader/step.rs
+++ b/core/src/cell/leader/step.rs
@@ -1,7 +1,9 @@
 //! The leader's state of one step of a job: which tasks are done and which runs they have.
 
 use crate::{
-    cell::leader::{advice::StepAdvice, fleet::WorkerIx, gang_wait::GangWait},
+    cell::leader::{
+        advice::StepAdvice, awaited_places::AwaitedPlaces, fleet::WorkerIx, gang_wait::GangWait,
+    },
     Millis,
 };
 
@@ -39,10 +41,7 @@
     pub(crate) advice: StepAdvice,
     /// Workers on which a run of the step has failed.
     pub(crate) failed_on: Vec<WorkerIx>,
-    /// Workers reserved for the members of a gang while tickets for them are requested.
-    pub(crate) plan: Option<Vec<WorkerIx>>,
-    /// Workers on which single tasks will start once the requested tickets arrive.
-    pub(crate) awaiting_tickets: Vec<WorkerIx>,
+    pub(crate) awaited: AwaitedPlaces,
     /// Why the last pass did not place the gang, and when that was logged last.
     pub(crate) logged_wait: Option<(GangWait, Millis)>,
     /// Since when a task has waited for its start while no task of the step has a run or, in a gang,
--- a/core/src/cell/leader/unsent_starts.rs
+++ b/core/src/cell/leader/unsent_starts.rs
@@ -192,7 +192,7 @@
         let job = self.jobs.get(&key.job);
         if job.is_some_and(|job| job.steps[at].advice.in_flight.is_empty()) {
             // No task of the step waits for the tickets of this call.
-            self.release_awaiting_tickets(key);
+            self.release_awaited(key);
         }
         self.request_advice(now, key, workers, latest_start_ms, cost);
         min_check_at
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -120,7 +120,7 @@
     pub(crate) unstored: Vec<(JobId, u64)>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
-    /// The room reserved for gangs whose tickets are requested.
+    /// The room reserved for tasks whose call for tickets is under way.
     pub(crate) reserved: Resources,
     /// When its lease expires: if it has not answered by then, none of its runs is active any more.
     pub(crate) lease_expires_at: Millis,
