Give calls for late steps their turn beside newer ones

Cause: calls for advice went to steps in time first, then to the least late one, so a late step waited for as long as newer ones asked, and the oldest the longest. Calls for late steps also waited for a daemon without any call, which a flood never leaves.

Fix: one call in eight, or one in two while none in time waits, is for the step that is late the most. No newer step is later than it, so its wait ends however many come. The share is bounded, so a backlog of late steps can't displace those in time. A late call may follow another one at the same daemon.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -206,7 +206,7 @@
             };
             let times_out_at = now + request.timeout_ms() + consts::STORE_RETRY_DELAY_MS;
             let latest_start_ms = request.latest_start_ms;
-            self.advice.waiting[usize::from(long)].remove(&(latest_start_ms, id));
+            self.advice.end_wait(now, (latest_start_ms, id), long);
             if let Some(caller) = self.advice.callers.get_mut(&link) {
                 caller.calls.push(InFlightCall {
                     id,
--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -17,6 +17,11 @@
 /// the leader's token.
 const QUERY_ID_BITS: u32 = 24;
 
+/// While requests for steps in time wait, one in this many is for the step that is late the most.
+const OLDEST_CALL_INTERVAL: u32 = 8;
+/// While only requests for late steps wait, one in this many is for the one that is late the most.
+const OLDEST_CALL_INTERVAL_LATE: u32 = 2;
+
 /// A request for advice on a step.
 #[derive(Clone, Debug)]
 pub(crate) struct AdviceRequest {
@@ -83,6 +88,9 @@
     /// The requests that are not sent yet, by latest start: those with short calls, then those with
     /// long ones.
     pub(crate) waiting: [BTreeSet<(u64, QueryId)>; 2],
+    /// How many requests of each length were sent since one had its turn for its age, while such a request
+    /// waited.
+    sent_since_oldest: [u32; 2],
     last_id: u64,
     pub(crate) callers: BTreeMap<LinkId, AdviceCaller>,
     /// Workers whose tickets are invalid because they were issued for an earlier incarnation.
@@ -96,6 +104,7 @@
         Self {
             requests: BTreeMap::new(),
             waiting: [BTreeSet::new(), BTreeSet::new()],
+            sent_since_oldest: [0; 2],
             last_id: token.0 << QUERY_ID_BITS,
             callers: BTreeMap::from([(LOCAL_LINK, AdviceCaller::default())]),
             invalidated: Vec::new(),
@@ -130,6 +139,17 @@
         id
     }
 
+    /// Notes that a request is sent.
+    pub(crate) fn end_wait(&mut self, now: Millis, request: (u64, QueryId), long: bool) {
+        let at = usize::from(long);
+        let oldest = oldest_late(&self.waiting[at], now);
+        self.waiting[at].remove(&request);
+        self.sent_since_oldest[at] = match oldest {
+            Some(oldest) if oldest != request => self.sent_since_oldest[at] + 1,
+            _ => 0,
+        };
+    }
+
     /// Removes a request, together with its call if one is in flight, and returns the request.
     pub(crate) fn take(&mut self, id: QueryId) -> Option<AdviceRequest> {
         let request = self.requests.remove(&id)?;
@@ -186,23 +206,24 @@
             free.map(|(link, caller)| (now < caller.avoided_until, caller.calls.len(), *link))
         };
         let [short_queue, long_queue] = &self.waiting;
-        let next_long = most_urgent(long_queue, now).filter(|_| long_sent < self.max_long_calls());
+        let [short_turns, long_turns] = self.sent_since_oldest;
+        let next_long = next_of(long_queue, now, long_turns);
+        let next_long = next_long.filter(|_| long_sent < self.max_long_calls());
         let long_goes_first = next_long.is_some() && long_sent < third;
         let long = next_long.and_then(|request| {
             let (_, _, link) =
                 free(1).min_by_key(|(avoided, _, link)| (*avoided, Reverse(*link)))?;
             Some((request, link))
         });
-        let short = most_urgent(short_queue, now).and_then(|(latest_start_ms, id)| {
-            // For a step that can still end in time, a call is sent while the one before is in
-            // flight. Late and surplus steps wait for an idle daemon, and so do all steps while a
-            // long call waits for one.
-            let max_calls = match latest_start_ms >= now.0 && !long_goes_first {
-                true => consts::MAX_ADVICE_CALLS_PER_DAEMON,
-                false => 1,
+        let short = next_of(short_queue, now, short_turns).and_then(|request| {
+            // A call is sent while the one before is in flight, unless a long call waits for an idle
+            // daemon.
+            let max_calls = match long_goes_first {
+                true => 1,
+                false => consts::MAX_ADVICE_CALLS_PER_DAEMON,
             };
             let (_, _, link) = free(max_calls).min()?;
-            Some(((latest_start_ms, id), link))
+            Some((request, link))
         });
         let priority = |((latest_start_ms, id), _): &((u64, QueryId), LinkId)| {
             (*latest_start_ms < now.0, *latest_start_ms, *id)
@@ -216,9 +237,27 @@
     }
 }
 
-/// Returns the first request whose step can still end in time, or else the least late one.
-fn most_urgent(requests: &BTreeSet<(u64, QueryId)>, now: Millis) -> Option<(u64, QueryId)> {
+/// Returns the request for the step that is late the most.
+fn oldest_late(requests: &BTreeSet<(u64, QueryId)>, now: Millis) -> Option<(u64, QueryId)> {
+    let first = requests.first().copied();
+    first.filter(|(latest_start_ms, _)| *latest_start_ms < now.0)
+}
+
+/// Returns the first request whose step can still end in time, or else the least late one. From time to
+/// time, it is the turn of the one that is late the most, so that none waits for as long as newer ones come.
+fn next_of(
+    requests: &BTreeSet<(u64, QueryId)>,
+    now: Millis,
+    sent_since_oldest: u32,
+) -> Option<(u64, QueryId)> {
     let bound = (now.0, QueryId(0));
-    let late = || requests.range(..bound).next_back();
-    requests.range(bound..).next().or_else(late).copied()
+    let in_time = requests.range(bound..).next();
+    let least_late = requests.range(..bound).next_back();
+    let interval = match in_time {
+        Some(_) => OLDEST_CALL_INTERVAL,
+        None => OLDEST_CALL_INTERVAL_LATE,
+    };
+    let is_turn = sent_since_oldest + 1 >= interval;
+    let oldest = oldest_late(requests, now).filter(|_| is_turn);
+    oldest.or_else(|| in_time.or(least_late).copied())
 }
