Show a running job as running while no leader answers

Callers see a running job as pending during a takeover, and as running again after it.

A daemon whose leader does not answer, or still loads, reads the job's recorded progress, and showed its state as it stands there. That is pending until the first write after a task has begun, which for a job of one task is that of its end.

Evidence: a_running_job_is_not_shown_as_pending_during_a_takeover failed before.

The daemon now shows the state that a next leader shows by the same record: running where a placement or progress is on record.

--- a/core/src/cell/frontend/row_calls.rs
+++ b/core/src/cell/frontend/row_calls.rs
@@ -86,7 +86,7 @@
             FoundRow::Found(Row {
                 value: RowValue::Progress(progress),
                 ..
-            }) => progress.state,
+            }) => progress.visible_state(),
             _ => JobState::Pending,
         };
         self.answer(ctx, query.call, ClientAnswer::State(state));
--- a/core/tests/cell_operators.rs
+++ b/core/tests/cell_operators.rs
@@ -236,6 +236,25 @@
     assert_eq!(shown_count(&mut world, daemon), ClientAnswer::Count(0));
 }
 
+/// Guards against a running job that is shown as pending while no leader answers, or a next one still loads.
+#[test]
+fn a_running_job_is_not_shown_as_pending_during_a_takeover() {
+    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
+    world.run(3_000);
+    for worker in world.workers.values_mut() {
+        worker.work_ms = 60_000;
+    }
+    world.submit(0, 1, vec![step(1, 1_000)]);
+    world.run(1_000);
+    world.assert_state(0, 1, JobState::Running);
+    let former = world.leader().unwrap();
+    world.kill(former);
+    for _ in 0..40 {
+        world.assert_state((former + 1) % DAEMONS, 1, JobState::Running);
+    }
+    assert!(world.leader().is_some());
+}
+
 /// Guards against a job that has begun and counts as waiting since its start is known by its end only.
 #[test]
 fn a_job_whose_start_is_known_by_an_end_only_does_not_count_as_waiting() {
