Give the turn to the request for advice that was made first, and hold no room behind others

With a single daemon the turn had no effect between short and long calls. A step that waits behind newer ones was withdrawn again and again, since all of them choose the same workers. The other calls of a large gang, calls sent again for a daemon that left, and renewed tickets of placed tasks waited behind others while room was held for them.

Fix: the turn goes to the request that was made first, and asking again is a new request, unless the old one was withdrawn for want of room. Requests whose room is held go before all others. A single daemon makes the calls of both lengths by one order. When the room of a request is taken, other room is looked for at once. waiting_calls.rs holds the order, advice_withdrawn logs the withdrawal.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -12,6 +12,7 @@
             advice_dispatcher::{AdviceRequest, InFlightCall},
             awaited_places::RoomCheck,
             fleet::WorkerIx,
+            waiting_calls::Room,
             Leader,
         },
         AdviceCost, AdviceReply, LogEvent, QueryId, StepKey, TaskKey, Ticket, ToMember,
@@ -35,6 +36,8 @@
     pub(crate) permissions: BTreeMap<WorkerIx, Permission>,
     /// The requests that are not answered yet.
     pub(crate) in_flight: Vec<QueryId>,
+    /// When the request was made that the next answer is for, or an earlier one that was withdrawn.
+    pub(crate) requested_since: Option<Millis>,
     /// After a failed call, no advice is requested before this time.
     pub(crate) retry_at: Millis,
 }
@@ -144,9 +147,10 @@
         now: Millis,
         step: &StepKey,
         mut workers: Vec<WorkerIx>,
-        latest_start_ms: u64,
         cost: AdviceCost,
+        room: Room,
     ) -> bool {
+        let latest_start_ms = self.rank(step).latest_start_ms;
         workers.truncate(consts::MAX_ADVICE_WORKERS * consts::MAX_ADVICE_CALLS_PER_STEP);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return false;
@@ -155,6 +159,7 @@
         if !advice.in_flight.is_empty() || now < advice.retry_at || workers.is_empty() {
             return false;
         }
+        let requested_at = *advice.requested_since.get_or_insert(now);
         let calls = workers.len().div_ceil(consts::MAX_ADVICE_WORKERS);
         for workers in workers.chunks(workers.len().div_ceil(calls)) {
             let id = self.advice.add(AdviceRequest {
@@ -162,9 +167,10 @@
                 workers: workers.to_vec(),
                 cost,
                 latest_start_ms,
-                requested_at: now,
+                requested_at,
                 incarnations: Vec::new(),
                 sent: None,
+                holds_room: room == Room::Held,
             });
             advice.in_flight.push(id);
         }
@@ -177,7 +183,7 @@
         for id in self.advice.timed_out(now) {
             self.on_advice(ctx, id, AdviceReply::Lost);
         }
-        while let Some((id, link)) = self.advice.next(now) {
+        while let Some((id, link, reason)) = self.advice.next(now) {
             let Some(step) = self
                 .advice
                 .requests
@@ -187,9 +193,14 @@
                 return;
             };
             if self.reserve_awaited(&step) == RoomCheck::Taken {
-                self.withdraw_requests(&step);
+                self.replace_requests(ctx, &step);
                 continue;
             }
+            self.advice.note_sent(id, reason);
+            let others = self.open_requests(&step);
+            for other in others.into_iter().filter(|other| *other != id) {
+                self.advice.hold_room(other);
+            }
             let Some(request) = self.advice.requests.get_mut(&id) else {
                 return;
             };
@@ -205,8 +216,6 @@
                 timeout_ms: request.timeout_ms(),
             };
             let times_out_at = now + request.timeout_ms() + consts::STORE_RETRY_DELAY_MS;
-            let latest_start_ms = request.latest_start_ms;
-            self.advice.end_wait(now, (latest_start_ms, id), long);
             if let Some(caller) = self.advice.callers.get_mut(&link) {
                 caller.calls.push(InFlightCall {
                     id,
@@ -218,16 +227,35 @@
         }
     }
 
+    /// Returns the requests for a step that are not answered yet.
+    fn open_requests(&self, step: &StepKey) -> Vec<QueryId> {
+        let job = self.jobs.get(&step.job);
+        let advice = job.map(|job| &job.steps[usize::from(step.step)].advice);
+        advice.map_or(Vec::new(), |advice| advice.in_flight.clone())
+    }
+
     /// Withdraws a step's requests, none of which has been sent, because others have taken the room that its
-    /// tasks were to start on. The next pass looks for other room.
-    fn withdraw_requests(&mut self, step: &StepKey) {
-        let at = usize::from(step.step);
+    /// tasks were to start on, and looks for other room at once. A request for that counts from when the
+    /// first one was made.
+    fn replace_requests(&mut self, ctx: &mut Ctx, step: &StepKey) {
+        let open = self.open_requests(step);
+        let requests = open.iter().filter_map(|id| self.advice.take(*id));
+        let since = requests.map(|request| request.requested_at).min();
         if let Some(job) = self.jobs.get_mut(&step.job) {
-            for id in std::mem::take(&mut job.steps[at].advice.in_flight) {
-                self.advice.take(id);
+            job.steps[usize::from(step.step)].advice.in_flight.clear();
+        }
+        if self.pending.wake(step) {
+            self.needs_pass = true;
+            if let Some(state) = self.state.clone() {
+                self.place_step(ctx, &state, step);
             }
         }
-        self.needs_pass |= self.pending.wake(step);
+        let event = LogEvent::info("advice_withdrawn").with("step", step);
+        let waited_ms = since.map_or(Millis(0), |since| ctx.now.since(since));
+        let event = event
+            .with("why", "room_taken")
+            .with("waited_ms", waited_ms.0);
+        ctx.log(event.with("replaced", !self.open_requests(step).is_empty()));
     }
 
     /// Handles the advice service's answer to a request.
@@ -241,6 +269,7 @@
         };
         let advice = &mut job.steps[usize::from(request.step.step)].advice;
         advice.in_flight.retain(|open| *open != id);
+        advice.requested_since = None;
         match reply {
             AdviceReply::Allowed(rows) => self.on_allowed(ctx, &request, rows, true),
             AdviceReply::PartlyAllowed(rows) => self.on_allowed(ctx, &request, rows, false),
--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -3,25 +3,22 @@
 
 use crate::{
     cell::{
-        consts, ctx::LOCAL_LINK, leader::fleet::WorkerIx, AdviceCost, FencingToken, Incarnation,
-        LinkId, QueryId, StepKey,
+        consts,
+        ctx::LOCAL_LINK,
+        leader::{
+            fleet::WorkerIx,
+            waiting_calls::{CallReason, WaitingCall, WaitingCalls},
+        },
+        AdviceCost, FencingToken, Incarnation, LinkId, QueryId, StepKey,
     },
     Millis,
 };
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-};
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// The number of low bits of a query id that hold the number of the request; the bits above them hold
 /// the leader's token.
 const QUERY_ID_BITS: u32 = 24;
 
-/// While requests for steps in time wait, one in this many is for the step that is late the most.
-const OLDEST_CALL_INTERVAL: u32 = 8;
-/// While only requests for late steps wait, one in this many is for the one that is late the most.
-const OLDEST_CALL_INTERVAL_LATE: u32 = 2;
-
 /// A request for advice on a step.
 #[derive(Clone, Debug)]
 pub(crate) struct AdviceRequest {
@@ -35,6 +32,8 @@
     pub(crate) incarnations: Vec<Option<Incarnation>>,
     /// The daemon that it was sent to, and when.
     pub(crate) sent: Option<(LinkId, Millis)>,
+    /// Whether room is held for the step until the answer.
+    pub(crate) holds_room: bool,
 }
 
 impl AdviceRequest {
@@ -46,6 +45,15 @@
         self.cost_us() >= consts::LONG_ADVICE_US
     }
 
+    fn waiting_call(&self, id: QueryId) -> WaitingCall {
+        WaitingCall {
+            id,
+            latest_start_ms: self.latest_start_ms,
+            requested_at: self.requested_at,
+            holds_room: self.holds_room,
+        }
+    }
+
     pub(crate) fn timeout_ms(&self) -> Millis {
         Millis(self.cost_us() / 1_000) + consts::ADVICE_TIMEOUT_MARGIN_MS
     }
@@ -85,12 +93,8 @@
 #[derive(Debug)]
 pub(crate) struct AdviceDispatcher {
     pub(crate) requests: BTreeMap<QueryId, AdviceRequest>,
-    /// The requests that are not sent yet, by latest start: those with short calls, then those with
-    /// long ones.
-    pub(crate) waiting: [BTreeSet<(u64, QueryId)>; 2],
-    /// How many requests of each length were sent since one had its turn for its age, while such a request
-    /// waited.
-    sent_since_oldest: [u32; 2],
+    /// The requests that are not sent yet: those with short calls, then those with long ones.
+    pub(crate) waiting: [WaitingCalls; 2],
     last_id: u64,
     pub(crate) callers: BTreeMap<LinkId, AdviceCaller>,
     /// Workers whose tickets are invalid because they were issued for an earlier incarnation.
@@ -103,8 +107,7 @@
     pub(crate) fn new(token: FencingToken) -> Self {
         Self {
             requests: BTreeMap::new(),
-            waiting: [BTreeSet::new(), BTreeSet::new()],
-            sent_since_oldest: [0; 2],
+            waiting: Default::default(),
             last_id: token.0 << QUERY_ID_BITS,
             callers: BTreeMap::from([(LOCAL_LINK, AdviceCaller::default())]),
             invalidated: Vec::new(),
@@ -115,13 +118,14 @@
         self.callers.insert(link, AdviceCaller::default());
     }
 
-    /// Removes a daemon; its calls are sent again by others.
+    /// Removes a daemon; its calls are sent again by others, first of all, since room is held for them.
     pub(crate) fn remove_caller(&mut self, link: LinkId) {
         let caller = self.callers.remove(&link);
         for call in caller.into_iter().flat_map(|caller| caller.calls) {
             if let Some(request) = self.requests.get_mut(&call.id) {
                 request.sent = None;
-                self.waiting[usize::from(call.long)].insert((request.latest_start_ms, call.id));
+                request.holds_room = true;
+                self.waiting[usize::from(call.long)].insert(request.waiting_call(call.id));
             }
         }
     }
@@ -134,20 +138,32 @@
     pub(crate) fn add(&mut self, request: AdviceRequest) -> QueryId {
         self.last_id += 1;
         let id = QueryId(self.last_id);
-        self.waiting[usize::from(request.is_long())].insert((request.latest_start_ms, id));
+        self.waiting[usize::from(request.is_long())].insert(request.waiting_call(id));
         self.requests.insert(id, request);
         id
     }
 
-    /// Notes that a request is sent.
-    pub(crate) fn end_wait(&mut self, now: Millis, request: (u64, QueryId), long: bool) {
-        let at = usize::from(long);
-        let oldest = oldest_late(&self.waiting[at], now);
-        self.waiting[at].remove(&request);
-        self.sent_since_oldest[at] = match oldest {
-            Some(oldest) if oldest != request => self.sent_since_oldest[at] + 1,
-            _ => 0,
+    /// Lets a request that is not sent yet go before others, because room is held for its step.
+    pub(crate) fn hold_room(&mut self, id: QueryId) {
+        let request = self.requests.get_mut(&id);
+        let Some(request) = request.filter(|request| request.sent.is_none()) else {
+            return;
         };
+        request.holds_room = true;
+        self.waiting[usize::from(request.is_long())].insert(request.waiting_call(id));
+    }
+
+    /// Notes that a request is sent. A single daemon makes the calls of both lengths in turn.
+    pub(crate) fn note_sent(&mut self, id: QueryId, reason: CallReason) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let at = usize::from(request.is_long());
+        self.waiting[at].remove(request.waiting_call(id));
+        self.waiting[at].note_sent(reason);
+        if self.callers.len() == 1 {
+            self.waiting[1 - at].note_sent(CallReason::Urgency);
+        }
     }
 
     /// Removes a request, together with its call if one is in flight, and returns the request.
@@ -155,7 +171,7 @@
         let request = self.requests.remove(&id)?;
         match request.sent {
             None => {
-                self.waiting[usize::from(request.is_long())].remove(&(request.latest_start_ms, id));
+                self.waiting[usize::from(request.is_long())].remove(request.waiting_call(id));
             }
             Some((link, _)) => {
                 if let Some(caller) = self.callers.get_mut(&link) {
@@ -168,9 +184,8 @@
 
     /// Returns when the oldest request that is not sent yet was made.
     pub(crate) fn oldest_waiting_since(&self) -> Option<Millis> {
-        let ids = self.waiting.iter().flatten().map(|(_, id)| id);
-        let requests = ids.filter_map(|id| self.requests.get(id));
-        requests.map(|request| request.requested_at).min()
+        let lengths = self.waiting.iter();
+        lengths.filter_map(WaitingCalls::oldest_since).min()
     }
 
     /// Returns how many daemons make no long calls, so that short calls need not wait for one to end.
@@ -193,10 +208,10 @@
         late.map(|call| call.id).collect()
     }
 
-    /// Chooses the next request and the daemon that sends it. A third of the daemons is reserved
-    /// for long calls and another third for short ones. Long calls go to the leader's own daemon
+    /// Chooses the next request, the daemon that sends it, and why it is next. A third of the daemons is
+    /// reserved for long calls and another third for short ones. Long calls go to the leader's own daemon
     /// last, because it has the most other work.
-    pub(crate) fn next(&self, now: Millis) -> Option<(QueryId, LinkId)> {
+    pub(crate) fn next(&self, now: Millis) -> Option<(QueryId, LinkId, CallReason)> {
         let third = self.reserved_for_short_calls();
         let long = |caller: &&AdviceCaller| caller.calls.iter().any(|call| call.long);
         let long_sent = self.callers.values().filter(long).count();
@@ -205,17 +220,17 @@
             let free = callers.filter(move |(_, caller)| caller.has_capacity(max_calls, now));
             free.map(|(link, caller)| (now < caller.avoided_until, caller.calls.len(), *link))
         };
-        let [short_queue, long_queue] = &self.waiting;
-        let [short_turns, long_turns] = self.sent_since_oldest;
-        let next_long = next_of(long_queue, now, long_turns);
+        let [short_calls, long_calls] = &self.waiting;
+        let next_long = long_calls.next(now);
         let next_long = next_long.filter(|_| long_sent < self.max_long_calls());
-        let long_goes_first = next_long.is_some() && long_sent < third;
+        let long_goes_first =
+            next_long.is_some_and(|(reason, _)| long_sent < third || reason != CallReason::Urgency);
         let long = next_long.and_then(|request| {
             let (_, _, link) =
                 free(1).min_by_key(|(avoided, _, link)| (*avoided, Reverse(*link)))?;
             Some((request, link))
         });
-        let short = next_of(short_queue, now, short_turns).and_then(|request| {
+        let short = short_calls.next(now).and_then(|request| {
             // A call is sent while the one before is in flight, unless a long call waits for an idle
             // daemon.
             let max_calls = match long_goes_first {
@@ -225,39 +240,16 @@
             let (_, _, link) = free(max_calls).min()?;
             Some((request, link))
         });
-        let priority = |((latest_start_ms, id), _): &((u64, QueryId), LinkId)| {
-            (*latest_start_ms < now.0, *latest_start_ms, *id)
+        let priority = |((reason, id), _): &((CallReason, QueryId), LinkId)| {
+            let request = self.requests.get(id);
+            let latest_start_ms = request.map_or(u64::MAX, |request| request.latest_start_ms);
+            (*reason, latest_start_ms < now.0, latest_start_ms, *id)
         };
-        let ((_, id), link) = match (short, long) {
+        let ((reason, id), link) = match (short, long) {
             (Some(_), Some(long)) if long_goes_first => long,
             (Some(short), Some(long)) if priority(&short) <= priority(&long) => short,
             (short, long) => long.or(short)?,
         };
-        Some((id, link))
+        Some((id, link, reason))
     }
 }
-
-/// Returns the request for the step that is late the most.
-fn oldest_late(requests: &BTreeSet<(u64, QueryId)>, now: Millis) -> Option<(u64, QueryId)> {
-    let first = requests.first().copied();
-    first.filter(|(latest_start_ms, _)| *latest_start_ms < now.0)
-}
-
-/// Returns the first request whose step can still end in time, or else the least late one. From time to
-/// time, it is the turn of the one that is late the most, so that none waits for as long as newer ones come.
-fn next_of(
-    requests: &BTreeSet<(u64, QueryId)>,
-    now: Millis,
-    sent_since_oldest: u32,
-) -> Option<(u64, QueryId)> {
-    let bound = (now.0, QueryId(0));
-    let in_time = requests.range(bound..).next();
-    let least_late = requests.range(..bound).next_back();
-    let interval = match in_time {
-        Some(_) => OLDEST_CALL_INTERVAL,
-        None => OLDEST_CALL_INTERVAL_LATE,
-    };
-    let is_turn = sent_since_oldest + 1 >= interval;
-    let oldest = oldest_late(requests, now).filter(|_| is_turn);
-    oldest.or_else(|| in_time.or(least_late).copied())
-}
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -12,6 +12,7 @@
             gang_wait::GangWait,
             schedule::MAX_CLOCK_AGE_MS,
             wait::Wait,
+            waiting_calls::Room,
             Leader,
         },
         LogEvent, Queue, StepKey, TaskKey,
@@ -154,8 +155,7 @@
         });
         if let Some(cost) = queue.advice {
             let workers = self.workers_without_advice(ctx.now, queue, key, 0);
-            let latest_start_ms = self.rank(key).latest_start_ms;
-            self.request_advice(ctx.now, key, workers, latest_start_ms, cost);
+            self.request_advice(ctx.now, key, workers, cost, Room::Free);
         }
         self.keep_workers_for(ctx.now, queue, key);
         let otherwise = match count <= MAX_SMALL_GANG {
@@ -187,8 +187,7 @@
         let mut workers = advice.tickets_to_renew(places, ctx.now, cost, parallel_calls);
         workers.extend(spares);
         self.log_missing_tickets(ctx, key, previous, places, missing);
-        let latest_start_ms = self.rank(key).latest_start_ms;
-        self.request_advice(ctx.now, key, workers, latest_start_ms, cost)
+        self.request_advice(ctx.now, key, workers, cost, Room::Free)
     }
 
     /// Logs that a gang waits for `missing` tickets, and how its places differ from the `previous` ones.
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -29,6 +29,7 @@
 mod unsent_starts;
 mod wait;
 mod wait_list;
+mod waiting_calls;
 mod waking;
 mod worker;
 mod worker_rpcs;
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -13,6 +13,7 @@
             limit_reservations::min_tasks,
             rank::Rank,
             wait::{Pool, Wait},
+            waiting_calls::Room,
             Leader,
         },
         DesiredState, StepKey, TaskKey,
@@ -73,7 +74,12 @@
     }
 
     /// Places the tasks of a step, as far as it can start; returns what the others wait for.
-    fn place_step(&mut self, ctx: &mut Ctx, state: &DesiredState, key: &StepKey) -> Wait {
+    pub(crate) fn place_step(
+        &mut self,
+        ctx: &mut Ctx,
+        state: &DesiredState,
+        key: &StepKey,
+    ) -> Wait {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
             return Wait::Other;
@@ -190,9 +196,8 @@
         let Some((queue, cost)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
             return;
         };
-        let latest_start_ms = self.rank(key).latest_start_ms;
         let workers = self.workers_without_advice(now, queue, key, 0);
-        self.request_advice(now, key, workers, latest_start_ms, cost);
+        self.request_advice(now, key, workers, cost, Room::Free);
     }
 
     /// Returns how many more tasks of a step its team may run at the same time.
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -10,6 +10,7 @@
             fleet::WorkerIx,
             schedule::MAX_CLOCK_AGE_MS,
             wait::{RoomWait, Wait},
+            waiting_calls::Room,
             Leader,
         },
         AdviceCost, DesiredState, Queue, StepKey,
@@ -111,7 +112,6 @@
         if !advice.in_flight.is_empty() || now < advice.retry_at {
             return;
         }
-        let latest_start_ms = self.rank(key).latest_start_ms;
         let places = workers.clone();
         workers.sort_unstable();
         workers.dedup();
@@ -127,7 +127,7 @@
                 workers.clear();
             }
         }
-        if self.request_advice(now, key, workers, latest_start_ms, cost) {
+        if self.request_advice(now, key, workers, cost, Room::Free) {
             self.await_places(key, places);
         }
     }
--- a/core/src/cell/leader/unsent_starts.rs
+++ b/core/src/cell/leader/unsent_starts.rs
@@ -7,7 +7,7 @@
     cell::{
         consts,
         ctx::Ctx,
-        leader::{fleet::WorkerIx, step::TaskRun, worker::RunPhase, Leader},
+        leader::{fleet::WorkerIx, step::TaskRun, waiting_calls::Room, worker::RunPhase, Leader},
         AdviceCost, LogEvent, StepKey, TaskKey,
     },
     Millis,
@@ -188,13 +188,12 @@
         if renew_at > now {
             return renew_at.max(min_check_at);
         }
-        let latest_start_ms = self.rank(key).latest_start_ms;
         let job = self.jobs.get(&key.job);
         if job.is_some_and(|job| job.steps[at].advice.in_flight.is_empty()) {
             // No task of the step waits for the tickets of this call.
             self.release_awaited(key);
         }
-        self.request_advice(now, key, workers, latest_start_ms, cost);
+        self.request_advice(now, key, workers, cost, Room::Held);
         min_check_at
     }
 }
--- a/core/tests/cell_late_steps.rs
+++ b/core/tests/cell_late_steps.rs
@@ -123,6 +123,53 @@
     assert_eq!(idle, None, "of the oldest");
 }
 
+/// Guards against late steps that ask again and again, because no worker is allowed or all refuse them, and use
+/// up the turns of the others.
+#[test]
+fn steps_that_ask_in_vain_leave_others_their_turn() {
+    let mut world = cell(3, 240, 100_000, [1_000, 0, 1_000]);
+    let allow = |world: &mut World, allowed_permille| {
+        let advice = FakeAdvice {
+            call_ms: LONG_CALL_MS,
+            allowed_permille,
+        };
+        world.advice_by_prefix.insert(SLOW.into(), advice);
+    };
+    allow(&mut world, 0);
+    for job in 1..4 {
+        world.submit_to(SLOW, 0, job, vec![step(1, 10)]);
+    }
+    world.run(100);
+    allow(&mut world, 1_000);
+    for job in 100..130 {
+        world.submit_to(SLOW, 1, job, vec![step(1, 1)]);
+    }
+    world.submit_to(SLOW, 0, 50, vec![step(1, 10)]);
+    for job in 200..250 {
+        world.submit_to(SLOW, 1, job, vec![step(1, 1)]);
+        world.run(200);
+    }
+    assert_eq!(starts_of(&world, 50), 1);
+}
+
+/// Guards against a late step with a long call that never has its turn where one daemon makes all calls.
+#[test]
+fn a_late_step_gets_advice_from_a_single_daemon() {
+    let mut world = cell(1, 40, 100_000, [1_000; 3]);
+    let flood = |world: &mut World, first: u64, span_ms: u64| {
+        for at in 0..span_ms / INTERVAL_MS {
+            for job in 0..12 {
+                world.submit_to(PREFIX, 0, first + 12 * at + job, vec![step(1, 1)]);
+            }
+            world.run(INTERVAL_MS);
+        }
+    };
+    flood(&mut world, 1_000, 4_000);
+    world.submit_to(SLOW, 0, 1, vec![step(1, 10)]);
+    flood(&mut world, 2_000, 20_000);
+    assert_eq!(starts_of(&world, 1), 1);
+}
+
 /// A kind of request.
 struct Kind {
     prefix: &'static str,
