Name whether a request holds room by one type

AdviceRequest and WaitingCall held a bool that request_advice derived from Room; they hold Room itself now.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -170,7 +170,7 @@
                 requested_at,
                 incarnations: Vec::new(),
                 sent: None,
-                holds_room: room == Room::Held,
+                room,
             });
             advice.in_flight.push(id);
         }
--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -7,7 +7,7 @@
         ctx::LOCAL_LINK,
         leader::{
             fleet::WorkerIx,
-            waiting_calls::{CallReason, WaitingCall, WaitingCalls},
+            waiting_calls::{CallReason, Room, WaitingCall, WaitingCalls},
         },
         AdviceCost, FencingToken, Incarnation, LinkId, QueryId, StepKey,
     },
@@ -32,8 +32,7 @@
     pub(crate) incarnations: Vec<Option<Incarnation>>,
     /// The daemon that it was sent to, and when.
     pub(crate) sent: Option<(LinkId, Millis)>,
-    /// Whether room is held for the step until the answer.
-    pub(crate) holds_room: bool,
+    pub(crate) room: Room,
 }
 
 impl AdviceRequest {
@@ -50,7 +49,7 @@
             id,
             latest_start_ms: self.latest_start_ms,
             requested_at: self.requested_at,
-            holds_room: self.holds_room,
+            room: self.room,
         }
     }
 
@@ -118,13 +117,13 @@
         self.callers.insert(link, AdviceCaller::default());
     }
 
-    /// Removes a daemon; its calls are sent again by others, first of all, since room is held for them.
+    /// Removes a daemon; its calls are sent again by others, first of all, since room may be held for them.
     pub(crate) fn remove_caller(&mut self, link: LinkId) {
         let caller = self.callers.remove(&link);
         for call in caller.into_iter().flat_map(|caller| caller.calls) {
             if let Some(request) = self.requests.get_mut(&call.id) {
                 request.sent = None;
-                request.holds_room = true;
+                request.room = Room::Held;
                 self.waiting[usize::from(call.long)].insert(request.waiting_call(call.id));
             }
         }
@@ -149,7 +148,7 @@
         let Some(request) = request.filter(|request| request.sent.is_none()) else {
             return;
         };
-        request.holds_room = true;
+        request.room = Room::Held;
         self.waiting[usize::from(request.is_long())].insert(request.waiting_call(id));
     }
 
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -102,8 +102,7 @@
             }
             return self.advice_wait(ctx.now, key, Wait::Other);
         }
-        let is_gang = job.row.submission.steps[at].gang;
-        match is_gang {
+        match job.row.submission.steps[at].gang {
             true => self.place_gang(ctx, queue, key),
             false => self.place_single_tasks(ctx, state, queue, key),
         }
--- a/core/src/cell/leader/waiting_calls.rs
+++ b/core/src/cell/leader/waiting_calls.rs
@@ -20,16 +20,13 @@
     /// The latest time at which the step can start and still end in time.
     pub(crate) latest_start_ms: u64,
     pub(crate) requested_at: Millis,
-    /// Whether room is held for the step until the answer.
-    pub(crate) holds_room: bool,
+    pub(crate) room: Room,
 }
 
-/// Whether a request is about room that is held already.
+/// Whether room is held for the step of a request while the request waits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Room {
-    /// None is held before the call is sent.
     Free,
-    /// Room is held for placed tasks.
     Held,
 }
 
@@ -58,7 +55,7 @@
 
     pub(crate) fn insert(&mut self, call: WaitingCall) {
         let by_age = (call.requested_at, call.id);
-        if call.holds_room {
+        if call.room == Room::Held {
             self.holding_room.insert(by_age);
         }
         self.by_age.insert(by_age);
