Share the set-ups of tests on late steps, waiting jobs, passes and the review

set_work_ms stood in three files and as a loop in more places, the silence of all workers five times, and the start of a calm cell ten times in cell_operators.rs. The simulated cell has the first two now.

--- a/core/tests/cell_late_steps.rs
+++ b/core/tests/cell_late_steps.rs
@@ -81,22 +81,16 @@
     world
 }
 
-fn set_work_ms(world: &mut World, work_ms: u64) {
-    for worker in world.workers.values_mut() {
-        worker.work_ms = work_ms;
-    }
-}
-
 /// Guards against an unused fleet that looks full, because gangs hold room while their calls for tickets wait
 /// behind others.
 #[test]
 fn gangs_whose_calls_wait_hold_no_room() {
     let mut world = cell(3, 12, 100_000, [1_000; 3]);
-    set_work_ms(&mut world, 12_000);
+    world.set_work_ms(12_000);
     world.submit_to(FILL, 0, 1, vec![step(12, 4_000)]);
     world.run(1_000);
     assert_eq!(starts_of(&world, 1), 12);
-    set_work_ms(&mut world, 1_000);
+    world.set_work_ms(1_000);
     // Their first tickets expire while the fleet is full; together they need all of it.
     for job in 10..34 {
         world.submit_to(SLOW, 0, job, vec![gang(2, 1_000)]);
--- a/core/tests/cell_operators.rs
+++ b/core/tests/cell_operators.rs
@@ -69,8 +69,7 @@
 /// daemons.
 #[test]
 fn a_worker_that_left_and_a_withdrawn_key_stay_out_of_use_after_a_restart() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     world.submit(0, 1, vec![step(12, 1_000)]);
     world.run(500);
     let gone = world.workers.keys().next().unwrap().clone();
@@ -99,8 +98,7 @@
 /// Guards against a restarted daemon that serves a withdrawn key before it has read a configuration.
 #[test]
 fn a_restarted_daemon_refuses_calls_until_it_has_read_the_configuration() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     world.kill(1);
     world.start(1);
     let call = world.submit(1, 1, vec![step(1, 100)]);
@@ -122,8 +120,7 @@
 /// workers refuse their starts (MIXED).
 #[test]
 fn a_job_whose_starts_are_refused_counts_as_waiting() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     for worker in world.workers.values_mut() {
         worker.refuses_starts = true;
     }
@@ -147,6 +144,13 @@
     }
 }
 
+/// Returns a cell that has found its leader and its workers.
+fn calm_world() -> World {
+    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
+    world.run(3_000);
+    world
+}
+
 /// Kills the leader and waits for the next one; returns a daemon that runs.
 fn replace_leader(world: &mut World) -> usize {
     let former = world.leader().unwrap();
@@ -169,9 +173,7 @@
         let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
         world.run(3_000);
         world.call_faults = vec![fault_of_starts(false, answer_ms)];
-        for worker in world.workers.values_mut() {
-            worker.work_ms = 20_000;
-        }
+        world.set_work_ms(20_000);
         for job in 1..5 {
             world.submit(0, job, vec![step(1, 1_000)]);
         }
@@ -186,24 +188,19 @@
 /// starts were lost and their workers do not answer (MIXED).
 #[test]
 fn a_placed_job_that_never_started_counts_as_waiting_after_a_takeover() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     world.call_faults = vec![fault_of_starts(true, 0)];
     for job in 1..5 {
         world.submit(0, job, vec![step(1, 1_000)]);
     }
     world.run(300);
     assert_eq!(world.count("run_ordered"), 4);
-    for worker in world.workers.values_mut() {
-        worker.silent = true;
-    }
+    world.silence_workers(true);
     let daemon = replace_leader(&mut world);
     assert!(world.starts().is_empty());
     assert_eq!(shown_count(&mut world, daemon), ClientAnswer::Count(4));
     world.call_faults.clear();
-    for worker in world.workers.values_mut() {
-        worker.silent = false;
-    }
+    world.silence_workers(false);
     world.run(20_000);
     assert_eq!(shown_count(&mut world, daemon), ClientAnswer::Count(0));
     for job in 1..5 {
@@ -215,22 +212,15 @@
 /// as pending again.
 #[test]
 fn a_running_job_stays_running_for_callers_after_a_takeover() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
-    for worker in world.workers.values_mut() {
-        worker.work_ms = 60_000;
-    }
+    let mut world = calm_world();
+    world.set_work_ms(60_000);
     world.submit(0, 1, vec![step(1, 1_000)]);
     world.run(1_000);
     world.assert_state(0, 1, JobState::Running);
-    for worker in world.workers.values_mut() {
-        worker.silent = true;
-    }
+    world.silence_workers(true);
     let daemon = replace_leader(&mut world);
     world.assert_state(daemon, 1, JobState::Running);
-    for worker in world.workers.values_mut() {
-        worker.silent = false;
-    }
+    world.silence_workers(false);
     world.run(1_000);
     world.assert_state(daemon, 1, JobState::Running);
     assert_eq!(shown_count(&mut world, daemon), ClientAnswer::Count(0));
@@ -239,11 +229,8 @@
 /// Guards against a running job that is shown as pending while no leader answers, or a next one still loads.
 #[test]
 fn a_running_job_is_not_shown_as_pending_during_a_takeover() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
-    for worker in world.workers.values_mut() {
-        worker.work_ms = 60_000;
-    }
+    let mut world = calm_world();
+    world.set_work_ms(60_000);
     world.submit(0, 1, vec![step(1, 1_000)]);
     world.run(1_000);
     world.assert_state(0, 1, JobState::Running);
@@ -258,12 +245,9 @@
 /// Guards against a job that has begun and counts as waiting since its start is known by its end only.
 #[test]
 fn a_job_whose_start_is_known_by_an_end_only_does_not_count_as_waiting() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     world.call_faults = vec![fault_of_starts(false, 60_000)];
-    for worker in world.workers.values_mut() {
-        worker.work_ms = 1;
-    }
+    world.set_work_ms(1);
     let mut last = step(1, 90_000);
     last.after = vec![0];
     world.submit(0, 1, vec![step(1, 1_000), last]);
@@ -277,8 +261,7 @@
 /// start and is shown as pending.
 #[test]
 fn a_job_with_recorded_progress_stays_running_after_a_takeover() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     let mut last = step(1, 1_000);
     last.after = vec![0];
     world.submit(0, 1, vec![step(1, 1_000), last]);
@@ -297,8 +280,7 @@
 /// and an end, when cancelled, after a takeover) hide one that waits.
 #[test]
 fn each_job_leaves_the_count_of_waiting_jobs_once() {
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     // No worker has room for it.
     world.submit(0, 99, vec![step(1, 90_000)]);
     world.submit(0, 1, vec![step(6, 1_000)]);
@@ -372,8 +354,7 @@
 /// Returns the most jobs that a daemon's count hid in a drawn case.
 fn play_hidden_jobs(seed: u64) -> Result<u64, String> {
     let mut rng = Rng(seed);
-    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
-    world.run(3_000);
+    let mut world = calm_world();
     world.random_call_faults = Some(RandomCallFaults {
         seed,
         lost_permille: rng.below(200),
--- a/core/tests/cell_passes.rs
+++ b/core/tests/cell_passes.rs
@@ -62,12 +62,6 @@
     world
 }
 
-fn set_work_ms(world: &mut World, work_ms: u64) {
-    for worker in world.workers.values_mut() {
-        worker.work_ms = work_ms;
-    }
-}
-
 /// Guards against workers that are kept free for a gang which no workers could ever hold.
 #[test]
 fn a_gang_that_no_workers_can_hold_reserves_no_workers() {
@@ -81,7 +75,7 @@
     let mut kept = Vec::new();
     for (name, gang) in gangs {
         let mut world = started_world(8, desired(1, queue()));
-        set_work_ms(&mut world, LONG_ESTIMATE_MS);
+        world.set_work_ms(LONG_ESTIMATE_MS);
         world.submit(0, 1, vec![estimated(LONG_ESTIMATE_MS, gang)]);
         world.run(500);
         let other = estimated(2 * LONG_ESTIMATE_MS, step(8, WORKER_CPU_MILLI));
@@ -99,7 +93,7 @@
 fn a_gang_that_no_worker_may_run_reserves_no_workers() {
     let mut world = started_world(8, desired(1, queue_with_advice(20_000, 0, 2_000)));
     world.advice_allows_every = 8;
-    set_work_ms(&mut world, LONG_ESTIMATE_MS);
+    world.set_work_ms(LONG_ESTIMATE_MS);
     world.submit(0, 1, vec![estimated(LONG_ESTIMATE_MS, gang(2, 4_000))]);
     world.run(500);
     let other = estimated(2 * LONG_ESTIMATE_MS, step(8, WORKER_CPU_MILLI));
@@ -192,7 +186,7 @@
     for (name, prefix, key, blocked) in blocked_steps() {
         let mut world = world_with_blocked_steps(prefix, key, &blocked, |world| {
             world.key = OTHER_KEY.into();
-            set_work_ms(world, 10_000);
+            world.set_work_ms(10_000);
             world.submit_to("/fill/", 0, 2, vec![step(3, WORKER_CPU_MILLI)]);
             world.run(100);
             assert_eq!(starts_of(world, 2), 3);
@@ -230,7 +224,7 @@
     while world.advice_calls == calls {
         world.run(25);
     }
-    set_work_ms(&mut world, LONG_ESTIMATE_MS);
+    world.set_work_ms(LONG_ESTIMATE_MS);
     for job in 0..MANY_BLOCKED_STEPS {
         let blocked = on_label(NO_WORKERS_LABEL, step(1, 100));
         world.submit_to("/fill/", 0, 1_000 + job, vec![estimated(0, blocked)]);
@@ -377,7 +371,7 @@
 /// flight.
 fn world_with_reserved_gang() -> World {
     let mut world = started_world(8, desired(1, queue_with_advice(20_000, 0, 2_000)));
-    set_work_ms(&mut world, 5_000);
+    world.set_work_ms(5_000);
     world.submit_to("/fill/", 0, 99, vec![step(8, WORKER_CPU_MILLI)]);
     world.run(100);
     world.submit(0, 1, vec![gang(6, WORKER_CPU_MILLI)]);
@@ -387,7 +381,7 @@
     while world.advice_calls == calls {
         world.run(25);
     }
-    set_work_ms(&mut world, LONG_ESTIMATE_MS);
+    world.set_work_ms(LONG_ESTIMATE_MS);
     world.key = OTHER_KEY.into();
     world
 }
--- a/core/tests/cell_review.rs
+++ b/core/tests/cell_review.rs
@@ -80,12 +80,6 @@
     assert!(doubled.is_empty(), "{doubled:?}; recorded: {recorded:?}");
 }
 
-fn set_work_ms(world: &mut World, work_ms: u64) {
-    for worker in world.workers.values_mut() {
-        worker.work_ms = work_ms;
-    }
-}
-
 /// Returns the longest wait of small jobs that arrive one by one, with calls for advice of `advice_ms`
 /// whose tickets are valid for `ticket_ms`, beside a gang with the label `gang_label`. Half of the four
 /// workers with the label "r1-0" is in use by another team.
@@ -104,12 +98,12 @@
         per_worker: Some(1),
         ..step(4, 2_000)
     };
-    set_work_ms(&mut world, 60_000);
+    world.set_work_ms(60_000);
     world.key = OTHER_KEY.into();
     world.submit_to("/fill/", 0, 1_000, vec![spread]);
     world.key = KEY.into();
     world.run(500);
-    set_work_ms(&mut world, 1_000);
+    world.set_work_ms(1_000);
     if let Some(label) = gang_label {
         let hopeless = StepSpec {
             requirement: Some(label.into()),
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -412,6 +412,20 @@
         self.store.remove_worker(id.as_str());
     }
 
+    /// Sets how long runs take on all workers.
+    pub fn set_work_ms(&mut self, work_ms: u64) {
+        for worker in self.workers.values_mut() {
+            worker.work_ms = work_ms;
+        }
+    }
+
+    /// Lets all workers leave calls without an answer and not carry them out, or answer again.
+    pub fn silence_workers(&mut self, silent: bool) {
+        for worker in self.workers.values_mut() {
+            worker.silent = silent;
+        }
+    }
+
     /// Writes whether worker number `at` drains to its entry.
     pub fn set_draining(&mut self, at: usize, draining: bool) {
         let worker = self.workers.values_mut().find(|worker| worker.number == at);
