--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -23,6 +23,8 @@
 /// The queue's address.
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/desk/";
+/// The name of its route.
+pub const ROUTE: &str = "r-desk";
 /// The time of one transaction at the store.
 const TX_TIME: Duration = Duration::from_millis(3);
 
@@ -88,7 +90,7 @@
         let addresses = free_addresses(1 + workers.len() + 4 * daemons)?;
         let own = store.clone();
         let server = Server::start(addresses[0], move |call| own.handle(&call))?;
-        store.put("op", "config", Some(&desired_state(1, max_attempts)));
+        store.put("op", "config", Some(&desired_state(1, max_attempts, &[ROUTE])));
         let mut started = Vec::new();
         for (at, kind) in workers.iter().enumerate() {
             let id = format!("i-worker-{at}");
@@ -184,6 +186,22 @@
         }
     }
 
+    /// Writes a version of the desired state with a route of each of these names.
+    pub fn operate(&self, version: u64, max_attempts: u32, names: &[&str]) {
+        self.record.write(format!("the operator writes version {version} with the routes {names:?}"));
+        self.store.put("op", "config", Some(&desired_state(version, max_attempts, names)));
+    }
+
+    /// Returns the count of the queue that each daemon answers.
+    pub fn counts(&self) -> Vec<(u16, u64)> {
+        let answers = self.daemons.iter().map(|daemon| {
+            let (status, body) = self.call(daemon.frontend, "GET", "", "");
+            self.record.write(format!("client: GET {PREFIX} -> {status} {body}"));
+            (status, Json::parse(&body).get("queued-count").number())
+        });
+        answers.collect()
+    }
+
     pub fn set_store_mode(&self, mode: Mode) {
         self.record.write(format!("the store is {mode:?}"));
         self.store.set_mode(mode);
@@ -213,9 +231,16 @@
     )
 }
 
-/// Returns a desired state with one queue, whose tasks run on the workers of the service `desk`.
-fn desired_state(version: u64, max_attempts: u32) -> String {
+/// Returns a desired state with a queue at the same address for each of `names`, at most one; its tasks run on
+/// the workers of the service `desk`.
+fn desired_state(version: u64, max_attempts: u32, names: &[&str]) -> String {
+    let routes = names.iter().map(|name| {
+        format!(
+            r#"{{"name":"{name}","host":"{HOST}","path-prefix":"{PREFIX}","kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":1000,"priority":1,"service":"desk","max-attempts":{max_attempts},"slack-factor":2.2,"public":false}}"#
+        )
+    });
+    let routes = routes.collect::<Vec<_>>().join(",");
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-desk","host":"{HOST}","path-prefix":"{PREFIX}","kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":1000,"priority":1,"service":"desk","max-attempts":{max_attempts},"slack-factor":2.2,"public":false}}],"services":[{{"name":"desk","health-path":"/healthz","max-connections":64,"protocol":"h1","tls":false,"preconditions":false,"standby":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"orchard","api-keys":["{KEY}"],"weight":10,"cap":{{"cpu":0,"mem-mb":0,"gpu":0}}}}]}}"#
+        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"desk","health-path":"/healthz","max-connections":64,"protocol":"h1","tls":false,"preconditions":false,"standby":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"orchard","api-keys":["{KEY}"],"weight":10,"cap":{{"cpu":0,"mem-mb":0,"gpu":0}}}}]}}"#
     )
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod base64;
 mod budget;
 mod cell;
+mod count;
 mod http;
 mod json;
 mod kind;
@@ -27,6 +28,7 @@
         let record = Arc::new(record);
         let result = match case.as_str() {
             "budget" => budget::play(record.clone(), trouble),
+            "count" => count::play(record.clone(), trouble),
             "kind" => kind::play(record.clone(), trouble),
             _ => Err(io::Error::other("no such case")),
         };
