Decide by a desired state only once it has been read

A leader that had not read the desired state counted a failed run without the limit of attempts, and nothing compared the count with the limit later, so tasks started again after their last attempt. All decisions that depend on the desired state now go through a policy, which is only made from one that has been read. Without it the leader records and acknowledges ends, renews leases and cancels jobs, but neither starts nor fails anything. Recorded failures are evaluated when the definitions of queues change, after loading, in each pass and before each start.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -150,7 +150,10 @@
         cost: AdviceCost,
         room: Room,
     ) -> bool {
-        let latest_start_ms = self.rank(step).latest_start_ms;
+        let Some(policy) = &self.policy else {
+            return false;
+        };
+        let latest_start_ms = self.rank(policy, step).latest_start_ms;
         workers.truncate(consts::MAX_ADVICE_WORKERS * consts::MAX_ADVICE_CALLS_PER_STEP);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return false;
@@ -246,8 +249,8 @@
         }
         if self.pending.wake(step) {
             self.needs_pass = true;
-            if let Some(state) = self.state.clone() {
-                self.place_step(ctx, &state, step);
+            if let Some(policy) = self.policy.clone() {
+                self.place_step(ctx, &policy, step);
             }
         }
         let event = LogEvent::info("advice_withdrawn").with("step", step);
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -3,9 +3,9 @@
 use crate::{
     cell::{
         ctx::Ctx,
-        leader::{step::Step, Leader},
-        DesiredState, JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue,
-        RowVersion, StepKey, StepProgress, TaskKey, ToMember,
+        leader::{policy::Policy, step::Step, Leader},
+        JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue, RowVersion,
+        StepKey, StepProgress, TaskKey, ToMember,
     },
     JobId, Millis, QueueName,
 };
@@ -89,6 +89,38 @@
         self.stored_state.is_final() && !self.steps.iter().any(Step::has_runs)
     }
 
+    /// Returns the number of recorded failed runs of a task; the members of a gang share theirs.
+    pub(crate) fn failed_runs(&self, at: usize, index: u32) -> usize {
+        let index = if self.is_gang(at) { 0 } else { index };
+        let failed = self.progress.steps[at].failed.get(&index);
+        failed.map_or(0, Vec::len)
+    }
+
+    /// Returns the unfinished tasks with recorded failed runs: the step, the task and the number of these
+    /// runs. A gang's are recorded at task 0. Records of tasks that the job does not have are passed over.
+    pub(crate) fn failed_tasks(&self) -> impl Iterator<Item = (usize, u32, usize)> + '_ {
+        let steps = self.progress.steps.iter().zip(&self.steps).enumerate();
+        steps.flat_map(|(at, (recorded, step))| {
+            let has_task = |index: &u32| *index < step.count() && !recorded.is_done(*index);
+            let failed = recorded.failed.iter();
+            let failed = failed.filter(move |(index, _)| has_task(index));
+            failed.map(move |(index, runs)| (at, *index, runs.len()))
+        })
+    }
+
+    /// Returns whether no run of a task, or of any member of its gang, may be active.
+    pub(crate) fn has_no_attempt(&self, at: usize, index: u32) -> bool {
+        let step = &self.steps[at];
+        match self.is_gang(at) {
+            true => !step.has_runs(),
+            false => step.runs_of(index).is_empty(),
+        }
+    }
+
+    fn is_gang(&self, at: usize) -> bool {
+        self.row.submission.steps[at].gang
+    }
+
     /// Returns whether all steps that the step depends on are done.
     pub(crate) fn is_unblocked(&self, step: usize) -> bool {
         let done = |at: &u16| self.steps[usize::from(*at)].is_done();
@@ -151,23 +183,26 @@
             );
         }
         *self.queued.entry(queue).or_default() += 1;
-        let is_queue_unknown = |state: &&Rc<DesiredState>| state.queue(&job.row.queue).is_none();
-        let outdated = self.state.as_ref().filter(is_queue_unknown).cloned();
+        let lacks_queue = |policy: &&mut Rc<Policy>| !policy.covers(&job.row);
+        if let Some(policy) = self.policy.as_mut().filter(lacks_queue) {
+            *policy = Rc::new((**policy).clone().with_queue_of(&job.row));
+        }
         self.withdrawn.remove(&id);
         self.jobs.insert(id.clone(), job);
-        if let Some(state) = outdated {
-            self.state = Some(self.with_queues_of_open_jobs(&state));
-        }
         if self.loader.is_done() {
             self.refresh_pending_steps(&id);
         }
     }
 
     /// Charges a newly accepted job to its team and returns whether it is within the team's share.
-    /// Jobs that are found while loading are not charged.
+    /// Jobs that are found while loading are not charged, others once a desired state has been read.
     fn is_within_share(&mut self, now: Millis, row: &JobRow) -> bool {
         let team = row.team.as_ref().filter(|_| self.loader.is_done());
-        let weight = team.and_then(|team| Some(self.state.as_ref()?.team(team)?.weight));
+        let Some(policy) = &self.policy else {
+            self.uncharged.extend(team.map(|_| row.id.clone()));
+            return true;
+        };
+        let weight = team.and_then(|team| Some(policy.team(team)?.weight));
         match (team, weight) {
             (Some(team), Some(weight)) if weight > 0 => self.team_rates.admit(now, team, weight),
             _ => true,
@@ -267,6 +302,7 @@
 
     /// Adds the job's steps that could start to the pending steps and removes the others.
     pub(crate) fn refresh_pending_steps(&mut self, id: &JobId) {
+        let policy = self.policy.clone();
         let count = self.jobs.get(id).map_or(0, |job| job.steps.len());
         for at in 0..count {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -281,12 +317,13 @@
             let is_waiting = job.is_waiting(at);
             let step = &mut job.steps[at];
             step.waiting_since = is_waiting.then(|| step.waiting_since.unwrap_or(self.now));
-            if is_ready {
+            // Before a desired state is read no step is pending.
+            if let (Some(policy), true) = (&policy, is_ready) {
                 let Some(job) = self.jobs.get(id) else { return };
                 let advice = &job.steps[at].advice;
                 let has_no_advice = advice.permissions.is_empty() && advice.in_flight.is_empty();
-                if let (Some(state), true) = (self.state.clone(), has_no_advice) {
-                    self.request_first_advice(self.now, &state, &key);
+                if has_no_advice {
+                    self.request_first_advice(self.now, policy, &key);
                 }
                 let Some(job) = self.jobs.get(id) else { return };
                 let advice = &job.steps[at].advice;
@@ -295,7 +332,7 @@
                     self.pending.remove(&key);
                     continue;
                 }
-                let rank = self.rank(&key);
+                let rank = self.rank(policy, &key);
                 self.needs_pass |= self.pending.insert(&key, rank);
             } else {
                 self.pending.remove(&key);
@@ -305,6 +342,39 @@
         }
     }
 
+    /// Applies new definitions of the queues to all open jobs: what was recorded before a desired state was
+    /// read is decided now, and the pending steps are ranked again.
+    pub(crate) fn apply_queues(&mut self, ctx: &mut Ctx) {
+        for id in std::mem::take(&mut self.uncharged) {
+            let row = self.jobs.get(&id).map(|job| job.row.clone());
+            let is_surplus = row.is_some_and(|row| !self.is_within_share(ctx.now, &row));
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.surplus = is_surplus;
+            }
+        }
+        self.end_exhausted_jobs(ctx);
+        let is_open = |(id, job): (&JobId, &Job)| job.is_open().then(|| id.clone());
+        let open: Vec<JobId> = self.jobs.iter().filter_map(is_open).collect();
+        for id in open {
+            self.refresh_pending_steps(&id);
+        }
+    }
+
+    /// Ends the jobs with a task that, by the runs on record, has failed in all its attempts.
+    pub(crate) fn end_exhausted_jobs(&mut self, ctx: &mut Ctx) {
+        let Some(policy) = self.policy.clone() else {
+            return;
+        };
+        let is_exhausted = |job: &&Job| job.is_open() && policy.is_exhausted(job);
+        let jobs = self.jobs.values().filter(is_exhausted);
+        let exhausted: Vec<JobId> = jobs.map(|job| job.row.id.clone()).collect();
+        for id in exhausted {
+            let event = LogEvent::info("job_exhausted").with("job", &id);
+            ctx.log(event.with("version", policy.version()));
+            self.end_job(ctx, &id, JobState::Failed);
+        }
+    }
+
     /// Schedules a write of the job's progress and returns the number of the change.
     pub(crate) fn mark_edited(&mut self, id: &JobId) -> u64 {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -15,8 +15,8 @@
     cell::{
         consts,
         ctx::Ctx,
-        leader::{candidates::may_run, jobs::Job, Leader},
-        DesiredState, LogEvent, StepKey, Team,
+        leader::{candidates::may_run, jobs::Job, policy::Policy, Leader},
+        LogEvent, StepKey, Team,
     },
     Millis, Resources, TeamName,
 };
@@ -201,17 +201,17 @@
 
 impl Leader {
     /// Ends the reservations that are used, not needed any more or have timed out.
-    pub(crate) fn end_limit_reservations(&mut self, ctx: &mut Ctx, state: &DesiredState) {
+    pub(crate) fn end_limit_reservations(&mut self, ctx: &mut Ctx, policy: &Policy) {
         let pending = &self.pending;
         let reservations = &mut self.limit_reservations;
         reservations
             .teams
-            .retain(|name, _| state.team(name).is_some());
+            .retain(|name, _| policy.team(name).is_some());
         for (name, team) in &mut reservations.teams {
             let Some(current) = &mut team.current else {
                 continue;
             };
-            let limit = state.team(name).map(effective_limit).unwrap_or_default();
+            let limit = policy.team(name).map(effective_limit).unwrap_or_default();
             let used = self.used.get(name).copied().unwrap_or_default();
             let is_underused = used.times(2).fits(&limit);
             let underused_since = current.underused_since.unwrap_or(ctx.now);
@@ -242,7 +242,7 @@
     /// Reserves parts of the teams' limits for steps that the limits block. Only the first step of a
     /// team that the workers could run is considered: late work is not placed before work that can still
     /// end in time.
-    pub(crate) fn reserve_limits(&mut self, ctx: &mut Ctx, state: &DesiredState) {
+    pub(crate) fn reserve_limits(&mut self, ctx: &mut Ctx, policy: &Policy) {
         let teams: Vec<TeamName> = self.pending.limited_teams().cloned().collect();
         let mut checked_steps = 0;
         for team in teams {
@@ -253,7 +253,7 @@
                 let Some(key) = self.pending.key(id).cloned() else {
                     continue;
                 };
-                let reserved = self.reserve_limit(ctx, state, &key, &mut checked_steps);
+                let reserved = self.reserve_limit(ctx, policy, &key, &mut checked_steps);
                 if reserved == LimitCheck::Considered {
                     break;
                 }
@@ -267,7 +267,7 @@
     fn reserve_limit(
         &mut self,
         ctx: &mut Ctx,
-        state: &DesiredState,
+        policy: &Policy,
         key: &StepKey,
         checked_steps: &mut usize,
     ) -> LimitCheck {
@@ -275,13 +275,13 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return LimitCheck::Skipped;
         };
-        let team = job.row.team.as_ref().and_then(|name| state.team(name));
+        let team = job.row.team.as_ref().and_then(|name| policy.team(name));
         let Some(team) = team else {
             return LimitCheck::Skipped;
         };
         let (spec, count) = (&job.row.submission.steps[at], min_tasks(job, at));
         let (need, limit) = (spec.need.times(count), effective_limit(team));
-        let is_blocked = self.team_headroom(state, job, at) < count;
+        let is_blocked = self.team_headroom(policy, job, at) < count;
         // A step that exceeds the whole limit can never start.
         if !need.fits(&limit) {
             return LimitCheck::Skipped;
@@ -291,7 +291,7 @@
             return LimitCheck::Considered;
         }
         let is_large = spec.gang || !need.times(2).fits(&limit);
-        if !self.has_waited_long(ctx.now, key, is_large)
+        if !self.has_waited_long(ctx.now, policy, key, is_large)
             || !self.limit_reservations.may_reserve(ctx.now, &team.name)
         {
             return LimitCheck::Considered;
@@ -301,7 +301,7 @@
             return LimitCheck::Skipped;
         }
         *checked_steps += 1;
-        if !self.has_workers_for(state, job, at) {
+        if !self.has_workers_for(policy, job, at) {
             return LimitCheck::Skipped;
         }
         let reservations = &mut self.limit_reservations;
@@ -314,11 +314,11 @@
 
     /// Returns whether a step has stalled or, if it needs much of the limit at once, has waited for half of
     /// the time in which it can still start in time.
-    fn has_waited_long(&self, now: Millis, key: &StepKey, is_large: bool) -> bool {
+    fn has_waited_long(&self, now: Millis, policy: &Policy, key: &StepKey, is_large: bool) -> bool {
         let job = self.jobs.get(&key.job);
         let waiting_since = job.and_then(|job| job.steps[usize::from(key.step)].waiting_since);
         let waiting_since = waiting_since.unwrap_or(now);
-        let slack_ms = Millis(self.rank(key).latest_start_ms).since(waiting_since);
+        let slack_ms = Millis(self.rank(policy, key).latest_start_ms).since(waiting_since);
         let min_wait_ms = match is_large {
             true => Millis(slack_ms.0 / 2).min(consts::STALL_THRESHOLD_MS),
             false => consts::STALL_THRESHOLD_MS,
@@ -328,8 +328,8 @@
 
     /// Returns whether the workers that may run a step could hold the tasks that must start at the same
     /// time, if no other tasks of the team ran on them.
-    fn has_workers_for(&self, state: &DesiredState, job: &Job, at: usize) -> bool {
-        let Some(queue) = state.queue(&job.row.queue) else {
+    fn has_workers_for(&self, policy: &Policy, job: &Job, at: usize) -> bool {
+        let Some(queue) = policy.queue(&job.row) else {
             return false;
         };
         let (spec, advice) = (&job.row.submission.steps[at], &job.steps[at].advice);
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -252,8 +252,10 @@
             .filter(|(_, worker)| !worker.listed)
             .count();
         let event = event.with("workers_missing", missing);
+        let event = event.with("config", self.policy.is_some());
         ctx.log(event.with("took_ms", ctx.now.since(self.started_at).0));
         self.attach_progress(ctx);
+        self.end_exhausted_jobs(ctx);
         self.log_loaded_jobs(ctx);
         self.poll_workers(ctx);
         self.needs_pass = true;
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -15,6 +15,7 @@
 mod members;
 mod pending;
 mod placements;
+mod policy;
 mod progress_writes;
 mod queries;
 mod rank;
@@ -49,14 +50,15 @@
             loader::Loader,
             members::Members,
             pending::PendingSteps,
+            policy::Policy,
             progress_writes::ProgressWrites,
             team_rate::TeamRateLimiter,
             unsent_starts::UnsentStarts,
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
         term::Term,
-        ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, Queue, RowVersion, RpcId,
-        StoreReply, ToLeader,
+        ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, RowVersion, RpcId, StoreReply,
+        ToLeader,
     },
     JobId, Millis, QueueName, Resources, TeamName,
 };
@@ -92,9 +94,12 @@
     earlier_leads_end_at: Millis,
     /// The time of the event that is being handled.
     now: Millis,
-    state: Option<Rc<DesiredState>>,
+    /// What the desired state says; `None` until one has been read.
+    policy: Option<Rc<Policy>>,
     loader: Loader,
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs that were learned before a desired state was read and are not charged to their teams yet.
+    uncharged: Vec<JobId>,
     /// Cancellations that came before the record of their job: the versions of their rows, and when each
     /// was read first.
     withdrawn: BTreeMap<JobId, (RowVersion, Millis)>,
@@ -148,9 +153,10 @@
             max_value_bytes: ctx.settings.max_value_bytes(),
             started_at: ctx.now,
             now: ctx.now,
-            state: None,
+            policy: None,
             loader: Loader::default(),
             jobs: BTreeMap::new(),
+            uncharged: Vec::new(),
             withdrawn: BTreeMap::new(),
             fleet: Fleet::default(),
             pending: PendingSteps::default(),
@@ -256,32 +262,33 @@
     }
 
     /// Runs a scheduling pass if one is due, sends start and advice calls, writes progress and
-    /// answers held queries. Nothing is started without a valid lease.
-    pub(crate) fn run_due_work(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>) {
+    /// answers held queries. Nothing is started without a valid lease or without a desired state.
+    pub(crate) fn run_due_work(&mut self, ctx: &mut Ctx, state: Option<&Rc<DesiredState>>) {
         self.now = ctx.now;
-        self.update_state(state);
+        if let Some(state) = state {
+            self.update_policy(ctx, state);
+        }
         if !self.loader.is_done() {
             return;
         }
-        let has_lead = ctx.has_lead();
-        let state = self.state.clone();
-        if let (Some(state), true) = (
-            state,
-            has_lead && self.needs_pass && ctx.now >= self.next_pass_at,
-        ) {
-            self.needs_pass = false;
-            self.next_pass_at = ctx.now + self.pass_interval_ms();
-            self.run_pass(ctx, &state);
-        }
-        if has_lead {
-            self.check_unsent_starts(ctx);
-            self.send_recorded_starts(ctx);
-            self.dispatch_advice(ctx);
+        if let (Some(policy), true) = (self.policy.clone(), ctx.has_lead()) {
+            self.start_due_work(ctx, &policy);
         }
         self.write_progress(ctx);
         self.answer_held_queries(ctx);
     }
 
+    fn start_due_work(&mut self, ctx: &mut Ctx, policy: &Policy) {
+        if self.needs_pass && ctx.now >= self.next_pass_at {
+            self.needs_pass = false;
+            self.next_pass_at = ctx.now + self.pass_interval_ms();
+            self.run_pass(ctx, policy);
+        }
+        self.check_unsent_starts(ctx);
+        self.send_recorded_starts(ctx, policy);
+        self.dispatch_advice(ctx);
+    }
+
     /// Returns the time between two passes: the more events wait to be handled, the longer.
     fn pass_interval_ms(&self) -> Millis {
         let waiting = self.event_backlog as u64 / consts::EVENTS_PER_PASS_INTERVAL;
@@ -311,44 +318,23 @@
         self.event_backlog
     }
 
-    /// Replaces the desired state.
-    fn update_state(&mut self, state: &Rc<DesiredState>) {
-        let current = self.state.as_ref();
-        if current.is_some_and(|current| current.version == state.version) {
+    /// Decides by a desired state from now on, if it is another one than before.
+    fn update_policy(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>) {
+        let former = self.policy.as_deref();
+        if former.is_some_and(|former| former.version() == state.version) {
             return;
         }
-        self.state = Some(self.with_queues_of_open_jobs(state));
+        let open_jobs = self.jobs.values().filter(|job| job.is_open());
+        let policy = Policy::new(state, former, open_jobs.map(|job| &job.row));
+        let has_new_queues = former.is_none_or(|former| !former.has_same_queues(&policy));
+        self.policy = Some(Rc::new(policy));
         // Limits may be higher now.
         let limited = self.pending.limited_teams().cloned();
         self.freed_teams.extend(limited);
         self.needs_pass = true;
-    }
-
-    /// Returns the desired state with the queues of open jobs that it lacks added: accepted jobs run
-    /// although their queue was removed. The definition is that of the current state or, for a queue
-    /// that is not in it, that recorded with a job.
-    fn with_queues_of_open_jobs(&self, state: &Rc<DesiredState>) -> Rc<DesiredState> {
-        let is_missing = |queue: &&Queue| state.queue(&queue.name).is_none();
-        let current = self.state.iter().flat_map(|current| &current.queues);
-        let retained = current.filter(is_missing);
-        let retained = retained.filter(|queue| self.has_open_jobs(&queue.name));
-        let open_jobs = self.jobs.values().filter(|job| job.is_open());
-        let recorded = open_jobs.filter_map(|job| job.row.queue_spec.as_deref());
-        let mut missing: BTreeMap<&QueueName, &Queue> = BTreeMap::new();
-        for queue in retained.chain(recorded.filter(is_missing)) {
-            missing.entry(&queue.name).or_insert(queue);
-        }
-        if missing.is_empty() {
-            return state.clone();
+        if self.loader.is_done() && has_new_queues {
+            self.apply_queues(ctx);
         }
-        let mut updated = (**state).clone();
-        updated.queues.extend(missing.into_values().cloned());
-        Rc::new(updated.with_sorted_queues())
-    }
-
-    fn has_open_jobs(&self, queue: &QueueName) -> bool {
-        let is_open = |job: &Job| job.row.queue == *queue && job.is_open();
-        self.jobs.values().any(is_open)
     }
 
     /// Removes jobs that ended, and withdrawals that were read, longer ago than the retention time.
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -11,6 +11,7 @@
         leader::{
             fleet::WorkerIx,
             jobs::Job,
+            policy::Policy,
             schedule::MAX_CLOCK_AGE_MS,
             step::{Step, TaskRun},
             worker::{LeaseRecord, Run, RunPhase, Worker},
@@ -126,7 +127,7 @@
     }
 
     /// Sends the queued starts whose runs may start. The members of a gang start only if all may.
-    pub(crate) fn send_recorded_starts(&mut self, ctx: &mut Ctx) {
+    pub(crate) fn send_recorded_starts(&mut self, ctx: &mut Ctx, policy: &Policy) {
         let mut steps: BTreeMap<StepKey, Vec<RecordedStart>> = BTreeMap::new();
         for start in std::mem::take(&mut self.recorded_starts) {
             if self.is_unsent(&start) {
@@ -138,10 +139,10 @@
             let job = self.jobs.get(&key.job);
             let spec = job.map(|job| &job.row.submission.steps[usize::from(key.step)]);
             if spec.is_some_and(|spec| spec.gang) {
-                self.send_recorded_group(ctx, &key, starts);
+                self.send_recorded_group(ctx, policy, &key, starts);
             } else {
                 for start in starts {
-                    self.send_recorded_group(ctx, &key, vec![start]);
+                    self.send_recorded_group(ctx, policy, &key, vec![start]);
                 }
             }
         }
@@ -149,15 +150,22 @@
 
     /// Sends starts if all of their runs may start, keeps them while tickets are renewed, and drops
     /// the placements that can't start any more.
-    fn send_recorded_group(&mut self, ctx: &mut Ctx, key: &StepKey, starts: Vec<RecordedStart>) {
-        let check = |start: &RecordedStart| self.check_start(ctx.now, start.ix, &start.task);
+    fn send_recorded_group(
+        &mut self,
+        ctx: &mut Ctx,
+        policy: &Policy,
+        key: &StepKey,
+        starts: Vec<RecordedStart>,
+    ) {
+        let check =
+            |start: &RecordedStart| self.check_start(ctx.now, policy, start.ix, &start.task);
         let worst = starts.iter().map(check).max();
         for start in starts {
             // Dropping one member of a gang releases the others.
             if !self.is_unsent(&start) {
                 continue;
             }
-            let own = self.check_start(ctx.now, start.ix, &start.task);
+            let own = self.check_start(ctx.now, policy, start.ix, &start.task);
             let RecordedStart { ix, task, run } = start;
             match (worst, own) {
                 (Some(StartCheck::Ready), _) => self.send_start(ctx, ix, task, run),
@@ -178,14 +186,24 @@
         })
     }
 
-    /// Checks whether a placed run may still start: its worker is usable, its room is not exceeded,
-    /// and there is a valid ticket if one is needed.
-    fn check_start(&self, now: Millis, ix: WorkerIx, task: &TaskKey) -> StartCheck {
+    /// Checks whether a placed run may still start: its task has an attempt left, its worker is usable,
+    /// its room is not exceeded, and there is a valid ticket if one is needed.
+    fn check_start(
+        &self,
+        now: Millis,
+        policy: &Policy,
+        ix: WorkerIx,
+        task: &TaskKey,
+    ) -> StartCheck {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return StartCheck::Impossible;
         };
-        let needs_ticket = self.advice_cost(&task.step).is_some();
-        let advice = &job.steps[usize::from(task.step.step)].advice;
+        let at = usize::from(task.step.step);
+        if !policy.allows_attempt(job, at, task.index) {
+            return StartCheck::Impossible;
+        }
+        let needs_ticket = policy.advice_cost(&job.row).is_some();
+        let advice = &job.steps[at].advice;
         let worker = self.fleet.get(ix);
         let has_room = worker.used.fits(&worker.entry.capacity);
         let may_run = !needs_ticket || advice.allows(ix);
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -12,7 +12,7 @@
         },
         FinishedRun, JobState, LogEvent, RunOutcome, TaskKey, UnreadableRows, WorkerRuns,
     },
-    Millis,
+    JobId, Millis,
 };
 use compact_str::CompactString;
 
@@ -204,17 +204,11 @@
                 let job = self.jobs.get_mut(id)?;
                 job.steps[at].failed_on.push(ix);
                 let index = if gang { 0 } else { end.task.index };
-                let failed = job.progress.steps[at].add_failed(index, end.run);
-                let queue = self
-                    .state
-                    .as_ref()
-                    .and_then(|state| state.queue(&job.row.queue));
-                // A removed queue no longer limits the attempts.
-                let limit = queue.map_or(usize::MAX, |queue| queue.max_attempts as usize);
+                job.progress.steps[at].add_failed(index, end.run);
                 self.save_checkpoint(&end.task, gang, end.checkpoint.clone());
                 let edits = self.mark_edited(id);
                 self.record_failure(ctx, ix);
-                if failed >= limit {
+                if self.has_no_attempt_left(id, at, index) {
                     self.end_job(ctx, id, JobState::Failed);
                     return self.jobs.get(id).map(|job| job.edits);
                 }
@@ -227,6 +221,15 @@
         }
     }
 
+    /// Returns whether a task has failed in all its attempts. Before a desired state is read the limit is
+    /// unknown; the recorded failures are compared with it then.
+    fn has_no_attempt_left(&self, id: &JobId, at: usize, index: u32) -> bool {
+        let (Some(policy), Some(job)) = (&self.policy, self.jobs.get(id)) else {
+            return false;
+        };
+        !policy.allows_attempt(job, at, index)
+    }
+
     /// Counts a failed run against a worker. After several in a row the worker is quarantined,
     /// unless too many others are.
     fn record_failure(&mut self, ctx: &mut Ctx, ix: WorkerIx) {
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -11,12 +11,13 @@
             fleet::WorkerIx,
             jobs::Job,
             limit_reservations::min_tasks,
+            policy::Policy,
             rank::Rank,
             wait::{Pool, Wait},
             waiting_calls::Room,
             Leader,
         },
-        DesiredState, StepKey, TaskKey,
+        JobState, StepKey, TaskKey,
     },
     Millis,
 };
@@ -51,43 +52,42 @@
 
     /// Examines the steps for which something has changed, in scheduling order, and places their tasks as
     /// far as there is room.
-    pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, state: &DesiredState) {
+    pub(crate) fn run_pass(&mut self, ctx: &mut Ctx, policy: &Policy) {
         self.expire_invalidated_tickets();
-        self.end_limit_reservations(ctx, state);
+        self.end_limit_reservations(ctx, policy);
         self.pending.advance(ctx.now);
-        let by_team = self.wake_for_teams(state);
+        let by_team = self.wake_for_teams(policy);
         let by_worker = self.wake_for_workers(ctx.now);
         for _ in 0..MAX_EXAMINED_STEPS {
             let Some(key) = self.pending.next_ready() else {
                 break;
             };
             self.work.steps_examined += 1;
-            let wait = self.place_step(ctx, state, &key);
+            let wait = self.place_step(ctx, policy, &key);
             self.pending.set_waiting(&key, wait);
         }
         self.keep_changed_room(by_team, by_worker);
         if std::mem::take(&mut self.limits_due) {
-            self.reserve_limits(ctx, state);
+            self.reserve_limits(ctx, policy);
         }
         self.needs_pass |=
             self.pending.ready_len() > 0 || self.fleet.has_freed() || !self.freed_teams.is_empty();
     }
 
     /// Places the tasks of a step, as far as it can start; returns what the others wait for.
-    pub(crate) fn place_step(
-        &mut self,
-        ctx: &mut Ctx,
-        state: &DesiredState,
-        key: &StepKey,
-    ) -> Wait {
+    pub(crate) fn place_step(&mut self, ctx: &mut Ctx, policy: &Policy, key: &StepKey) -> Wait {
         let at = usize::from(key.step);
         let Some(job) = self.jobs.get(&key.job) else {
             return Wait::Other;
         };
-        let Some(queue) = state.queue(&job.row.queue) else {
+        let Some(queue) = policy.queue(&job.row) else {
             return Wait::Other;
         };
-        if let Some(wait) = self.limit_wait(state, key) {
+        if policy.is_exhausted(job) {
+            self.end_job(ctx, &key.job, JobState::Failed);
+            return Wait::Other;
+        }
+        if let Some(wait) = self.limit_wait(policy, key) {
             self.release_blocked_places(ctx, key);
             self.release_kept_workers(key);
             return wait;
@@ -98,22 +98,22 @@
         }
         if queue.advice.is_some() && advice.permissions.is_empty() {
             if ctx.now >= advice.retry_at {
-                self.request_first_advice(ctx.now, state, key);
+                self.request_first_advice(ctx.now, policy, key);
             }
             return self.advice_wait(ctx.now, key, Wait::Other);
         }
         match job.row.submission.steps[at].gang {
             true => self.place_gang(ctx, queue, key),
-            false => self.place_single_tasks(ctx, state, queue, key),
+            false => self.place_single_tasks(ctx, policy, queue, key),
         }
     }
 
     /// Returns the wait of a step whose team or whose job's row allows too few more tasks.
-    fn limit_wait(&self, state: &DesiredState, key: &StepKey) -> Option<Wait> {
+    fn limit_wait(&self, policy: &Policy, key: &StepKey) -> Option<Wait> {
         let job = self.jobs.get(&key.job)?;
         let at = usize::from(key.step);
         let min_tasks = min_tasks(job, at);
-        if self.team_headroom(state, job, at) < min_tasks {
+        if self.team_headroom(policy, job, at) < min_tasks {
             let team = job.row.team.clone()?;
             let need_milli = job.row.submission.steps[at].need.cpu_milli;
             return Some(Wait::Team(team, need_milli.saturating_mul(min_tasks)));
@@ -138,7 +138,7 @@
     /// Returns the workers that serve the queue of a step and have the label that it requires.
     pub(crate) fn pool_of(&self, key: &StepKey) -> Option<Pool> {
         let job = self.jobs.get(&key.job)?;
-        let queue = self.state.as_ref()?.queue(&job.row.queue)?;
+        let queue = self.policy.as_ref()?.queue(&job.row)?;
         let spec = &job.row.submission.steps[usize::from(key.step)];
         Some(Pool {
             service: queue.service.clone(),
@@ -153,11 +153,11 @@
         lease_ms + Millis(lease_ms.0 / CLOCK_DRIFT_DIVISOR) + consts::WORKER_LEASE_MARGIN_MS
     }
 
-    /// Returns the rank of a step. A job whose queue was removed has no objective and is never
-    /// late.
-    pub(crate) fn rank(&self, key: &StepKey) -> Rank {
+    /// Returns the rank of a step. A job whose queue was removed, and is recorded without a definition
+    /// of it, has no objective and is never late.
+    pub(crate) fn rank(&self, policy: &Policy, key: &StepKey) -> Rank {
         let job = self.jobs.get(&key.job);
-        let queue = job.and_then(|job| self.state.as_ref()?.queue(&job.row.queue));
+        let queue = job.and_then(|job| policy.queue(&job.row));
         let (Some(job), Some(queue)) = (job, queue) else {
             return Rank {
                 latest_start_ms: u64::MAX,
@@ -182,16 +182,11 @@
     }
 
     /// Requests the first advice on a step.
-    pub(crate) fn request_first_advice(
-        &mut self,
-        now: Millis,
-        state: &DesiredState,
-        key: &StepKey,
-    ) {
+    pub(crate) fn request_first_advice(&mut self, now: Millis, policy: &Policy, key: &StepKey) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let queue = state.queue(&job.row.queue);
+        let queue = policy.queue(&job.row);
         let Some((queue, cost)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
             return;
         };
@@ -200,14 +195,14 @@
     }
 
     /// Returns how many more tasks of a step its team may run at the same time.
-    pub(crate) fn team_headroom(&self, state: &DesiredState, job: &Job, at: usize) -> u64 {
+    pub(crate) fn team_headroom(&self, policy: &Policy, job: &Job, at: usize) -> u64 {
         let team = job.row.team.as_ref();
-        let Some(team) = team.and_then(|name| state.team(name)) else {
+        let Some(team) = team.and_then(|name| policy.team(name)) else {
             return u64::MAX;
         };
         let need = job.row.submission.steps[at].need;
         let used = self.used.get(&team.name).copied().unwrap_or_default();
-        let call_ms = ticket_call_ms(state, job);
+        let call_ms = ticket_call_ms(policy, job);
         let reservations = &self.limit_reservations;
         let reserved = reservations.reserved_from(self.now, &team.name, job, at, call_ms);
         let used = used.plus(reserved);
@@ -250,8 +245,8 @@
 }
 
 /// Returns the longest time that a call for the tickets of a job's step takes; zero if it needs none.
-fn ticket_call_ms(state: &DesiredState, job: &Job) -> Millis {
-    let cost = state.queue(&job.row.queue).and_then(|queue| queue.advice);
+fn ticket_call_ms(policy: &Policy, job: &Job) -> Millis {
+    let cost = policy.advice_cost(&job.row);
     cost.map_or(Millis(0), |cost| {
         Millis(cost.call_us(consts::MAX_ADVICE_WORKERS).div_ceil(1_000))
     })
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -8,12 +8,13 @@
             candidates::may_run,
             fit::{best_fit, Candidate},
             fleet::WorkerIx,
+            policy::Policy,
             schedule::MAX_CLOCK_AGE_MS,
             wait::{RoomWait, Wait},
             waiting_calls::Room,
             Leader,
         },
-        AdviceCost, DesiredState, Queue, StepKey,
+        AdviceCost, Queue, StepKey,
     },
     Millis,
 };
@@ -27,7 +28,7 @@
     pub(crate) fn place_single_tasks(
         &mut self,
         ctx: &mut Ctx,
-        state: &DesiredState,
+        policy: &Policy,
         queue: &Queue,
         key: &StepKey,
     ) -> Wait {
@@ -39,7 +40,7 @@
             return Wait::Other;
         };
         let need = job.row.submission.steps[at].need;
-        let team_headroom = self.team_headroom(state, job, at);
+        let team_headroom = self.team_headroom(policy, job, at);
         let headroom = team_headroom.min(self.row_headroom(job));
         let advice = &job.steps[at].advice;
         let has_ticket = |candidate: &Candidate| {
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -140,8 +140,8 @@
         let job = self.jobs.get(&key.job)?;
         let at = usize::from(key.step);
         let (spec, step) = (&job.row.submission.steps[at], &job.steps[at]);
-        let state = self.state.as_ref()?;
-        let queue = state.queue(&job.row.queue);
+        let policy = self.policy.as_ref()?;
+        let queue = policy.queue(&job.row);
         let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
         let advice = &step.advice;
         let (mut allowed, mut tickets, mut usable, mut slots) = (0, 0, 0, 0);
@@ -160,7 +160,7 @@
                     .min(u64::from(spec.count));
             }
         }
-        let headroom = self.team_headroom(state, job, at);
+        let headroom = self.team_headroom(policy, job, at);
         let calls = advice.in_flight.iter();
         let calls = calls.filter_map(|id| self.advice.requests.get(id));
         let call_since = calls.map(|request| request.requested_at).min();
--- a/core/src/cell/leader/unsent_starts.rs
+++ b/core/src/cell/leader/unsent_starts.rs
@@ -138,7 +138,7 @@
     /// Returns the cost of a call for advice on a step; `None` if its tasks need no tickets.
     pub(crate) fn advice_cost(&self, key: &StepKey) -> Option<AdviceCost> {
         let job = self.jobs.get(&key.job)?;
-        self.state.as_ref()?.queue(&job.row.queue)?.advice
+        self.policy.as_ref()?.advice_cost(&job.row)
     }
 
     /// Returns the placed runs of a step whose starts have not been sent.
--- a/core/src/cell/leader/waking.rs
+++ b/core/src/cell/leader/waking.rs
@@ -4,10 +4,10 @@
 use crate::{
     cell::{
         leader::{
-            fleet::WorkerIx, jobs::Job, limit_reservations::min_tasks, schedule::MAX_CLOCK_AGE_MS,
-            wait_list::PendingId, Leader,
+            fleet::WorkerIx, jobs::Job, limit_reservations::min_tasks, policy::Policy,
+            schedule::MAX_CLOCK_AGE_MS, wait_list::PendingId, Leader,
         },
-        DesiredState, StepKey,
+        StepKey,
     },
     Millis, Resources, TeamName,
 };
@@ -43,10 +43,10 @@
 
 impl Leader {
     /// Wakes steps that wait for the limits of teams which have new headroom.
-    pub(crate) fn wake_for_teams(&mut self, state: &DesiredState) -> Vec<WokenByTeam> {
+    pub(crate) fn wake_for_teams(&mut self, policy: &Policy) -> Vec<WokenByTeam> {
         let mut woken = Vec::new();
         for team in std::mem::take(&mut self.freed_teams) {
-            let limit = state.team(&team).map_or(0, |team| team.limit.cpu_milli);
+            let limit = policy.team(&team).map_or(0, |team| team.limit.cpu_milli);
             let used = self.used.get(&team).copied().unwrap_or_default();
             let mut left_milli = match limit {
                 0 => u64::MAX,
@@ -61,7 +61,7 @@
                     continue;
                 };
                 let at = usize::from(key.step);
-                let headroom = self.team_headroom(state, job, at);
+                let headroom = self.team_headroom(policy, job, at);
                 if headroom < min_tasks(job, at) {
                     continue;
                 }
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -300,8 +300,8 @@
     /// updates the readiness and exits at the end of a planned stop.
     fn finish_step(&mut self) {
         let ctx = &mut self.ctx;
-        if let (Some(leader), Some(state)) = (&mut self.leader, self.config.current()) {
-            leader.run_due_work(ctx, state);
+        if let Some(leader) = &mut self.leader {
+            leader.run_due_work(ctx, self.config.current());
         }
         let link = match &self.leader {
             Some(_) => Some(LOCAL_LINK),
