Pair a worker's entry with the incarnation that it reports

A worker that restarted under its id as another kind got work by the store's entry of its former incarnation: its service, labels, rack, capacity and tickets. These are now only reachable while entry and reports belong to one incarnation; until then the worker is polled but gets no work. A recorded placement is checked against the worker's service and label again before its start.

--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -209,9 +209,9 @@
             };
             let long = request.is_long();
             request.sent = Some((link, now));
-            let incarnation = |ix: &WorkerIx| self.fleet.get(*ix).incarnation;
+            let incarnation = |ix: &WorkerIx| self.fleet.get(*ix).paired_incarnation();
             request.incarnations = request.workers.iter().map(incarnation).collect();
-            let name = |ix: &WorkerIx| self.fleet.get(*ix).entry.id.clone();
+            let name = |ix: &WorkerIx| self.fleet.get(*ix).id().clone();
             let message = ToMember::Advise {
                 query: id,
                 step: request.step.clone(),
@@ -314,13 +314,14 @@
         let rows: BTreeMap<WorkerId, Ticket> = rows.into_iter().collect();
         for (&ix, incarnation) in request.workers.iter().zip(&request.incarnations) {
             let worker = self.fleet.get(ix);
-            let permission = match rows.get(&worker.entry.id) {
+            let permission = match rows.get(worker.id()) {
                 Some(ticket) => Permission::Allowed(ticket.clone(), until),
                 None if !is_complete => continue,
                 None => Permission::Denied,
             };
             advice.permissions.insert(ix, permission);
-            if worker.incarnation != *incarnation {
+            // The service may have gone by the entry of another incarnation.
+            if incarnation.is_none() || worker.paired_incarnation() != *incarnation {
                 advice.expire(ix);
             }
         }
--- a/core/src/cell/leader/advice_dispatcher.rs
+++ b/core/src/cell/leader/advice_dispatcher.rs
@@ -6,10 +6,11 @@
         consts,
         ctx::LOCAL_LINK,
         leader::{
+            entry_pair::PairedIncarnation,
             fleet::WorkerIx,
             waiting_calls::{CallReason, Room, WaitingCall, WaitingCalls},
         },
-        AdviceCost, FencingToken, Incarnation, LinkId, QueryId, StepKey,
+        AdviceCost, FencingToken, LinkId, QueryId, StepKey,
     },
     Millis,
 };
@@ -28,8 +29,8 @@
     /// The latest time at which the step can start and still end in time; orders the requests.
     pub(crate) latest_start_ms: u64,
     pub(crate) requested_at: Millis,
-    /// The incarnations of `workers` when the call was sent.
-    pub(crate) incarnations: Vec<Option<Incarnation>>,
+    /// The incarnations of `workers` when the call was sent; `None` for one whose entry was that of another.
+    pub(crate) incarnations: Vec<Option<PairedIncarnation>>,
     /// The daemon that it was sent to, and when.
     pub(crate) sent: Option<(LinkId, Millis)>,
     pub(crate) room: Room,
--- a/core/src/cell/leader/candidates.rs
+++ b/core/src/cell/leader/candidates.rs
@@ -104,8 +104,12 @@
     }
 }
 
-/// Returns whether a worker serves the queue of a step and has the label that the step requires.
+/// Returns whether a worker serves the queue of a step and has the label that the step requires; not
+/// while its entry is that of another incarnation.
 pub(crate) fn may_run(worker: &Worker, queue: &Queue, spec: &StepSpec) -> bool {
     let label = spec.requirement.as_ref();
-    worker.entry.service == queue.service && label.is_none_or(|label| worker.has_label(label))
+    worker.paired().is_some_and(|entry| {
+        let has_label = label.is_none_or(|label| entry.has_label(label));
+        entry.service == queue.service && has_label
+    })
 }
--- a/core/src/cell/leader/fleet.rs
+++ b/core/src/cell/leader/fleet.rs
@@ -3,8 +3,13 @@
 use crate::{
     cell::{
         ctx::Ctx,
-        leader::{schedule::MAX_CLOCK_AGE_MS, worker::Worker, Leader},
-        LogEvent, WorkerEntry,
+        leader::{
+            entry_pair::EntryChange,
+            schedule::MAX_CLOCK_AGE_MS,
+            worker::{log_unpaired, Worker},
+            Leader,
+        },
+        Incarnation, LogEvent, WorkerEntry,
     },
     Millis, Resources, WorkerId,
 };
@@ -56,7 +61,7 @@
 
     pub(crate) fn add(&mut self, worker: Worker) -> WorkerIx {
         let ix = WorkerIx(self.workers.len());
-        let id = &worker.entry.id;
+        let id = worker.id();
         self.longest_id_bytes = self.longest_id_bytes.max(id.as_str().len());
         self.index.insert(id.clone(), ix);
         self.by_free.insert((worker.free().cpu_milli, ix));
@@ -116,8 +121,15 @@
         self.change_room(ix, |worker| worker.reserved = worker.reserved.minus(need));
     }
 
-    fn set_entry(&mut self, ix: WorkerIx, entry: WorkerEntry) {
-        self.change_room(ix, |worker| worker.entry = entry);
+    fn set_entry(&mut self, ix: WorkerIx, entry: WorkerEntry) -> EntryChange {
+        let mut change = EntryChange::default();
+        self.change_room(ix, |worker| change = worker.entry_mut().set_entry(entry));
+        change
+    }
+
+    /// Records the incarnation that a worker reports.
+    pub(crate) fn set_reported(&mut self, ix: WorkerIx, reported: Option<Incarnation>) {
+        self.change_room(ix, |worker| worker.entry_mut().set_reported(reported));
     }
 
     /// Lets steps be woken for a worker.
@@ -192,22 +204,18 @@
             self.fleet.add(Worker::new(entry));
             return;
         };
+        let id = entry.id.clone();
+        let draining = entry.draining;
+        let change = self.fleet.set_entry(ix, entry);
         let worker = self.fleet.get_mut(ix);
-        let has_new_incarnation =
-            entry.incarnation.is_some() && entry.incarnation != worker.incarnation;
-        let address_changed = entry.address != worker.entry.address;
-        if entry.draining != worker.entry.draining || !worker.listed || address_changed {
-            let event = LogEvent::info("worker_changed").with("worker", &entry.id);
-            ctx.log(
-                event
-                    .with("draining", entry.draining)
-                    .with("moved", address_changed),
-            );
+        if change != EntryChange::default() || !worker.listed {
+            let event = LogEvent::info("worker_changed").with("worker", id);
+            let event = event.with("draining", draining);
+            ctx.log(event.with("moved", change.address));
         }
-        self.fleet.set_entry(ix, entry);
-        let worker = self.fleet.get_mut(ix);
         worker.listed = true;
-        if has_new_incarnation || address_changed {
+        log_unpaired(ctx, worker);
+        if worker.paired().is_none() || change.address {
             // The first list of the new incarnation shows which earlier runs have ended.
             worker.clock = None;
             worker.next_poll_at = Millis(0);
--- a/core/src/cell/leader/gangs.rs
+++ b/core/src/cell/leader/gangs.rs
@@ -317,10 +317,7 @@
             if !is_eligible || !worker.is_usable(now, MAX_CLOCK_AGE_MS) {
                 continue;
             }
-            let members = spec
-                .need
-                .count_in(&worker.entry.capacity)
-                .min(max_on_worker);
+            let members = spec.need.count_in(&worker.capacity()).min(max_on_worker);
             if members > 0 {
                 workers.push(ix);
                 missing = missing.saturating_sub(members);
--- a/core/src/cell/leader/limit_reservations.rs
+++ b/core/src/cell/leader/limit_reservations.rs
@@ -340,7 +340,7 @@
             if worker.listed && !is_denied && may_run(worker, queue, spec) {
                 let others = worker.runs.values().filter(|run| run.team != job.row.team);
                 let others = others.fold(Resources::default(), |sum, run| sum.plus(run.need));
-                let slots = spec.need.count_in(&worker.entry.capacity.minus(others));
+                let slots = spec.need.count_in(&worker.capacity().minus(others));
                 missing = missing.saturating_sub(slots.min(max_on_worker));
             }
             if missing == 0 {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -4,6 +4,7 @@
 mod advice_dispatcher;
 mod awaited_places;
 mod candidates;
+mod entry_pair;
 mod fit;
 mod fleet;
 mod gang_wait;
--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -9,6 +9,7 @@
         consts,
         ctx::Ctx,
         leader::{
+            candidates::may_run,
             fleet::WorkerIx,
             jobs::Job,
             policy::Policy,
@@ -98,7 +99,7 @@
             let placed = step.newest_runs().map(|(index, run)| {
                 let worker = self.fleet.get(run.worker);
                 let placement = Placement {
-                    worker: worker.entry.id.clone(),
+                    worker: worker.id().clone(),
                     run: run.number,
                     lease_ends_ms: worker.lease_record.ends_ms(),
                 };
@@ -186,8 +187,8 @@
         })
     }
 
-    /// Checks whether a placed run may still start: its task has an attempt left, its worker is usable,
-    /// its room is not exceeded, and there is a valid ticket if one is needed.
+    /// Checks whether a placed run may still start: its task has an attempt left, its worker may run
+    /// it and is usable, its room is not exceeded, and there is a valid ticket if one is needed.
     fn check_start(
         &self,
         now: Millis,
@@ -205,8 +206,11 @@
         let needs_ticket = policy.advice_cost(&job.row).is_some();
         let advice = &job.steps[at].advice;
         let worker = self.fleet.get(ix);
-        let has_room = worker.used.fits(&worker.entry.capacity);
-        let may_run = !needs_ticket || advice.allows(ix);
+        let spec = &job.row.submission.steps[at];
+        let queue = policy.queue(&job.row);
+        let has_room = worker.used.fits(&worker.capacity());
+        let is_allowed = !needs_ticket || advice.allows(ix);
+        let may_run = is_allowed && queue.is_some_and(|queue| may_run(worker, queue, spec));
         if !may_run || !has_room || !worker.is_usable(now, MAX_CLOCK_AGE_MS) {
             return StartCheck::Impossible;
         }
@@ -221,7 +225,7 @@
     pub(crate) fn drop_placement(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey, run: u32) {
         let worker = self.fleet.get(ix);
         let event = LogEvent::info("placement_dropped").with("task", task);
-        let event = event.with("run", run).with("worker", &worker.entry.id);
+        let event = event.with("run", run).with("worker", worker.id());
         ctx.log(event.with("usable", worker.is_usable(ctx.now, MAX_CLOCK_AGE_MS)));
         self.release_run(ix, task);
         let at = usize::from(task.step.step);
@@ -290,7 +294,7 @@
     pub(crate) fn record_lease_ends(&mut self, ctx: &mut Ctx) {
         let started_at = self.started_at;
         let is_due = |worker: &Worker| {
-            let is_silent = worker.failed_polls > 0 || worker.entry.address.is_empty();
+            let is_silent = worker.failed_polls > 0 || worker.address().is_empty();
             let silent_ms = ctx.now.since(worker.answered_at.max(started_at));
             let is_gone = !worker.listed && is_silent;
             let is_unrecorded = worker.lease_record == LeaseRecord::None;
@@ -305,7 +309,7 @@
                 continue;
             };
             worker.lease_record = LeaseRecord::EndsAt(ends_ms);
-            let event = LogEvent::warn("lease_end_recorded").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("lease_end_recorded").with("worker", worker.id());
             let event = event.with("runs", worker.runs.len());
             ctx.log(event.with("left_ms", worker.lease_expires_at.since(ctx.now).0));
             self.mark_jobs_edited(ix);
--- a/core/src/cell/leader/reconcile.rs
+++ b/core/src/cell/leader/reconcile.rs
@@ -68,7 +68,7 @@
         worker.needs_quick_poll |= is_inconclusive;
         for task in vanished {
             let event = LogEvent::warn("run_vanished").with("task", &task);
-            ctx.log(event.with("worker", &self.fleet.get(ix).entry.id));
+            ctx.log(event.with("worker", self.fleet.get(ix).id()));
             self.release_ended_run(ctx, ix, &task);
         }
         for task in unconfirmed {
@@ -133,7 +133,7 @@
             .with("run", listed.run);
         let event = event.with("last_run", step.last_run(listed.task.index));
         let event = event.with("runs", step.runs_of(listed.task.index).len());
-        ctx.log(event.with("worker", &self.fleet.get(ix).entry.id));
+        ctx.log(event.with("worker", self.fleet.get(ix).id()));
         let run = Run {
             number: listed.run,
             need: job.row.submission.steps[at].need,
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -7,7 +7,7 @@
         leader::{
             fleet::WorkerIx,
             step::{Step, TaskRun},
-            worker::{LeaseRecord, Run, Worker},
+            worker::{log_unpaired, LeaseRecord, Run, Worker},
             Leader,
         },
         FinishedRun, JobState, LogEvent, RunOutcome, TaskKey, UnreadableRows, WorkerRuns,
@@ -36,9 +36,9 @@
         unreadable: &UnreadableRows,
     ) {
         let worker = self.fleet.get_mut(ix);
-        if view.incarnation != worker.incarnation && sent_at < worker.incarnation_seen_at {
+        if view.incarnation != worker.incarnation() && sent_at < worker.incarnation_seen_at {
             // Its numbers of ended runs would acknowledge those of the present incarnation.
-            let event = LogEvent::warn("list_outdated").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("list_outdated").with("worker", worker.id());
             return ctx.log(event.with("age_ms", ctx.now.since(sent_at).0));
         }
         self.detect_restart(ctx, ix, &view);
@@ -49,7 +49,7 @@
         let unreadable_runs = unreadable.active + (listed - view.active.len()) as u32;
         let worker = self.fleet.get_mut(ix);
         if !worker.has_reported {
-            let event = LogEvent::info("worker_held").with("worker", &worker.entry.id);
+            let event = LogEvent::info("worker_held").with("worker", worker.id());
             let event = event
                 .with("token", self.token)
                 .with("active", view.active.len());
@@ -82,7 +82,7 @@
         worker.has_unnumbered_ends = unreadable.unnumbered > 0;
         if worker.has_unnumbered_ends && !had_unnumbered {
             // They are acknowledged with any later end.
-            let event = LogEvent::warn("end_unreadable").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("end_unreadable").with("worker", worker.id());
             ctx.log(event.with("unnumbered", unreadable.unnumbered));
         }
         for &number in &unreadable.finished {
@@ -96,7 +96,7 @@
             if is_next {
                 worker.last_end_seen = number;
             }
-            let event = LogEvent::warn("end_unreadable").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("end_unreadable").with("worker", worker.id());
             ctx.log(event.with("number", number).with("skipped", is_next));
         }
     }
@@ -107,7 +107,7 @@
         let since = worker.unreadable_since;
         worker.unreadable_since = (count > 0).then(|| since.unwrap_or(ctx.now));
         if worker.unreadable_since.is_some() && since.is_none() {
-            let event = LogEvent::warn("runs_unreadable").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("runs_unreadable").with("worker", worker.id());
             ctx.log(event.with("count", count).with("runs", worker.runs.len()));
         }
     }
@@ -117,7 +117,7 @@
         let worker = self.fleet.get_mut(ix);
         let had_more = std::mem::replace(&mut worker.has_more_ends, has_more);
         if has_more != had_more {
-            let event = LogEvent::info("ends_unlisted").with("worker", &worker.entry.id);
+            let event = LogEvent::info("ends_unlisted").with("worker", worker.id());
             let event = event.with("more", has_more).with("runs", worker.runs.len());
             ctx.log(event.with("seen", worker.last_end_seen));
         }
@@ -127,18 +127,20 @@
     /// time: each incarnation numbers its ended runs anew.
     fn detect_restart(&mut self, ctx: &mut Ctx, ix: WorkerIx, view: &WorkerRuns) {
         let worker = self.fleet.get_mut(ix);
-        if view.incarnation == worker.incarnation && worker.has_reported {
+        if view.incarnation == worker.incarnation() && worker.has_reported {
             return;
         }
         if worker.has_reported {
-            let event = LogEvent::warn("worker_restarted").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("worker_restarted").with("worker", worker.id());
             ctx.log(
                 event
                     .with("runs", worker.runs.len())
                     .with("seen", worker.last_end_seen),
             );
         }
-        worker.incarnation = view.incarnation;
+        self.fleet.set_reported(ix, view.incarnation);
+        let worker = self.fleet.get_mut(ix);
+        log_unpaired(ctx, worker);
         worker.incarnation_seen_at = ctx.now;
         worker.last_end_seen = 0;
         worker.last_end_stored = 0;
@@ -155,7 +157,7 @@
             return;
         }
         if end.number > MAX_END_NUMBER {
-            let event = LogEvent::warn("end_refused").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("end_refused").with("worker", worker.id());
             let event = event.with("task", &end.task).with("run", end.run);
             return ctx.log(event.with("number", end.number));
         }
@@ -170,7 +172,7 @@
         };
         let event = event.with("task", &end.task).with("run", end.run);
         let event = event
-            .with("worker", &worker.entry.id)
+            .with("worker", worker.id())
             .with("how", format_args!("{:?}", end.outcome));
         ctx.log(event.with("number", end.number).with("held", is_current));
         if is_current {
@@ -245,7 +247,7 @@
         worker.failures += 1;
         if worker.failures >= consts::QUARANTINE_FAILURES && quarantined < max_quarantined {
             worker.quarantined_until = now + consts::QUARANTINE_MS;
-            let event = LogEvent::warn("worker_quarantined").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("worker_quarantined").with("worker", worker.id());
             ctx.log(
                 event
                     .with("failures", worker.failures)
@@ -410,7 +412,7 @@
                 continue;
             }
             let tasks: Vec<TaskKey> = worker.runs.keys().cloned().collect();
-            let event = LogEvent::warn("leases_over").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("leases_over").with("worker", worker.id());
             let age_ms = ctx.now.since(worker.answered_at);
             ctx.log(event.with("runs", tasks.len()).with("silent_ms", age_ms.0));
             // The worker's next answer counts as its first: its lists are compared with what the
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -162,7 +162,7 @@
             let worker = self.fleet.get(*ix);
             let is_eligible =
                 may_run(worker, queue, spec) && worker.is_usable(now, MAX_CLOCK_AGE_MS);
-            let fits = spec.need.fits(&worker.entry.capacity);
+            let fits = spec.need.fits(&worker.capacity());
             is_eligible && fits && !advice.permissions.contains_key(ix)
         };
         let emptiest_first = self.fleet.by_free(min_free_milli).rev();
--- a/core/src/cell/leader/stalls.rs
+++ b/core/src/cell/leader/stalls.rs
@@ -58,7 +58,7 @@
         for (_, worker) in self.fleet.iter() {
             if worker.is_usable(ctx.now, MAX_CLOCK_AGE_MS) {
                 usable += 1;
-                capacity = capacity.saturating_add(worker.entry.capacity.cpu_milli);
+                capacity = capacity.saturating_add(worker.capacity().cpu_milli);
                 used = used.saturating_add(worker.used.cpu_milli);
                 reserved = reserved.saturating_add(worker.reserved.cpu_milli);
             }
@@ -103,7 +103,7 @@
                 .with("task", task)
                 .with("run", run.number);
             let event = event
-                .with("worker", &worker.entry.id)
+                .with("worker", worker.id())
                 .with("phase", run.phase.name())
                 .with("phase_ms", ctx.now.since(since).0)
                 .with("confirmed", run.confirmed_at.is_some());
@@ -146,7 +146,8 @@
         let advice = &step.advice;
         let (mut allowed, mut tickets, mut usable, mut slots) = (0, 0, 0, 0);
         for (ix, worker) in self.fleet.iter() {
-            let serves = queue.is_some_and(|queue| queue.service == worker.entry.service);
+            let service = worker.paired().map(|entry| entry.service.clone());
+            let serves = queue.is_some_and(|queue| service.as_ref() == Some(&queue.service));
             if !serves || (needs_ticket && !advice.allows(ix)) {
                 continue;
             }
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -1,8 +1,16 @@
 //! The leader's state of one worker and its runs.
 
 use crate::{
-    cell::{consts, leader::wait::Pool, Incarnation, RpcId, TaskKey, WorkerEntry},
-    JobId, Millis, Resources, TeamName,
+    cell::{
+        consts,
+        ctx::Ctx,
+        leader::{
+            entry_pair::{EntryPair, PairedEntry, PairedIncarnation},
+            wait::Pool,
+        },
+        Incarnation, LogEvent, RpcId, TaskKey, WorkerEntry,
+    },
+    JobId, Millis, Resources, TeamName, WorkerId,
 };
 use compact_str::CompactString;
 use std::collections::BTreeMap;
@@ -88,10 +96,9 @@
 /// A worker, as recorded by the leader.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
-    pub(crate) entry: WorkerEntry,
+    entry: EntryPair,
     /// Whether the store's table of workers lists it.
     pub(crate) listed: bool,
-    pub(crate) incarnation: Option<Incarnation>,
     /// When its first list of this incarnation arrived; a list of another incarnation that was
     /// requested before is outdated.
     pub(crate) incarnation_seen_at: Millis,
@@ -150,9 +157,8 @@
 impl Worker {
     pub(crate) fn new(entry: WorkerEntry) -> Self {
         Self {
-            entry,
+            entry: EntryPair::new(entry),
             listed: true,
-            incarnation: None,
             incarnation_seen_at: Millis(0),
             has_reported: false,
             clock: None,
@@ -185,14 +191,56 @@
         }
     }
 
+    /// Returns its id.
+    pub(crate) fn id(&self) -> &WorkerId {
+        self.entry.id()
+    }
+
+    /// Returns the address for calls to it.
+    pub(crate) fn address(&self) -> &CompactString {
+        self.entry.address()
+    }
+
+    /// Returns the incarnation of its latest report.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.entry.reported()
+    }
+
+    /// Returns the incarnation that its entry states.
+    pub(crate) fn listed_incarnation(&self) -> Option<Incarnation> {
+        self.entry.listed()
+    }
+
+    /// Returns its entry if that belongs to the incarnation that reports.
+    pub(crate) fn paired(&self) -> Option<PairedEntry<'_>> {
+        self.entry.paired()
+    }
+
+    /// Returns the incarnation that reports, if its entry belongs to that one.
+    pub(crate) fn paired_incarnation(&self) -> Option<PairedIncarnation> {
+        self.entry.paired_incarnation()
+    }
+
+    /// Returns its entry and the incarnation of its reports, to be changed by the fleet, which keeps the
+    /// workers by their free room.
+    pub(crate) fn entry_mut(&mut self) -> &mut EntryPair {
+        &mut self.entry
+    }
+
+    /// Returns its capacity; nothing while its entry is that of another incarnation.
+    pub(crate) fn capacity(&self) -> Resources {
+        self.paired()
+            .map_or(Resources::default(), |entry| entry.capacity)
+    }
+
     /// Returns the room that is neither used nor reserved.
     pub(crate) fn free(&self) -> Resources {
-        self.entry.capacity.minus(self.used.plus(self.reserved))
+        self.capacity().minus(self.used.plus(self.reserved))
     }
 
     /// Returns whether its capacity, which changes with its entry, covers what is used and reserved.
     pub(crate) fn has_reserved_room(&self) -> bool {
-        self.used.plus(self.reserved).fits(&self.entry.capacity)
+        self.used.plus(self.reserved).fits(&self.capacity())
     }
 
     /// Returns whether tasks may start on it now; its clock reading must be newer than
@@ -204,7 +252,8 @@
         let is_reachable = self.listed && self.has_reported && self.failed_polls == 0;
         let is_backed_off = now < self.backoff_until || now < self.quarantined_until;
         let may_renew = self.lease_record == LeaseRecord::None;
-        let accepts_work = !self.entry.draining && !is_backed_off && may_renew;
+        let is_open = self.paired().is_some_and(|entry| !entry.draining);
+        let accepts_work = is_open && !is_backed_off && may_renew;
         let lists_only_known_runs =
             self.unknown_runs_since.is_none() && self.unreadable_since.is_none();
         has_recent_clock && is_reachable && accepts_work && lists_only_known_runs
@@ -246,23 +295,33 @@
         Some(Millis(clock_ms))
     }
 
-    /// Returns whether it has a label.
-    pub(crate) fn has_label(&self, label: &str) -> bool {
-        self.entry.labels.iter().any(|own_label| own_label == label)
-    }
-
     /// Returns the pools that it is in.
     pub(crate) fn pools(&self) -> Vec<Pool> {
-        let labels = self.entry.labels.iter().cloned().map(Some);
+        let Some(entry) = self.paired() else {
+            return Vec::new();
+        };
+        let labels = entry.labels.iter().cloned().map(Some);
         let pool = |label| Pool {
-            service: self.entry.service.clone(),
+            service: entry.service.clone(),
             label,
         };
         std::iter::once(None).chain(labels).map(pool).collect()
     }
 
-    /// Returns its rack, which is its last label.
+    /// Returns its rack.
     pub(crate) fn rack(&self) -> Option<&CompactString> {
-        self.entry.labels.last()
+        self.paired()?.rack()
+    }
+}
+
+/// Logs that a worker's entry is that of another incarnation than its reports, if so: the worker gets no
+/// work until they belong together.
+pub(crate) fn log_unpaired(ctx: &mut Ctx, worker: &Worker) {
+    if worker.paired().is_some() {
+        return;
     }
+    let number = |own: Option<Incarnation>| own.map_or(0, |own| own.0);
+    let event = LogEvent::warn("entry_unpaired").with("worker", worker.id());
+    let event = event.with("listed", number(worker.listed_incarnation()));
+    ctx.log(event.with("reported", number(worker.incarnation())));
 }
--- a/core/src/cell/leader/worker_rpcs.rs
+++ b/core/src/cell/leader/worker_rpcs.rs
@@ -82,8 +82,8 @@
         }
         ctx.push(Effect::Worker {
             rpc,
-            worker: worker.entry.id.clone(),
-            address: worker.entry.address.clone(),
+            worker: worker.id().clone(),
+            address: worker.address().clone(),
             token: self.token,
             call,
             timeout_ms,
@@ -104,7 +104,7 @@
         let now = ctx.now;
         let worker = self.fleet.get_mut(ix);
         let is_relevant = worker.listed || !worker.runs.is_empty();
-        if !is_relevant || worker.entry.address.is_empty() {
+        if !is_relevant || worker.address().is_empty() {
             return;
         }
         if ctx.has_lead() {
@@ -233,7 +233,7 @@
                 worker.needs_quick_poll |= quick;
                 worker.next_poll_at = ctx.now + consts::POLL_RETRY_DELAY_MS;
                 if worker.failed_polls == 1 {
-                    let event = LogEvent::warn("worker_silent").with("worker", &worker.entry.id);
+                    let event = LogEvent::warn("worker_silent").with("worker", worker.id());
                     let event = event.with("answer", format_args!("{other:?}"));
                     let age_ms = ctx.now.since(worker.answered_at);
                     ctx.log(
@@ -313,7 +313,7 @@
                 let event = LogEvent::warn("order_unanswered")
                     .with("task", task)
                     .with("run", number);
-                ctx.log(event.with("worker", &worker.entry.id));
+                ctx.log(event.with("worker", worker.id()));
                 self.poll_worker(ctx, ix);
             }
             WorkerAnswer::NotSent => self.on_not_started(ctx, ix, task, number, None),
@@ -338,12 +338,12 @@
             .with("task", task)
             .with("run", number);
         let event = event
-            .with("worker", &worker.entry.id)
+            .with("worker", worker.id())
             .with("why", format_args!("{why:?}"));
         ctx.log(
             event
                 .with("used", worker.used)
-                .with("room", worker.entry.capacity),
+                .with("room", worker.capacity()),
         );
         match why {
             Some(WorkerRefusal::BadTicket) => self.expire_ticket(task, ix),
@@ -398,7 +398,7 @@
         let event = LogEvent::info("stop_ordered")
             .with("task", task)
             .with("run", run);
-        ctx.log(event.with("worker", &self.fleet.get(ix).entry.id));
+        ctx.log(event.with("worker", self.fleet.get(ix).id()));
         let task = task.clone();
         let call = WorkerCall::Stop {
             task: task.clone(),
@@ -470,7 +470,7 @@
         .with("task", task)
         .with("run", number);
     let event = event
-        .with("worker", &worker.entry.id)
+        .with("worker", worker.id())
         .with("free", worker.free());
     let waited_ms = ctx.now.since(accepted_at);
     let clock_age_ms = worker.clock.map_or(0, |(_, at)| ctx.now.since(at).0);
