--- a/core/src/cell/leader/placements.rs
+++ b/core/src/cell/leader/placements.rs
@@ -9,8 +9,10 @@
         consts,
         ctx::Ctx,
         leader::{
+            candidates::may_run,
             fleet::WorkerIx,
             jobs::Job,
+            policy::Policy,
             schedule::MAX_CLOCK_AGE_MS,
             step::{Step, TaskRun},
             worker::{LeaseRecord, Run, RunPhase, Worker},
@@ -97,7 +99,7 @@
             let placed = step.newest_runs().map(|(index, run)| {
                 let worker = self.fleet.get(run.worker);
                 let placement = Placement {
-                    worker: worker.entry.id.clone(),
+                    worker: worker.id().clone(),
                     run: run.number,
                     lease_ends_ms: worker.lease_record.ends_ms(),
                 };
@@ -126,7 +128,7 @@
     }
 
     /// Sends the queued starts whose runs may start. The members of a gang start only if all may.
-    pub(crate) fn send_recorded_starts(&mut self, ctx: &mut Ctx) {
+    pub(crate) fn send_recorded_starts(&mut self, ctx: &mut Ctx, policy: &Policy) {
         let mut steps: BTreeMap<StepKey, Vec<RecordedStart>> = BTreeMap::new();
         for start in std::mem::take(&mut self.recorded_starts) {
             if self.is_unsent(&start) {
@@ -138,10 +140,10 @@
             let job = self.jobs.get(&key.job);
             let spec = job.map(|job| &job.row.submission.steps[usize::from(key.step)]);
             if spec.is_some_and(|spec| spec.gang) {
-                self.send_recorded_group(ctx, &key, starts);
+                self.send_recorded_group(ctx, policy, &key, starts);
             } else {
                 for start in starts {
-                    self.send_recorded_group(ctx, &key, vec![start]);
+                    self.send_recorded_group(ctx, policy, &key, vec![start]);
                 }
             }
         }
@@ -149,15 +151,22 @@
 
     /// Sends starts if all of their runs may start, keeps them while tickets are renewed, and drops
     /// the placements that can't start any more.
-    fn send_recorded_group(&mut self, ctx: &mut Ctx, key: &StepKey, starts: Vec<RecordedStart>) {
-        let check = |start: &RecordedStart| self.check_start(ctx.now, start.ix, &start.task);
+    fn send_recorded_group(
+        &mut self,
+        ctx: &mut Ctx,
+        policy: &Policy,
+        key: &StepKey,
+        starts: Vec<RecordedStart>,
+    ) {
+        let check =
+            |start: &RecordedStart| self.check_start(ctx.now, policy, start.ix, &start.task);
         let worst = starts.iter().map(check).max();
         for start in starts {
             // Dropping one member of a gang releases the others.
             if !self.is_unsent(&start) {
                 continue;
             }
-            let own = self.check_start(ctx.now, start.ix, &start.task);
+            let own = self.check_start(ctx.now, policy, start.ix, &start.task);
             let RecordedStart { ix, task, run } = start;
             match (worst, own) {
                 (Some(StartCheck::Ready), _) => self.send_start(ctx, ix, task, run),
@@ -178,17 +187,30 @@
         })
     }
 
-    /// Checks whether a placed run may still start: its worker is usable, its room is not exceeded,
-    /// and there is a valid ticket if one is needed.
-    fn check_start(&self, now: Millis, ix: WorkerIx, task: &TaskKey) -> StartCheck {
+    /// Checks whether a placed run may still start: its task has an attempt left, its worker may run
+    /// it and is usable, its room is not exceeded, and there is a valid ticket if one is needed.
+    fn check_start(
+        &self,
+        now: Millis,
+        policy: &Policy,
+        ix: WorkerIx,
+        task: &TaskKey,
+    ) -> StartCheck {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return StartCheck::Impossible;
         };
-        let needs_ticket = self.advice_cost(&task.step).is_some();
-        let advice = &job.steps[usize::from(task.step.step)].advice;
+        let at = usize::from(task.step.step);
+        if !policy.allows_attempt(job, at, task.index) {
+            return StartCheck::Impossible;
+        }
+        let needs_ticket = policy.advice_cost(&job.row).is_some();
+        let advice = &job.steps[at].advice;
         let worker = self.fleet.get(ix);
-        let has_room = worker.used.fits(&worker.entry.capacity);
-        let may_run = !needs_ticket || advice.allows(ix);
+        let spec = &job.row.submission.steps[at];
+        let queue = policy.queue(&job.row);
+        let has_room = worker.used.fits(&worker.capacity());
+        let is_allowed = !needs_ticket || advice.allows(ix);
+        let may_run = is_allowed && queue.is_some_and(|queue| may_run(worker, queue, spec));
         if !may_run || !has_room || !worker.is_usable(now, MAX_CLOCK_AGE_MS) {
             return StartCheck::Impossible;
         }
@@ -203,7 +225,7 @@
     pub(crate) fn drop_placement(&mut self, ctx: &mut Ctx, ix: WorkerIx, task: &TaskKey, run: u32) {
         let worker = self.fleet.get(ix);
         let event = LogEvent::info("placement_dropped").with("task", task);
-        let event = event.with("run", run).with("worker", &worker.entry.id);
+        let event = event.with("run", run).with("worker", worker.id());
         ctx.log(event.with("usable", worker.is_usable(ctx.now, MAX_CLOCK_AGE_MS)));
         self.release_run(ix, task);
         let at = usize::from(task.step.step);
@@ -272,7 +294,7 @@
     pub(crate) fn record_lease_ends(&mut self, ctx: &mut Ctx) {
         let started_at = self.started_at;
         let is_due = |worker: &Worker| {
-            let is_silent = worker.failed_polls > 0 || worker.entry.address.is_empty();
+            let is_silent = worker.failed_polls > 0 || worker.address().is_empty();
             let silent_ms = ctx.now.since(worker.answered_at.max(started_at));
             let is_gone = !worker.listed && is_silent;
             let is_unrecorded = worker.lease_record == LeaseRecord::None;
@@ -287,7 +309,7 @@
                 continue;
             };
             worker.lease_record = LeaseRecord::EndsAt(ends_ms);
-            let event = LogEvent::warn("lease_end_recorded").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("lease_end_recorded").with("worker", worker.id());
             let event = event.with("runs", worker.runs.len());
             ctx.log(event.with("left_ms", worker.lease_expires_at.since(ctx.now).0));
             self.mark_jobs_edited(ix);
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -7,12 +7,12 @@
         leader::{
             fleet::WorkerIx,
             step::{Step, TaskRun},
-            worker::{LeaseRecord, Run, Worker},
+            worker::{log_unpaired, LeaseRecord, Run, Worker},
             Leader,
         },
         FinishedRun, JobState, LogEvent, RunOutcome, TaskKey, UnreadableRows, WorkerRuns,
     },
-    Millis,
+    JobId, Millis,
 };
 use compact_str::CompactString;
 
@@ -36,9 +36,9 @@
         unreadable: &UnreadableRows,
     ) {
         let worker = self.fleet.get_mut(ix);
-        if view.incarnation != worker.incarnation && sent_at < worker.incarnation_seen_at {
+        if view.incarnation != worker.incarnation() && sent_at < worker.incarnation_seen_at {
             // Its numbers of ended runs would acknowledge those of the present incarnation.
-            let event = LogEvent::warn("list_outdated").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("list_outdated").with("worker", worker.id());
             return ctx.log(event.with("age_ms", ctx.now.since(sent_at).0));
         }
         self.detect_restart(ctx, ix, &view);
@@ -49,7 +49,7 @@
         let unreadable_runs = unreadable.active + (listed - view.active.len()) as u32;
         let worker = self.fleet.get_mut(ix);
         if !worker.has_reported {
-            let event = LogEvent::info("worker_held").with("worker", &worker.entry.id);
+            let event = LogEvent::info("worker_held").with("worker", worker.id());
             let event = event
                 .with("token", self.token)
                 .with("active", view.active.len());
@@ -82,7 +82,7 @@
         worker.has_unnumbered_ends = unreadable.unnumbered > 0;
         if worker.has_unnumbered_ends && !had_unnumbered {
             // They are acknowledged with any later end.
-            let event = LogEvent::warn("end_unreadable").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("end_unreadable").with("worker", worker.id());
             ctx.log(event.with("unnumbered", unreadable.unnumbered));
         }
         for &number in &unreadable.finished {
@@ -96,7 +96,7 @@
             if is_next {
                 worker.last_end_seen = number;
             }
-            let event = LogEvent::warn("end_unreadable").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("end_unreadable").with("worker", worker.id());
             ctx.log(event.with("number", number).with("skipped", is_next));
         }
     }
@@ -107,7 +107,7 @@
         let since = worker.unreadable_since;
         worker.unreadable_since = (count > 0).then(|| since.unwrap_or(ctx.now));
         if worker.unreadable_since.is_some() && since.is_none() {
-            let event = LogEvent::warn("runs_unreadable").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("runs_unreadable").with("worker", worker.id());
             ctx.log(event.with("count", count).with("runs", worker.runs.len()));
         }
     }
@@ -117,7 +117,7 @@
         let worker = self.fleet.get_mut(ix);
         let had_more = std::mem::replace(&mut worker.has_more_ends, has_more);
         if has_more != had_more {
-            let event = LogEvent::info("ends_unlisted").with("worker", &worker.entry.id);
+            let event = LogEvent::info("ends_unlisted").with("worker", worker.id());
             let event = event.with("more", has_more).with("runs", worker.runs.len());
             ctx.log(event.with("seen", worker.last_end_seen));
         }
@@ -127,18 +127,20 @@
     /// time: each incarnation numbers its ended runs anew.
     fn detect_restart(&mut self, ctx: &mut Ctx, ix: WorkerIx, view: &WorkerRuns) {
         let worker = self.fleet.get_mut(ix);
-        if view.incarnation == worker.incarnation && worker.has_reported {
+        if view.incarnation == worker.incarnation() && worker.has_reported {
             return;
         }
         if worker.has_reported {
-            let event = LogEvent::warn("worker_restarted").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("worker_restarted").with("worker", worker.id());
             ctx.log(
                 event
                     .with("runs", worker.runs.len())
                     .with("seen", worker.last_end_seen),
             );
         }
-        worker.incarnation = view.incarnation;
+        self.fleet.set_reported(ix, view.incarnation);
+        let worker = self.fleet.get_mut(ix);
+        log_unpaired(ctx, worker);
         worker.incarnation_seen_at = ctx.now;
         worker.last_end_seen = 0;
         worker.last_end_stored = 0;
@@ -155,7 +157,7 @@
             return;
         }
         if end.number > MAX_END_NUMBER {
-            let event = LogEvent::warn("end_refused").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("end_refused").with("worker", worker.id());
             let event = event.with("task", &end.task).with("run", end.run);
             return ctx.log(event.with("number", end.number));
         }
@@ -170,7 +172,7 @@
         };
         let event = event.with("task", &end.task).with("run", end.run);
         let event = event
-            .with("worker", &worker.entry.id)
+            .with("worker", worker.id())
             .with("how", format_args!("{:?}", end.outcome));
         ctx.log(event.with("number", end.number).with("held", is_current));
         if is_current {
@@ -204,17 +206,11 @@
                 let job = self.jobs.get_mut(id)?;
                 job.steps[at].failed_on.push(ix);
                 let index = if gang { 0 } else { end.task.index };
-                let failed = job.progress.steps[at].add_failed(index, end.run);
-                let queue = self
-                    .state
-                    .as_ref()
-                    .and_then(|state| state.queue(&job.row.queue));
-                // A removed queue no longer limits the attempts.
-                let limit = queue.map_or(usize::MAX, |queue| queue.max_attempts as usize);
+                job.progress.steps[at].add_failed(index, end.run);
                 self.save_checkpoint(&end.task, gang, end.checkpoint.clone());
                 let edits = self.mark_edited(id);
                 self.record_failure(ctx, ix);
-                if failed >= limit {
+                if self.has_no_attempt_left(id, at, index) {
                     self.end_job(ctx, id, JobState::Failed);
                     return self.jobs.get(id).map(|job| job.edits);
                 }
@@ -227,6 +223,15 @@
         }
     }
 
+    /// Returns whether a task has failed in all its attempts. Before a desired state is read the limit is
+    /// unknown; the recorded failures are compared with it then.
+    fn has_no_attempt_left(&self, id: &JobId, at: usize, index: u32) -> bool {
+        let (Some(policy), Some(job)) = (&self.policy, self.jobs.get(id)) else {
+            return false;
+        };
+        !policy.allows_attempt(job, at, index)
+    }
+
     /// Counts a failed run against a worker. After several in a row the worker is quarantined,
     /// unless too many others are.
     fn record_failure(&mut self, ctx: &mut Ctx, ix: WorkerIx) {
@@ -242,7 +247,7 @@
         worker.failures += 1;
         if worker.failures >= consts::QUARANTINE_FAILURES && quarantined < max_quarantined {
             worker.quarantined_until = now + consts::QUARANTINE_MS;
-            let event = LogEvent::warn("worker_quarantined").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("worker_quarantined").with("worker", worker.id());
             ctx.log(
                 event
                     .with("failures", worker.failures)
@@ -407,7 +412,7 @@
                 continue;
             }
             let tasks: Vec<TaskKey> = worker.runs.keys().cloned().collect();
-            let event = LogEvent::warn("leases_over").with("worker", &worker.entry.id);
+            let event = LogEvent::warn("leases_over").with("worker", worker.id());
             let age_ms = ctx.now.since(worker.answered_at);
             ctx.log(event.with("runs", tasks.len()).with("silent_ms", age_ms.0));
             // The worker's next answer counts as its first: its lists are compared with what the
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -8,12 +8,13 @@
             candidates::may_run,
             fit::{best_fit, Candidate},
             fleet::WorkerIx,
+            policy::Policy,
             schedule::MAX_CLOCK_AGE_MS,
             wait::{RoomWait, Wait},
             waiting_calls::Room,
             Leader,
         },
-        AdviceCost, DesiredState, Queue, StepKey,
+        AdviceCost, Queue, StepKey,
     },
     Millis,
 };
@@ -27,7 +28,7 @@
     pub(crate) fn place_single_tasks(
         &mut self,
         ctx: &mut Ctx,
-        state: &DesiredState,
+        policy: &Policy,
         queue: &Queue,
         key: &StepKey,
     ) -> Wait {
@@ -39,7 +40,7 @@
             return Wait::Other;
         };
         let need = job.row.submission.steps[at].need;
-        let team_headroom = self.team_headroom(state, job, at);
+        let team_headroom = self.team_headroom(policy, job, at);
         let headroom = team_headroom.min(self.row_headroom(job));
         let advice = &job.steps[at].advice;
         let has_ticket = |candidate: &Candidate| {
@@ -161,7 +162,7 @@
             let worker = self.fleet.get(*ix);
             let is_eligible =
                 may_run(worker, queue, spec) && worker.is_usable(now, MAX_CLOCK_AGE_MS);
-            let fits = spec.need.fits(&worker.entry.capacity);
+            let fits = spec.need.fits(&worker.capacity());
             is_eligible && fits && !advice.permissions.contains_key(ix)
         };
         let emptiest_first = self.fleet.by_free(min_free_milli).rev();
