Drain failure domains at the request of operators

A row of the table with the desired state requests that nothing starts on the workers of a failure domain. Where the setting domain_drain exists, the leader starts nothing while its own reads of that table are older than the bound less a margin, releases what it has planned there, and refills a domain gradually once the request is withdrawn. Cold workers are used after warm ones.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -38,6 +38,9 @@
 /// Subtracted from the time for which a withdrawn key may be accepted: 2% of clock drift and one
 /// call.
 pub const KEY_REVOCATION_MARGIN_MS: Millis = Millis(500);
+/// Subtracted from the time within which a failure domain is drained: one call to a worker
+/// (`WORKER_TIMEOUT_MS`), 2% of clock drift over 5 s, and 200 ms between a decision and its call.
+pub const DRAIN_MARGIN_MS: Millis = Millis(1_000);
 /// How long after its last answer to a heartbeat a member is reconnected: four heartbeats.
 pub const MEMBER_TIMEOUT_MS: Millis = Millis(1_600);
 
--- a/core/src/cell/leader/advice.rs
+++ b/core/src/cell/leader/advice.rs
@@ -234,16 +234,22 @@
         advice.map_or(Vec::new(), |advice| advice.in_flight.clone())
     }
 
-    /// Withdraws a step's requests, none of which has been sent, because others have taken the room that its
-    /// tasks were to start on, and looks for other room at once. A request for that counts from when the
-    /// first one was made.
-    fn replace_requests(&mut self, ctx: &mut Ctx, step: &StepKey) {
+    /// Withdraws a step's requests; returns when the first one was made.
+    pub(crate) fn withdraw_requests(&mut self, step: &StepKey) -> Option<Millis> {
         let open = self.open_requests(step);
         let requests = open.iter().filter_map(|id| self.advice.take(*id));
         let since = requests.map(|request| request.requested_at).min();
         if let Some(job) = self.jobs.get_mut(&step.job) {
             job.steps[usize::from(step.step)].advice.in_flight.clear();
         }
+        since
+    }
+
+    /// Withdraws a step's requests, none of which has been sent, because others have taken the room that its
+    /// tasks were to start on, and looks for other room at once. A request for that counts from when the
+    /// first one was made.
+    fn replace_requests(&mut self, ctx: &mut Ctx, step: &StepKey) {
+        let since = self.withdraw_requests(step);
         if self.pending.wake(step) {
             self.needs_pass = true;
             if let Some(state) = self.state.clone() {
--- a/core/src/cell/leader/awaited_places.rs
+++ b/core/src/cell/leader/awaited_places.rs
@@ -7,6 +7,7 @@
     leader::{fleet::WorkerIx, Leader},
     StepKey,
 };
+use std::collections::BTreeSet;
 
 /// The workers on which tasks of a step start once the requested tickets arrive, one for each task.
 #[derive(Clone, Debug, Default)]
@@ -67,6 +68,29 @@
         RoomCheck::Reserved
     }
 
+    /// Gives up a step's awaited places on `workers`; a gang gives up all of its places then.
+    pub(crate) fn release_awaited_on(&mut self, key: &StepKey, workers: &BTreeSet<WorkerIx>) {
+        let at = usize::from(key.step);
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let spec = &job.row.submission.steps[at];
+        let (need, is_gang) = (spec.need, spec.gang);
+        let awaited = &mut job.steps[at].awaited;
+        let is_released = |ix: &WorkerIx| workers.contains(ix);
+        if is_gang && awaited.workers.iter().any(is_released) {
+            self.release_awaited(key);
+            return;
+        }
+        let released = awaited.workers.extract_if(.., |ix| workers.contains(ix));
+        let released: Vec<WorkerIx> = released.collect();
+        if awaited.is_reserved {
+            for ix in released {
+                self.fleet.unreserve(ix, need);
+            }
+        }
+    }
+
     /// Gives up a step's awaited places, and returns them.
     pub(crate) fn release_awaited(&mut self, key: &StepKey) -> Vec<WorkerIx> {
         let at = usize::from(key.step);
--- a/core/src/cell/leader/candidates.rs
+++ b/core/src/cell/leader/candidates.rs
@@ -14,6 +14,8 @@
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 
+/// Penalty of a worker whose runs are slower than usual: it comes after all others that have not failed.
+const COLD_WORKER_PENALTY: u32 = 3;
 /// Penalty of a worker on which a run of the step has failed.
 const FAILED_STEP_PENALTY: u32 = 4;
 /// Penalty of a worker outside the rack near the step's data.
@@ -90,6 +92,7 @@
         let count = racks.len() as u32;
         let grouped = worker.rack().filter(|_| spec.same_rack);
         let failed = u32::from(step.failed_on.contains(&ix)) * FAILED_STEP_PENALTY;
+        let cold = u32::from(worker.is_cold(now)) * COLD_WORKER_PENALTY;
         let is_failing = worker.failures >= consts::QUARANTINE_FAILURES;
         let failing = u32::from(is_failing) * FAILING_WORKER_PENALTY;
         Some(Candidate {
@@ -98,7 +101,7 @@
             tasks_left: spec
                 .per_worker
                 .map_or(u32::MAX, |limit| limit.saturating_sub(step.runs_on(ix))),
-            penalty: u32::from(is_remote) * REMOTE_DATA_PENALTY + failed + failing,
+            penalty: u32::from(is_remote) * REMOTE_DATA_PENALTY + cold + failed + failing,
             rack: grouped.map_or(0, |rack| *racks.entry(rack).or_insert(count + 1)),
         })
     }
--- a/core/src/cell/leader/fleet.rs
+++ b/core/src/cell/leader/fleet.rs
@@ -19,7 +19,7 @@
 pub(crate) struct Fleet {
     workers: Vec<Worker>,
     index: BTreeMap<WorkerId, WorkerIx>,
-    /// The workers by their free processors.
+    /// The workers by their free processors, without those in drained domains.
     by_free: BTreeSet<(u64, WorkerIx)>,
     /// Workers that have more room, or became usable, since steps were last woken for them.
     freed: BTreeSet<WorkerIx>,
@@ -87,7 +87,7 @@
         if before != after {
             worker.fruitless_wakes = 0;
         }
-        if before.cpu_milli != after.cpu_milli {
+        if before.cpu_milli != after.cpu_milli && !worker.is_drained {
             self.by_free.remove(&(before.cpu_milli, ix));
             self.by_free.insert((after.cpu_milli, ix));
         }
@@ -120,6 +120,21 @@
         self.change_room(ix, |worker| worker.entry = entry);
     }
 
+    /// Sets whether a worker's domain is drained; returns whether that is new.
+    pub(crate) fn set_drained(&mut self, ix: WorkerIx, is_drained: bool) -> bool {
+        let worker = &mut self.workers[ix.0];
+        if worker.is_drained == is_drained {
+            return false;
+        }
+        worker.is_drained = is_drained;
+        let free = (worker.free().cpu_milli, ix);
+        match is_drained {
+            true => self.by_free.remove(&free),
+            false => self.by_free.insert(free),
+        };
+        true
+    }
+
     /// Lets steps be woken for a worker.
     pub(crate) fn add_freed(&mut self, ix: WorkerIx) {
         self.freed.insert(ix);
@@ -174,6 +189,7 @@
             capacity: Resources::default(),
             labels: Vec::new(),
             incarnation: None,
+            cold_remaining_ms: Millis(0),
         };
         let mut worker = Worker::new(entry);
         worker.listed = false;
@@ -189,13 +205,17 @@
                 .with("domain", &entry.domain)
                 .with("room", entry.capacity);
             ctx.log(event.with("draining", entry.draining));
-            self.fleet.add(Worker::new(entry));
-            return;
+            let mut worker = Worker::new(entry);
+            worker.set_cold(ctx.now);
+            let ix = self.fleet.add(worker);
+            return self.drain_by_entry(ctx, ix);
         };
         let worker = self.fleet.get_mut(ix);
         let has_new_incarnation =
             entry.incarnation.is_some() && entry.incarnation != worker.incarnation;
         let address_changed = entry.address != worker.entry.address;
+        let domain_changed = entry.domain != worker.entry.domain;
+        let is_new = entry != worker.entry;
         if entry.draining != worker.entry.draining || !worker.listed || address_changed {
             let event = LogEvent::info("worker_changed").with("worker", &entry.id);
             ctx.log(
@@ -207,12 +227,18 @@
         self.fleet.set_entry(ix, entry);
         let worker = self.fleet.get_mut(ix);
         worker.listed = true;
+        if is_new {
+            worker.set_cold(ctx.now);
+        }
         if has_new_incarnation || address_changed {
             // The first list of the new incarnation shows which earlier runs have ended.
             worker.clock = None;
             worker.next_poll_at = Millis(0);
             worker.needs_quick_poll = true;
         }
+        if domain_changed {
+            self.drain_by_entry(ctx, ix);
+        }
     }
 
     /// Marks a worker as unlisted; its runs may continue until their leases expire.
--- a/core/src/cell/leader/kept_workers.rs
+++ b/core/src/cell/leader/kept_workers.rs
@@ -4,7 +4,7 @@
     leader::{fleet::WorkerIx, Leader},
     StepKey,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum number of gangs for which workers are kept free at the same time.
 const MAX_GANGS: usize = 2;
@@ -27,6 +27,13 @@
         self.by_gang.keys().cloned().collect()
     }
 
+    /// Returns the gangs for which one of `workers` is kept free.
+    pub(crate) fn gangs_on(&self, workers: &BTreeSet<WorkerIx>) -> Vec<StepKey> {
+        let kept = self.by_gang.iter();
+        let on_any = kept.filter(|(_, own)| own.iter().any(|ix| workers.contains(ix)));
+        on_any.map(|(key, _)| key.clone()).collect()
+    }
+
     fn contains(&self, key: &StepKey) -> bool {
         self.by_gang.contains_key(key)
     }
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -253,6 +253,7 @@
             .count();
         let event = event.with("workers_missing", missing);
         ctx.log(event.with("took_ms", ctx.now.since(self.started_at).0));
+        self.set_refills();
         self.attach_progress(ctx);
         self.log_loaded_jobs(ctx);
         self.poll_workers(ctx);
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -4,6 +4,7 @@
 mod advice_dispatcher;
 mod awaited_places;
 mod candidates;
+mod drains;
 mod fit;
 mod fleet;
 mod gang_wait;
@@ -42,6 +43,7 @@
         election::Election,
         leader::{
             advice_dispatcher::AdviceDispatcher,
+            drains::AppliedDrains,
             fleet::Fleet,
             jobs::Job,
             kept_workers::KeptWorkers,
@@ -93,6 +95,7 @@
     /// The time of the event that is being handled.
     now: Millis,
     state: Option<Rc<DesiredState>>,
+    drains: AppliedDrains,
     loader: Loader,
     jobs: BTreeMap<JobId, Job>,
     /// Cancellations that came before the record of their job: the versions of their rows, and when each
@@ -149,6 +152,7 @@
             started_at: ctx.now,
             now: ctx.now,
             state: None,
+            drains: AppliedDrains::default(),
             loader: Loader::default(),
             jobs: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
@@ -256,24 +260,25 @@
     }
 
     /// Runs a scheduling pass if one is due, sends start and advice calls, writes progress and
-    /// answers held queries. Nothing is started without a valid lease.
+    /// answers held queries. Nothing is started without a valid lease, or while the requests to drain
+    /// domains are not known to be recent.
     pub(crate) fn run_due_work(&mut self, ctx: &mut Ctx, state: &Rc<DesiredState>) {
         self.now = ctx.now;
         self.update_state(state);
         if !self.loader.is_done() {
             return;
         }
-        let has_lead = ctx.has_lead();
+        let may_start = ctx.has_lead() && self.may_start(ctx);
         let state = self.state.clone();
         if let (Some(state), true) = (
             state,
-            has_lead && self.needs_pass && ctx.now >= self.next_pass_at,
+            may_start && self.needs_pass && ctx.now >= self.next_pass_at,
         ) {
             self.needs_pass = false;
             self.next_pass_at = ctx.now + self.pass_interval_ms();
             self.run_pass(ctx, &state);
         }
-        if has_lead {
+        if may_start {
             self.check_unsent_starts(ctx);
             self.send_recorded_starts(ctx);
             self.dispatch_advice(ctx);
--- a/core/src/cell/leader/single_tasks.rs
+++ b/core/src/cell/leader/single_tasks.rs
@@ -120,7 +120,9 @@
             // A call costs little more for further workers, which may have room next.
             let need = spec.need;
             let min_allowed = MIN_ALLOWED_WORKERS.max(job.steps[at].tasks_without_run().count());
-            let is_scarce = advice.allowed().count() < min_allowed;
+            let allowed = advice.allowed();
+            let is_open = |ix: &WorkerIx| !self.fleet.get(*ix).is_drained;
+            let is_scarce = allowed.filter(is_open).count() < min_allowed;
             workers = self.workers_without_advice(now, queue, key, 1);
             let has_room = |ix: &WorkerIx| need.fits(&self.fleet.get(*ix).free());
             if !is_scarce && !workers.iter().any(has_room) {
@@ -133,7 +135,7 @@
     }
 
     /// Returns the workers to request advice on, of those with at least `min_free_milli` thousandths of a
-    /// core free: those with the most free processors first.
+    /// core free: warm ones before cold ones, and those with the most free processors first.
     pub(crate) fn workers_without_advice(
         &mut self,
         now: Millis,
@@ -165,8 +167,19 @@
             is_eligible && fits && !advice.permissions.contains_key(ix)
         };
         let emptiest_first = self.fleet.by_free(min_free_milli).rev();
-        let workers = emptiest_first.filter(may_ask).take(max_workers).collect();
+        let (mut warm, mut cold) = (Vec::new(), Vec::new());
+        for ix in emptiest_first.filter(may_ask) {
+            match self.fleet.get(ix).is_cold(now) {
+                false => warm.push(ix),
+                true => cold.push(ix),
+            }
+            if warm.len() == max_workers {
+                break;
+            }
+        }
+        warm.extend(cold);
+        warm.truncate(max_workers);
         self.work.workers_considered += considered;
-        workers
+        warm
     }
 }
--- a/core/src/cell/leader/worker.rs
+++ b/core/src/cell/leader/worker.rs
@@ -1,7 +1,9 @@
 //! The leader's state of one worker and its runs.
 
 use crate::{
-    cell::{consts, leader::wait::Pool, Incarnation, RpcId, TaskKey, WorkerEntry},
+    cell::{
+        consts, domain_refill::Refill, leader::wait::Pool, Incarnation, RpcId, TaskKey, WorkerEntry,
+    },
     JobId, Millis, Resources, TeamName,
 };
 use compact_str::CompactString;
@@ -141,6 +143,12 @@
     pub(crate) failures: u32,
     /// It gets no work before this time because its last runs have all failed.
     pub(crate) quarantined_until: Millis,
+    /// Whether its domain is drained: nothing may start on it.
+    pub(crate) is_drained: bool,
+    /// Its part in the refill of its domain, if that was drained before.
+    pub(crate) refill: Option<Refill>,
+    /// Until when its runs are expected to be slower than usual.
+    pub(crate) cold_until: Millis,
     /// Whether tasks could start on it when that was last noted.
     pub(crate) was_usable: bool,
     /// How often steps were woken for its room since that last changed, while none started on it.
@@ -180,6 +188,9 @@
             has_more_ends: false,
             failures: 0,
             quarantined_until: Millis(0),
+            is_drained: false,
+            refill: None,
+            cold_until: Millis(0),
             was_usable: false,
             fruitless_wakes: 0,
         }
@@ -207,7 +218,31 @@
         let accepts_work = !self.entry.draining && !is_backed_off && may_renew;
         let lists_only_known_runs =
             self.unknown_runs_since.is_none() && self.unreadable_since.is_none();
-        has_recent_clock && is_reachable && accepts_work && lists_only_known_runs
+        has_recent_clock
+            && is_reachable
+            && accepts_work
+            && lists_only_known_runs
+            && self.is_offered(now)
+    }
+
+    /// Returns whether its domain is not drained and, after a drain, work is offered to it again.
+    fn is_offered(&self, now: Millis) -> bool {
+        let is_refilled = |refill: Refill| refill.is_offered(now, self.cold_until);
+        !self.is_drained && self.refill.is_none_or(is_refilled)
+    }
+
+    /// Notes how long it stays slow by its entry, which was written a moment before `now`.
+    pub(crate) fn set_cold(&mut self, now: Millis) {
+        let cold_ms = self.entry.cold_remaining_ms;
+        self.cold_until = match cold_ms {
+            Millis(0) => Millis(0),
+            cold_ms => now + cold_ms,
+        };
+    }
+
+    /// Returns whether its runs are expected to be slower than usual.
+    pub(crate) fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
     }
 
     /// Returns whether it has listed active runs that can't be read for so long that its lease should
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -11,6 +11,8 @@
 pub mod consts;
 mod ctx;
 mod desired;
+mod domain_drains;
+mod domain_refill;
 mod effect;
 mod election;
 mod event;
@@ -39,6 +41,7 @@
     client::{ClientAnswer, ClientCall, ClientVerb},
     config_feed::ConfigFeed,
     desired::{AdviceCost, DesiredState, Queue, RequestLimits, Team},
+    domain_drains::DomainDrains,
     effect::Effect,
     event::Event,
     ids::{FencingToken, Incarnation, LinkId, QueryId, RowVersion, RpcId},
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -59,6 +59,14 @@
         &self.config
     }
 
+    /// Returns the number of drained failure domains; requests that are ignored do not count.
+    pub fn drained_domains(&self) -> usize {
+        match self.ctx.settings.drain_bound_ms {
+            Some(_) => self.config.drains().len(),
+            None => 0,
+        }
+    }
+
     /// Handles an event and returns the resulting effects.
     pub fn step(&mut self, now: Millis, unix_ms: u64, event: Event) -> Vec<Effect> {
         self.ctx.now = self.ctx.now.max(now);
@@ -300,6 +308,9 @@
     /// updates the readiness and exits at the end of a planned stop.
     fn finish_step(&mut self) {
         let ctx = &mut self.ctx;
+        if let Some(leader) = &mut self.leader {
+            leader.update_drains(ctx, &self.config);
+        }
         if let (Some(leader), Some(state)) = (&mut self.leader, self.config.current()) {
             leader.run_due_work(ctx, state);
         }
--- a/core/src/cell/row_size.rs
+++ b/core/src/cell/row_size.rs
@@ -114,6 +114,7 @@
             RowValue::Term(term) => ROW_BYTES + text_bytes(term.holder.as_ref()),
             RowValue::Member(member) => ROW_BYTES + member.address.len(),
             RowValue::DesiredState(_)
+            | RowValue::DomainDrain
             | RowValue::Gone
             | RowValue::Lease(_)
             | RowValue::Unusable(_)
--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a cell's daemon.
 
-use crate::Millis;
+use crate::{cell::consts, Millis};
 use compact_str::CompactString;
 
 /// The settings of a cell's daemon.
@@ -24,9 +24,27 @@
     pub retention_ms: Millis,
     /// The most bytes of a row's value in the store, as base64.
     pub max_row_bytes: usize,
+    /// How long after a request to drain a failure domain tasks may still start there; `None` if such
+    /// requests are ignored.
+    pub drain_bound_ms: Option<Millis>,
 }
 
 impl CellSettings {
+    /// Returns the age of the last read of the requests to drain domains up to which tasks may start.
+    /// A start that is sent before is carried out within the bound after a request that is not known yet.
+    pub(crate) fn max_drains_age_ms(&self) -> Option<Millis> {
+        let bound_ms = self.drain_bound_ms?;
+        let age_ms = bound_ms.since(consts::DRAIN_MARGIN_MS);
+        Some(age_ms.max(Millis(bound_ms.0 / 2)))
+    }
+
+    /// Returns how long a read of the desired state waits at the store for a change: the age of the
+    /// requests to drain domains, which is twice that at most, stays well below its limit.
+    pub(crate) fn follow_wait_ms(&self) -> Millis {
+        let max_age_ms = self.max_drains_age_ms().unwrap_or(Millis(u64::MAX));
+        consts::FOLLOW_WAIT_MS.min(Millis(max_age_ms.0 / 4))
+    }
+
     /// Returns the most bytes of a row's value before it is encoded as base64.
     pub fn max_value_bytes(&self) -> usize {
         self.max_row_bytes / 4 * 3
@@ -50,6 +68,7 @@
             stop_grace_ms: Millis(6_000),
             retention_ms: Millis(120_000),
             max_row_bytes: 65_536,
+            drain_bound_ms: None,
         })
     }
 
@@ -89,6 +108,12 @@
         self
     }
 
+    /// Sets how long after a request to drain a failure domain tasks may still start there.
+    pub fn drain_bound_ms(mut self, bound_ms: Option<Millis>) -> Self {
+        self.0.drain_bound_ms = bound_ms;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> CellSettings {
         self.0
--- a/core/src/cell/store.rs
+++ b/core/src/cell/store.rs
@@ -12,6 +12,9 @@
 pub enum Table {
     /// The desired state, written by operators.
     DesiredState,
+    /// The failure domains in which nothing may start, written by operators; read and followed together
+    /// with the desired state.
+    DomainDrains,
     /// The workers; each writes its own entry.
     Workers,
     /// The leader and its lease.
@@ -72,6 +75,8 @@
 pub enum RowValue {
     /// A desired state.
     DesiredState(Box<DesiredState>),
+    /// A request to drain the failure domain that the key names.
+    DomainDrain,
     /// A worker.
     Worker(Box<WorkerEntry>),
     /// The current term: who leads, or that the leader has resigned.
--- a/core/src/cell/worker_entry.rs
+++ b/core/src/cell/worker_entry.rs
@@ -1,6 +1,6 @@
 //! Workers as the platform lists them.
 
-use crate::{cell::Incarnation, Resources, WorkerId};
+use crate::{cell::Incarnation, Millis, Resources, WorkerId};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -24,4 +24,7 @@
     pub labels: Vec<CompactString>,
     /// Its incarnation, if the entry has one.
     pub incarnation: Option<Incarnation>,
+    /// How long its runs stay slower than usual after the entry was written.
+    #[serde(default)]
+    pub cold_remaining_ms: Millis,
 }
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -161,6 +161,8 @@
     /// How much later the answers of calls to workers arrive.
     answer_delays: BTreeMap<(usize, RpcId), u64>,
     specs: Specs,
+    /// The bound for the drain of a domain in the settings of processes that start from now on.
+    pub drain_bound_ms: Option<u64>,
     /// Whether runs take the time that their step states.
     pub works_as_estimated: bool,
     called_workers: BTreeMap<(usize, RpcId), WorkerId>,
@@ -304,6 +306,7 @@
             meant: BTreeMap::new(),
             answer_delays: BTreeMap::new(),
             specs: Specs::new(),
+            drain_bound_ms: None,
             works_as_estimated: false,
             called_workers: BTreeMap::new(),
             seen_incarnations: BTreeMap::new(),
@@ -341,6 +344,7 @@
             CellSettingsBuilder::new(&format!("host-{at}"), "saiss", &self.daemons[at].address);
         let unix = self.unix_ms(at);
         let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
+        let settings = settings.drain_bound_ms(self.drain_bound_ms.map(Millis));
         let node = Node::new(settings.build(), Millis(self.now), unix);
         self.daemons[at].node = Some(node);
         self.daemons[at].process += 1;
--- a/core/tests/cell_world/store.rs
+++ b/core/tests/cell_world/store.rs
@@ -45,6 +45,8 @@
     pub empty_pages: usize,
     /// Whether reads of the desired state get no answer.
     pub state_reads_lost: bool,
+    /// How many of the next reads of the desired state get no answer within the time that the caller waits.
+    pub lost_state_reads: usize,
     /// How many of the next pages that are not the last one have no row that can be read.
     pub unreadable_pages: usize,
     /// The most bytes of a row's value, as base64.
@@ -53,6 +55,17 @@
     pub oversized: usize,
 }
 
+/// How long the caller of a read of changes waits for its answer.
+const FOLLOW_TIMEOUT_MS: u64 = 2_500;
+
+/// Returns the table that the platform's store keeps the rows of `table` in.
+fn stored_in(table: Table) -> Table {
+    match table {
+        Table::DomainDrains => Table::DesiredState,
+        table => table,
+    }
+}
+
 type Replies = Vec<(usize, RpcId, u64, StoreReply)>;
 
 /// Returns the size of a value as the store's interface encodes it.
@@ -85,6 +98,7 @@
             page_rows: PAGE_ROWS,
             empty_pages: 0,
             state_reads_lost: false,
+            lost_state_reads: 0,
             unreadable_pages: 0,
             max_row_bytes: 65_536,
             oversized: 0,
@@ -134,10 +148,23 @@
         self.put(RowKey::new(table, part, key), value);
     }
 
+    /// Requests that a domain is drained, as an operator does.
+    pub fn drain(&mut self, domain: &str) {
+        self.put_row(Table::DomainDrains, "", domain, RowValue::DomainDrain);
+    }
+
+    /// Withdraws the request to drain a domain.
+    pub fn restore(&mut self, domain: &str) {
+        self.remove_row(RowKey::new(Table::DomainDrains, "", domain));
+    }
+
     /// Removes a worker's entry.
     pub fn remove_worker(&mut self, id: &str) {
+        self.remove_row(RowKey::new(Table::Workers, "", id));
+    }
+
+    fn remove_row(&mut self, key: RowKey) {
         self.version += 1;
-        let key = RowKey::new(Table::Workers, "", id);
         self.rows.remove(&key);
         self.changes.push(Row {
             key,
@@ -196,7 +223,8 @@
     /// Reads at most `most` rows of a partition, beginning with the key `from`.
     fn read_page(&mut self, from: &RowKey, most: usize, now_ms: u64) -> StoreReply {
         let is_in_page = |key: &RowKey| {
-            key.table == from.table && key.partition == from.partition && key.key >= from.key
+            let is_in_table = stored_in(key.table) == stored_in(from.table);
+            is_in_table && key.partition == from.partition && *key >= *from
         };
         let found = self.rows.iter().filter(|(key, _)| is_in_page(key));
         let mut bytes = 0;
@@ -263,6 +291,17 @@
                 table: Table::DesiredState,
                 ..
             } if self.state_reads_lost => (0, StoreReply::Lost),
+            StoreCall::Read {
+                table: Table::DesiredState | Table::DomainDrains,
+                ..
+            }
+            | StoreCall::Follow {
+                table: Table::DesiredState,
+                ..
+            } if self.lost_state_reads > 0 => {
+                self.lost_state_reads -= 1;
+                (FOLLOW_TIMEOUT_MS, StoreReply::Lost)
+            }
             StoreCall::Write(write) => {
                 let reply = self.write(write);
                 if self.lose_answers > 0 {
@@ -319,7 +358,7 @@
         if after.0 < self.history_gone {
             return (0, StoreReply::HistoryLost);
         }
-        let newer = |row: &&Row| row.key.table == table && row.version > after;
+        let newer = |row: &&Row| stored_in(row.key.table) == table && row.version > after;
         let changes: Vec<&Row> = self.changes.iter().filter(newer).collect();
         // The changes of a transaction share a version and an answer.
         let last = changes.get(self.page_rows - 1).map(|row| row.version);
--- a/core/tests/cell_world/workers.rs
+++ b/core/tests/cell_world/workers.rs
@@ -158,6 +158,7 @@
             },
             labels: vec!["a".into(), format!("r1-{}", at / 4).into()],
             incarnation: Some(Incarnation(1)),
+            cold_remaining_ms: Millis(0),
         };
         Self {
             entry,
--- a/daemon/src/cell/telemetry.rs
+++ b/daemon/src/cell/telemetry.rs
@@ -45,6 +45,7 @@
 /// Sets the gauges of a daemon's state.
 pub(crate) fn set_gauges(node: &Node) {
     gauge!("pomelotide_config_version").set(node.config().version() as f64);
+    gauge!("pomelotide_drained_domains").set(node.drained_domains() as f64);
     let Some(leader) = node.leader() else {
         gauge!("pomelotide_leads").set(0.0);
         return;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -49,6 +49,9 @@
     pub retention_ms: Millis,
     /// The most bytes of a row's value in the store, as base64.
     pub max_row_bytes: usize,
+    /// How long after a request to drain a failure domain tasks may still start there, in milliseconds;
+    /// `None` if such requests are ignored.
+    pub drain_bound_ms: Option<Millis>,
 }
 
 /// Builds [`Settings`] from defaults.
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldSpec; 16] = [
+const FIELDS: [FieldSpec; 17] = [
     FieldSpec {
         section: "daemon",
         name: "name",
@@ -130,6 +130,13 @@
         default: Some("65536"),
         meaning: "the most bytes of a row's value in the store, as base64",
     },
+    FieldSpec {
+        section: "cell",
+        name: "domain_drain",
+        form: "span",
+        default: Some("requests are ignored"),
+        meaning: "how long after a request to drain a failure domain a task may at most start there",
+    },
 ];
 
 /// Returns the settings reference as a table in Markdown.
@@ -328,9 +335,20 @@
             key_revocation_ms: duration_ms(self, "revoke", 5_000),
             retention_ms: duration_ms(self, "retention", 120_000),
             max_row_bytes: self.get("cell", "max_row_bytes").unwrap_or(65_536),
+            drain_bound_ms: self.drain_bound_ms(),
         })
     }
 
+    fn drain_bound_ms(&mut self) -> Option<Millis> {
+        let bound_ms = self.get("cell", "domain_drain");
+        if let (Some(Millis(0)), Some(field)) = (bound_ms, self.find("cell", "domain_drain")) {
+            // With no time for a read and a call, nothing could ever start.
+            let text = format!("domain_drain = {}: expected a span above 0", field.value);
+            self.problems.push(Problem::new(field.line, text));
+        }
+        bound_ms
+    }
+
     fn cpu_milli(&mut self) -> u64 {
         const WHOLE_CORE_MILLI: u64 = 1_000;
         match self.get::<f64>("cell", "cpu_share") {
