--- a/core/src/cell/leader/entry_pair.rs
+++ b/core/src/cell/leader/entry_pair.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     cell::{Incarnation, WorkerEntry},
-    WorkerId,
+    Millis, WorkerId,
 };
 use compact_str::CompactString;
 use std::ops::Deref;
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct EntryChange {
     pub(crate) address: bool,
+    pub(crate) cold: bool,
+    pub(crate) domain: bool,
     pub(crate) draining: bool,
 }
 
@@ -53,6 +55,16 @@
         &self.entry.address
     }
 
+    /// Returns the failure domain that the entry states. A drain applies to it whichever incarnation reports.
+    pub(crate) fn domain(&self) -> &CompactString {
+        &self.entry.domain
+    }
+
+    /// Returns for how long the worker stays slow by its entry.
+    pub(crate) fn cold_remaining_ms(&self) -> Millis {
+        self.entry.cold_remaining_ms
+    }
+
     /// Returns the incarnation of the latest report.
     pub(crate) fn reported(&self) -> Option<Incarnation> {
         self.reported
@@ -82,6 +94,8 @@
     pub(crate) fn set_entry(&mut self, entry: WorkerEntry) -> EntryChange {
         let change = EntryChange {
             address: entry.address != self.entry.address,
+            cold: entry.cold_remaining_ms != self.entry.cold_remaining_ms,
+            domain: entry.domain != self.entry.domain,
             draining: entry.draining != self.entry.draining,
         };
         self.entry = entry;
--- a/core/src/cell/leader/fleet.rs
+++ b/core/src/cell/leader/fleet.rs
@@ -24,7 +24,7 @@
 pub(crate) struct Fleet {
     workers: Vec<Worker>,
     index: BTreeMap<WorkerId, WorkerIx>,
-    /// The workers by their free processors.
+    /// The workers by their free processors, without those in drained domains.
     by_free: BTreeSet<(u64, WorkerIx)>,
     /// Workers that have more room, or became usable, since steps were last woken for them.
     freed: BTreeSet<WorkerIx>,
@@ -92,7 +92,7 @@
         if before != after {
             worker.fruitless_wakes = 0;
         }
-        if before.cpu_milli != after.cpu_milli {
+        if before.cpu_milli != after.cpu_milli && !worker.is_drained {
             self.by_free.remove(&(before.cpu_milli, ix));
             self.by_free.insert((after.cpu_milli, ix));
         }
@@ -132,6 +132,21 @@
         self.change_room(ix, |worker| worker.entry_mut().set_reported(reported));
     }
 
+    /// Sets whether a worker's domain is drained; returns whether that is new.
+    pub(crate) fn set_drained(&mut self, ix: WorkerIx, is_drained: bool) -> bool {
+        let worker = &mut self.workers[ix.0];
+        if worker.is_drained == is_drained {
+            return false;
+        }
+        worker.is_drained = is_drained;
+        let free = (worker.free().cpu_milli, ix);
+        match is_drained {
+            true => self.by_free.remove(&free),
+            false => self.by_free.insert(free),
+        };
+        true
+    }
+
     /// Lets steps be woken for a worker.
     pub(crate) fn add_freed(&mut self, ix: WorkerIx) {
         self.freed.insert(ix);
@@ -186,6 +201,7 @@
             capacity: Resources::default(),
             labels: Vec::new(),
             incarnation: None,
+            cold_remaining_ms: Millis(0),
         };
         let mut worker = Worker::new(entry);
         worker.listed = false;
@@ -201,26 +217,34 @@
                 .with("domain", &entry.domain)
                 .with("room", entry.capacity);
             ctx.log(event.with("draining", entry.draining));
-            self.fleet.add(Worker::new(entry));
-            return;
+            let mut worker = Worker::new(entry);
+            worker.set_cold(ctx.now);
+            let ix = self.fleet.add(worker);
+            return self.drain_by_entry(ctx, ix);
         };
         let id = entry.id.clone();
         let draining = entry.draining;
         let change = self.fleet.set_entry(ix, entry);
         let worker = self.fleet.get_mut(ix);
-        if change != EntryChange::default() || !worker.listed {
+        if change.address || change.draining || !worker.listed {
             let event = LogEvent::info("worker_changed").with("worker", id);
             let event = event.with("draining", draining);
             ctx.log(event.with("moved", change.address));
         }
         worker.listed = true;
         log_unpaired(ctx, worker);
+        if change.cold {
+            worker.set_cold(ctx.now);
+        }
         if worker.paired().is_none() || change.address {
             // The first list of the new incarnation shows which earlier runs have ended.
             worker.clock = None;
             worker.next_poll_at = Millis(0);
             worker.needs_quick_poll = true;
         }
+        if change.domain {
+            self.drain_by_entry(ctx, ix);
+        }
     }
 
     /// Marks a worker as unlisted; its runs may continue until their leases expire.
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -254,6 +254,7 @@
         let event = event.with("workers_missing", missing);
         let event = event.with("config", self.policy.is_some());
         ctx.log(event.with("took_ms", ctx.now.since(self.started_at).0));
+        self.set_refills();
         self.attach_progress(ctx);
         self.end_exhausted_jobs(ctx);
         self.log_loaded_jobs(ctx);
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -4,6 +4,7 @@
 mod advice_dispatcher;
 mod awaited_places;
 mod candidates;
+mod drains;
 mod entry_pair;
 mod fit;
 mod fleet;
@@ -44,6 +45,7 @@
         election::Election,
         leader::{
             advice_dispatcher::AdviceDispatcher,
+            drains::AppliedDrains,
             fleet::Fleet,
             jobs::Job,
             kept_workers::KeptWorkers,
@@ -97,6 +99,7 @@
     now: Millis,
     /// What the desired state says; `None` until one has been read.
     policy: Option<Rc<Policy>>,
+    drains: AppliedDrains,
     loader: Loader,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that were learned before a desired state was read and are not charged to their teams yet.
@@ -155,6 +158,7 @@
             started_at: ctx.now,
             now: ctx.now,
             policy: None,
+            drains: AppliedDrains::default(),
             loader: Loader::default(),
             jobs: BTreeMap::new(),
             uncharged: Vec::new(),
@@ -263,7 +267,8 @@
     }
 
     /// Runs a scheduling pass if one is due, sends start and advice calls, writes progress and
-    /// answers held queries. Nothing is started without a valid lease or without a desired state.
+    /// answers held queries. Nothing is started without a valid lease or a desired state, or while the
+    /// requests to drain domains are not known to be recent.
     pub(crate) fn run_due_work(&mut self, ctx: &mut Ctx, state: Option<&Rc<DesiredState>>) {
         self.now = ctx.now;
         if let Some(state) = state {
@@ -272,7 +277,8 @@
         if !self.loader.is_done() {
             return;
         }
-        if let (Some(policy), true) = (self.policy.clone(), ctx.has_lead()) {
+        let may_start = ctx.has_lead() && self.may_start(ctx);
+        if let (Some(policy), true) = (self.policy.clone(), may_start) {
             self.start_due_work(ctx, &policy);
         }
         self.write_progress(ctx);
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -59,6 +59,14 @@
         &self.config
     }
 
+    /// Returns the number of drained failure domains; requests that are ignored do not count.
+    pub fn drained_domains(&self) -> usize {
+        match self.ctx.settings.drain_bound_ms {
+            Some(_) => self.config.drains().len(),
+            None => 0,
+        }
+    }
+
     /// Handles an event and returns the resulting effects.
     pub fn step(&mut self, now: Millis, unix_ms: u64, event: Event) -> Vec<Effect> {
         self.ctx.now = self.ctx.now.max(now);
@@ -301,6 +309,7 @@
     fn finish_step(&mut self) {
         let ctx = &mut self.ctx;
         if let Some(leader) = &mut self.leader {
+            leader.update_drains(ctx, &self.config);
             leader.run_due_work(ctx, self.config.current());
         }
         let link = match &self.leader {
