Identify a job's queue by its address everywhere

Pending jobs were counted by their queue's name at submission, so a queue that was removed and added again at its address under another name showed none of them. Counts, limits, starts, access and cancellation now go by one notion of a job's queue: the one at its recorded address, or else the one with its name. Waiting jobs of a queue that comes back with another service go to that service.

--- a/core/src/cell/desired.rs
+++ b/core/src/cell/desired.rs
@@ -1,6 +1,6 @@
 //! The desired state of a cell: queues, teams and limits on requests.
 
-use crate::{KeyName, Millis, QueueName, Resources, TeamName};
+use crate::{cell::queue_key::QueueKey, KeyName, Millis, QueueName, Resources, TeamName};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -116,6 +116,19 @@
         at.ok().map(|at| &self.queues[at])
     }
 
+    /// Returns the queue of a job: the one at the job's address or, if there is none, the one with its name.
+    pub(crate) fn queue_of(&self, key: &QueueKey) -> Option<&Queue> {
+        let named = self.queue(&key.name);
+        let Some(address) = &key.address else {
+            return named;
+        };
+        let is_there = |queue: &&Queue| queue.has_address(address);
+        let at_address = named.filter(is_there);
+        at_address
+            .or_else(|| self.queues.iter().find(is_there))
+            .or(named)
+    }
+
     /// Returns the team with a name.
     pub fn team(&self, name: &TeamName) -> Option<&Team> {
         self.teams.iter().find(|team| team.name == *name)
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -12,13 +12,13 @@
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::row_calls::RowCall,
         submissions::Submissions,
-        AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobAccess, JobRow,
-        JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowVersion, RpcId, Submission,
-        Table, ToLeader, ToMember,
+        AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, DesiredState, Effect,
+        JobAccess, JobRow, JobStateReply, LinkId, LogEvent, QueryId, Queue, QueueAddress, RowKey,
+        RowVersion, RpcId, Submission, Table, ToLeader, ToMember,
     },
     CallId, JobId, Millis, QueueName, TeamName,
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, rc::Rc};
 
 /// The number of hexadecimal digits in a job id.
 const JOB_ID_DIGITS: usize = 16;
@@ -29,6 +29,8 @@
     call: CallId,
     job: JobId,
     access: JobAccess,
+    /// The desired state by which the call was let in.
+    state: Rc<DesiredState>,
     cancels: bool,
     since: Millis,
     /// Whether the job's row was already read from the store for this call.
@@ -39,6 +41,8 @@
 #[derive(Debug, Default)]
 struct LeaderReport {
     counts: BTreeMap<QueueName, u64>,
+    /// The counts by address; `None` from a leader of an earlier version.
+    counts_at: Option<BTreeMap<QueueAddress, u64>>,
     closed: BTreeMap<QueueName, Millis>,
     at: Option<Millis>,
     ready: bool,
@@ -135,7 +139,16 @@
         }
         let team = team.map(|team| team.name.clone());
         let rest = &request.path[queue.path_prefix.len()..];
-        self.on_routed_call(ctx, submissions, call, queue, team, rest, request.verb);
+        self.on_routed_call(
+            ctx,
+            submissions,
+            call,
+            &state,
+            queue,
+            team,
+            rest,
+            request.verb,
+        );
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -144,6 +157,7 @@
         ctx: &mut Ctx,
         submissions: &mut Submissions,
         call: CallId,
+        state: &Rc<DesiredState>,
         queue: &Queue,
         team: Option<TeamName>,
         rest: &str,
@@ -170,6 +184,7 @@
                     call,
                     job,
                     access: JobAccess::new(queue, team),
+                    state: state.clone(),
                     cancels: verb == ClientVerb::Cancel,
                     since: ctx.now,
                     row_looked_up: false,
@@ -256,7 +271,11 @@
         if !self.report.ready || !self.report.at.is_some_and(is_recent) {
             return self.refuse(ctx, call, "no leader is heard");
         }
-        let count = self.report.counts.get(&queue.name).copied().unwrap_or(0);
+        let count = match &self.report.counts_at {
+            Some(counts) => counts.get(&queue.address()),
+            None => self.report.counts.get(&queue.name),
+        };
+        let count = count.copied().unwrap_or(0);
         self.answer(ctx, call, ClientAnswer::Count(count));
     }
 
@@ -339,6 +358,7 @@
             version,
             confirmed_ms,
             queued,
+            queued_at,
             ready,
             closed,
             ..
@@ -348,6 +368,10 @@
         };
         self.report = LeaderReport {
             counts: queued.into_iter().collect(),
+            counts_at: queued_at.map(|counts| {
+                let counts = counts.into_iter();
+                counts.map(|count| (count.address, count.pending)).collect()
+            }),
             closed: closed.into_iter().collect(),
             at: Some(ctx.now),
             ready,
--- a/core/src/cell/frontend/row_calls.rs
+++ b/core/src/cell/frontend/row_calls.rs
@@ -63,7 +63,9 @@
     }
 
     fn on_job_row(&mut self, ctx: &mut Ctx, query: LeaderQuery, row: JobRow, version: RowVersion) {
-        if !query.access.covers(&row) {
+        let queue = query.state.queue_of(&row.queue_key());
+        let queue = queue.or(row.queue_spec.as_deref());
+        if !query.access.covers(&row, queue) {
             return self.answer(ctx, query.call, ClientAnswer::NoJob);
         }
         if query.cancels {
--- a/core/src/cell/job_access.rs
+++ b/core/src/cell/job_access.rs
@@ -54,11 +54,12 @@
         }
     }
 
-    /// Returns whether a job is one of them.
-    pub fn covers(&self, job: &JobRow) -> bool {
+    /// Returns whether a job is one of them. `queue` is the queue that the job belongs to by the desired
+    /// state, if known.
+    pub fn covers(&self, job: &JobRow, queue: Option<&Queue>) -> bool {
         let is_of_team = job.team.is_none() || job.team == self.team;
         let open_queue = self.open_queue.as_deref();
-        is_of_team || open_queue.is_some_and(|queue| queue.has_job(job))
+        is_of_team || open_queue.is_some_and(|own| own.has_job(job, queue))
     }
 
     /// Returns an upper bound of the encoded size.
@@ -70,10 +71,17 @@
 }
 
 impl OpenQueue {
-    /// Returns whether a job was submitted to this queue, or to one with the same address.
-    fn has_job(&self, job: &JobRow) -> bool {
+    /// Returns whether a job belongs to this queue. While the job's queue by the desired state is unknown,
+    /// its name and its recorded address both count.
+    fn has_job(&self, job: &JobRow, queue: Option<&Queue>) -> bool {
         let has_same_address = |queue: &Queue| queue.is_at(&self.host, &self.path_prefix);
-        job.queue == self.name || job.queue_spec.as_deref().is_some_and(has_same_address)
+        match queue {
+            Some(queue) => has_same_address(queue),
+            None => {
+                let recorded = job.queue_spec.as_deref();
+                job.queue == self.name || recorded.is_some_and(has_same_address)
+            }
+        }
     }
 
     fn text_bytes(&self) -> usize {
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -167,7 +167,7 @@
             return ctx.log(event.with("reason", reason));
         }
         let id = row.id.clone();
-        let queue = row.queue.clone();
+        let queue = row.queue_key();
         let mut job = Job::new(ctx, row, version);
         job.surplus = !self.is_within_share(ctx.now, &job.row);
         let event = LogEvent::info("job_learned")
@@ -295,7 +295,7 @@
         };
         let former = std::mem::replace(&mut job.progress.state, state);
         if former == JobState::Pending && state != JobState::Pending {
-            let count = self.queued.entry(job.row.queue.clone()).or_default();
+            let count = self.queued.entry(job.row.queue_key()).or_default();
             *count = count.saturating_sub(1);
         }
     }
@@ -358,6 +358,8 @@
         for id in open {
             self.refresh_pending_steps(&id);
         }
+        // Steps may wait for the workers of a service that their queue no longer has.
+        self.pending.wake_all();
     }
 
     /// Ends the jobs with a task that, by the runs on record, has failed in all its attempts.
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -8,7 +8,7 @@
         leader::Leader,
         ConfigFeed, Effect, LinkId, LogEvent, MemberRow, RowVersion, ToMember,
     },
-    Millis, QueueName,
+    Millis,
 };
 use compact_str::CompactString;
 use std::collections::BTreeMap;
@@ -219,7 +219,7 @@
         self.members.heartbeat_lease = election.lease();
         self.members.last_heartbeat_at = now;
         self.members.next_heartbeat_at = now + consts::HEARTBEAT_INTERVAL_MS;
-        let queued: Vec<(QueueName, u64)> = self.queued_counts();
+        let (queued, queued_at) = self.queued_counts();
         let closed = self.closed_queues(ctx);
         let shares = self.members.by_host.values().map(|member| member.cpu_milli);
         let strongest_cpu_milli = shares.fold(ctx.settings.cpu_milli, u64::max);
@@ -229,6 +229,7 @@
             version: config.version(),
             confirmed_ms,
             queued: queued.clone(),
+            queued_at: Some(queued_at.clone()),
             ready: self.loader.is_done(),
             store_slow,
             strongest_cpu_milli,
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -57,11 +57,12 @@
             unsent_starts::UnsentStarts,
             worker_rpcs::{OpenWorkerRpc, RecordedStart},
         },
+        queue_key::QueueKey,
         term::Term,
         ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, RowVersion, RpcId, StoreReply,
         ToLeader,
     },
-    JobId, Millis, QueueName, Resources, TeamName,
+    JobId, Millis, Resources, TeamName,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -111,7 +112,7 @@
     used: BTreeMap<TeamName, Resources>,
     limit_reservations: LimitReservations,
     /// How many jobs of each queue have not started a task yet.
-    queued: BTreeMap<QueueName, u64>,
+    queued: BTreeMap<QueueKey, u64>,
     team_rates: TeamRateLimiter,
     advice: AdviceDispatcher,
     progress_writes: ProgressWrites,
--- a/core/src/cell/leader/pending.rs
+++ b/core/src/cell/leader/pending.rs
@@ -229,6 +229,16 @@
         true
     }
 
+    /// Lets the next passes examine all steps, except those that await the answer of a call for advice.
+    pub(crate) fn wake_all(&mut self) {
+        let awaits_advice = |step: &PendingStep| matches!(step.place, Place::Waiting(Wait::Advice));
+        let steps = self.steps.iter().filter(|(_, step)| !awaits_advice(step));
+        let keys: Vec<StepKey> = steps.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.wake(&key);
+        }
+    }
+
     fn wake_id(&mut self, id: PendingId) {
         if let Some(key) = self.keys.get(&id).cloned() {
             self.wake(&key);
--- a/core/src/cell/leader/policy.rs
+++ b/core/src/cell/leader/policy.rs
@@ -5,8 +5,8 @@
 //! neither starts nor ends anything that depends on it.
 
 use crate::{
-    cell::{leader::jobs::Job, AdviceCost, DesiredState, JobRow, Queue, Team},
-    QueueName, TeamName,
+    cell::{leader::jobs::Job, queue_key::QueueKey, AdviceCost, DesiredState, JobRow, Queue, Team},
+    TeamName,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,7 +18,7 @@
 pub(crate) struct Policy {
     state: Rc<DesiredState>,
     /// The queues of open jobs that the state lacks: accepted jobs run although their queue was removed.
-    removed: BTreeMap<QueueName, Queue>,
+    removed: BTreeMap<QueueKey, Queue>,
 }
 
 impl Policy {
@@ -35,7 +35,7 @@
         };
         let mut checked = BTreeSet::new();
         for row in open_jobs {
-            let former = previous.filter(|_| checked.insert(&row.queue));
+            let former = previous.filter(|_| checked.insert(row.queue_key()));
             let former = former.and_then(|previous| previous.queue(row));
             policy.keep(row, former);
         }
@@ -49,7 +49,7 @@
             return;
         }
         if let Some(queue) = former.or(row.queue_spec.as_deref()) {
-            self.removed.insert(row.queue.clone(), queue.clone());
+            self.removed.insert(row.queue_key(), queue.clone());
         }
     }
 
@@ -76,8 +76,14 @@
 
     /// Returns the queue of a job; `None` if it was removed and no definition of it is recorded.
     pub(crate) fn queue(&self, row: &JobRow) -> Option<&Queue> {
-        let current = self.state.queue(&row.queue);
-        current.or_else(|| self.removed.get(&row.queue))
+        self.queue_by(&row.queue_key())
+    }
+
+    /// Returns the queue with a key. One that was removed and added again under another name or with another
+    /// service is the new one: no desired state sends its jobs to the former service any more.
+    pub(crate) fn queue_by(&self, key: &QueueKey) -> Option<&Queue> {
+        let current = self.state.queue_of(key);
+        current.or_else(|| self.removed.get(key))
     }
 
     /// Returns the team with a name.
--- a/core/src/cell/leader/queries.rs
+++ b/core/src/cell/leader/queries.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     cell::{
-        consts, ctx::Ctx, leader::Leader, JobAccess, JobState, JobStateReply, LinkId, LogEvent,
-        QueryId, ToMember,
+        consts, ctx::Ctx, leader::Leader, JobAccess, JobRow, JobState, JobStateReply, LinkId,
+        LogEvent, QueryId, Queue, QueueAddress, QueueCount, ToMember,
     },
     JobId, Millis, QueueName,
 };
+use std::collections::BTreeMap;
 
 /// A query about an open job, whose answer is held for a short time because the job may end.
 #[derive(Debug)]
@@ -71,7 +72,10 @@
         id: &JobId,
         access: &JobAccess,
     ) {
-        let job = self.jobs.get(id).filter(|job| access.covers(&job.row));
+        let job = self
+            .jobs
+            .get(id)
+            .filter(|job| self.covers(access, &job.row));
         if self.loader.is_done() && job.is_some_and(|job| !job.visible_state().is_final()) {
             self.hold_query(ctx.now, link, query, id);
             return;
@@ -97,8 +101,11 @@
             let view = JobStateReply::Loading;
             return ctx.send_member(link, ToMember::State { query, view });
         }
-        let job = self.jobs.get_mut(id);
-        let Some(job) = job.filter(|job| access.covers(&job.row)) else {
+        let is_covered = self
+            .jobs
+            .get(id)
+            .is_some_and(|job| self.covers(access, &job.row));
+        let Some(job) = self.jobs.get_mut(id).filter(|_| is_covered) else {
             let view = JobStateReply::UnknownToLeader;
             return ctx.send_member(link, ToMember::State { query, view });
         };
@@ -113,12 +120,29 @@
         }
     }
 
-    /// Returns the number of pending jobs of each queue that has any.
-    pub(crate) fn queued_counts(&self) -> Vec<(QueueName, u64)> {
-        let waiting = self.queued.iter().filter(|(_, count)| **count > 0);
-        waiting
-            .map(|(name, count)| (name.clone(), *count))
-            .collect()
+    /// Returns the number of pending jobs of each queue that has any, by the queue's name and its address.
+    /// Jobs are counted at the queue that they belong to by the present desired state.
+    pub(crate) fn queued_counts(&self) -> (Vec<(QueueName, u64)>, Vec<QueueCount>) {
+        let mut by_name: BTreeMap<QueueName, u64> = BTreeMap::new();
+        let mut by_address: BTreeMap<QueueAddress, u64> = BTreeMap::new();
+        for (key, count) in self.queued.iter().filter(|(_, count)| **count > 0) {
+            let queue = self.policy.as_ref().and_then(|policy| policy.queue_by(key));
+            let name = queue.map_or(&key.name, |queue| &queue.name);
+            *by_name.entry(name.clone()).or_default() += count;
+            let address = queue.map(Queue::address).or_else(|| key.address.clone());
+            if let Some(address) = address {
+                *by_address.entry(address).or_default() += count;
+            }
+        }
+        let by_address = by_address.into_iter();
+        let counts = by_address.map(|(address, pending)| QueueCount { address, pending });
+        (by_name.into_iter().collect(), counts.collect())
+    }
+
+    /// Returns whether a job is one of those that a call may see and end.
+    fn covers(&self, access: &JobAccess, row: &JobRow) -> bool {
+        let queue = self.policy.as_ref().and_then(|policy| policy.queue(row));
+        access.covers(row, queue)
     }
 
     /// Returns the queues that refuse jobs, each with the delay before a retry; this version
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     cell::{
-        AdviceReply, DesiredState, FencingToken, JobAccess, JobRow, JobState, QueryId, RowVersion,
-        StepKey,
+        AdviceReply, DesiredState, FencingToken, JobAccess, JobRow, JobState, QueryId, QueueCount,
+        RowVersion, StepKey,
     },
     JobId, Millis, QueueName, WorkerId,
 };
@@ -109,8 +109,11 @@
         /// The send time of the receiver's latest ping after which this version was confirmed as
         /// the newest.
         confirmed_ms: Option<Millis>,
-        /// The number of pending jobs of each queue that has some.
+        /// The number of pending jobs of each queue that has some, for receivers of earlier versions.
         queued: Vec<(QueueName, u64)>,
+        /// The same by address, which is what identifies a queue; `None` from earlier versions.
+        #[serde(default)]
+        queued_at: Option<Vec<QueueCount>>,
         /// Whether the leader has read all records.
         ready: bool,
         /// Whether the store is slow for the leader; members then read from the store, so that
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -24,6 +24,7 @@
 mod message;
 mod node;
 mod progress;
+mod queue_key;
 mod row_size;
 mod settings;
 mod store;
@@ -49,6 +50,7 @@
     message::{JobStateReply, SubmitOutcome, ToLeader, ToMember},
     node::Node,
     progress::{JobState, Placement, Progress, StepProgress},
+    queue_key::{QueueAddress, QueueCount},
     settings::{CellSettings, CellSettingsBuilder},
     store::{MemberRow, Row, RowKey, RowValue, StoreCall, StoreReply, Table, TermRow, Write},
     task_key::{StepKey, TaskKey},
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -440,7 +440,9 @@
 }
 
 /// Returns whether two jobs with one id are the same submission, regardless of when they came in: the
-/// later caller may see the earlier job, whose key it need not show if the queue has become open.
+/// later caller may see the earlier job, whose key it need not show if the queue has become open. A queue
+/// counts as the same by its address or its name: a retry after the queue has moved must not be refused as
+/// not run.
 fn is_same_submission(earlier: &JobRow, job: &JobRow) -> bool {
     let has_same_address = match (&earlier.queue_spec, &job.queue_spec) {
         (Some(earlier), Some(queue)) => earlier.is_at(&queue.host, &queue.path_prefix),
@@ -449,5 +451,5 @@
     let is_same_queue = earlier.queue == job.queue || has_same_address;
     is_same_queue
         && earlier.submission == job.submission
-        && JobAccess::of_submitter(job).covers(earlier)
+        && JobAccess::of_submitter(job).covers(earlier, None)
 }
--- a/core/src/cell/withdrawal.rs
+++ b/core/src/cell/withdrawal.rs
@@ -23,7 +23,8 @@
 
     /// Returns whether a caller that may end the job has cancelled it.
     pub fn covers(&self, job: &JobRow) -> bool {
-        self.by.iter().any(|access| access.covers(job))
+        let queue = job.queue_spec.as_deref();
+        self.by.iter().any(|access| access.covers(job, queue))
     }
 
     /// Returns an upper bound of the encoded size of the callers' access.
--- a/core/tests/cell_worker_kinds.rs
+++ b/core/tests/cell_worker_kinds.rs
@@ -5,7 +5,7 @@
 
 mod cell_world;
 
-use cell_world::{desired, queue, queue_with_advice, starts_of, step, WriteKind, World};
+use cell_world::{desired, queue, queue_with_advice, starts_of, step, World, WriteKind};
 use pomelotide_core::{
     cell::{Incarnation, Queue, RowValue, StepSpec, Table, WorkerEntry},
     WorkerId,
@@ -58,7 +58,10 @@
 fn starts_on(world: &World, job: u64, id: &WorkerId) -> usize {
     let name = format!("{job:016x}");
     let starts = &world.workers[id].starts;
-    starts.iter().filter(|start| start.1.starts_with(&name)).count()
+    starts
+        .iter()
+        .filter(|start| start.1.starts_with(&name))
+        .count()
 }
 
 /// Guards against a task on a worker without the label that it requires, because the worker's entry is that
@@ -137,7 +140,10 @@
     world.run(1_000);
     let polls = world.workers[&id].polls;
     world.run(6_000);
-    assert!(world.workers[&id].polls >= polls + 2, "{polls} polls before");
+    assert!(
+        world.workers[&id].polls >= polls + 2,
+        "{polls} polls before"
+    );
 }
 
 /// Guards against the start of a recorded placement on a worker that has become another kind meanwhile.
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -880,7 +880,12 @@
 
     /// Asks for a job's state at a daemon and waits for the answer.
     pub fn state(&mut self, at: usize, job: u64) -> ClientAnswer {
-        let call = self.call(at, format!("{PREFIX}{job:016x}"), ClientVerb::Get);
+        self.state_at(PREFIX, at, job)
+    }
+
+    /// Asks for a job's state as [`Self::state`], at the queue with this prefix.
+    pub fn state_at(&mut self, prefix: &str, at: usize, job: u64) -> ClientAnswer {
+        let call = self.call(at, format!("{prefix}{job:016x}"), ClientVerb::Get);
         for _ in 0..100 {
             self.run(30);
             if let Some(answer) = self.answers.remove(&call) {
