--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -4,21 +4,23 @@
 //! are recorded in the store. Queries go to the leader, or to the store if the leader does not
 //! answer.
 
+mod leader_report;
 mod row_calls;
 
 use crate::{
     cell::{
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
-        frontend::row_calls::RowCall,
+        frontend::{leader_report::LeaderReport, row_calls::RowCall},
+        row_size::SizeCheck,
         submissions::Submissions,
-        AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, Effect, JobAccess, JobRow,
-        JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowVersion, RpcId, Submission,
-        Table, ToLeader, ToMember,
+        AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, DesiredState, Effect,
+        JobAccess, JobRow, JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowVersion,
+        RpcId, Submission, Table, ToLeader, ToMember,
     },
     CallId, JobId, Millis, QueueName, TeamName,
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, rc::Rc};
 
 /// The number of hexadecimal digits in a job id.
 const JOB_ID_DIGITS: usize = 16;
@@ -29,21 +31,14 @@
     call: CallId,
     job: JobId,
     access: JobAccess,
+    /// The desired state by which the call was let in.
+    state: Rc<DesiredState>,
     cancels: bool,
     since: Millis,
     /// Whether the job's row was already read from the store for this call.
     row_looked_up: bool,
 }
 
-/// The contents of the leader's latest heartbeat.
-#[derive(Debug, Default)]
-struct LeaderReport {
-    counts: BTreeMap<QueueName, u64>,
-    closed: BTreeMap<QueueName, Millis>,
-    at: Option<Millis>,
-    ready: bool,
-}
-
 /// The open calls of clients at one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct Frontend {
@@ -135,7 +130,16 @@
         }
         let team = team.map(|team| team.name.clone());
         let rest = &request.path[queue.path_prefix.len()..];
-        self.on_routed_call(ctx, submissions, call, queue, team, rest, request.verb);
+        self.on_routed_call(
+            ctx,
+            submissions,
+            call,
+            &state,
+            queue,
+            team,
+            rest,
+            request.verb,
+        );
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -144,6 +148,7 @@
         ctx: &mut Ctx,
         submissions: &mut Submissions,
         call: CallId,
+        state: &Rc<DesiredState>,
         queue: &Queue,
         team: Option<TeamName>,
         rest: &str,
@@ -170,6 +175,7 @@
                     call,
                     job,
                     access: JobAccess::new(queue, team),
+                    state: state.clone(),
                     cancels: verb == ClientVerb::Cancel,
                     since: ctx.now,
                     row_looked_up: false,
@@ -221,12 +227,22 @@
             accepted_unix_ms: ctx.unix_ms,
             queue_spec: Some(Box::new(queue.clone())),
         };
-        if let Some(fault) = job.size_error(ctx.settings.max_value_bytes()) {
-            let event = LogEvent::warn("job_malformed").with("job", &job.id);
-            ctx.log(event.with("reason", fault));
-            return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
+        match job.check_size(
+            ctx.settings.max_value_bytes(),
+            self.report.worker_id_bytes(ctx.now),
+        ) {
+            SizeCheck::Fits => submissions.add_client(ctx, self, call, job),
+            SizeCheck::TooLarge(fault) => {
+                let event = LogEvent::warn("job_malformed").with("job", &job.id);
+                ctx.log(event.with("reason", fault));
+                self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
+            }
+            SizeCheck::Undecided => {
+                let event = LogEvent::warn("job_undecided").with("job", &job.id);
+                ctx.log(event.with("reason", "ids unknown"));
+                self.refuse(ctx, call, "the length of the workers' ids is unknown");
+            }
         }
-        submissions.add_client(ctx, self, call, job);
     }
 
     /// Returns why a submission is refused and the delay before a retry, or `None` if it is not.
@@ -256,7 +272,7 @@
         if !self.report.ready || !self.report.at.is_some_and(is_recent) {
             return self.refuse(ctx, call, "no leader is heard");
         }
-        let count = self.report.counts.get(&queue.name).copied().unwrap_or(0);
+        let count = self.report.pending_jobs(queue);
         self.answer(ctx, call, ClientAnswer::Count(count));
     }
 
@@ -339,6 +355,8 @@
             version,
             confirmed_ms,
             queued,
+            queued_at,
+            worker_id_bytes,
             ready,
             closed,
             ..
@@ -348,7 +366,12 @@
         };
         self.report = LeaderReport {
             counts: queued.into_iter().collect(),
+            counts_at: queued_at.map(|counts| {
+                let counts = counts.into_iter();
+                counts.map(|count| (count.address, count.pending)).collect()
+            }),
             closed: closed.into_iter().collect(),
+            worker_id_bytes,
             at: Some(ctx.now),
             ready,
         };
