Ask again for the first advice of a step after its calls were withdrawn

A step that waits for its first advice is not among the pending ones, so nothing examined it any more once its unsent calls were withdrawn because they named workers of a drained domain.

--- a/core/src/cell/leader/drains.rs
+++ b/core/src/cell/leader/drains.rs
@@ -196,6 +196,8 @@
             if is_moot {
                 self.release_awaited(&key);
                 self.withdraw_requests(&key);
+                // A step that waits for its first advice is not pending.
+                self.refresh_pending_steps(&key.job);
                 self.unsent_starts.reschedule(&key, self.now);
                 self.pending.wake(&key);
                 withdrawn += 1;
--- a/core/tests/cell_domain_drains.rs
+++ b/core/tests/cell_domain_drains.rs
@@ -307,6 +307,36 @@
     assert!(dropped > 0 && withdrawn > 0, "{dropped} {withdrawn}");
 }
 
+/// Guards against steps that wait for no call for advice any more, and for nothing else, after the calls that
+/// they waited for were withdrawn because they named drained workers.
+#[test]
+fn steps_with_withdrawn_calls_for_advice_start_elsewhere() {
+    for size in [1, 3] {
+        let mut world = world_in_domains(9, queue_with_advice(200_000, 1_000, 2_000));
+        world.advice_ms = 200;
+        for job in 1..20 {
+            let tasks = match job % 2 {
+                0 => gang(1 + size, 1_000),
+                _ => step(size, 1_000),
+            };
+            world.submit(0, job, vec![tasks]);
+        }
+        world.run(300);
+        world.store.drain("z0");
+        world.run(30_000);
+        let applied = world.lines.iter().map(|(_, _, line)| line);
+        let mut applied = applied.filter(|line| line.event == "drain_applied");
+        let is_withdrawn = |(name, count): &(&str, _)| *name == "calls_withdrawn" && *count != "0";
+        assert!(applied.any(|line| line
+            .fields
+            .iter()
+            .any(|field| is_withdrawn(&(field.0, field.1.as_str())))));
+        for job in 1..20 {
+            world.assert_state(0, job, JobState::Completed);
+        }
+    }
+}
+
 /// Guards against a start call without an answer that is repeated in a domain drained meanwhile.
 #[test]
 fn a_lost_start_is_not_repeated_in_the_domain() {
