--- a/core/tests/cell_domain_drains.rs
+++ b/core/tests/cell_domain_drains.rs
@@ -6,10 +6,12 @@
 
 use cell_world::{
     calls::{CallFault, CallKind},
-    desired, gang, queue, queue_with_advice, step, World,
+    desired, gang, queue, queue_with_advice,
+    seeds::{env_number, Rng},
+    step, World,
 };
 use pomelotide_core::{
-    cell::{JobState, Queue, RowValue, Table},
+    cell::{ClientAnswer, JobState, Queue, RowValue, Table},
     Millis,
 };
 
@@ -406,3 +408,87 @@
         assert_eq!(starts_in(&world, 1, restored_at), 40);
     }
 }
+
+/// Requests or withdraws a drain, or begins or ends another fault that concerns the requests.
+fn change_something(world: &mut World, rng: &mut Rng, drains: &mut Vec<(usize, u64, u64)>) {
+    let domain = rng.below(DOMAINS as u64) as usize;
+    let name = format!("z{domain}");
+    let open = drains
+        .iter_mut()
+        .find(|own| own.0 == domain && own.2 == u64::MAX);
+    let daemon = rng.below(DAEMONS as u64) as usize;
+    match (rng.below(9), open) {
+        (0..=3, None) => {
+            world.store.drain(&name);
+            drains.push((domain, world.now, u64::MAX));
+        }
+        (0..=2, Some(drain)) => {
+            world.store.restore(&name);
+            drain.2 = world.now;
+        }
+        (4, _) => world.store.history_gone = world.store.version(),
+        (5, _) => world.store.lost_state_reads += rng.below(6) as usize,
+        (6, _) => world.store.state_reads_lost ^= true,
+        (7, _) if world.is_running(daemon) => world.kill(daemon),
+        (7, _) => world.start(daemon),
+        _ => {}
+    }
+}
+
+/// Guards against a start after the bound and accepted jobs that do not end, after any series of drains, lost
+/// reads and kills. `SEED` sets the first seed and `SEEDS` the number of seeds.
+#[test]
+fn any_series_of_drains_keeps_the_bound_and_loses_no_job() {
+    let first = env_number("SEED").unwrap_or(0);
+    let mut late_in_drain = 0;
+    for seed in first..first + env_number("SEEDS").unwrap_or(30) {
+        let mut rng = Rng(seed * 7_919 + 3);
+        let advised = queue_with_advice(100_000 + rng.below(4) * 100_000, 1_000, 2_000);
+        let mut world = world_in_domains(9, [queue(), advised][rng.below(2) as usize].clone());
+        world.advice_ms = 100 + rng.below(4) * 100;
+        world.store_ms = 5 + rng.below(3) * 60;
+        let (mut drains, mut calls) = (Vec::new(), Vec::new());
+        for job in 0..100 {
+            let count = 1 + rng.below(4) as u32;
+            let tasks = [step(count, 1_000), gang(count + 1, 1_500)][rng.below(2) as usize].clone();
+            let at = rng.below(DAEMONS as u64) as usize;
+            calls.push((job, world.submit(at, job, vec![tasks])));
+            world.run(rng.below(400));
+            if rng.one_in(5) {
+                change_something(&mut world, &mut rng, &mut drains);
+            }
+        }
+        world.store.state_reads_lost = false;
+        world.store.lost_state_reads = 0;
+        for domain in 0..DOMAINS {
+            world.store.restore(&format!("z{domain}"));
+        }
+        drains
+            .iter_mut()
+            .for_each(|own| own.2 = own.2.min(world.now));
+        for at in (0..DAEMONS)
+            .filter(|at| !world.is_running(*at))
+            .collect::<Vec<_>>()
+        {
+            world.start(at);
+        }
+        world.run(60_000);
+        for (worker, task, _, at) in world.starts() {
+            let domain = world.domain_of_worker(&worker);
+            let is_late = |(own, since, until): &&(usize, u64, u64)| {
+                *own == domain && at > since + BOUND_MS && at < *until
+            };
+            let late = drains.iter().find(is_late);
+            assert_eq!(late, None, "seed {seed}: {task} starts at {at} in {domain}");
+        }
+        late_in_drain += drains.iter().filter(|own| own.2 > own.1 + BOUND_MS).count();
+        for (job, call) in calls {
+            if world.answers.get(&call) == Some(&ClientAnswer::Accepted) {
+                let state = world.state(0, job);
+                let completed = ClientAnswer::State(JobState::Completed);
+                assert_eq!(state, completed, "seed {seed}: job {job}");
+            }
+        }
+    }
+    assert!(late_in_drain > 0, "no drain outlasts the bound");
+}
