--- a/core/tests/cell_domain_drains.rs
+++ b/core/tests/cell_domain_drains.rs
@@ -369,6 +369,7 @@
     for (lost, is_held) in [(1, false), (3, true)] {
         let mut world = world_in_domains(6, queue());
         world.store.max_follow_wait_ms = 1_000;
+        world.run(3_000);
         world.store.lost_state_reads = lost * DAEMONS;
         submit_for(&mut world, 1, 12_000);
         assert_eq!(world.count("starts_held") > 0, is_held, "{lost} lost reads");
