--- a/core/tests/cell_domain_drains.rs
+++ b/core/tests/cell_domain_drains.rs
@@ -6,10 +6,12 @@
 
 use cell_world::{
     calls::{CallFault, CallKind},
-    desired, gang, queue, queue_with_advice, step, World,
+    desired, gang, queue, queue_with_advice,
+    seeds::{env_number, Rng},
+    step, World,
 };
 use pomelotide_core::{
-    cell::{JobState, Queue, RowValue, Table},
+    cell::{ClientAnswer, JobState, Queue, RowValue, Table},
     Millis,
 };
 
@@ -223,11 +225,13 @@
     }
 }
 
-/// Guards against a set that does not end with the last of several quick changes, seen one by one or at once.
+/// Guards against a set that does not end with the last of several quick changes, seen one by one, at once or
+/// in several answers.
 #[test]
 fn the_last_of_quick_changes_counts() {
-    for gap_ms in [0, 1, 150, 400] {
+    for (gap_ms, page_rows) in [(0, 500), (0, 1), (1, 500), (150, 500), (400, 500)] {
         let mut world = world_in_domains(6, queue());
+        world.store.page_rows = page_rows;
         for _ in 0..3 {
             world.store.drain("z1");
             world.run(gap_ms);
@@ -241,8 +245,8 @@
         world.run(3_000);
         let changed_at = world.now;
         submit_for(&mut world, 1, 1_500);
-        assert!(starts_in(&world, 1, changed_at) > 0, "gap {gap_ms}");
-        assert_eq!(starts_in(&world, 2, changed_at), 0, "gap {gap_ms}");
+        let started = [1, 2].map(|at| starts_in(&world, at, changed_at) > 0);
+        assert_eq!(started, [true, false], "gap {gap_ms}, {page_rows} rows");
     }
 }
 
@@ -307,6 +311,36 @@
     assert!(dropped > 0 && withdrawn > 0, "{dropped} {withdrawn}");
 }
 
+/// Guards against steps that wait for no call for advice any more, and for nothing else, after the calls that
+/// they waited for were withdrawn because they named drained workers.
+#[test]
+fn steps_with_withdrawn_calls_for_advice_start_elsewhere() {
+    for size in [1, 3] {
+        let mut world = world_in_domains(9, queue_with_advice(200_000, 1_000, 2_000));
+        world.advice_ms = 200;
+        for job in 1..20 {
+            let tasks = match job % 2 {
+                0 => gang(1 + size, 1_000),
+                _ => step(size, 1_000),
+            };
+            world.submit(0, job, vec![tasks]);
+        }
+        world.run(300);
+        world.store.drain("z0");
+        world.run(30_000);
+        let applied = world.lines.iter().map(|(_, _, line)| line);
+        let mut applied = applied.filter(|line| line.event == "drain_applied");
+        let is_withdrawn = |(name, count): &(&str, _)| *name == "calls_withdrawn" && *count != "0";
+        assert!(applied.any(|line| line
+            .fields
+            .iter()
+            .any(|field| is_withdrawn(&(field.0, field.1.as_str())))));
+        for job in 1..20 {
+            world.assert_state(0, job, JobState::Completed);
+        }
+    }
+}
+
 /// Guards against a start call without an answer that is repeated in a domain drained meanwhile.
 #[test]
 fn a_lost_start_is_not_repeated_in_the_domain() {
@@ -334,6 +368,8 @@
 fn one_lost_read_holds_no_starts() {
     for (lost, is_held) in [(1, false), (3, true)] {
         let mut world = world_in_domains(6, queue());
+        world.store.max_follow_wait_ms = 1_000;
+        world.run(3_000);
         world.store.lost_state_reads = lost * DAEMONS;
         submit_for(&mut world, 1, 12_000);
         assert_eq!(world.count("starts_held") > 0, is_held, "{lost} lost reads");
@@ -376,3 +412,100 @@
         assert_eq!(starts_in(&world, 1, restored_at), 40);
     }
 }
+
+/// Requests or withdraws a drain, or begins or ends another fault that concerns the requests.
+fn change_something(world: &mut World, rng: &mut Rng, drains: &mut Vec<(usize, u64, u64)>) {
+    let domain = rng.below(DOMAINS as u64) as usize;
+    let name = format!("z{domain}");
+    let open = drains
+        .iter_mut()
+        .find(|own| own.0 == domain && own.2 == u64::MAX);
+    let daemon = rng.below(DAEMONS as u64) as usize;
+    match (rng.below(9), open) {
+        (0..=3, None) => {
+            world.store.drain(&name);
+            drains.push((domain, world.now, u64::MAX));
+        }
+        (0..=2, Some(drain)) => {
+            world.store.restore(&name);
+            drain.2 = world.now;
+        }
+        (4, _) => world.store.history_gone = world.store.version(),
+        (5, _) => world.store.lost_state_reads += rng.below(6) as usize,
+        (6, _) => world.store.state_reads_lost ^= true,
+        (7, _) if world.is_running(daemon) => world.kill(daemon),
+        (7, _) => world.start(daemon),
+        _ => {}
+    }
+}
+
+/// What a series of changes did.
+struct Series {
+    world: World,
+    /// Domain, begin and end of each drain.
+    drains: Vec<(usize, u64, u64)>,
+    /// The jobs that were submitted and their calls.
+    calls: Vec<(u64, u64)>,
+}
+
+fn run_series(seed: u64) -> Series {
+    let mut rng = Rng(seed * 7_919 + 3);
+    let advised = queue_with_advice(100_000 + rng.below(4) * 100_000, 1_000, 2_000);
+    let mut world = world_in_domains(9, [queue(), advised][rng.below(2) as usize].clone());
+    world.advice_ms = 100 + rng.below(4) * 100;
+    world.store_ms = 5 + rng.below(3) * 60;
+    let (mut drains, mut calls) = (Vec::new(), Vec::new());
+    for job in 0..100 {
+        let count = 1 + rng.below(4) as u32;
+        let tasks = [step(count, 1_000), gang(count + 1, 1_500)][rng.below(2) as usize].clone();
+        let at = rng.below(DAEMONS as u64) as usize;
+        calls.push((job, world.submit(at, job, vec![tasks])));
+        world.run(rng.below(400));
+        if rng.one_in(5) {
+            change_something(&mut world, &mut rng, &mut drains);
+        }
+    }
+    world.store.state_reads_lost = false;
+    world.store.lost_state_reads = 0;
+    (0..DOMAINS).for_each(|domain| world.store.restore(&format!("z{domain}")));
+    drains
+        .iter_mut()
+        .for_each(|own| own.2 = own.2.min(world.now));
+    let stopped: Vec<usize> = (0..DAEMONS).filter(|at| !world.is_running(*at)).collect();
+    stopped.into_iter().for_each(|at| world.start(at));
+    world.run(60_000);
+    Series {
+        world,
+        drains,
+        calls,
+    }
+}
+
+/// Guards against a start after the bound and accepted jobs that do not end, after any series of drains, lost
+/// reads and kills. `SEED` sets the first seed and `SEEDS` the number of seeds.
+#[test]
+fn any_series_of_drains_keeps_the_bound_and_loses_no_job() {
+    let first = env_number("SEED").unwrap_or(0);
+    let mut long_drains = 0;
+    for seed in first..first + env_number("SEEDS").unwrap_or(30) {
+        let mut series = run_series(seed);
+        let (world, drains) = (&mut series.world, series.drains);
+        for (worker, task, _, at) in world.starts() {
+            let domain = world.domain_of_worker(&worker);
+            let is_late = |(own, since, until): &&(usize, u64, u64)| {
+                *own == domain && at > since + BOUND_MS && at < *until
+            };
+            let late = drains.iter().find(is_late);
+            assert_eq!(late, None, "seed {seed}: {task} starts at {at} in {domain}");
+        }
+        long_drains += drains.iter().filter(|own| own.2 > own.1 + BOUND_MS).count();
+        for (job, call) in series.calls {
+            if world.answers.get(&call) == Some(&ClientAnswer::Accepted) {
+                let state = world.state(0, job);
+                let completed = ClientAnswer::State(JobState::Completed);
+                assert_eq!(state, completed, "seed {seed}: job {job}");
+            }
+        }
+    }
+    assert!(long_drains > 0, "no drain outlasts the bound");
+}
