Refuse jobs that can't start while their result is useful

The leader keeps the accepted work that waits by service and team and sends a table of it with its heartbeats. The daemon that receives a submission decides by it. A refusal takes the place of the job's row before it is answered, so that no earlier attempt is recorded later.

--- a/core/src/cell/ctx.rs
+++ b/core/src/cell/ctx.rs
@@ -158,7 +158,7 @@
             ..
         } = reply
         {
-            self.store_clock.observe(sent_at, *clock_ms);
+            self.store_clock.observe(sent_at, self.now, *clock_ms);
         }
         match reply {
             StoreReply::Refused(_) | StoreReply::Lost => self.store_failures += 1,
--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     cell::{
+        admission::{AdmissionGate, JobDemand, Verdict},
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::row_calls::RowCall,
@@ -53,6 +54,7 @@
     advice: BTreeMap<RpcId, QueryId>,
     leader: Option<LinkId>,
     report: LeaderReport,
+    admission: AdmissionGate,
     last_query: u64,
 }
 
@@ -62,6 +64,16 @@
         self.open_calls.len()
     }
 
+    /// Returns whether a client still waits for the answer to its call.
+    pub(crate) fn is_open(&self, call: CallId) -> bool {
+        self.open_calls.contains_key(&call)
+    }
+
+    /// Returns the longest expected wait of a new job, as the leader last reported it.
+    pub(crate) fn expected_wait_ms(&self, now: Millis) -> Option<Millis> {
+        self.admission.expected_wait_ms(now)
+    }
+
     pub(crate) fn set_leader(&mut self, link: Option<LinkId>) {
         self.leader = link;
     }
@@ -133,9 +145,19 @@
             ctx.log(event.with("version", state.version));
             return self.answer(ctx, call, ClientAnswer::BadKey);
         }
+        let weight = team.map(|team| team.weight);
         let team = team.map(|team| team.name.clone());
         let rest = &request.path[queue.path_prefix.len()..];
-        self.on_routed_call(ctx, submissions, call, queue, team, rest, request.verb);
+        self.on_routed_call(
+            ctx,
+            submissions,
+            call,
+            queue,
+            team,
+            weight,
+            rest,
+            request.verb,
+        );
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -146,6 +168,7 @@
         call: CallId,
         queue: &Queue,
         team: Option<TeamName>,
+        weight: Option<u64>,
         rest: &str,
         verb: ClientVerb,
     ) {
@@ -158,7 +181,17 @@
         };
         match verb {
             ClientVerb::Submit(submission) => {
-                self.submit(ctx, submissions, call, queue, team, job, *submission)
+                let weight = weight.unwrap_or(0);
+                self.submit(
+                    ctx,
+                    submissions,
+                    call,
+                    queue,
+                    team,
+                    weight,
+                    job,
+                    *submission,
+                )
             }
             ClientVerb::Malformed(reason) => {
                 let event = LogEvent::warn("job_malformed").with("job", job);
@@ -187,6 +220,7 @@
         call: CallId,
         queue: &Queue,
         team: Option<TeamName>,
+        weight: u64,
         id: JobId,
         submission: Submission,
     ) {
@@ -226,7 +260,26 @@
             ctx.log(event.with("reason", fault));
             return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
         }
-        submissions.add_client(ctx, self, call, job);
+        match self.check_load(ctx, queue, weight, &job) {
+            Some(verdict) => submissions.refuse_client(ctx, self, call, job, &verdict),
+            None => submissions.add_client(ctx, self, call, job),
+        }
+    }
+
+    /// Returns why a job is refused for load, or `None` if it is not. Without the store's clock no refusal
+    /// can be recorded.
+    fn check_load(
+        &mut self,
+        ctx: &mut Ctx,
+        queue: &Queue,
+        weight: u64,
+        job: &JobRow,
+    ) -> Option<Verdict> {
+        if !ctx.settings.admission || ctx.store_clock.at_most(ctx.now).is_none() {
+            return None;
+        }
+        let demand = JobDemand::new(queue, job.team.clone(), weight, &job.submission);
+        self.admission.check(ctx.now, &job.id, demand)
     }
 
     /// Returns why a submission is refused and the delay before a retry, or `None` if it is not.
@@ -341,11 +394,14 @@
             queued,
             ready,
             closed,
+            admission,
             ..
         } = message
         else {
             return;
         };
+        self.admission
+            .set_table(ctx.now, admission.map(|table| *table));
         self.report = LeaderReport {
             counts: queued.into_iter().collect(),
             closed: closed.into_iter().collect(),
--- /dev/null
+++ b/core/src/cell/leader/job_backlog.rs
@@ -0,0 +1,116 @@
+//! Keeps the backlog up to date with the jobs, and makes the table for the heartbeats.
+
+use crate::{
+    cell::{
+        admission::{useful_ms, AdmissionTable, WaitingJob},
+        ctx::Ctx,
+        leader::{jobs::Job, worker::Worker, Leader},
+        Queue,
+    },
+    JobId, Millis, TeamName,
+};
+use compact_str::CompactString;
+use std::collections::BTreeMap;
+
+impl Job {
+    /// Returns what the job adds to the backlog: nothing once it has ended.
+    fn waiting_work(&self) -> u64 {
+        if !self.is_open() {
+            return 0;
+        }
+        let steps = self.steps.iter().zip(&self.row.submission.steps);
+        let works = steps.map(|(step, spec)| {
+            let cpu_milli = u64::from(step.waiting()).saturating_mul(spec.need.cpu_milli);
+            cpu_milli.saturating_mul(spec.estimated_ms.0.max(1))
+        });
+        works.fold(0, u64::saturating_add)
+    }
+
+    fn waiting_job(&self, queue: &Queue) -> WaitingJob {
+        let chain_ms = self.row.submission.critical_path_ms();
+        let last_start_ms = useful_ms(queue, chain_ms).since(Millis(chain_ms));
+        WaitingJob {
+            service: queue.service.clone(),
+            team: self.row.team.clone(),
+            useful_start_at: self.accepted_at + last_start_ms,
+            work: 0,
+        }
+    }
+}
+
+impl Leader {
+    /// Updates the backlog after a change of a job's runs, done tasks or state. The service and the
+    /// latest useful start are those at the time when the leader learned of the job.
+    pub(crate) fn refresh_backlog(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let mut waiting = job.waiting.clone();
+        if waiting.service.is_empty() {
+            let state = self.state.as_ref();
+            let current = state.and_then(|state| state.queue(&job.row.queue));
+            let Some(queue) = current.or(job.row.queue_spec.as_deref()) else {
+                return;
+            };
+            waiting = job.waiting_job(queue);
+        }
+        waiting.work = job.waiting_work();
+        self.backlog.replace(&job.waiting, &waiting);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.waiting = waiting;
+        }
+    }
+
+    /// Returns the table of the waiting work; `None` while it is not known.
+    pub(crate) fn admission_table(&mut self, ctx: &Ctx) -> Option<Box<AdmissionTable>> {
+        if !ctx.settings.admission || !self.loader.is_done() {
+            return None;
+        }
+        let state = self.state.clone()?;
+        let capacities = self.capacities(ctx.now);
+        let weight = |name: Option<&TeamName>| {
+            let team = name.and_then(|name| state.team(name));
+            team.map_or(0, |team| team.weight)
+        };
+        let daemons = self.members.count();
+        let table = self.backlog.table(ctx.now, daemons, &capacities, weight);
+        self.expected_wait_ms = table.longest_wait_ms();
+        Some(Box::new(table))
+    }
+
+    /// Returns the processors of each service's workers that accept work, in thousandths of a core.
+    /// Workers that have not reported to this leader yet are included.
+    fn capacities(&self, now: Millis) -> BTreeMap<CompactString, u64> {
+        let accepts_work = |worker: &&Worker| {
+            let is_reachable = worker.listed && worker.failed_polls == 0;
+            is_reachable && !worker.entry.draining && now >= worker.quarantined_until
+        };
+        let mut capacities = BTreeMap::new();
+        let workers = self.fleet.iter().map(|(_, worker)| worker);
+        for worker in workers.filter(accepts_work) {
+            let sum: &mut u64 = match capacities.get_mut(&worker.entry.service) {
+                Some(sum) => sum,
+                None => capacities.entry(worker.entry.service.clone()).or_default(),
+            };
+            *sum = sum.saturating_add(worker.entry.capacity.cpu_milli);
+        }
+        capacities
+    }
+
+    /// Returns the longest expected wait of a new job of a team with waiting work, as of the last
+    /// heartbeat.
+    pub fn expected_wait_ms(&self) -> Millis {
+        self.expected_wait_ms
+    }
+
+    /// Returns how often the backlog was changed so far.
+    pub fn backlog_updates(&self) -> u64 {
+        self.backlog.updates()
+    }
+
+    /// Returns the waiting work as it is kept by event and as a count over all jobs gives it, in
+    /// thousandths of a core times milliseconds.
+    pub fn waiting_work(&self) -> (u64, u64) {
+        let counted = self.jobs.values().map(Job::waiting_work);
+        let counted = counted.fold(0, u64::saturating_add);
+        (self.backlog.total_work(), counted)
+    }
+}
--- a/core/src/cell/leader/jobs.rs
+++ b/core/src/cell/leader/jobs.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     cell::{
+        admission::WaitingJob,
         ctx::Ctx,
         leader::{step::Step, Leader},
         DesiredState, JobRow, JobState, JobStateReply, LinkId, LogEvent, Progress, QueryId, Queue,
@@ -32,6 +33,8 @@
     pub(crate) steps: Vec<Step>,
     /// Whether it exceeded its team's share when it arrived.
     pub(crate) surplus: bool,
+    /// Its contribution to the backlog.
+    pub(crate) waiting: WaitingJob,
     pub(crate) accepted_at: Millis,
     pub(crate) ended_at: Millis,
     /// Cancellations that are answered once the final state is stored.
@@ -62,6 +65,7 @@
             stored_state: JobState::Pending,
             steps,
             surplus: false,
+            waiting: WaitingJob::default(),
             accepted_at: ctx.now.since(Millis(age_ms)),
             ended_at: Millis(0),
             cancel_queries: Vec::new(),
@@ -158,6 +162,7 @@
         if let Some(state) = outdated {
             self.state = Some(self.with_queues_of_open_jobs(&state));
         }
+        self.refresh_backlog(&id);
         if self.loader.is_done() {
             self.refresh_pending_steps(&id);
         }
@@ -203,6 +208,7 @@
             };
             self.set_state(&id, state);
             self.adopt_placements(ctx, &id);
+            self.refresh_backlog(&id);
         }
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
@@ -338,6 +344,7 @@
             progress.checkpoints.clear();
         }
         self.set_state(id, state);
+        self.refresh_backlog(id);
         self.mark_edited(id);
         self.release_job_rooms(id);
         self.refresh_pending_steps(id);
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -321,7 +321,10 @@
                 let seen_at = ctx.now;
                 let id = JobId::new(&row.key.key);
                 let known = self.withdrawn.entry(id).or_insert((row.version, seen_at));
-                known.0 = known.0.max(row.version);
+                if row.version > known.0 {
+                    // A row that was written again is kept for the whole retention time.
+                    *known = (row.version, seen_at);
+                }
             }
             RowValue::Gone if table == Table::Jobs => {
                 self.withdrawn.remove(&JobId::new(&row.key.key));
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -47,6 +47,11 @@
 }
 
 impl Members {
+    /// Returns the number of daemons with a connection, this one included.
+    pub(crate) fn count(&self) -> u64 {
+        self.links().len() as u64 + 1
+    }
+
     pub(crate) fn links(&self) -> Vec<LinkId> {
         self.by_host
             .values()
@@ -221,6 +226,7 @@
         self.members.next_heartbeat_at = now + consts::HEARTBEAT_INTERVAL_MS;
         let queued: Vec<(QueueName, u64)> = self.queued_counts();
         let closed = self.closed_queues(ctx);
+        let admission = self.admission_table(ctx);
         let shares = self.members.by_host.values().map(|member| member.cpu_milli);
         let strongest_cpu_milli = shares.fold(ctx.settings.cpu_milli, u64::max);
         let heartbeat = |confirmed_ms| ToMember::Heartbeat {
@@ -233,6 +239,7 @@
             store_slow,
             strongest_cpu_milli,
             closed: closed.clone(),
+            admission: admission.clone(),
         };
         ctx.send_member(LOCAL_LINK, heartbeat(None));
         for member in self.members.by_host.values_mut() {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod gang_wait;
 mod gangs;
+mod job_backlog;
 mod jobs;
 mod kept_workers;
 mod limit_reservations;
@@ -37,6 +38,7 @@
 pub use crate::cell::leader::scheduling_work::SchedulingWork;
 use crate::{
     cell::{
+        admission::Backlog,
         consts,
         ctx::Ctx,
         election::Election,
@@ -107,6 +109,10 @@
     /// How many jobs of each queue have not started a task yet.
     queued: BTreeMap<QueueName, u64>,
     team_rates: TeamRateLimiter,
+    /// The accepted work that waits.
+    backlog: Backlog,
+    /// The longest expected wait in the last table of the backlog.
+    expected_wait_ms: Millis,
     advice: AdviceDispatcher,
     progress_writes: ProgressWrites,
     members: Members,
@@ -158,6 +164,8 @@
             limit_reservations: LimitReservations::default(),
             queued: BTreeMap::new(),
             team_rates: TeamRateLimiter::default(),
+            backlog: Backlog::default(),
+            expected_wait_ms: Millis(0),
             advice: AdviceDispatcher::new(token),
             progress_writes: ProgressWrites::default(),
             members: Members::default(),
--- a/core/src/cell/leader/runs.rs
+++ b/core/src/cell/leader/runs.rs
@@ -273,6 +273,7 @@
         let other_runs = job.steps[at].runs_of(task.index).to_vec();
         let is_job_done = job.steps.iter().all(Step::is_done);
         if changed {
+            self.refresh_backlog(id);
             self.mark_edited(id);
         }
         if is_job_done {
@@ -324,6 +325,7 @@
         let step = job.steps.get_mut(at)?;
         let number = run.number;
         step.remove_run(task.index, TaskRun { worker: ix, number });
+        self.refresh_backlog(id);
         self.save_checkpoint(task, gang, run.checkpoint.clone());
         // The recorded placement no longer holds.
         self.mark_edited(id);
@@ -393,6 +395,7 @@
             let number = run.number;
             step.add_run(task.index, TaskRun { worker: ix, number });
         }
+        self.refresh_backlog(&task.step.job);
         self.fleet.occupy(ix, run.need);
         self.fleet.get_mut(ix).runs.insert(task.clone(), run);
     }
--- a/core/src/cell/leader/schedule.rs
+++ b/core/src/cell/leader/schedule.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     cell::{
+        admission::USEFUL_FACTOR,
         consts,
         ctx::Ctx,
         leader::{
@@ -25,9 +26,6 @@
 pub(crate) const MAX_CLOCK_AGE_MS: Millis = Millis(6_000);
 /// How slow a worker's clock may run, as a divisor of the elapsed time: 2%.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
-/// By the terms of the service, a result is useful to its caller up to this multiple of the
-/// objective.
-const USEFUL_FACTOR: u64 = 3;
 /// Maximum number of steps that one pass examines; the others stay ready for the next one.
 const MAX_EXAMINED_STEPS: usize = 100;
 /// How many steps each tick examines in turn, whether or not a change was noticed.
--- a/core/src/cell/leader/step.rs
+++ b/core/src/cell/leader/step.rs
@@ -99,6 +99,11 @@
         self.count() > self.done + self.running
     }
 
+    /// Returns how many tasks that have not succeeded have no run.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.count() - self.done - self.running
+    }
+
     /// Returns the tasks that have not succeeded and have no run.
     pub(crate) fn tasks_without_run(&self) -> impl Iterator<Item = u32> + '_ {
         let tasks = (0..).zip(&self.tasks);
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     cell::{
-        AdviceReply, DesiredState, FencingToken, JobAccess, JobRow, JobState, QueryId, RowVersion,
-        StepKey,
+        AdmissionTable, AdviceReply, DesiredState, FencingToken, JobAccess, JobRow, JobState,
+        QueryId, RowVersion, StepKey,
     },
     JobId, Millis, QueueName, WorkerId,
 };
@@ -123,6 +123,10 @@
         /// The queues that refuse jobs because they can't finish in time, with the delay after
         /// which a client may retry.
         closed: Vec<(QueueName, Millis)>,
+        /// The accepted work that waits; `None` while the leader does not know it, and from leaders of
+        /// earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        admission: Option<Box<AdmissionTable>>,
     },
     /// Announces that the sender no longer leads, so that another daemon can take over at once.
     Resigned {
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -6,6 +6,7 @@
 //! it is accepted, and the end of a run before it is acknowledged. See
 //! docs/decisions/11-one-leader-a-cell.md.
 
+mod admission;
 mod client;
 mod config_feed;
 pub mod consts;
@@ -36,6 +37,11 @@
 mod worker_entry;
 
 pub use crate::cell::{
+    admission::{
+        decide, Admission, AdmissionGate, AdmissionTable, Backlog, JobDemand, PoolTable,
+        RefusalReason, RetryPlaces, TeamBacklog, TeamLoad, Verdict, WaitingJob, MAX_LISTED_TEAMS,
+        MAX_TABLE_AGE_MS,
+    },
     client::{ClientAnswer, ClientCall, ClientVerb},
     config_feed::ConfigFeed,
     desired::{AdviceCost, DesiredState, Queue, RequestLimits, Team},
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -54,6 +54,11 @@
         self.leader.as_deref()
     }
 
+    /// Returns the longest expected wait of a new job, by the leader's last table if it is recent.
+    pub fn expected_wait_ms(&self) -> Option<Millis> {
+        self.frontend.expected_wait_ms(self.ctx.now)
+    }
+
     /// Returns the feed of the desired state.
     pub fn config(&self) -> &ConfigFeed {
         &self.config
--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -24,6 +24,8 @@
     pub retention_ms: Millis,
     /// The most bytes of a row's value in the store, as base64.
     pub max_row_bytes: usize,
+    /// Whether jobs that can't start while their result is useful are refused.
+    pub admission: bool,
 }
 
 impl CellSettings {
@@ -50,6 +52,7 @@
             stop_grace_ms: Millis(6_000),
             retention_ms: Millis(120_000),
             max_row_bytes: 65_536,
+            admission: true,
         })
     }
 
@@ -89,6 +92,12 @@
         self
     }
 
+    /// Sets whether jobs that can't start while their result is useful are refused.
+    pub fn admission(mut self, enabled: bool) -> Self {
+        self.0.admission = enabled;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> CellSettings {
         self.0
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -3,11 +3,13 @@
 
 use crate::{
     cell::{
+        admission::Verdict,
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::Frontend,
         ClientAnswer, Effect, JobAccess, JobRow, LinkId, LogEvent, QueryId, Row, RowKey, RowValue,
-        RowVersion, RpcId, StoreCall, StoreReply, SubmitOutcome, Table, ToLeader, ToMember, Write,
+        RowVersion, RpcId, StoreCall, StoreReply, SubmitOutcome, Table, ToLeader, ToMember,
+        Withdrawal, Write,
     },
     CallId, JobId, Millis,
 };
@@ -26,12 +28,25 @@
     job: JobRow,
     waiters: Vec<Waiter>,
     submitted_at: Millis,
+    /// A time that the store's clock had reached when the submission came in.
+    received_ms: Option<Millis>,
     /// Whether a write without an answer may have recorded the job.
     maybe_written: bool,
     /// The version of the row in its place: zero, or that of a withdrawal by callers that may not end it.
     expected: RowVersion,
     /// The query to the leader to record the job, if one is open.
     relay_query: Option<QueryId>,
+    /// The refusal to record in place of the job, if it is refused for load.
+    refusal: Option<Refusal>,
+}
+
+/// A refusal for load, which is answered once it is recorded.
+#[derive(Clone, Debug)]
+struct Refusal {
+    reason: &'static str,
+    retry_after_ms: Millis,
+    /// The row that it replaces: cancellations by callers that may not end the job, or an earlier refusal.
+    replaced: Withdrawal,
 }
 
 impl PendingSubmission {
@@ -39,6 +54,32 @@
     fn may_be_recorded(&self) -> bool {
         self.maybe_written || self.relay_query.is_some()
     }
+
+    /// Returns the row to write: the job, or its refusal, which is recorded by `recorded_by` of the
+    /// store's clock or its answer counts as lost.
+    fn row_value(&self, recorded_by: Option<Millis>) -> RowValue {
+        match (&self.refusal, recorded_by) {
+            (Some(refusal), Some(time)) => {
+                RowValue::Withdrawn(Box::new(refusal.replaced.clone().with_refusal(time)))
+            }
+            // The clock is known where a job is refused.
+            (Some(_), None) | (None, _) => RowValue::Job(Box::new(self.job.clone())),
+        }
+    }
+
+    fn replaced(&self) -> Withdrawal {
+        let refusal = self.refusal.as_ref();
+        refusal.map_or_else(Withdrawal::default, |refusal| refusal.replaced.clone())
+    }
+
+    /// Returns whether a client of this daemon still waits for the outcome.
+    fn has_open_client(&self, frontend: &Frontend) -> bool {
+        let is_open = |waiter: &Waiter| match waiter {
+            Waiter::Client(call) => frontend.is_open(*call),
+            Waiter::Peer(..) => false,
+        };
+        self.waiters.iter().any(is_open)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -73,10 +114,16 @@
     IdTaken,
     /// A caller that may end the job has cancelled it.
     Withdrawn,
+    /// The job was refused, possibly after this submission came in.
+    RefusedLater,
     /// The write has to be repeated while the row has this version, or the job forwarded to the leader.
     Retry {
         maybe_written: bool,
         expected: RowVersion,
+        /// The row that has this version.
+        replaced: Withdrawal,
+        /// Whether the store answers, so that the write can be repeated at once.
+        store_answers: bool,
     },
 }
 
@@ -109,7 +156,26 @@
         call: CallId,
         job: JobRow,
     ) {
-        self.add(ctx, frontend, Waiter::Client(call), job);
+        self.add(ctx, frontend, Waiter::Client(call), job, None);
+    }
+
+    /// Records the refusal of a client's submission, so that no earlier attempt is recorded later, and
+    /// answers it then. A job that is recorded already is answered as accepted.
+    pub(crate) fn refuse_client(
+        &mut self,
+        ctx: &mut Ctx,
+        frontend: &mut Frontend,
+        call: CallId,
+        job: JobRow,
+        verdict: &Verdict,
+    ) {
+        log_refusal(ctx, &job, verdict);
+        let refusal = Refusal {
+            reason: verdict.reason.as_str(),
+            retry_after_ms: verdict.retry_after_ms,
+            replaced: Withdrawal::default(),
+        };
+        self.add(ctx, frontend, Waiter::Client(call), job, Some(refusal));
     }
 
     /// Adds a submission that another daemon forwarded.
@@ -121,10 +187,17 @@
         query: QueryId,
         job: JobRow,
     ) {
-        self.add(ctx, frontend, Waiter::Peer(link, query), job);
+        self.add(ctx, frontend, Waiter::Peer(link, query), job, None);
     }
 
-    fn add(&mut self, ctx: &mut Ctx, frontend: &mut Frontend, waiter: Waiter, job: JobRow) {
+    fn add(
+        &mut self,
+        ctx: &mut Ctx,
+        frontend: &mut Frontend,
+        waiter: Waiter,
+        job: JobRow,
+        refusal: Option<Refusal>,
+    ) {
         let number = partition_of(&job.id);
         let partition = self.partitions.entry(number).or_default();
         let open = partition.in_flight.as_mut().map(|(_, batch)| batch);
@@ -140,9 +213,11 @@
         let mut pending = PendingSubmission {
             waiters: vec![waiter],
             submitted_at: ctx.now,
+            received_ms: ctx.store_clock.at_least(ctx.now),
             maybe_written: false,
             expected: RowVersion(0),
             relay_query: None,
+            refusal,
             job,
         };
         if ctx.now < self.relay_until {
@@ -182,7 +257,8 @@
             .filter_map(|id| partition.waiting.remove(id))
             .collect();
         let key = |pending: &PendingSubmission| job_key(&pending.job.id);
-        let value = |pending: &PendingSubmission| RowValue::Job(Box::new(pending.job.clone()));
+        let recorded_by = ctx.store_clock.at_most(ctx.now + consts::STORE_TIMEOUT_MS);
+        let value = |pending: &PendingSubmission| pending.row_value(recorded_by);
         let write = Write {
             expect: batch
                 .iter()
@@ -222,7 +298,9 @@
             self.relay_until = ctx.now + consts::RELAY_DURATION_MS;
         }
         for pending in batch {
-            let result = write_result(&pending, &reply);
+            let has_open_client = pending.has_open_client(frontend);
+            let received = pending.received_ms.filter(|_| has_open_client);
+            let result = write_result(&pending, &reply, received);
             self.apply_result(ctx, frontend, number, pending, result);
         }
         if let (StoreReply::Refused(_), Some(partition)) =
@@ -242,6 +320,12 @@
         result: WriteResult,
     ) {
         match result {
+            WriteResult::Accepted {
+                earlier: None,
+                version,
+            } if pending.refusal.is_some() => {
+                answer_refused(ctx, frontend, &pending, version);
+            }
             WriteResult::Accepted { version, earlier } => {
                 answer_waiters(ctx, frontend, &pending, SubmitOutcome::Accepted);
                 let job = earlier.map_or(pending.job, |earlier| *earlier);
@@ -254,13 +338,23 @@
             WriteResult::Withdrawn => {
                 answer_waiters(ctx, frontend, &pending, SubmitOutcome::Withdrawn);
             }
+            WriteResult::RefusedLater => {
+                answer_waiters(ctx, frontend, &pending, SubmitOutcome::NotRun);
+            }
             WriteResult::Retry {
                 maybe_written,
                 expected,
+                replaced,
+                store_answers,
             } => {
                 pending.maybe_written |= maybe_written;
                 pending.expected = expected;
-                self.relay(ctx, &mut pending);
+                if let Some(refusal) = &mut pending.refusal {
+                    refusal.replaced = replaced;
+                }
+                if !store_answers {
+                    self.relay(ctx, &mut pending);
+                }
                 let partition = self.partitions.entry(number).or_default();
                 partition.waiting.insert(pending.job.id.clone(), pending);
             }
@@ -273,6 +367,9 @@
         let Some(link) = self.leader.filter(|link| *link != LOCAL_LINK) else {
             return;
         };
+        if pending.refusal.is_some() {
+            return;
+        }
         if pending
             .waiters
             .iter()
@@ -343,7 +440,9 @@
                 .map(|pending| pending.job.id.clone())
                 .collect();
             for pending in ids.iter().filter_map(|id| partition.waiting.remove(id)) {
-                let outcome = match pending.may_be_recorded() {
+                // Without a record of the refusal, an earlier attempt may still be recorded.
+                let is_open = pending.may_be_recorded() || pending.refusal.is_some();
+                let outcome = match is_open {
                     true => SubmitOutcome::Unknown,
                     false => SubmitOutcome::NotRun,
                 };
@@ -356,6 +455,51 @@
     }
 }
 
+fn log_refusal(ctx: &mut Ctx, job: &JobRow, verdict: &Verdict) {
+    let team = job.team.as_ref().map_or("-", |team| team.as_str());
+    let event = LogEvent::warn("job_refused")
+        .with("job", &job.id)
+        .with("queue", &job.queue)
+        .with("team", team)
+        .with("reason", verdict.reason.code());
+    let event = event
+        .with("expected_start_ms", verdict.expected_start_ms)
+        .with("last_useful_start_ms", verdict.last_useful_start_ms)
+        .with("retry_ms", verdict.retry_after_ms.0);
+    ctx.log(
+        event
+            .with("table", verdict.table_version)
+            .with("table_age_ms", verdict.table_age_ms.0),
+    );
+}
+
+/// Answers the waiters of a submission whose refusal is recorded.
+fn answer_refused(
+    ctx: &mut Ctx,
+    frontend: &mut Frontend,
+    pending: &PendingSubmission,
+    version: RowVersion,
+) {
+    let Some(refusal) = &pending.refusal else {
+        return;
+    };
+    let event = LogEvent::info("refusal_recorded").with("job", &pending.job.id);
+    let event = event.with("version", version);
+    ctx.log(event.with("waited_ms", ctx.now.since(pending.submitted_at).0));
+    for waiter in &pending.waiters {
+        match waiter {
+            Waiter::Client(call) => {
+                let answer = ClientAnswer::NotRun {
+                    reason: refusal.reason,
+                    retry_after_ms: refusal.retry_after_ms,
+                };
+                frontend.answer(ctx, *call, answer);
+            }
+            Waiter::Peer(..) => answer_waiter(ctx, frontend, *waiter, SubmitOutcome::NotRun),
+        }
+    }
+}
+
 fn answer_waiters(
     ctx: &mut Ctx,
     frontend: &mut Frontend,
@@ -404,10 +548,18 @@
     }
 }
 
-fn write_result(pending: &PendingSubmission, reply: &StoreReply) -> WriteResult {
-    let retry = |maybe_written, expected| WriteResult::Retry {
+/// Returns the result of a write for a submission that certainly came in when the store's clock had reached
+/// `received`; `None` if that is not known, or no client of this daemon waits for it any more.
+fn write_result(
+    pending: &PendingSubmission,
+    reply: &StoreReply,
+    received: Option<Millis>,
+) -> WriteResult {
+    let repeat = |maybe_written| WriteResult::Retry {
         maybe_written,
-        expected,
+        expected: pending.expected,
+        replaced: pending.replaced(),
+        store_answers: false,
     };
     match reply {
         StoreReply::Written(version) => WriteResult::Accepted {
@@ -417,25 +569,47 @@
         StoreReply::Conflict(rows) => {
             let key = job_key(&pending.job.id);
             let exists = |row: &&Row| row.key == key && row.version > RowVersion(0);
-            match rows.iter().find(exists) {
-                None => retry(false, RowVersion(0)),
-                Some(row) => match &row.value {
-                    RowValue::Withdrawn(withdrawal) if withdrawal.covers(&pending.job) => {
-                        WriteResult::Withdrawn
-                    }
-                    RowValue::Withdrawn(_) => retry(false, row.version),
-                    RowValue::Job(earlier) if is_same_submission(earlier, &pending.job) => {
-                        WriteResult::Accepted {
-                            version: row.version,
-                            earlier: Some(earlier.clone()),
-                        }
-                    }
-                    _ => WriteResult::IdTaken,
-                },
+            conflict_result(pending, rows.iter().find(exists), received)
+        }
+        StoreReply::Refused(_) => repeat(false),
+        _ => repeat(true),
+    }
+}
+
+/// Returns the result of a write that met another row, `found` in the place of the submission.
+fn conflict_result(
+    pending: &PendingSubmission,
+    found: Option<&Row>,
+    received: Option<Millis>,
+) -> WriteResult {
+    let retry = |expected, replaced| WriteResult::Retry {
+        maybe_written: false,
+        expected,
+        replaced,
+        store_answers: true,
+    };
+    let Some(row) = found else {
+        return retry(RowVersion(0), Withdrawal::default());
+    };
+    match &row.value {
+        RowValue::Withdrawn(withdrawal) if withdrawal.covers(&pending.job) => {
+            WriteResult::Withdrawn
+        }
+        RowValue::Withdrawn(withdrawal) => {
+            let is_known = row.version == pending.expected;
+            let may_replace = is_known || withdrawal.is_refused_before(received);
+            match may_replace || pending.refusal.is_some() {
+                true => retry(row.version, (**withdrawal).clone()),
+                false => WriteResult::RefusedLater,
+            }
+        }
+        RowValue::Job(earlier) if is_same_submission(earlier, &pending.job) => {
+            WriteResult::Accepted {
+                version: row.version,
+                earlier: Some(earlier.clone()),
             }
         }
-        StoreReply::Refused(_) => retry(false, pending.expected),
-        _ => retry(true, pending.expected),
+        _ => WriteResult::IdTaken,
     }
 }
 
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -150,6 +150,8 @@
     pub late_lists_ms: u64,
     /// The time that the reducers took, in seconds.
     pub step_s: f64,
+    /// Whether daemons that start from here on refuse jobs for load.
+    pub admission: bool,
     /// Faults of single calls to workers; each affects the first calls that it names.
     pub call_faults: Vec<CallFault>,
     pub random_call_faults: Option<RandomCallFaults>,
@@ -297,6 +299,7 @@
             late_write_ms: LATE_WRITE_MS,
             late_lists_ms: 0,
             step_s: 0.0,
+            admission: true,
             call_faults: Vec::new(),
             random_call_faults: None,
             cut_workers: BTreeSet::new(),
@@ -341,6 +344,7 @@
             CellSettingsBuilder::new(&format!("host-{at}"), "saiss", &self.daemons[at].address);
         let unix = self.unix_ms(at);
         let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
+        let settings = settings.admission(self.admission);
         let node = Node::new(settings.build(), Millis(self.now), unix);
         self.daemons[at].node = Some(node);
         self.daemons[at].process += 1;
@@ -467,6 +471,20 @@
         leader.map(Leader::scheduling_work).unwrap_or_default()
     }
 
+    /// Returns the waiting work that the present leader keeps, and the count over all its jobs.
+    pub fn waiting_work(&self) -> (u64, u64) {
+        let nodes = self.daemons.iter().filter_map(|own| own.node.as_ref());
+        let leader = nodes.into_iter().find_map(Node::leader);
+        leader.map(Leader::waiting_work).unwrap_or_default()
+    }
+
+    /// Returns how often the present leader has changed its backlog.
+    pub fn backlog_updates(&self) -> u64 {
+        let nodes = self.daemons.iter().filter_map(|own| own.node.as_ref());
+        let leader = nodes.into_iter().find_map(Node::leader);
+        leader.map(Leader::backlog_updates).unwrap_or_default()
+    }
+
     /// Returns whether a daemon is ready.
     pub fn is_ready(&self, at: usize) -> bool {
         self.daemons[at].ready
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -75,6 +75,7 @@
         .stop_grace_ms(settings.drain_grace_ms)
         .retention_ms(cell.retention_ms)
         .max_row_bytes(cell.max_row_bytes)
+        .admission(cell.admission)
         .build(),
         now(),
         unix_ms(),
--- a/daemon/src/cell/telemetry.rs
+++ b/daemon/src/cell/telemetry.rs
@@ -26,6 +26,11 @@
 /// Counts a log event and records its duration, if it has one.
 pub(crate) fn record_event(event: &LogEvent) {
     counter!("pomelotide_decisions_total", "event" => event.event).increment(1);
+    if event.event == "job_refused" {
+        let reason = event.fields.iter().find(|(field, _)| *field == "reason");
+        let reason = reason.map_or_else(String::new, |(_, reason)| reason.to_string());
+        counter!("pomelotide_jobs_refused_total", "reason" => reason).increment(1);
+    }
     let name = match event.event {
         "job_ended" => "pomelotide_job_ms",
         "advice_given" => "pomelotide_advice_ms",
@@ -45,6 +50,8 @@
 /// Sets the gauges of a daemon's state.
 pub(crate) fn set_gauges(node: &Node) {
     gauge!("pomelotide_config_version").set(node.config().version() as f64);
+    let expected_wait_ms = node.expected_wait_ms().unwrap_or_default();
+    gauge!("pomelotide_expected_wait_ms").set(expected_wait_ms.0 as f64);
     let Some(leader) = node.leader() else {
         gauge!("pomelotide_leads").set(0.0);
         return;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -49,6 +49,8 @@
     pub retention_ms: Millis,
     /// The most bytes of a row's value in the store, as base64.
     pub max_row_bytes: usize,
+    /// Whether jobs that can't start while their result is useful are refused.
+    pub admission: bool,
 }
 
 /// Builds [`Settings`] from defaults.
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldSpec; 16] = [
+const FIELDS: [FieldSpec; 17] = [
     FieldSpec {
         section: "daemon",
         name: "name",
@@ -130,6 +130,13 @@
         default: Some("65536"),
         meaning: "the most bytes of a row's value in the store, as base64",
     },
+    FieldSpec {
+        section: "cell",
+        name: "admission",
+        form: "on or off",
+        default: Some("on"),
+        meaning: "whether jobs that can't start while their result is useful are refused",
+    },
 ];
 
 /// Returns the settings reference as a table in Markdown.
@@ -328,9 +335,26 @@
             key_revocation_ms: duration_ms(self, "revoke", 5_000),
             retention_ms: duration_ms(self, "retention", 120_000),
             max_row_bytes: self.get("cell", "max_row_bytes").unwrap_or(65_536),
+            admission: self.is_on("cell", "admission", true),
         })
     }
 
+    /// Reads a field that is `on` or `off`.
+    fn is_on(&mut self, section: &str, name: &str, default: bool) -> bool {
+        let Some(field) = self.find(section, name) else {
+            return default;
+        };
+        match field.value.as_str() {
+            "on" => true,
+            "off" => false,
+            value => {
+                let text = format!("{name} = {value}: expected on or off");
+                self.problems.push(Problem::new(field.line, text));
+                default
+            }
+        }
+    }
+
     fn cpu_milli(&mut self) -> u64 {
         const WHOLE_CORE_MILLI: u64 = 1_000;
         match self.get::<f64>("cell", "cpu_share") {
