--- a/core/src/cell/admission/backlog.rs
+++ b/core/src/cell/admission/backlog.rs
@@ -30,7 +30,7 @@
         if new.work > 0 {
             let teams = self.services.entry(new.service.clone()).or_default();
             let team = teams.entry(new.team.clone()).or_default();
-            team.add(new.useful_start_at, new.work);
+            team.add(new);
         }
     }
 
@@ -42,8 +42,8 @@
             return;
         };
         if let Some(team) = teams.get_mut(&job.team) {
-            team.remove(job.useful_start_at, job.work);
-            if team.is_empty() {
+            team.remove(job);
+            if team.all().jobs == 0 {
                 teams.remove(&job.team);
             }
         }
@@ -61,19 +61,20 @@
     /// Returns all waiting work, late work included, in thousandths of a core times milliseconds.
     pub fn total_work(&self) -> u64 {
         let teams = self.services.values().flat_map(BTreeMap::values);
-        let works = teams.map(|team| team.useful_work().saturating_add(team.late_work()));
+        let works = teams.map(|team| team.all().work);
         works.fold(0, u64::saturating_add)
     }
 
     /// Returns the table for the next heartbeat. `capacities` holds the usable processors of each
-    /// service's workers, in thousandths of a core, and `weight` returns the weight of a team. Services
+    /// service's workers, in thousandths of a core, and `share` returns the weight of a team
+    /// and whether a further job of it would exceed its rate. Services
     /// without waiting work are left out.
     pub fn table(
         &mut self,
         now: Millis,
         daemons: u64,
         capacities: &BTreeMap<CompactString, u64>,
-        weight: impl Fn(Option<&TeamName>) -> u64,
+        share: impl Fn(Option<&TeamName>) -> (u64, bool),
     ) -> AdmissionTable {
         self.last_version += 1;
         let mut pools = Vec::new();
@@ -81,12 +82,16 @@
             let mut loads = Vec::new();
             for (name, team) in teams {
                 self.operations += 1 + team.advance(now);
+                let (weight, is_surplus) = share(name.as_ref());
+                let useful = team.useful();
                 loads.push(TeamLoad {
                     team: name.clone(),
-                    weight: weight(name.as_ref()).max(1),
-                    work: team.useful_work(),
-                    late_work: team.late_work(),
-                    jobs: team.useful_jobs(),
+                    weight: weight.max(1),
+                    work: useful.work,
+                    in_time_work: team.in_time().work,
+                    late_work: team.all().work.saturating_sub(useful.work),
+                    jobs: useful.jobs,
+                    is_surplus,
                 });
             }
             let capacity_milli = capacities.get(service).copied().unwrap_or(0);
--- a/core/src/cell/admission/decision.rs
+++ b/core/src/cell/admission/decision.rs
@@ -1,7 +1,9 @@
 //! Whether a job is accepted.
 
 use crate::{
-    cell::admission::{AdmissionTable, JobDemand, PoolTable, RefusalReason, MAX_TABLE_AGE_MS},
+    cell::admission::{
+        AdmissionTable, JobDemand, PoolTable, RefusalReason, MAX_TABLE_AGE_MS, USEFUL_FACTOR,
+    },
     Millis,
 };
 
@@ -40,9 +42,14 @@
     };
     let team = job.team.as_ref();
     let load = pool.load(team);
-    let bound_ms = last_useful_start_ms(job, load.map_or(0, |load| load.jobs));
     // The other daemons are assumed to accept as much as this one.
     let added = job.accepted_work.saturating_mul(table.daemons.max(1));
+    let is_surplus = load.is_some_and(|load| load.is_surplus);
+    if !is_surplus && pool.in_time_start_ms(team, job.weight, added) <= job.latest_start_ms() {
+        // Work that can end in time goes before all other work.
+        return Admission::Accept;
+    }
+    let bound_ms = last_useful_start_ms(job, load.map_or(0, |load| load.jobs));
     let expected_start_ms = pool.expected_start_ms(team, job.weight, added);
     if expected_start_ms <= bound_ms {
         return Admission::Accept;
@@ -76,6 +83,11 @@
 }
 
 impl JobDemand {
+    /// Returns the latest start with which the job can end in time.
+    fn latest_start_ms(&self) -> Millis {
+        Millis(self.useful_ms.0 / USEFUL_FACTOR).since(self.chain_ms)
+    }
+
     /// Returns how long the share of its team takes for its work, with as much work from each other
     /// daemon.
     pub(super) fn service_ms(&self, pool: &PoolTable, daemons: u64) -> Millis {
--- a/core/src/cell/admission/mod.rs
+++ b/core/src/cell/admission/mod.rs
@@ -7,6 +7,7 @@
 mod admission_table;
 mod backlog;
 mod decision;
+mod expiring_sum;
 mod gate;
 mod job_demand;
 mod pool_table;
--- a/core/src/cell/admission/pool_table.rs
+++ b/core/src/cell/admission/pool_table.rs
@@ -34,17 +34,31 @@
         self.teams.iter().find(|load| load.team.as_ref() == team)
     }
 
-    /// Returns after which time a new job of a team would start: when the team's work ahead of it is
-    /// done, given weighted max-min shares of the capacity. `added` is work of the team that the table
-    /// does not contain.
+    /// Returns after which time a new job of a team would start behind all useful work: when the team's
+    /// work is done, given weighted max-min shares of the capacity. `added` is work of the team that the
+    /// table does not contain.
     pub fn expected_start_ms(&self, team: Option<&TeamName>, weight: u64, added: u64) -> Millis {
+        self.wait_ms(team, weight, added, |load| load.work)
+    }
+
+    /// Returns after which time a new job of a team would start behind the work that can end in time.
+    pub fn in_time_start_ms(&self, team: Option<&TeamName>, weight: u64, added: u64) -> Millis {
+        self.wait_ms(team, weight, added, |load| load.in_time_work)
+    }
+
+    fn wait_ms(
+        &self,
+        team: Option<&TeamName>,
+        weight: u64,
+        added: u64,
+        work: impl Fn(&TeamLoad) -> u64,
+    ) -> Millis {
         let weight = u128::from(weight.max(1));
-        let own_work = self.load(team).map_or(0, |load| load.work);
-        let ahead = u128::from(own_work.saturating_add(added));
+        let ahead = u128::from(self.load(team).map_or(0, &work).saturating_add(added));
         // A team with weight v has done min(its work, ahead * v / weight) when this team's is done.
         let done_by_then = |load: &TeamLoad| {
             let fair = ahead.saturating_mul(u128::from(load.weight)) / weight;
-            fair.min(u128::from(load.work))
+            fair.min(u128::from(work(load)))
         };
         let others = self.teams.iter().filter(|load| load.team.as_ref() != team);
         let others = others.chain(std::iter::once(&self.rest)).map(done_by_then);
--- a/core/src/cell/leader/job_backlog.rs
+++ b/core/src/cell/leader/job_backlog.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cell::{
-        admission::{useful_ms, AdmissionTable, WaitingJob},
+        admission::{useful_ms, AdmissionTable, WaitingJob, USEFUL_FACTOR},
         ctx::Ctx,
         leader::{jobs::Job, worker::Worker, Leader},
         Queue,
@@ -28,11 +28,14 @@
 
     fn waiting_job(&self, queue: &Queue) -> WaitingJob {
         let chain_ms = self.row.submission.critical_path_ms();
-        let last_start_ms = useful_ms(queue, chain_ms).since(Millis(chain_ms));
+        let useful_ms = useful_ms(queue, chain_ms);
+        let start_within = |end_ms: Millis| self.accepted_at + end_ms.since(Millis(chain_ms));
+        let latest_start_at = start_within(Millis(useful_ms.0 / USEFUL_FACTOR));
         WaitingJob {
             service: queue.service.clone(),
             team: self.row.team.clone(),
-            useful_start_at: self.accepted_at + last_start_ms,
+            latest_start_at: (!self.surplus).then_some(latest_start_at),
+            useful_start_at: start_within(useful_ms),
             work: 0,
         }
     }
@@ -66,12 +69,16 @@
         }
         let state = self.state.clone()?;
         let capacities = self.capacities(ctx.now);
-        let weight = |name: Option<&TeamName>| {
-            let team = name.and_then(|name| state.team(name));
-            team.map_or(0, |team| team.weight)
+        let rates = &self.team_rates;
+        let share = |name: Option<&TeamName>| match name.and_then(|name| state.team(name)) {
+            Some(team) => (
+                team.weight,
+                team.weight > 0 && rates.is_exhausted(ctx.now, &team.name, team.weight),
+            ),
+            None => (0, false),
         };
         let daemons = self.members.count();
-        let table = self.backlog.table(ctx.now, daemons, &capacities, weight);
+        let table = self.backlog.table(ctx.now, daemons, &capacities, share);
         self.expected_wait_ms = table.longest_wait_ms();
         Some(Box::new(table))
     }
--- a/core/src/cell/leader/team_rate.rs
+++ b/core/src/cell/leader/team_rate.rs
@@ -22,6 +22,14 @@
 }
 
 impl TeamRateLimiter {
+    /// Returns whether a job of a team would be beyond its share now.
+    pub(crate) fn is_exhausted(&self, now: Millis, team: &TeamName, weight: u64) -> bool {
+        self.buckets.get(team).is_some_and(|bucket| {
+            let gained = now.since(bucket.refilled_at).0.saturating_mul(weight);
+            bucket.tokens_milli.saturating_add(gained) < MILLI_PER_JOB
+        })
+    }
+
     /// Charges a job to a team, whose weight is in jobs per second; returns whether the job is
     /// within the team's share.
     pub(crate) fn admit(&mut self, now: Millis, team: &TeamName, weight: u64) -> bool {
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -43,6 +43,7 @@
     WaitingJob {
         service: SERVICE.into(),
         team: team(name),
+        latest_start_at: None,
         useful_start_at,
         work: JOB_WORK,
     }
@@ -62,7 +63,7 @@
 
 fn table_of(backlog: &mut Backlog, now: Millis) -> AdmissionTable {
     let capacities = BTreeMap::from([(SERVICE.into(), CAPACITY_MILLI)]);
-    backlog.table(now, 1, &capacities, |_| 10)
+    backlog.table(now, 1, &capacities, |_| (10, true))
 }
 
 fn table(teams: &[(&str, u64)]) -> AdmissionTable {
@@ -132,7 +133,7 @@
         &demand("modest")
     ));
     let mut no_workers = backlog(&[("flood", 100 * JOBS_PER_S)]);
-    let no_workers = no_workers.table(START, 1, &BTreeMap::new(), |_| 10);
+    let no_workers = no_workers.table(START, 1, &BTreeMap::new(), |_| (10, true));
     assert!(!is_refused(&no_workers, &demand("flood")));
     let without_weight = JobDemand {
         weight: 0,
@@ -233,7 +234,7 @@
     let mut gate = AdmissionGate::default();
     let mut backlog = backlog(&[("flood", JOBS_PER_S)]);
     let capacities = BTreeMap::from([(SERVICE.into(), CAPACITY_MILLI)]);
-    let table = backlog.table(START, 3, &capacities, |_| 10);
+    let table = backlog.table(START, 3, &capacities, |_| (10, true));
     gate.set_table(START, Some(table));
     let flood = 0..100 * JOBS_PER_S;
     let accepted = flood.filter(|at| {
@@ -285,6 +286,25 @@
     assert_eq!(backlog.total_work(), 0);
 }
 
+/// Load: old work that is too late to end in time, and a team at its usual rate again. Guards against an
+/// overload that goes on after its cause is over, since new jobs that would start at once are refused.
+#[test]
+fn a_job_that_can_end_in_time_is_not_refused_for_work_that_can_not() {
+    let mut backlog = backlog(&[("flood", 20 * JOBS_PER_S)]);
+    let capacities = BTreeMap::from([(SERVICE.into(), CAPACITY_MILLI)]);
+    let mut table = |is_surplus| backlog.table(START, 1, &capacities, |_| (10, is_surplus));
+    assert!(is_refused(&table(true), &demand("flood")));
+    assert!(!is_refused(&table(false), &demand("flood")));
+    // Two seconds of work that can end in time are more than the job can wait for.
+    let mut recent = waiting("flood", START + Millis(60_000));
+    recent.latest_start_at = Some(START + Millis(1_500));
+    recent.work = 2_000 * CAPACITY_MILLI;
+    backlog.replace(&WaitingJob::default(), &recent);
+    let mut table = |now| backlog.table(now, 1, &capacities, |_| (10, false));
+    assert!(is_refused(&table(START), &demand("flood")));
+    assert!(!is_refused(&table(START + Millis(2_000)), &demand("flood")));
+}
+
 /// Load: 300 teams with waiting work. Guards against heartbeats that grow with the number of teams, and
 /// against work that is forgotten because its team is not listed.
 #[test]
