--- a/core/src/cell/admission/admission_table.rs
+++ b/core/src/cell/admission/admission_table.rs
@@ -1,7 +1,7 @@
 //! What the leader tells the daemons about the accepted work that waits.
 
 use crate::{
-    cell::admission::{PoolTable, TeamLoad, MAX_LISTED_TEAMS},
+    cell::admission::{PoolTable, MAX_LISTED_TEAMS},
     Millis,
 };
 use serde::{Deserialize, Serialize};
@@ -27,11 +27,7 @@
 
     /// Returns the longest time after which a new job of a listed team would start.
     pub fn longest_wait_ms(&self) -> Millis {
-        let waits = self.pools.iter().flat_map(|pool| {
-            let of_team =
-                |load: &TeamLoad| pool.expected_start_ms(load.team.as_ref(), load.weight, 0);
-            pool.teams.iter().map(of_team)
-        });
+        let waits = self.pools.iter().map(PoolTable::longest_wait_ms);
         waits.max().unwrap_or_default()
     }
 
--- a/core/src/cell/admission/gate.rs
+++ b/core/src/cell/admission/gate.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionGate {
     table: Option<(Millis, AdmissionTable)>,
+    /// The longest expected wait by this table.
+    longest_wait_ms: Millis,
     accepted: BTreeMap<TeamKey, u64>,
     places: RetryPlaces,
 }
@@ -40,15 +42,17 @@
 impl AdmissionGate {
     /// Replaces the table; `None` while the leader has none.
     pub fn set_table(&mut self, now: Millis, table: Option<AdmissionTable>) {
+        let longest_wait_ms = table.as_ref().map(AdmissionTable::longest_wait_ms);
+        self.longest_wait_ms = longest_wait_ms.unwrap_or_default();
         self.table = table.map(|table| (now, table));
         self.accepted.clear();
     }
 
     /// Returns the longest time after which a new job of a listed team would start, by a recent table.
     pub fn expected_wait_ms(&self, now: Millis) -> Option<Millis> {
-        let (at, table) = self.table.as_ref()?;
+        let (at, _) = self.table.as_ref()?;
         let is_recent = now.since(*at).0 <= MAX_TABLE_AGE_MS;
-        is_recent.then(|| table.longest_wait_ms())
+        is_recent.then_some(self.longest_wait_ms)
     }
 
     /// Decides on a submission; returns why it is refused, or `None` if it is accepted, and then counts
--- a/core/src/cell/admission/pool_table.rs
+++ b/core/src/cell/admission/pool_table.rs
@@ -46,6 +46,15 @@
         self.wait_ms(team, weight, added, |load| load.in_time_work)
     }
 
+    /// Returns the longest time after which a new job of a listed team would start: that of the team whose
+    /// work is done last.
+    pub fn longest_wait_ms(&self) -> Millis {
+        let loads = self.teams.iter().chain(std::iter::once(&self.rest));
+        let works = loads.map(|load| load.work);
+        let total = works.fold(0, u64::saturating_add);
+        Millis(total.checked_div(self.capacity_milli).unwrap_or(0))
+    }
+
     fn wait_ms(
         &self,
         team: Option<&TeamName>,
--- a/core/src/cell/leader/job_backlog.rs
+++ b/core/src/cell/leader/job_backlog.rs
@@ -79,7 +79,6 @@
         };
         let daemons = self.members.count();
         let table = self.backlog.table(ctx.now, daemons, &capacities, share);
-        self.expected_wait_ms = table.longest_wait_ms();
         Some(Box::new(table))
     }
 
@@ -102,12 +101,6 @@
         capacities
     }
 
-    /// Returns the longest expected wait of a new job of a team with waiting work, as of the last
-    /// heartbeat.
-    pub fn expected_wait_ms(&self) -> Millis {
-        self.expected_wait_ms
-    }
-
     /// Returns how many operations the backlog and its tables have taken so far.
     pub fn backlog_operations(&self) -> u64 {
         self.backlog.operations()
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -111,8 +111,6 @@
     team_rates: TeamRateLimiter,
     /// The accepted work that waits.
     backlog: Backlog,
-    /// The longest expected wait in the last table of the backlog.
-    expected_wait_ms: Millis,
     advice: AdviceDispatcher,
     progress_writes: ProgressWrites,
     members: Members,
@@ -165,7 +163,6 @@
             queued: BTreeMap::new(),
             team_rates: TeamRateLimiter::default(),
             backlog: Backlog::default(),
-            expected_wait_ms: Millis(0),
             advice: AdviceDispatcher::new(token),
             progress_writes: ProgressWrites::default(),
             members: Members::default(),
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -91,6 +91,7 @@
     assert!((1_990..=2_010).contains(&modest.0), "{modest}");
     let flood = pool.expected_start_ms(team("flood").as_ref(), 10, 0);
     assert!((20_900..=21_100).contains(&flood.0), "{flood}");
+    assert_eq!(table.longest_wait_ms(), flood);
 }
 
 /// Load: a burst of eight teams, none of which alone exceeds the fleet. Guards against a backlog that all
