--- a/core/src/cell/frontend.rs
+++ b/core/src/cell/frontend.rs
@@ -6,19 +6,20 @@
 
 mod leader_report;
 mod row_calls;
+mod submit;
 
 use crate::{
     cell::{
+        admission::AdmissionGate,
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::{leader_report::LeaderReport, row_calls::RowCall},
-        row_size::SizeCheck,
         submissions::Submissions,
         AdviceReply, ClientAnswer, ClientCall, ClientVerb, ConfigFeed, DesiredState, Effect,
         JobAccess, JobRow, JobStateReply, LinkId, LogEvent, QueryId, Queue, RowKey, RowVersion,
-        RpcId, Submission, Table, ToLeader, ToMember,
+        RpcId, Table, ToLeader, ToMember,
     },
-    CallId, JobId, Millis, QueueName, TeamName,
+    CallId, JobId, Millis, TeamName,
 };
 use std::{collections::BTreeMap, rc::Rc};
 
@@ -48,6 +49,7 @@
     advice: BTreeMap<RpcId, QueryId>,
     leader: Option<LinkId>,
     report: LeaderReport,
+    admission: AdmissionGate,
     last_query: u64,
 }
 
@@ -57,6 +59,16 @@
         self.open_calls.len()
     }
 
+    /// Returns whether a client still waits for the answer to its call.
+    pub(crate) fn is_open(&self, call: CallId) -> bool {
+        self.open_calls.contains_key(&call)
+    }
+
+    /// Returns the longest expected wait of a new job, as the leader last reported it.
+    pub(crate) fn expected_wait_ms(&self, now: Millis) -> Option<Millis> {
+        self.admission.expected_wait_ms(now)
+    }
+
     pub(crate) fn set_leader(&mut self, link: Option<LinkId>) {
         self.leader = link;
     }
@@ -128,6 +140,7 @@
             ctx.log(event.with("version", state.version));
             return self.answer(ctx, call, ClientAnswer::BadKey);
         }
+        let weight = team.map(|team| team.weight);
         let team = team.map(|team| team.name.clone());
         let rest = &request.path[queue.path_prefix.len()..];
         self.on_routed_call(
@@ -137,6 +150,7 @@
             &state,
             queue,
             team,
+            weight,
             rest,
             request.verb,
         );
@@ -151,6 +165,7 @@
         state: &Rc<DesiredState>,
         queue: &Queue,
         team: Option<TeamName>,
+        weight: Option<u64>,
         rest: &str,
         verb: ClientVerb,
     ) {
@@ -163,7 +178,17 @@
         };
         match verb {
             ClientVerb::Submit(submission) => {
-                self.submit(ctx, submissions, call, queue, team, job, *submission)
+                let weight = weight.unwrap_or(0);
+                self.submit(
+                    ctx,
+                    submissions,
+                    call,
+                    queue,
+                    team,
+                    weight,
+                    job,
+                    *submission,
+                )
             }
             ClientVerb::Malformed(reason) => {
                 let event = LogEvent::warn("job_malformed").with("job", job);
@@ -185,88 +210,6 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn submit(
-        &mut self,
-        ctx: &mut Ctx,
-        submissions: &mut Submissions,
-        call: CallId,
-        queue: &Queue,
-        team: Option<TeamName>,
-        id: JobId,
-        submission: Submission,
-    ) {
-        if let Some(fault) = submission.validation_error() {
-            ctx.log(
-                LogEvent::warn("job_malformed")
-                    .with("job", &id)
-                    .with("reason", fault),
-            );
-            return self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
-        }
-        if let Some((reason, retry_after_ms)) = self.refusal(ctx.now, &queue.name, &submission) {
-            let event = LogEvent::warn("job_refused")
-                .with("job", &id)
-                .with("queue", &queue.name);
-            ctx.log(
-                event
-                    .with("reason", reason)
-                    .with("retry_ms", retry_after_ms.0),
-            );
-            let answer = ClientAnswer::NotRun {
-                reason,
-                retry_after_ms,
-            };
-            return self.answer(ctx, call, answer);
-        }
-        let job = JobRow {
-            id,
-            queue: queue.name.clone(),
-            team,
-            submission,
-            accepted_unix_ms: ctx.unix_ms,
-            queue_spec: Some(Box::new(queue.clone())),
-        };
-        match job.check_size(
-            ctx.settings.max_value_bytes(),
-            self.report.worker_id_bytes(ctx.now),
-        ) {
-            SizeCheck::Fits => submissions.add_client(ctx, self, call, job),
-            SizeCheck::TooLarge(fault) => {
-                let event = LogEvent::warn("job_malformed").with("job", &job.id);
-                ctx.log(event.with("reason", fault));
-                self.answer(ctx, call, ClientAnswer::Malformed(fault.into()));
-            }
-            SizeCheck::Undecided => {
-                let event = LogEvent::warn("job_undecided").with("job", &job.id);
-                ctx.log(event.with("reason", "ids unknown"));
-                self.refuse(ctx, call, "the length of the workers' ids is unknown");
-            }
-        }
-    }
-
-    /// Returns why a submission is refused and the delay before a retry, or `None` if it is not.
-    fn refusal(
-        &self,
-        now: Millis,
-        queue: &QueueName,
-        submission: &Submission,
-    ) -> Option<(&'static str, Millis)> {
-        let unsupported = submission
-            .unsupported_reason()
-            .map(|reason| (reason, consts::UNSUPPORTED_RETRY_AFTER_MS));
-        let full = || Some(("the fleet is full", self.closed_retry_after(now, queue)?));
-        unsupported.or_else(full)
-    }
-
-    /// Returns the delay before a retry if the leader has recently reported that the queue refuses
-    /// jobs.
-    fn closed_retry_after(&self, now: Millis, queue: &QueueName) -> Option<Millis> {
-        let at = self.report.at?;
-        let is_recent = now.since(at) < consts::MAX_LEADER_REPORT_AGE_MS;
-        self.report.closed.get(queue).copied().filter(|_| is_recent)
-    }
-
     fn answer_count(&mut self, ctx: &mut Ctx, call: CallId, queue: &Queue) {
         let is_recent = |at: Millis| ctx.now.since(at) < consts::MAX_LEADER_REPORT_AGE_MS;
         if !self.report.ready || !self.report.at.is_some_and(is_recent) {
@@ -359,11 +302,14 @@
             worker_id_bytes,
             ready,
             closed,
+            admission,
             ..
         } = message
         else {
             return;
         };
+        self.admission
+            .set_table(ctx.now, admission.map(|table| *table));
         self.report = LeaderReport {
             counts: queued.into_iter().collect(),
             counts_at: queued_at.map(|counts| {
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -47,6 +47,11 @@
 }
 
 impl Members {
+    /// Returns the number of daemons with a connection, this one included.
+    pub(crate) fn count(&self) -> u64 {
+        self.links().len() as u64 + 1
+    }
+
     pub(crate) fn links(&self) -> Vec<LinkId> {
         self.by_host
             .values()
@@ -222,6 +227,7 @@
         let (queued, queued_at) = self.queued_counts();
         let closed = self.closed_queues(ctx);
         let worker_id_bytes = self.fleet.longest_id_bytes();
+        let admission = self.admission_table(ctx);
         let shares = self.members.by_host.values().map(|member| member.cpu_milli);
         let strongest_cpu_milli = shares.fold(ctx.settings.cpu_milli, u64::max);
         let heartbeat = |confirmed_ms| ToMember::Heartbeat {
@@ -236,6 +242,7 @@
             store_slow,
             strongest_cpu_milli,
             closed: closed.clone(),
+            admission: admission.clone(),
         };
         ctx.send_member(LOCAL_LINK, heartbeat(None));
         for member in self.members.by_host.values_mut() {
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod gang_wait;
 mod gangs;
+mod job_backlog;
 mod jobs;
 mod kept_workers;
 mod limit_reservations;
@@ -40,6 +41,7 @@
 pub use crate::cell::leader::scheduling_work::SchedulingWork;
 use crate::{
     cell::{
+        admission::Backlog,
         consts,
         ctx::Ctx,
         election::Election,
@@ -117,6 +119,8 @@
     /// How many jobs of each queue have not started a task yet.
     queued: BTreeMap<QueueKey, u64>,
     team_rates: TeamRateLimiter,
+    /// The accepted work that waits.
+    backlog: Backlog,
     advice: AdviceDispatcher,
     progress_writes: ProgressWrites,
     members: Members,
@@ -170,6 +174,7 @@
             limit_reservations: LimitReservations::default(),
             queued: BTreeMap::new(),
             team_rates: TeamRateLimiter::default(),
+            backlog: Backlog::default(),
             advice: AdviceDispatcher::new(token),
             progress_writes: ProgressWrites::default(),
             members: Members::default(),
--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -27,6 +27,8 @@
     /// How long after a request to drain a failure domain tasks may still start there; `None` if such
     /// requests are ignored.
     pub drain_bound_ms: Option<Millis>,
+    /// Whether jobs that can't start while their result is useful are refused.
+    pub admission: bool,
 }
 
 impl CellSettings {
@@ -69,6 +71,7 @@
             retention_ms: Millis(120_000),
             max_row_bytes: 65_536,
             drain_bound_ms: None,
+            admission: true,
         })
     }
 
@@ -114,6 +117,12 @@
         self
     }
 
+    /// Sets whether jobs that can't start while their result is useful are refused.
+    pub fn admission(mut self, enabled: bool) -> Self {
+        self.0.admission = enabled;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> CellSettings {
         self.0
--- a/core/src/cell/submissions.rs
+++ b/core/src/cell/submissions.rs
@@ -1,46 +1,29 @@
 //! Records submitted jobs in the store: each partition has at most one conditional write in flight,
 //! which holds a batch of the pending jobs.
 
+mod answers;
+mod pending_submission;
+mod write_result;
+
 use crate::{
     cell::{
+        admission::Verdict,
         consts,
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         frontend::Frontend,
-        ClientAnswer, Effect, JobAccess, JobRow, LinkId, LogEvent, QueryId, Row, RowKey, RowValue,
-        RowVersion, RpcId, StoreCall, StoreReply, SubmitOutcome, Table, ToLeader, ToMember, Write,
+        submissions::{
+            answers::{answer_refused, answer_waiter, answer_waiters, log_refusal},
+            pending_submission::{PendingSubmission, Refusal, Waiter},
+            write_result::{is_same_submission, write_result, WriteResult},
+        },
+        Effect, JobRow, LinkId, LogEvent, QueryId, RowKey, RowVersion, RpcId, StoreCall,
+        StoreReply, SubmitOutcome, Table, ToLeader, Withdrawal, Write,
     },
     CallId, JobId, Millis,
 };
 use compact_str::{format_compact, CompactString};
 use std::collections::BTreeMap;
 
-/// A client or another daemon that waits for the outcome of a submission.
-#[derive(Clone, Copy, Debug)]
-enum Waiter {
-    Client(CallId),
-    Peer(LinkId, QueryId),
-}
-
-#[derive(Debug)]
-struct PendingSubmission {
-    job: JobRow,
-    waiters: Vec<Waiter>,
-    submitted_at: Millis,
-    /// Whether a write without an answer may have recorded the job.
-    maybe_written: bool,
-    /// The version of the row in its place: zero, or that of a withdrawal by callers that may not end it.
-    expected: RowVersion,
-    /// The query to the leader to record the job, if one is open.
-    relay_query: Option<QueryId>,
-}
-
-impl PendingSubmission {
-    /// Returns whether the job may be recorded by now, or may be later.
-    fn may_be_recorded(&self) -> bool {
-        self.maybe_written || self.relay_query.is_some()
-    }
-}
-
 #[derive(Debug, Default)]
 struct Partition {
     waiting: BTreeMap<JobId, PendingSubmission>,
@@ -61,25 +44,6 @@
     relay_until: Millis,
 }
 
-/// The result of a write for one of its submissions.
-enum WriteResult {
-    /// The job is recorded, with this version of its row. The row of an earlier write is given; its team
-    /// may differ.
-    Accepted {
-        version: RowVersion,
-        earlier: Option<Box<JobRow>>,
-    },
-    /// Another job with the same id is recorded.
-    IdTaken,
-    /// A caller that may end the job has cancelled it.
-    Withdrawn,
-    /// The write has to be repeated while the row has this version, or the job forwarded to the leader.
-    Retry {
-        maybe_written: bool,
-        expected: RowVersion,
-    },
-}
-
 /// Returns the number of a job's partition.
 pub(crate) fn partition_of(job: &JobId) -> u64 {
     let fold = |sum: u64, byte: u8| sum.wrapping_mul(31).wrapping_add(u64::from(byte));
@@ -109,7 +73,26 @@
         call: CallId,
         job: JobRow,
     ) {
-        self.add(ctx, frontend, Waiter::Client(call), job);
+        self.add(ctx, frontend, Waiter::Client(call), job, None);
+    }
+
+    /// Records the refusal of a client's submission, so that no earlier attempt is recorded later, and
+    /// answers it then. A job that is recorded already is answered as accepted.
+    pub(crate) fn refuse_client(
+        &mut self,
+        ctx: &mut Ctx,
+        frontend: &mut Frontend,
+        call: CallId,
+        job: JobRow,
+        verdict: &Verdict,
+    ) {
+        log_refusal(ctx, &job, verdict);
+        let refusal = Refusal {
+            reason: verdict.reason.as_str(),
+            retry_after_ms: verdict.retry_after_ms,
+            replaced: Withdrawal::default(),
+        };
+        self.add(ctx, frontend, Waiter::Client(call), job, Some(refusal));
     }
 
     /// Adds a submission that another daemon forwarded.
@@ -121,10 +104,17 @@
         query: QueryId,
         job: JobRow,
     ) {
-        self.add(ctx, frontend, Waiter::Peer(link, query), job);
+        self.add(ctx, frontend, Waiter::Peer(link, query), job, None);
     }
 
-    fn add(&mut self, ctx: &mut Ctx, frontend: &mut Frontend, waiter: Waiter, job: JobRow) {
+    fn add(
+        &mut self,
+        ctx: &mut Ctx,
+        frontend: &mut Frontend,
+        waiter: Waiter,
+        job: JobRow,
+        refusal: Option<Refusal>,
+    ) {
         let number = partition_of(&job.id);
         let partition = self.partitions.entry(number).or_default();
         let open = partition.in_flight.as_mut().map(|(_, batch)| batch);
@@ -140,9 +130,11 @@
         let mut pending = PendingSubmission {
             waiters: vec![waiter],
             submitted_at: ctx.now,
+            received_ms: ctx.store_clock.at_least(ctx.now),
             maybe_written: false,
             expected: RowVersion(0),
             relay_query: None,
+            refusal,
             job,
         };
         if ctx.now < self.relay_until {
@@ -182,7 +174,8 @@
             .filter_map(|id| partition.waiting.remove(id))
             .collect();
         let key = |pending: &PendingSubmission| job_key(&pending.job.id);
-        let value = |pending: &PendingSubmission| RowValue::Job(Box::new(pending.job.clone()));
+        let recorded_by = ctx.store_clock.at_most(ctx.now + consts::STORE_TIMEOUT_MS);
+        let value = |pending: &PendingSubmission| pending.row_value(recorded_by);
         let write = Write {
             expect: batch
                 .iter()
@@ -222,7 +215,10 @@
             self.relay_until = ctx.now + consts::RELAY_DURATION_MS;
         }
         for pending in batch {
-            let result = write_result(&pending, &reply);
+            let has_open_client = pending.has_open_client(frontend);
+            let received = pending.received_ms.filter(|_| has_open_client);
+            let took_ms = ctx.now.since(sent_at);
+            let result = write_result(&pending, &reply, received, took_ms);
             self.apply_result(ctx, frontend, number, pending, result);
         }
         if let (StoreReply::Refused(_), Some(partition)) =
@@ -242,6 +238,12 @@
         result: WriteResult,
     ) {
         match result {
+            WriteResult::Accepted {
+                earlier: None,
+                version,
+            } if pending.refusal.is_some() => {
+                answer_refused(ctx, frontend, &pending, version);
+            }
             WriteResult::Accepted { version, earlier } => {
                 answer_waiters(ctx, frontend, &pending, SubmitOutcome::Accepted);
                 let job = earlier.map_or(pending.job, |earlier| *earlier);
@@ -254,13 +256,23 @@
             WriteResult::Withdrawn => {
                 answer_waiters(ctx, frontend, &pending, SubmitOutcome::Withdrawn);
             }
+            WriteResult::RefusedLater => {
+                answer_waiters(ctx, frontend, &pending, SubmitOutcome::NotRun);
+            }
             WriteResult::Retry {
                 maybe_written,
                 expected,
+                replaced,
+                store_answers,
             } => {
                 pending.maybe_written |= maybe_written;
                 pending.expected = expected;
-                self.relay(ctx, &mut pending);
+                if let Some(refusal) = &mut pending.refusal {
+                    refusal.replaced = replaced;
+                }
+                if !store_answers {
+                    self.relay(ctx, &mut pending);
+                }
                 let partition = self.partitions.entry(number).or_default();
                 partition.waiting.insert(pending.job.id.clone(), pending);
             }
@@ -273,6 +285,9 @@
         let Some(link) = self.leader.filter(|link| *link != LOCAL_LINK) else {
             return;
         };
+        if pending.refusal.is_some() {
+            return;
+        }
         if pending
             .waiters
             .iter()
@@ -343,7 +358,9 @@
                 .map(|pending| pending.job.id.clone())
                 .collect();
             for pending in ids.iter().filter_map(|id| partition.waiting.remove(id)) {
-                let outcome = match pending.may_be_recorded() {
+                // Without a record of the refusal, an earlier attempt may still be recorded.
+                let is_open = pending.may_be_recorded() || pending.refusal.is_some();
+                let outcome = match is_open {
                     true => SubmitOutcome::Unknown,
                     false => SubmitOutcome::NotRun,
                 };
@@ -355,101 +372,3 @@
         }
     }
 }
-
-fn answer_waiters(
-    ctx: &mut Ctx,
-    frontend: &mut Frontend,
-    pending: &PendingSubmission,
-    outcome: SubmitOutcome,
-) {
-    let waited_ms = ctx.now.since(pending.submitted_at);
-    let event = match outcome {
-        SubmitOutcome::Accepted => LogEvent::info("job_accepted"),
-        SubmitOutcome::NotRun | SubmitOutcome::Unknown | SubmitOutcome::Withdrawn => {
-            LogEvent::warn("job_not_accepted")
-        }
-    };
-    let team = pending.job.team.as_ref().map_or("-", |team| team.as_str());
-    let event = event
-        .with("job", &pending.job.id)
-        .with("queue", &pending.job.queue);
-    let event = event
-        .with("team", team)
-        .with("outcome", format_args!("{outcome:?}"));
-    ctx.log(event.with("waited_ms", waited_ms.0));
-    for waiter in &pending.waiters {
-        answer_waiter(ctx, frontend, *waiter, outcome);
-    }
-}
-
-fn answer_waiter(ctx: &mut Ctx, frontend: &mut Frontend, waiter: Waiter, outcome: SubmitOutcome) {
-    match waiter {
-        Waiter::Client(call) => frontend.answer(ctx, call, client_answer(outcome)),
-        Waiter::Peer(link, query) => ctx.send_member(link, ToMember::Submitted { query, outcome }),
-    }
-}
-
-fn client_answer(outcome: SubmitOutcome) -> ClientAnswer {
-    match outcome {
-        SubmitOutcome::Accepted => ClientAnswer::Accepted,
-        SubmitOutcome::NotRun => ClientAnswer::NotRun {
-            reason: "the job could not be put on record",
-            retry_after_ms: consts::RETRY_AFTER_MS,
-        },
-        SubmitOutcome::Withdrawn => ClientAnswer::NotRun {
-            reason: "the job was cancelled before it was accepted",
-            retry_after_ms: consts::WITHDRAWN_RETRY_AFTER_MS,
-        },
-        SubmitOutcome::Unknown => ClientAnswer::Unknown,
-    }
-}
-
-fn write_result(pending: &PendingSubmission, reply: &StoreReply) -> WriteResult {
-    let retry = |maybe_written, expected| WriteResult::Retry {
-        maybe_written,
-        expected,
-    };
-    match reply {
-        StoreReply::Written(version) => WriteResult::Accepted {
-            version: *version,
-            earlier: None,
-        },
-        StoreReply::Conflict(rows) => {
-            let key = job_key(&pending.job.id);
-            let exists = |row: &&Row| row.key == key && row.version > RowVersion(0);
-            match rows.iter().find(exists) {
-                None => retry(false, RowVersion(0)),
-                Some(row) => match &row.value {
-                    RowValue::Withdrawn(withdrawal) if withdrawal.covers(&pending.job) => {
-                        WriteResult::Withdrawn
-                    }
-                    RowValue::Withdrawn(_) => retry(false, row.version),
-                    RowValue::Job(earlier) if is_same_submission(earlier, &pending.job) => {
-                        WriteResult::Accepted {
-                            version: row.version,
-                            earlier: Some(earlier.clone()),
-                        }
-                    }
-                    _ => WriteResult::IdTaken,
-                },
-            }
-        }
-        StoreReply::Refused(_) => retry(false, pending.expected),
-        _ => retry(true, pending.expected),
-    }
-}
-
-/// Returns whether two jobs with one id are the same submission, regardless of when they came in: the
-/// later caller may see the earlier job, whose key it need not show if the queue has become open. A queue
-/// counts as the same by its address or its name: a retry after the queue has moved must not be refused as
-/// not run.
-fn is_same_submission(earlier: &JobRow, job: &JobRow) -> bool {
-    let has_same_address = match (&earlier.queue_spec, &job.queue_spec) {
-        (Some(earlier), Some(queue)) => earlier.is_at(&queue.host, &queue.path_prefix),
-        _ => false,
-    };
-    let is_same_queue = earlier.queue == job.queue || has_same_address;
-    is_same_queue
-        && earlier.submission == job.submission
-        && JobAccess::of_submitter(job).covers(earlier, None)
-}
--- a/core/tests/cell_renamed_queues.rs
+++ b/core/tests/cell_renamed_queues.rs
@@ -159,6 +159,7 @@
         store_slow: false,
         strongest_cpu_milli: 1,
         closed: Vec::new(),
+        admission: None,
     };
     let mut value = serde_json::to_value(&heartbeat).unwrap();
     let former: FormerMessage = serde_json::from_value(value.clone()).unwrap();
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -76,6 +76,7 @@
         .retention_ms(cell.retention_ms)
         .max_row_bytes(cell.max_row_bytes)
         .drain_bound_ms(cell.drain_bound_ms)
+        .admission(cell.admission)
         .build(),
         now(),
         unix_ms(),
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -52,6 +52,8 @@
     /// How long after a request to drain a failure domain tasks may still start there, in milliseconds;
     /// `None` if such requests are ignored.
     pub drain_bound_ms: Option<Millis>,
+    /// Whether jobs that can't start while their result is useful are refused.
+    pub admission: bool,
 }
 
 /// Builds [`Settings`] from defaults.
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldSpec; 17] = [
+const FIELDS: [FieldSpec; 18] = [
     FieldSpec {
         section: "daemon",
         name: "name",
@@ -137,6 +137,13 @@
         default: Some("requests are ignored"),
         meaning: "how long after a request to drain a failure domain a task may at most start there",
     },
+    FieldSpec {
+        section: "cell",
+        name: "admission",
+        form: "on or off",
+        default: Some("on"),
+        meaning: "whether jobs that can't start while their result is useful are refused",
+    },
 ];
 
 /// Returns the settings reference as a table in Markdown.
@@ -336,6 +343,7 @@
             retention_ms: duration_ms(self, "retention", 120_000),
             max_row_bytes: self.get("cell", "max_row_bytes").unwrap_or(65_536),
             drain_bound_ms: self.drain_bound_ms(),
+            admission: self.is_on("cell", "admission", true),
         })
     }
 
@@ -349,6 +357,22 @@
         bound_ms
     }
 
+    /// Reads a field that is `on` or `off`.
+    fn is_on(&mut self, section: &str, name: &str, default: bool) -> bool {
+        let Some(field) = self.find(section, name) else {
+            return default;
+        };
+        match field.value.as_str() {
+            "on" => true,
+            "off" => false,
+            value => {
+                let text = format!("{name} = {value}: expected on or off");
+                self.problems.push(Problem::new(field.line, text));
+                default
+            }
+        }
+    }
+
     fn cpu_milli(&mut self) -> u64 {
         const WHOLE_CORE_MILLI: u64 = 1_000;
         match self.get::<f64>("cell", "cpu_share") {
