--- a/core/src/cell/desired.rs
+++ b/core/src/cell/desired.rs
@@ -70,11 +70,30 @@
     pub limit: Resources,
 }
 
-/// Limits on the requests of clients.
+/// Limits on the requests of clients. A daemon of an earlier version sends only the size of a body.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct RequestLimits {
     /// The maximum size of a request body, in bytes.
     pub body_bytes: u64,
+    /// The maximum size of a request's head, in bytes.
+    pub head_bytes: u64,
+    /// The time that the head of a request may take.
+    pub head_timeout_ms: Millis,
+    /// The time for which a connection may be idle.
+    pub idle_timeout_ms: Millis,
+}
+
+impl Default for RequestLimits {
+    /// Returns the limits that apply where the desired state names none.
+    fn default() -> Self {
+        Self {
+            body_bytes: 262_144,
+            head_bytes: 16_384,
+            head_timeout_ms: Millis(3_000),
+            idle_timeout_ms: Millis(15_000),
+        }
+    }
 }
 
 /// A complete version of the desired state.
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -195,9 +195,7 @@
             weight: 10,
             limit: Resources::default(),
         }],
-        limits: RequestLimits {
-            body_bytes: 1 << 18,
-        },
+        limits: RequestLimits::default(),
     }
     .with_sorted_queues()
 }
--- a/daemon/src/cell/channel.rs
+++ b/daemon/src/cell/channel.rs
@@ -1,6 +1,6 @@
 //! The messages between the control thread and the network thread.
 
-use pomelotide_core::cell::{Effect, Event};
+use pomelotide_core::cell::{Effect, Event, LogEvent};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -10,6 +10,8 @@
     /// SIGHUP was received, as the settings file may have changed. It is only logged; the settings
     /// are not read again.
     Reload,
+    /// A line for the log.
+    Log(LogEvent),
 }
 
 /// A message to the network thread: the effects of a batch of events.
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -3,6 +3,7 @@
 use crate::{
     cell::{
         channel::{ControlInput, EffectBatch},
+        host_limits::SharedRequestLimits,
         http_server::refusal_after_stop,
         log_writer::LogWriter,
         network::{self, Addresses},
@@ -21,7 +22,9 @@
     iterator::Signals,
 };
 use std::{
-    io, thread,
+    io,
+    sync::Arc,
+    thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::mpsc::UnboundedSender;
@@ -61,7 +64,14 @@
         store: settings.platform,
         advice: cell.advice,
     };
-    let outputs = network::spawn(addresses, inputs.clone(), recorder)?;
+    let limits = Arc::<SharedRequestLimits>::default();
+    let outputs = network::spawn(
+        addresses,
+        cell.host,
+        limits.clone(),
+        inputs.clone(),
+        recorder,
+    )?;
     spawn_signal_handler(inputs)?;
     let node = Node::new(
         CellSettingsBuilder::new(
@@ -88,7 +98,7 @@
             .with("peers", settings.peers)
             .with("store", settings.platform),
     );
-    run_control_loop(node, &received, &outputs, &log);
+    run_control_loop(node, &received, &outputs, &limits, &log);
     refuse_queued_calls(&received, &outputs);
     // From here on the network thread refuses calls by itself.
     drop(received);
@@ -132,6 +142,7 @@
     mut node: Node,
     inputs: &Receiver<ControlInput>,
     outputs: &UnboundedSender<EffectBatch>,
+    limits: &SharedRequestLimits,
     log: &LogWriter,
 ) {
     let mut next_tick = now();
@@ -155,6 +166,7 @@
                     effects.append(&mut node.step(now(), unix_ms(), event))
                 }
                 ControlInput::Reload => log.write(&LogEvent::info("reload_asked")),
+                ControlInput::Log(line) => effects.push(Effect::Log(line)),
             }
         }
         if now() >= next_tick {
@@ -165,6 +177,9 @@
             }
             effects.append(&mut node.step(now(), unix_ms(), Event::Tick));
             telemetry::set_gauges(&node);
+            if let Some(state) = node.config().current() {
+                limits.set(state.limits);
+            }
         }
         if !dispatch(effects, outputs, log) {
             return;
--- a/daemon/src/cell/http_server.rs
+++ b/daemon/src/cell/http_server.rs
@@ -1,26 +1,37 @@
 //! The HTTP server for clients, readiness checks of the balancer and metrics.
 
-use crate::cell::channel::ControlInput;
+use crate::cell::{
+    channel::ControlInput,
+    connection_gate::{ConnectionGate, Entry},
+    host_limits::SharedRequestLimits,
+    metered_stream::MeteredStream,
+};
 use bytes::Bytes;
 use crossbeam::channel::Sender;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
-    body::Incoming, header, server::conn::http1, service::service_fn, Request, Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+    server::conn::http1,
+    service::service_fn,
+    Request, Response, StatusCode,
 };
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use pomelotide_core::{
-    cell::{consts, ClientAnswer, Event},
+    cell::{consts, ClientAnswer, ClientCall, Event},
     CallId,
 };
 use pomelotide_platform::{
-    encode_client_answer, parse_client_call, readiness_response, FrontendRequest, FrontendResponse,
+    body_too_large_response, encode_client_answer, parse_client_call, readiness_response,
+    FrontendRequest, FrontendResponse,
 };
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     convert::Infallible,
     rc::Rc,
+    sync::Arc,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -28,8 +39,14 @@
     task::spawn_local,
 };
 
-/// The maximum size of a request body, in bytes; not below the maximum size of a desired state.
-const MAX_BODY_BYTES: usize = 1 << 20;
+/// The step by which the buffer of a body grows. It grows to what has arrived, not to twice that.
+const BODY_STEP_BYTES: usize = 16 * 1_024;
+/// The room that a connection's read buffer has beyond the largest head.
+const READ_BUFFER_BYTES: usize = 8 * 1_024;
+/// The answer to a connection that is refused because all others have a request that was passed on.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\
+    Connection: close\r\n\r\n";
 
 /// The HTTP server: the client calls that wait for an answer, and the daemon's readiness.
 pub(crate) struct HttpServer {
@@ -38,9 +55,40 @@
     last_call: Cell<u64>,
     ready: Cell<bool>,
     close_after_answer: Cell<bool>,
+    limits: Arc<SharedRequestLimits>,
     metrics: PrometheusHandle,
 }
 
+/// Why a body was not read to its end.
+enum BodyError {
+    TooLarge,
+    Failed(String),
+}
+
+/// Reads a body of at most `max_bytes`. Chunks are copied into one buffer, so that small ones take no
+/// more memory than their bytes.
+async fn read_body(body: Incoming, max_bytes: u64) -> Result<Vec<u8>, BodyError> {
+    if body.size_hint().lower() > max_bytes {
+        return Err(BodyError::TooLarge);
+    }
+    let mut body = Limited::new(body, max_bytes as usize);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+            true => BodyError::TooLarge,
+            false => BodyError::Failed(error.to_string()),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.capacity() - bytes.len() < data.len() {
+            bytes.reserve_exact(data.len().max(BODY_STEP_BYTES));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
 /// Reports that a client disconnected if its call is dropped without an answer.
 struct HangupGuard<'a> {
     server: &'a HttpServer,
@@ -70,9 +118,14 @@
 }
 
 impl HttpServer {
-    pub(crate) fn new(inputs: Sender<ControlInput>, metrics: PrometheusHandle) -> Self {
+    pub(crate) fn new(
+        inputs: Sender<ControlInput>,
+        limits: Arc<SharedRequestLimits>,
+        metrics: PrometheusHandle,
+    ) -> Self {
         Self {
             inputs,
+            limits,
             metrics,
             waiters: RefCell::default(),
             last_call: Cell::new(0),
@@ -98,13 +151,18 @@
         self.close_after_answer.set(!ready);
     }
 
-    async fn serve_client(&self, request: Request<Incoming>) -> FrontendResponse {
+    /// Reads and parses a client's request, or returns the response to an invalid one.
+    async fn read_call(&self, request: Request<Incoming>) -> Result<ClientCall, FrontendResponse> {
         let (parts, body) = request.into_parts();
-        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
+        let max_bytes = self.limits.get().body_bytes;
+        let body = match read_body(body, max_bytes).await {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => return Err(body_too_large_response(max_bytes)),
+            Err(BodyError::Failed(error)) => {
                 let reason = format!("body: {error}");
-                return encode_client_answer(&ClientAnswer::Malformed(reason.into()));
+                return Err(encode_client_answer(&ClientAnswer::Malformed(
+                    reason.into(),
+                )));
             }
         };
         let header_text = |name: &str| {
@@ -121,13 +179,22 @@
             deadline: header_text("deadline-ms"),
             body: &body,
         };
-        let Some(client_call) = parse_client_call(request) else {
-            return FrontendResponse {
-                status: StatusCode::METHOD_NOT_ALLOWED.as_u16(),
-                headers: Vec::new(),
-                body: Vec::new(),
-            };
+        parse_client_call(request).ok_or(FrontendResponse {
+            status: StatusCode::METHOD_NOT_ALLOWED.as_u16(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        })
+    }
+
+    async fn serve_client(&self, request: Request<Incoming>, entry: &Entry) -> FrontendResponse {
+        let client_call = match self.read_call(request).await {
+            Ok(call) => call,
+            Err(response) => return response,
         };
+        if !entry.pass_on() {
+            // The connection is being closed, so this answer is not sent either.
+            return encode_client_answer(&refusal_after_stop());
+        }
         self.last_call.set(self.last_call.get() + 1);
         let call = CallId(self.last_call.get());
         let (waiter, answer) = oneshot::channel();
@@ -168,14 +235,43 @@
     Metrics,
 }
 
+impl Endpoint {
+    /// Returns the name in the log and the metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Clients => "clients",
+            Self::Readiness => "readiness",
+            Self::Metrics => "metrics",
+        }
+    }
+}
+
 /// Accepts and serves the connections of a listener.
-pub(crate) async fn accept(server: Rc<HttpServer>, listener: TcpListener, endpoint: Endpoint) {
+pub(crate) async fn accept(
+    server: Rc<HttpServer>,
+    listener: TcpListener,
+    endpoint: Endpoint,
+    gate: Rc<ConnectionGate>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 // An error is ignored: without TCP_NODELAY, answers are only delayed.
                 let _ = stream.set_nodelay(true);
-                spawn_local(serve(server.clone(), stream, endpoint));
+                let Some((entry, closed)) = gate.enter() else {
+                    // A new connection takes an answer of this size; without it, it is just closed.
+                    let _ = stream.try_write(REFUSAL);
+                    continue;
+                };
+                let served = serve(server.clone(), stream, endpoint, Rc::new(entry));
+                spawn_local(async move {
+                    tokio::select! {
+                        biased;
+                        // The gate closes the connection.
+                        _ = closed => {}
+                        () = served => {}
+                    }
+                });
             }
             // File descriptors ran out or the client has already disconnected; a retry may succeed.
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
@@ -183,12 +279,15 @@
     }
 }
 
-async fn serve(server: Rc<HttpServer>, stream: TcpStream, endpoint: Endpoint) {
+async fn serve(server: Rc<HttpServer>, stream: TcpStream, endpoint: Endpoint, entry: Rc<Entry>) {
+    let head_bytes = server.limits.get().head_bytes as usize;
+    let stream = MeteredStream::new(stream, entry.clone());
     let service = service_fn(|request: Request<Incoming>| {
-        let server = server.clone();
+        let (server, entry) = (server.clone(), entry.clone());
         async move {
+            entry.end_head();
             let reply = match endpoint {
-                Endpoint::Clients => server.serve_client(request).await,
+                Endpoint::Clients => server.serve_client(request, &entry).await,
                 Endpoint::Readiness => readiness_response(server.ready.get()),
                 Endpoint::Metrics => FrontendResponse {
                     status: 200,
@@ -196,11 +295,18 @@
                     body: server.metrics.render().into_bytes(),
                 },
             };
-            let close = endpoint == Endpoint::Clients && server.close_after_answer.get();
+            entry.answer();
+            let close = endpoint == Endpoint::Clients && server.close_after_answer.get()
+                || reply.status == StatusCode::PAYLOAD_TOO_LARGE.as_u16();
             Ok::<_, Infallible>(response(reply, close))
         }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // Timeouts are those of the gate, which tells an idle connection from an unfinished head.
+    let connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_header_size(head_bytes)
+        .max_buf_size(head_bytes + READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
     // A client that disconnects is reported by the guard of its open call.
     let _ = connection.await;
 }
--- a/daemon/src/cell/links.rs
+++ b/daemon/src/cell/links.rs
@@ -1,6 +1,10 @@
 //! Connections between daemons: WebSocket with CBOR messages, opened by the leader.
 
-use crate::cell::channel::ControlInput;
+use crate::cell::{
+    channel::ControlInput,
+    connection_gate::{ConnectionGate, Entry},
+    metered_stream::MeteredStream,
+};
 use crossbeam::channel::Sender;
 use futures_util::{SinkExt, StreamExt};
 use pomelotide_core::cell::{Event, LinkId};
@@ -14,18 +18,29 @@
     time::Duration,
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     task::spawn_local,
     time::timeout,
 };
-use tokio_tungstenite::{accept_async, client_async, tungstenite::Message, WebSocketStream};
+use tokio_tungstenite::{
+    accept_async_with_config, client_async,
+    tungstenite::{protocol::WebSocketConfig, Message},
+    WebSocketStream,
+};
 
 /// The timeout for opening a connection; allows for the retransmission of one lost packet.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The maximum number of frames queued for a slow receiver before the connection is closed.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
+/// The maximum size of a message from a connection that was accepted; a desired state has at most 1 MB.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// The read buffer of such a connection; the library's default of 128 KB for each is more than an
+/// unfinished handshake is worth.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
 /// The open connections to other daemons.
 pub(crate) struct Links {
     inputs: Sender<ControlInput>,
@@ -89,36 +104,64 @@
             address: address.into(),
             link: Some(link),
         });
-        self.serve(link, socket, frames, Event::ToLeader).await;
+        self.serve(link, socket, frames, Event::ToLeader, || {})
+            .await;
     }
 
     /// Accepts and serves connections of leaders.
-    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener, gate: Rc<ConnectionGate>) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 // File descriptors ran out or the peer has already disconnected; a retry may succeed.
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 continue;
             };
+            // An error is ignored: without TCP_NODELAY, messages are only delayed.
+            let _ = stream.set_nodelay(true);
+            let Some((entry, closed)) = gate.enter() else {
+                continue;
+            };
             let links = self.clone();
-            spawn_local(async move {
-                // An error is ignored: without TCP_NODELAY, messages are only delayed.
-                let _ = stream.set_nodelay(true);
-                let Ok(Ok(socket)) = timeout(OPEN_TIMEOUT, accept_async(stream)).await else {
-                    return;
-                };
-                let (link, frames) = links.register();
-                links.serve(link, socket, frames, Event::ToMember).await;
-            });
+            spawn_local(links.serve_accepted(stream, Rc::new(entry), closed));
         }
     }
 
-    async fn serve<T: DeserializeOwned>(
+    /// Serves a connection until it fails or its gate closes it.
+    async fn serve_accepted(
+        self: Rc<Self>,
+        stream: TcpStream,
+        entry: Rc<Entry>,
+        closed: oneshot::Receiver<()>,
+    ) {
+        let config = WebSocketConfig::default()
+            .read_buffer_size(READ_BUFFER_BYTES)
+            .max_message_size(Some(MAX_MESSAGE_BYTES))
+            .max_frame_size(Some(MAX_MESSAGE_BYTES));
+        let stream = MeteredStream::new(stream, entry.clone());
+        let opening = timeout(OPEN_TIMEOUT, accept_async_with_config(stream, Some(config)));
+        let Ok(Ok(socket)) = opening.await else {
+            return;
+        };
+        entry.answer();
+        let (link, frames) = self.register();
+        tokio::select! {
+            biased;
+            _ = closed => {
+                self.close(link);
+                self.send_event(Event::LinkDown(link));
+            }
+            () = self.serve(link, socket, frames, Event::ToMember, || entry.answer()) => {}
+        }
+    }
+
+    /// Serves a connection until it fails; `received` is called after each message.
+    async fn serve<T: DeserializeOwned, S: AsyncRead + AsyncWrite + Unpin>(
         &self,
         link: LinkId,
-        socket: WebSocketStream<TcpStream>,
+        socket: WebSocketStream<S>,
         mut frames: mpsc::Receiver<Vec<u8>>,
         event: fn(LinkId, T) -> Event,
+        received: impl Fn(),
     ) {
         let (mut sink, mut stream) = socket.split();
         loop {
@@ -139,7 +182,10 @@
                 }
                 message = stream.next() => match message {
                     Some(Ok(Message::Binary(bytes))) => match decode(&bytes) {
-                        Ok(message) => self.send_event(event(link, message)),
+                        Ok(message) => {
+                            received();
+                            self.send_event(event(link, message));
+                        }
                         Err(error) => {
                             log::warn!("event=frame_malformed link={link} error={error:?}");
                             break;
--- /dev/null
+++ b/daemon/src/cell/metered_stream.rs
@@ -0,0 +1,59 @@
+//! A connection that counts what it receives.
+
+use crate::cell::connection_gate::Entry;
+use std::{
+    io::{Error, ErrorKind, Result},
+    pin::Pin,
+    rc::Rc,
+    task::{ready, Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// A TCP connection whose received bytes count in a budget.
+pub(crate) struct MeteredStream {
+    stream: TcpStream,
+    entry: Rc<Entry>,
+}
+
+impl MeteredStream {
+    pub(crate) fn new(stream: TcpStream, entry: Rc<Entry>) -> Self {
+        Self { stream, entry }
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let received = buffer.filled().len() - before;
+        if received > 0 && !self.entry.receive(received as u64) {
+            return Poll::Ready(Err(Error::from(ErrorKind::ConnectionAborted)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -4,11 +4,14 @@
 
 mod call_event;
 mod channel;
+mod connection_gate;
 mod connection_pool;
 mod control;
+mod host_limits;
 mod http_server;
 mod links;
 mod log_writer;
+mod metered_stream;
 mod network;
 mod telemetry;
 
@@ -16,5 +19,6 @@
     call_event::call_event,
     connection_pool::ConnectionPool,
     control::run_cell,
+    host_limits::HostLimits,
     log_writer::{join_lines, LineAdmission, LogBudget},
 };
--- a/daemon/src/cell/network.rs
+++ b/daemon/src/cell/network.rs
@@ -3,7 +3,9 @@
 use crate::cell::{
     call_event::call_event,
     channel::{ControlInput, EffectBatch},
+    connection_gate::ConnectionGate,
     connection_pool::ConnectionPool,
+    host_limits::{HostLimits, SharedRequestLimits},
     http_server::{self, Endpoint, HttpServer},
     links::Links,
 };
@@ -18,9 +20,9 @@
     decode_advice_reply, decode_store_reply, decode_worker_answer, encode_advice_request,
     encode_store_call, encode_worker_call, HttpOutcome, HttpRequest,
 };
-use std::{io, net::SocketAddr, rc::Rc, thread, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     runtime,
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
     task::{spawn_local, LocalSet},
@@ -37,6 +39,11 @@
     pub(crate) advice: Option<SocketAddr>,
 }
 
+/// The receive buffer of a client's connection. The kernel's own choice grows to megabytes.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1_024;
+/// The number of connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
+
 /// The state of the network thread.
 struct Network {
     addresses: Addresses,
@@ -49,6 +56,8 @@
 /// Binds all listeners and starts the network thread.
 pub(crate) fn spawn(
     addresses: Addresses,
+    host: HostLimits,
+    limits: Arc<SharedRequestLimits>,
     inputs: Sender<ControlInput>,
     metrics: PrometheusHandle,
 ) -> io::Result<UnboundedSender<EffectBatch>> {
@@ -61,7 +70,9 @@
         let local = LocalSet::new();
         local.block_on(
             &runtime,
-            serve(addresses, listeners, inputs, metrics, received),
+            serve(
+                addresses, host, listeners, limits, inputs, metrics, received,
+            ),
         );
     };
     thread::Builder::new().name("traffic".into()).spawn(work)?;
@@ -74,46 +85,82 @@
     peers: TcpListener,
 }
 
+/// Binds a listener whose connections hold at most a bounded amount of unread data in the kernel.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 async fn bind(addresses: Addresses) -> io::Result<Listeners> {
-    let mut http = vec![(
-        TcpListener::bind(addresses.callers).await?,
-        Endpoint::Clients,
-    )];
+    let mut http = vec![(listen(addresses.callers)?, Endpoint::Clients)];
     let optional = [
         (addresses.readiness, Endpoint::Readiness),
         (addresses.metrics, Endpoint::Metrics),
     ];
     for (address, endpoint) in optional {
         if let Some(address) = address {
-            http.push((TcpListener::bind(address).await?, endpoint));
+            http.push((listen(address)?, endpoint));
         }
     }
     let peers = TcpListener::bind(addresses.peers).await?;
     Ok(Listeners { http, peers })
 }
 
+/// Starts serving the listeners, each with its own bounds.
+fn serve_listeners(
+    network: &Network,
+    listeners: Listeners,
+    host: HostLimits,
+    limits: &Arc<SharedRequestLimits>,
+) {
+    for (listener, endpoint) in listeners.http {
+        let bounds = match endpoint {
+            Endpoint::Clients => host.clients(),
+            Endpoint::Readiness | Endpoint::Metrics => HostLimits::small_listener(),
+        };
+        let gate = ConnectionGate::new(endpoint.name(), bounds, network.inputs.clone());
+        let gate = Rc::new(gate);
+        let limits = limits.clone();
+        spawn_local(gate.clone().close_overdue(move || {
+            let limits = limits.get();
+            Some((limits.head_timeout_ms.0, limits.idle_timeout_ms.0))
+        }));
+        spawn_local(http_server::accept(
+            network.http.clone(),
+            listener,
+            endpoint,
+            gate,
+        ));
+    }
+    let gate = ConnectionGate::new("peers", HostLimits::peers(), network.inputs.clone());
+    let gate = Rc::new(gate);
+    spawn_local(gate.clone().close_overdue(|| None));
+    spawn_local(network.links.clone().accept(listeners.peers, gate));
+}
+
 async fn serve(
     addresses: Addresses,
+    host: HostLimits,
     listeners: Listeners,
+    limits: Arc<SharedRequestLimits>,
     inputs: Sender<ControlInput>,
     metrics: PrometheusHandle,
     mut outputs: UnboundedReceiver<EffectBatch>,
 ) {
     let network = Network {
         addresses,
-        http: Rc::new(HttpServer::new(inputs.clone(), metrics)),
+        http: Rc::new(HttpServer::new(inputs.clone(), limits.clone(), metrics)),
         links: Rc::new(Links::new(inputs.clone())),
         pool: Rc::default(),
         inputs,
     };
-    for (listener, endpoint) in listeners.http {
-        spawn_local(http_server::accept(
-            network.http.clone(),
-            listener,
-            endpoint,
-        ));
-    }
-    spawn_local(network.links.clone().accept(listeners.peers));
+    serve_listeners(&network, listeners, host, &limits);
     while let Some(effects) = outputs.recv().await {
         for effect in effects {
             network.perform(effect);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod cell;
 pub mod cli;
+mod client_budget;
 mod consts;
 mod control;
 mod description;
@@ -18,7 +19,10 @@
 mod telemetry;
 
 pub use crate::{
-    cell::{call_event, join_lines, run_cell, ConnectionPool, LineAdmission, LogBudget},
+    cell::{
+        call_event, join_lines, run_cell, ConnectionPool, HostLimits, LineAdmission, LogBudget,
+    },
+    client_budget::{Admission, BudgetLimits, ClientBudget, ConnectionId, ShedReason},
     control::run,
     journal::Journal,
     log_line::log_line,
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -1,5 +1,6 @@
 //! The daemon's settings.
 
+use crate::HostLimits;
 use pomelotide_core::{CoreSettings, DaemonId, DomainName, KeyDigest, Millis};
 use std::{
     net::SocketAddr,
@@ -49,6 +50,8 @@
     pub retention_ms: Millis,
     /// The most bytes of a row's value in the store, as base64.
     pub max_row_bytes: usize,
+    /// The memory and descriptors of the host, which bound connections and unfinished requests.
+    pub host: HostLimits,
 }
 
 /// Builds [`Settings`] from defaults.
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -1,6 +1,6 @@
 //! Reads a settings file and reports all of its problems.
 
-use crate::{CellSection, Settings, SettingsBuilder};
+use crate::{CellSection, HostLimits, Settings, SettingsBuilder};
 use pomelotide_core::{DomainName, KeyDigest, Millis};
 use pomelotide_wire::{closest_name, IniField, IniSection, IniText, Problem, Problems};
 use std::{fmt::Display, net::SocketAddr, str::FromStr};
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldSpec; 16] = [
+const FIELDS: [FieldSpec; 18] = [
     FieldSpec {
         section: "daemon",
         name: "name",
@@ -130,6 +130,20 @@
         default: Some("65536"),
         meaning: "the most bytes of a row's value in the store, as base64",
     },
+    FieldSpec {
+        section: "cell",
+        name: "memory_mb",
+        form: "a number, 64 to 1048576",
+        default: Some("120"),
+        meaning: "the host's memory in MB; bounds unfinished requests and connections",
+    },
+    FieldSpec {
+        section: "cell",
+        name: "max_fds",
+        form: "a number, 512 to 1048576",
+        default: Some("3075"),
+        meaning: "the file descriptors of the process; bounds connections",
+    },
 ];
 
 /// Returns the settings reference as a table in Markdown.
@@ -328,9 +342,33 @@
             key_revocation_ms: duration_ms(self, "revoke", 5_000),
             retention_ms: duration_ms(self, "retention", 120_000),
             max_row_bytes: self.get("cell", "max_row_bytes").unwrap_or(65_536),
+            host: self.host_limits(),
         })
     }
 
+    fn host_limits(&mut self) -> HostLimits {
+        let default = HostLimits::default();
+        HostLimits {
+            memory_mb: self.number_in("memory_mb", 64, default.memory_mb),
+            max_fds: self.number_in("max_fds", 512, default.max_fds),
+        }
+    }
+
+    /// Reads a number of `[cell]` that is at least `min` and rounds it down.
+    fn number_in(&mut self, name: &str, min: u32, default: u64) -> u64 {
+        const MAX: f64 = 1_048_576.0;
+        match self.get::<f64>("cell", name) {
+            Some(number) if (f64::from(min)..=MAX).contains(&number) => number as u64,
+            Some(number) => {
+                let line = self.find("cell", name).map_or(1, |field| field.line);
+                let text = format!("{name} = {number}: expected {min} to {MAX}");
+                self.problems.push(Problem::new(line, text));
+                default
+            }
+            None => default,
+        }
+    }
+
     fn cpu_milli(&mut self) -> u64 {
         const WHOLE_CORE_MILLI: u64 = 1_000;
         match self.get::<f64>("cell", "cpu_share") {
--- /dev/null
+++ b/daemon/tests/client_budget.rs
@@ -0,0 +1,102 @@
+//! Tests which connections are closed for which load of clients that exceed limits.
+
+use pomelotide_daemon::{Admission, BudgetLimits, ClientBudget, ConnectionId, ShedReason};
+
+fn budget(connections: usize, unfinished_bytes: u64) -> ClientBudget {
+    ClientBudget::new(BudgetLimits {
+        connections,
+        unfinished_bytes,
+        head_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+        min_body_bytes_per_s: 1_000,
+    })
+}
+
+fn open(budget: &mut ClientBudget, now_ms: u64) -> ConnectionId {
+    match budget.admit(now_ms) {
+        Admission::Admit(id) => id,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Load: unfinished bodies fill the budget. A request that has just begun is served, the old ones go.
+#[test]
+fn the_request_that_holds_most_for_longest_is_shed() {
+    let mut budget = budget(10, 1_000);
+    let (small, large, new) = (
+        open(&mut budget, 0),
+        open(&mut budget, 0),
+        open(&mut budget, 5_000),
+    );
+    assert_eq!(budget.receive(small, 100, 0), None);
+    assert_eq!(budget.receive(large, 800, 0), None);
+    assert_eq!(budget.receive(new, 900, 5_000), Some(large));
+    assert_eq!(budget.receive(new, 50, 5_001), Some(small));
+    assert_eq!(budget.unfinished_bytes(), 950);
+}
+
+/// Load: all bytes belong to requests that wait for their answers; only the new request can be refused.
+#[test]
+fn a_request_that_was_passed_on_is_never_shed() {
+    let mut budget = budget(2, 1_000);
+    let (first, second) = (open(&mut budget, 0), open(&mut budget, 0));
+    budget.receive(first, 1_000, 0);
+    assert!(budget.pass_on(first, 0));
+    assert_eq!(budget.receive(second, 1, 9_000), Some(second));
+    assert!(!budget.pass_on(second, 9_000), "it was closed");
+    let second = open(&mut budget, 9_000);
+    assert!(budget.pass_on(second, 9_000));
+    assert_eq!(budget.admit(9_000), Admission::Refuse);
+    assert_eq!(budget.close_overdue(900_000), []);
+    budget.answer(first, 900_000);
+    assert_eq!(budget.unfinished_bytes(), 0);
+}
+
+/// Load: idle connections up to the limit; new ones replace the oldest.
+#[test]
+fn the_oldest_connection_makes_room() {
+    let mut budget = budget(2, 1_000);
+    let (first, second) = (open(&mut budget, 0), open(&mut budget, 1));
+    budget.receive(first, 10, 2);
+    assert!(matches!(budget.admit(3), Admission::AdmitAndClose(_, closed) if closed == second));
+    assert_eq!(budget.connections(), 2);
+}
+
+/// Load: heads, bodies and connections that stop, and a body of a byte a second.
+#[test]
+fn what_does_not_go_on_is_closed() {
+    let mut budget = budget(10, 1_000_000);
+    let ids: Vec<_> = (0..4).map(|_| open(&mut budget, 0)).collect();
+    for id in &ids[1..] {
+        budget.receive(*id, 10, 0);
+    }
+    for id in &ids[2..] {
+        budget.end_head(*id, 0);
+    }
+    assert_eq!(budget.close_overdue(3_000), []);
+    assert_eq!(
+        budget.close_overdue(3_001),
+        [(ids[1], ShedReason::HeadTimeout)]
+    );
+    budget.receive(ids[3], 1, 15_000);
+    let idle = |at: usize| (ids[at], ShedReason::Idle);
+    assert_eq!(
+        budget.close_overdue(15_001),
+        [idle(0), idle(2), (ids[3], ShedReason::SlowBody)]
+    );
+    assert_eq!(budget.unfinished_bytes(), 0);
+}
+
+/// A client at the edge of the rules: the largest body at the minimum rate.
+#[test]
+fn a_body_at_the_minimum_rate_is_served() {
+    let mut budget = budget(10, 1_000_000);
+    let id = open(&mut budget, 0);
+    budget.receive(id, 10, 0);
+    budget.end_head(id, 0);
+    for second in 1..=262 {
+        assert_eq!(budget.receive(id, 1_000, second * 1_000), None);
+        assert_eq!(budget.close_overdue(second * 1_000), []);
+    }
+    assert!(budget.pass_on(id, 263_000));
+}
