Bound connections and unfinished requests on all listeners

A cell's daemon counts every received byte of an unfinished request, with the framing of chunks, and closes the connection that holds most for longest beyond 1/5 of the host's memory; it caps connections, times heads, silence and slow bodies, and applies max-header-bytes (431) and max-body-bytes (413) of the desired state. Requests that were passed on are never shed. Readiness, metrics and peer listeners have budgets of their own. The own interface bounds the bytes of all bodies, their rate and its connections.

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -1,12 +1,14 @@
 //! The HTTP API for callers and operators.
 
+mod body_budget;
 mod fields;
 mod reply;
 
 use self::{
+    body_budget::BodyBudget,
     fields::{
-        check_job, discard_body, field_error, header, key_digest, parse, read_body, read_deadline,
-        read_payload, yes_no_header,
+        check_job, check_payload, close_after_answer, discard_body, field_error, header,
+        key_digest, parse, read_deadline, yes_no_header,
     },
     reply::{answer_reply, json, text, with_request_id, Rejection, Reply},
 };
@@ -49,6 +51,7 @@
     name: String,
     started_unix_ms: u128,
     generated_id_count: AtomicU64,
+    bodies: BodyBudget,
 }
 
 /// Serves callers and operators.
@@ -67,6 +70,7 @@
         name: settings.name.clone(),
         started_unix_ms: started.as_millis(),
         generated_id_count: AtomicU64::new(0),
+        bodies: BodyBudget::default(),
     };
     Server::new(move |request| api.respond(request))
         .bind(settings.callers)
@@ -80,7 +84,11 @@
         self.route(request).unwrap_or_else(|rejection| {
             let path = request.uri().path();
             info!("event=call_rejected path={path:?} why=\"{rejection}\"");
-            discard_body(request);
+            match rejection {
+                // Reading on would keep the connection for a client that does not finish.
+                Rejection::Overloaded | Rejection::TooSlow => close_after_answer(request),
+                _ => discard_body(request),
+            }
             rejection.reply()
         })
     }
@@ -149,13 +157,19 @@
         queue: &str,
     ) -> Result<Reply, Rejection> {
         let queue: QueueName = parse("queue", queue)?;
+        let id = self.request_id(http)?;
+        let key = key_digest(http)?;
+        let idempotent = yes_no_header(http, "idempotent")?;
+        let deadline_ms = read_deadline(http)?;
+        let (payload, _lease) = self.bodies.read(http.body_mut())?;
+        check_payload(&payload)?;
         let request = Request {
-            id: self.request_id(http)?,
-            key: key_digest(http)?,
+            id,
+            key,
             queue,
-            idempotent: yes_no_header(http, "idempotent")?,
-            deadline_ms: read_deadline(http)?,
-            payload: Payload(read_payload(http)?),
+            idempotent,
+            deadline_ms,
+            payload: Payload(payload),
         };
         let id = request.id.clone();
         let reply = self.call(|call| Event::RequestArrived { call, request })?;
@@ -165,7 +179,8 @@
     fn submit_job(&self, http: &mut HttpRequest<Body>) -> Result<Reply, Rejection> {
         let request = self.request_id(http)?;
         let key = key_digest(http)?;
-        let parsed = serde_json::from_slice::<ApiJob>(&read_body(http)?);
+        let (body, _lease) = self.bodies.read(http.body_mut())?;
+        let parsed = serde_json::from_slice::<ApiJob>(&body);
         let job = parsed.map_err(|error| field_error("body", error))?;
         let spec = JobSpec::try_from(job).map_err(Rejection::Malformed)?;
         check_job(&spec)?;
@@ -194,7 +209,7 @@
         if self.operator.is_none() || key_digest(http)? != self.operator {
             return Err(Rejection::NotOperator);
         }
-        let bytes = read_body(http)?;
+        let (bytes, _lease) = self.bodies.read(http.body_mut())?;
         let text = std::str::from_utf8(&bytes).map_err(|error| field_error("body", error))?;
         let note = parse_note("note", text).map_err(|problems| field_error("note", problems))?;
         self.call(|call| Event::NoteArrived { call, note })
--- a/daemon/src/callers/fields.rs
+++ b/daemon/src/callers/fields.rs
@@ -66,19 +66,6 @@
     }
 }
 
-/// Reads the body; rejects one of more than [`consts::MAX_BODY_BYTES`].
-pub(super) fn read_body(http: &mut HttpRequest<Body>) -> Result<Vec<u8>, Rejection> {
-    let mut bytes = Vec::new();
-    let mut limited = http.body_mut().take(consts::MAX_BODY_BYTES + 1);
-    limited
-        .read_to_end(&mut bytes)
-        .map_err(|error| field_error("body", error))?;
-    if bytes.len() as u64 > consts::MAX_BODY_BYTES {
-        return Err(too_large("body", consts::MAX_BODY_BYTES));
-    }
-    Ok(bytes)
-}
-
 /// Reads and discards the rest of a rejected call's body, so that the caller receives the answer.
 ///
 /// Closes the connection after the answer if the body is truncated, badly framed or longer than
@@ -89,23 +76,27 @@
     if discarded.is_ok_and(|bytes| bytes < consts::MAX_DISCARDED_BYTES) {
         return;
     }
+    close_after_answer(http);
+}
+
+/// Closes the connection after the answer without reading the rest of the body.
+pub(super) fn close_after_answer(http: &mut HttpRequest<Body>) {
     *http.body_mut() = Body::empty();
     http.headers_mut()
         .insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
-fn too_large(field: &str, max_bytes: u64) -> Rejection {
+pub(super) fn too_large(field: &str, max_bytes: u64) -> Rejection {
     let error = format!("larger than {max_bytes} bytes");
     Rejection::TooLarge(ApiFieldError::new(field, error))
 }
 
-/// Reads the payload of a request and checks its size.
-pub(super) fn read_payload(http: &mut HttpRequest<Body>) -> Result<Vec<u8>, Rejection> {
-    let bytes = read_body(http)?;
+/// Checks the size of a request's payload.
+pub(super) fn check_payload(bytes: &[u8]) -> Result<(), Rejection> {
     if bytes.len() > MAX_PAYLOAD_BYTES {
         return Err(too_large("body", MAX_PAYLOAD_BYTES as u64));
     }
-    Ok(bytes)
+    Ok(())
 }
 
 /// Returns how long a caller waits for the answer.
--- a/daemon/src/callers/reply.rs
+++ b/daemon/src/callers/reply.rs
@@ -26,6 +26,10 @@
     NoSuchPath,
     /// The path does not support the method; contains the supported ones.
     WrongMethod(&'static str),
+    /// The bodies of all callers exceed their budget.
+    Overloaded,
+    /// The body arrives too slowly.
+    TooSlow,
     /// The control thread has exited, or did not read the state in time.
     Stopped,
 }
@@ -76,6 +80,10 @@
                 json(401, &answer)
             }
             Rejection::NoSuchPath => json(404, &malformed("path", "no such path")),
+            Rejection::Overloaded => {
+                answer_reply(Answer::refused(Refusal::Overloaded, DEFAULT_RETRY_AFTER_MS))
+            }
+            Rejection::TooSlow => json(408, &malformed("body", "arrives too slowly")),
             Rejection::Stopped => {
                 let answer = Answer::refused(Refusal::Draining, DEFAULT_RETRY_AFTER_MS);
                 json(http_status(&answer), &ApiAnswer::from(&answer))
@@ -93,6 +101,8 @@
             Rejection::NotOperator => f.write_str("not the operators' secret"),
             Rejection::NoSuchPath => f.write_str("no such path"),
             Rejection::WrongMethod(allowed) => write!(f, "method not allowed; use {allowed}"),
+            Rejection::Overloaded => f.write_str("too many unfinished bodies"),
+            Rejection::TooSlow => f.write_str("body: arrives too slowly"),
             Rejection::Stopped => f.write_str("the daemon is stopping"),
         }
     }
--- a/daemon/src/cell/connection_gate.rs
+++ b/daemon/src/cell/connection_gate.rs
@@ -9,7 +9,7 @@
 use pomelotide_core::cell::LogEvent;
 use std::{
     cell::RefCell,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -34,6 +34,8 @@
     started_at: Instant,
     budget: RefCell<ClientBudget>,
     closers: RefCell<BTreeMap<ConnectionId, oneshot::Sender<()>>>,
+    /// The connections that were shed and still hold their memory.
+    closing: RefCell<BTreeSet<ConnectionId>>,
     unlogged: RefCell<BTreeMap<ShedReason, Unlogged>>,
 }
 
@@ -55,6 +57,7 @@
             started_at: Instant::now(),
             budget: RefCell::new(ClientBudget::new(limits)),
             closers: RefCell::default(),
+            closing: RefCell::default(),
             unlogged: RefCell::default(),
         }
     }
@@ -102,7 +105,9 @@
 
     fn shed(&self, id: ConnectionId, reason: ShedReason) {
         // The connection ends when its closer is dropped.
-        self.closers.borrow_mut().remove(&id);
+        if self.closers.borrow_mut().remove(&id).is_some() {
+            self.closing.borrow_mut().insert(id);
+        }
         self.record(reason);
     }
 
@@ -132,6 +137,11 @@
 }
 
 impl Entry {
+    /// Returns whether the connection may be read now: not while the memory of shed ones is not free.
+    pub(crate) fn may_read(&self) -> bool {
+        self.gate.closing.borrow().is_empty()
+    }
+
     /// Counts received bytes; returns whether the connection goes on.
     pub(crate) fn receive(&self, bytes: u64) -> bool {
         let now_ms = self.gate.now_ms();
@@ -169,5 +179,6 @@
     fn drop(&mut self) {
         self.gate.budget.borrow_mut().close(self.id);
         self.gate.closers.borrow_mut().remove(&self.id);
+        self.gate.closing.borrow_mut().remove(&self.id);
     }
 }
--- a/daemon/src/cell/host_limits.rs
+++ b/daemon/src/cell/host_limits.rs
@@ -10,8 +10,9 @@
 const CONNECTION_BYTES: u64 = 16 * 1_024;
 /// The part of the memory that connections may take.
 const CONNECTIONS_MEMORY_DIVISOR: u64 = 5;
-/// The part of the memory that unfinished requests may take, in fifteenths: 32 of 120 MB.
-const REQUESTS_MEMORY_FIFTEENTHS: u64 = 4;
+/// The part of the memory that unfinished requests may take: 24 of 120 MB. With 32 MB, the process of
+/// 9 MB grew to 67 MB, and the kernel held up to 12 MB more.
+const REQUESTS_MEMORY_DIVISOR: u64 = 5;
 /// The minimum rate of a body that takes longer than the idle timeout.
 const MIN_BODY_BYTES_PER_S: u64 = 1_000;
 /// The connections of a listener for readiness checks, metrics or peers; a cell has about 30 daemons.
@@ -53,7 +54,7 @@
         let by_memory = memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
         BudgetLimits {
             connections: by_descriptors.min(by_memory) as usize,
-            unfinished_bytes: memory_bytes * REQUESTS_MEMORY_FIFTEENTHS / 15,
+            unfinished_bytes: memory_bytes / REQUESTS_MEMORY_DIVISOR,
             ..http_limits()
         }
     }
--- a/daemon/src/cell/http_server.rs
+++ b/daemon/src/cell/http_server.rs
@@ -1,10 +1,13 @@
 //! The HTTP server for clients, readiness checks of the balancer and metrics.
 
-use crate::cell::{
-    channel::ControlInput,
-    connection_gate::{ConnectionGate, Entry},
-    host_limits::SharedRequestLimits,
-    metered_stream::MeteredStream,
+use crate::{
+    cell::{
+        channel::ControlInput,
+        connection_gate::{ConnectionGate, Entry},
+        host_limits::SharedRequestLimits,
+        metered_stream::MeteredStream,
+    },
+    segments::Segments,
 };
 use bytes::Bytes;
 use crossbeam::channel::Sender;
@@ -39,8 +42,6 @@
     task::spawn_local,
 };
 
-/// The step by which the buffer of a body grows. It grows to what has arrived, not to twice that.
-const BODY_STEP_BYTES: usize = 16 * 1_024;
 /// The room that a connection's read buffer has beyond the largest head.
 const READ_BUFFER_BYTES: usize = 8 * 1_024;
 /// The answer to a connection that is refused because all others have a request that was passed on.
@@ -65,28 +66,24 @@
     Failed(String),
 }
 
-/// Reads a body of at most `max_bytes`. Chunks are copied into one buffer, so that small ones take no
-/// more memory than their bytes.
+/// Reads a body of at most `max_bytes`. Chunks are copied together, so that small ones take no more
+/// memory than their bytes.
 async fn read_body(body: Incoming, max_bytes: u64) -> Result<Vec<u8>, BodyError> {
     if body.size_hint().lower() > max_bytes {
         return Err(BodyError::TooLarge);
     }
     let mut body = Limited::new(body, max_bytes as usize);
-    let mut bytes = Vec::new();
+    let mut segments = Segments::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
             true => BodyError::TooLarge,
             false => BodyError::Failed(error.to_string()),
         })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.capacity() - bytes.len() < data.len() {
-            bytes.reserve_exact(data.len().max(BODY_STEP_BYTES));
-        }
-        bytes.extend_from_slice(&data);
+        // A frame without data holds trailers, which are not used.
+        let data = frame.into_data().unwrap_or_default();
+        segments.push(&data);
     }
-    Ok(bytes)
+    Ok(segments.into_vec())
 }
 
 /// Reports that a client disconnected if its call is dropped without an answer.
--- a/daemon/src/cell/links.rs
+++ b/daemon/src/cell/links.rs
@@ -20,7 +20,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot},
+    sync::mpsc,
     task::spawn_local,
     time::timeout,
 };
@@ -122,16 +122,28 @@
                 continue;
             };
             let links = self.clone();
-            spawn_local(links.serve_accepted(stream, Rc::new(entry), closed));
+            spawn_local(async move {
+                let mut link = None;
+                tokio::select! {
+                    biased;
+                    // The gate closes the connection.
+                    _ = closed => {}
+                    () = links.serve_accepted(stream, Rc::new(entry), &mut link) => return,
+                }
+                if let Some(link) = link {
+                    links.close(link);
+                    links.send_event(Event::LinkDown(link));
+                }
+            });
         }
     }
 
-    /// Serves a connection until it fails or its gate closes it.
+    /// Opens and serves an accepted connection until it fails, and sets `opened` to its link.
     async fn serve_accepted(
-        self: Rc<Self>,
+        &self,
         stream: TcpStream,
         entry: Rc<Entry>,
-        closed: oneshot::Receiver<()>,
+        opened: &mut Option<LinkId>,
     ) {
         let config = WebSocketConfig::default()
             .read_buffer_size(READ_BUFFER_BYTES)
@@ -144,14 +156,9 @@
         };
         entry.answer();
         let (link, frames) = self.register();
-        tokio::select! {
-            biased;
-            _ = closed => {
-                self.close(link);
-                self.send_event(Event::LinkDown(link));
-            }
-            () = self.serve(link, socket, frames, Event::ToMember, || entry.answer()) => {}
-        }
+        *opened = Some(link);
+        self.serve(link, socket, frames, Event::ToMember, || entry.answer())
+            .await;
     }
 
     /// Serves a connection until it fails; `received` is called after each message.
--- a/daemon/src/cell/metered_stream.rs
+++ b/daemon/src/cell/metered_stream.rs
@@ -30,6 +30,11 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        if !self.entry.may_read() {
+            // The connections that are being closed run before this one is polled again.
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         let received = buffer.filled().len() - before;
--- a/daemon/src/consts.rs
+++ b/daemon/src/consts.rs
@@ -9,9 +9,14 @@
 /// The number of threads that call the platform.
 pub(crate) const PLATFORM_THREADS: usize = 4;
 /// The read and write timeout of a caller's connection.
-pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
-/// The maximum number of callers' connections that are served at a time.
-pub(crate) const MAX_CALLER_CONNECTIONS: usize = 1_024;
+pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
+/// The maximum number of callers' connections that are served at a time. Each takes a thread and about
+/// 64 KB of the 120 MB of the smallest host.
+pub(crate) const MAX_CALLER_CONNECTIONS: usize = 512;
+/// The maximum number of bytes of all bodies that are read or wait for their answer.
+pub(crate) const MAX_UNFINISHED_BODY_BYTES: u64 = 16 * 1_024 * 1_024;
+/// The minimum rate of a body that takes longer than [`CALLER_TIMEOUT`].
+pub(crate) const MIN_BODY_BYTES_PER_S: u64 = 1_000;
 /// The delay before a peer is dialed again.
 pub(crate) const REDIAL_DELAY: Duration = Duration::from_millis(200);
 /// The timeout for opening a connection to a peer or worker.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod links;
 mod log_line;
 mod platform;
+mod segments;
 mod settings;
 mod settings_file;
 mod telemetry;
@@ -26,6 +27,7 @@
     control::run,
     journal::Journal,
     log_line::log_line,
+    segments::Segments,
     settings::{CellSection, Settings, SettingsBuilder},
     settings_file::{read_settings, settings_reference},
 };
