--- a/daemon/tests/client_budget.rs
+++ b/daemon/tests/client_budget.rs
@@ -1,6 +1,8 @@
 //! Tests which connections are closed for which load of clients that exceed limits.
 
-use pomelotide_daemon::{Admission, BudgetLimits, ClientBudget, ConnectionId, ShedReason};
+use pomelotide_daemon::{
+    Admission, BudgetLimits, ClientBudget, ConnectionId, HostLimits, Segments, ShedReason,
+};
 
 fn budget(connections: usize, unfinished_bytes: u64) -> ClientBudget {
     ClientBudget::new(BudgetLimits {
@@ -100,3 +102,27 @@
     }
     assert!(budget.pass_on(id, 263_000));
 }
+
+/// Load: up to 300 clients with jobs of a few KB, and bodies of the largest size, must not meet a bound.
+#[test]
+fn the_bounds_of_the_smallest_host_have_room_for_its_clients() {
+    let smallest = HostLimits::default().clients();
+    assert_eq!(smallest.connections, 1_437);
+    assert_eq!(smallest.unfinished_bytes, 24 << 20);
+    let (memory_mb, max_fds) = (512, 8_192);
+    let largest = HostLimits { memory_mb, max_fds }.clients();
+    assert_eq!(largest.connections, 3_996);
+    assert_eq!(largest.unfinished_bytes, 512 * (1 << 20) / 5);
+}
+
+#[test]
+fn segments_keep_the_bytes_in_order() {
+    let bytes: Vec<u8> = (0..100_000_u32).map(|at| (at % 251) as u8).collect();
+    for piece_bytes in [1, 7_000, 16_384, 100_000] {
+        let mut segments = Segments::default();
+        bytes
+            .chunks(piece_bytes)
+            .for_each(|piece| segments.push(piece));
+        assert_eq!(segments.into_vec(), bytes, "{piece_bytes}");
+    }
+}
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Tests which settings are read from files and which messages invalid files give.
 
 use pomelotide_core::Millis;
-use pomelotide_daemon::{read_settings, settings_reference};
+use pomelotide_daemon::{read_settings, settings_reference, HostLimits};
 use std::{
     fs,
     path::{Path, PathBuf},
@@ -78,3 +78,24 @@
     }
     assert_eq!(check("no-such-file.ini").0, Some(2));
 }
+
+#[test]
+fn the_limits_of_the_host_are_read_and_checked() {
+    let read = |fields: &str| {
+        let head = "[daemon]\nname = a\ndomain = d\n[cell]\n";
+        read_settings("a.ini", &format!("{head}{fields}"))
+    };
+    let host = |fields: &str| read(fields).unwrap().cell.unwrap().host;
+    let (memory_mb, max_fds) = (512, 8_192);
+    let given = host("memory_mb = 512.0\nmax_fds = 8192\n");
+    assert_eq!(given, HostLimits { memory_mb, max_fds });
+    assert_eq!(host("cpu_share = 1.0\n"), HostLimits::default());
+    for wrong in [
+        "memory_mb = 63",
+        "memory_mb = x",
+        "max_fds = 511",
+        "max_fds = 1e9",
+    ] {
+        assert!(read(wrong).is_err(), "{wrong}");
+    }
+}
