--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -1,5 +1,6 @@
 //! The daemon's settings.
 
+use crate::HostLimits;
 use pomelotide_core::{CoreSettings, DaemonId, DomainName, KeyDigest, Millis};
 use std::{
     net::SocketAddr,
@@ -54,6 +55,8 @@
     pub drain_bound_ms: Option<Millis>,
     /// Whether jobs that can't start while their result is useful are refused.
     pub admission: bool,
+    /// The memory and descriptors of the host, which bound connections and unfinished requests.
+    pub host: HostLimits,
 }
 
 /// Builds [`Settings`] from defaults.
