Refuse nothing while half of a service's processors are idle

steps_that_cannot_start_do_not_hide_later_ones failed with admission: 500 jobs that fit no worker made the table refuse a job of their team, though three workers ran nothing. Waiting work counts as an overload only where the processors are in use.

--- a/core/src/cell/leader/job_backlog.rs
+++ b/core/src/cell/leader/job_backlog.rs
@@ -12,6 +12,10 @@
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 
+/// The part of the processors, as a divisor, that must be in use for waiting work to count as an overload:
+/// large tasks may leave almost half of each worker free.
+const BUSY_DIVISOR: u64 = 2;
+
 impl Job {
     /// Returns what the job adds to the backlog: nothing once it has ended.
     fn waiting_work(&self) -> u64 {
@@ -83,22 +87,25 @@
     }
 
     /// Returns the processors of each service's workers that accept work, in thousandths of a core.
-    /// Workers that have not reported to this leader yet are included.
+    /// Workers that have not reported to this leader yet are included. Services whose workers are mostly
+    /// idle are left out: what waits there waits for something else than processors.
     fn capacities(&self, now: Millis) -> BTreeMap<CompactString, u64> {
         let accepts_work = |worker: &&Worker| {
             let is_reachable = worker.listed && worker.failed_polls == 0;
             is_reachable && !worker.entry.draining && now >= worker.quarantined_until
         };
-        let mut capacities = BTreeMap::new();
+        let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
         let workers = self.fleet.iter().map(|(_, worker)| worker);
         for worker in workers.filter(accepts_work) {
-            let sum: &mut u64 = match capacities.get_mut(&worker.entry.service) {
-                Some(sum) => sum,
-                None => capacities.entry(worker.entry.service.clone()).or_default(),
-            };
-            *sum = sum.saturating_add(worker.entry.capacity.cpu_milli);
+            let (capacity, used) = sums.entry(&worker.entry.service).or_default();
+            *capacity = capacity.saturating_add(worker.entry.capacity.cpu_milli);
+            *used = used.saturating_add(worker.used.cpu_milli);
         }
-        capacities
+        let is_busy = |capacity, used: u64| used.saturating_mul(BUSY_DIVISOR) >= capacity;
+        sums.into_iter()
+            .filter(|(_, (capacity, used))| is_busy(*capacity, *used))
+            .map(|(service, (capacity, _))| (service.into(), capacity))
+            .collect()
     }
 
     /// Returns how many operations the backlog and its tables have taken so far.
