--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -71,7 +71,7 @@
             retention_ms: Millis(120_000),
             max_row_bytes: 65_536,
             drain_bound_ms: None,
-            admission: true,
+            admission: false,
         })
     }
 
--- a/core/tests/cell_admission.rs
+++ b/core/tests/cell_admission.rs
@@ -18,7 +18,7 @@
 
 /// Returns a cell of ten workers of four cores, with the two daemons that do not lead.
 fn world() -> (World, usize, usize) {
-    let mut world = World::new(3, WORKERS, with_fill_queue(desired(1, queue())));
+    let mut world = World::with_admission(3, WORKERS, with_fill_queue(desired(1, queue())));
     world.run(3_000);
     let (first, second) = others(&world);
     (world, first, second)
@@ -154,7 +154,7 @@
     let operations = |backlog: u64| {
         let mut patient = queue();
         patient.target_latency_ms = Millis(10_000_000);
-        let mut world = World::new(3, WORKERS, with_fill_queue(desired(1, patient)));
+        let mut world = World::with_admission(3, WORKERS, with_fill_queue(desired(1, patient)));
         world.set_work_ms(600_000);
         world.run(3_000);
         let (first, _) = others(&world);
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -269,8 +269,17 @@
         Self::with_cpu(&vec![1_000; daemons], workers, state)
     }
 
+    /// Starts `daemons` daemons that refuse jobs for load, and `workers` workers of four cores.
+    pub fn with_admission(daemons: usize, workers: usize, state: DesiredState) -> Self {
+        Self::start_with(&vec![1_000; daemons], workers, state, true)
+    }
+
     /// Starts a daemon for each processor share, in thousandths of a core.
     pub fn with_cpu(shares: &[u64], workers: usize, state: DesiredState) -> Self {
+        Self::start_with(shares, workers, state, false)
+    }
+
+    fn start_with(shares: &[u64], workers: usize, state: DesiredState, admission: bool) -> Self {
         let mut world = Self {
             now: 1_000,
             queue: BTreeMap::new(),
@@ -299,7 +308,7 @@
             late_write_ms: LATE_WRITE_MS,
             late_lists_ms: 0,
             step_s: 0.0,
-            admission: true,
+            admission,
             call_faults: Vec::new(),
             random_call_faults: None,
             cut_workers: BTreeSet::new(),
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -141,7 +141,7 @@
         section: "cell",
         name: "admission",
         form: "on or off",
-        default: Some("on"),
+        default: Some("off"),
         meaning: "whether jobs that can't start while their result is useful are refused",
     },
     FieldSpec {
@@ -357,7 +357,7 @@
             retention_ms: duration_ms(self, "retention", 120_000),
             max_row_bytes: self.get("cell", "max_row_bytes").unwrap_or(65_536),
             drain_bound_ms: self.drain_bound_ms(),
-            admission: self.is_on("cell", "admission", true),
+            admission: self.is_on("cell", "admission", false),
             host: self.host_limits(),
         })
     }
