Refuse a job with too many steps while it is parsed

Callers saw a daemon end: a body of 240 KB with 80,000 empty steps takes 20 MB once it is parsed, and the body's bytes are all that is counted. Such a job is refused in any case, since its row does not fit into the store, but only after it has passed through the queue of the control thread.

The list of steps is now read up to the most steps that a row can hold (125 for rows of 65,536 bytes), which is the bound that the control thread applies, so no job is refused that was accepted before.

--- a/core/src/cell/row_size.rs
+++ b/core/src/cell/row_size.rs
@@ -31,6 +31,11 @@
     each.saturating_sub(PLACEMENT_BYTES)
 }
 
+/// Returns how many steps a job can have at most for its row to fit into the store.
+pub(crate) const fn max_steps(max_value_bytes: usize) -> usize {
+    max_value_bytes.saturating_sub(ROW_BYTES) / STEP_SPEC_BYTES
+}
+
 /// Whether a job's rows fit into the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SizeCheck {
--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of a cell's daemon.
 
-use crate::{cell::consts, Millis};
+use crate::{
+    cell::{consts, row_size},
+    Millis,
+};
 use compact_str::CompactString;
 
 /// The settings of a cell's daemon.
@@ -51,6 +54,11 @@
     pub fn max_value_bytes(&self) -> usize {
         self.max_row_bytes / 4 * 3
     }
+
+    /// Returns the most steps of a job; the row of one with more does not fit into the store.
+    pub fn max_steps(&self) -> usize {
+        row_size::max_steps(self.max_value_bytes())
+    }
 }
 
 /// Builds [`CellSettings`], with defaults for everything but names and the address.
--- a/core/tests/cell_row_limits.rs
+++ b/core/tests/cell_row_limits.rs
@@ -6,7 +6,7 @@
 
 use cell_world::{desired, gang, queue, step, World};
 use pomelotide_core::{
-    cell::{ClientAnswer, JobState, StepSpec},
+    cell::{CellSettingsBuilder, ClientAnswer, JobState, StepSpec},
     Resources, WorkerId,
 };
 
@@ -92,6 +92,18 @@
     world.assert_state(0, 1, JobState::Completed);
 }
 
+/// Guards against a limit on parsed steps that refuses a job which could be recorded.
+#[test]
+fn a_job_beyond_the_most_steps_can_never_be_recorded() {
+    let settings = CellSettingsBuilder::new("a", "b", "c").build();
+    let mut world = world();
+    let steps = vec![step(1, 1_000); settings.max_steps() + 1];
+    let call = world.submit(0, 1, steps);
+    world.run(1_000);
+    let answer = &world.answers[&call];
+    assert!(matches!(answer, ClientAnswer::Malformed(_)), "{answer:?}");
+}
+
 /// Guards against a job that is accepted although it can never be recorded or started, and against a
 /// large one that keeps others from being accepted.
 #[test]
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -3,17 +3,17 @@
 use crate::{
     cell::{
         channel::{ControlInput, EffectBatch},
-        host_limits::SharedRequestLimits,
         http_server::refusal_after_stop,
         log_writer::LogWriter,
         network::{self, Addresses},
+        request_limits::SharedRequestLimits,
         telemetry,
     },
     CellSection, Settings,
 };
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
 use pomelotide_core::{
-    cell::{CellSettingsBuilder, Effect, Event, LogEvent, Node},
+    cell::{CellSettings, CellSettingsBuilder, Effect, Event, LogEvent, Node},
     Millis,
 };
 use rustix::time::{clock_gettime, ClockId};
@@ -64,7 +64,8 @@
         store: settings.platform,
         advice: cell.advice,
     };
-    let limits = Arc::<SharedRequestLimits>::default();
+    let node_settings = node_settings(settings, cell);
+    let limits = Arc::new(SharedRequestLimits::new(node_settings.max_steps()));
     let outputs = network::spawn(
         addresses,
         cell.host,
@@ -73,24 +74,7 @@
         recorder,
     )?;
     spawn_signal_handler(inputs)?;
-    let node = Node::new(
-        CellSettingsBuilder::new(
-            &settings.name,
-            settings.domain.as_str(),
-            &settings.peers.to_string(),
-        )
-        .cpu_milli(cell.cpu_milli)
-        .max_lease_ms(cell.max_lease_ms)
-        .key_revocation_ms(cell.key_revocation_ms)
-        .stop_grace_ms(settings.drain_grace_ms)
-        .retention_ms(cell.retention_ms)
-        .max_row_bytes(cell.max_row_bytes)
-        .drain_bound_ms(cell.drain_bound_ms)
-        .admission(cell.admission)
-        .build(),
-        now(),
-        unix_ms(),
-    );
+    let node = Node::new(node_settings, now(), unix_ms());
     let started = LogEvent::info("started").with("version", env!("CARGO_PKG_VERSION"));
     let started = started
         .with("domain", &settings.domain)
@@ -109,6 +93,23 @@
     Ok(())
 }
 
+fn node_settings(settings: &Settings, cell: &CellSection) -> CellSettings {
+    CellSettingsBuilder::new(
+        &settings.name,
+        settings.domain.as_str(),
+        &settings.peers.to_string(),
+    )
+    .cpu_milli(cell.cpu_milli)
+    .max_lease_ms(cell.max_lease_ms)
+    .key_revocation_ms(cell.key_revocation_ms)
+    .stop_grace_ms(settings.drain_grace_ms)
+    .retention_ms(cell.retention_ms)
+    .max_row_bytes(cell.max_row_bytes)
+    .drain_bound_ms(cell.drain_bound_ms)
+    .admission(cell.admission)
+    .build()
+}
+
 /// Refuses the calls that arrived after the last event that was processed.
 fn refuse_queued_calls(inputs: &Receiver<ControlInput>, outputs: &UnboundedSender<EffectBatch>) {
     let refusals = inputs.try_iter().filter_map(|input| match input {
--- a/daemon/src/cell/host_limits.rs
+++ b/daemon/src/cell/host_limits.rs
@@ -2,7 +2,6 @@
 
 use crate::client_budget::BudgetLimits;
 use pomelotide_core::cell::RequestLimits;
-use std::sync::{Mutex, PoisonError};
 
 /// The descriptors reserved for files.
 const FILE_DESCRIPTORS: u64 = 200;
@@ -91,17 +90,3 @@
         min_body_bytes_per_s: MIN_BODY_BYTES_PER_S,
     }
 }
-
-/// The limits of the desired state, which the control thread sets for the network thread.
-#[derive(Debug, Default)]
-pub(crate) struct SharedRequestLimits(Mutex<RequestLimits>);
-
-impl SharedRequestLimits {
-    pub(crate) fn set(&self, limits: RequestLimits) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = limits;
-    }
-
-    pub(crate) fn get(&self) -> RequestLimits {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
--- a/daemon/src/cell/http_server.rs
+++ b/daemon/src/cell/http_server.rs
@@ -4,8 +4,8 @@
     cell::{
         channel::ControlInput,
         connection_gate::{ConnectionGate, Entry},
-        host_limits::SharedRequestLimits,
         metered_stream::MeteredStream,
+        request_limits::SharedRequestLimits,
     },
     segments::Segments,
 };
@@ -175,6 +175,7 @@
             authorization: header_text(header::AUTHORIZATION.as_str()),
             deadline: header_text("deadline-ms"),
             body: &body,
+            max_steps: self.limits.max_steps(),
         };
         parse_client_call(request).ok_or(FrontendResponse {
             status: StatusCode::METHOD_NOT_ALLOWED.as_u16(),
--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod log_writer;
 mod metered_stream;
 mod network;
+mod request_limits;
 mod telemetry;
 
 pub use self::{
--- a/daemon/src/cell/network.rs
+++ b/daemon/src/cell/network.rs
@@ -5,9 +5,10 @@
     channel::{ControlInput, EffectBatch},
     connection_gate::ConnectionGate,
     connection_pool::ConnectionPool,
-    host_limits::{HostLimits, SharedRequestLimits},
+    host_limits::HostLimits,
     http_server::{self, Endpoint, HttpServer},
     links::Links,
+    request_limits::SharedRequestLimits,
 };
 use crossbeam::channel::Sender;
 use metrics::counter;
