Bound what clients cost in a cell's daemon, and return it after them

- An unfinished body kept the buffer of its head (up to 24 KB) beside its own read buffer, which grew to 24 KB, and the last segment of 16 KB, and none of that was counted.
The head is copied and dropped, a read takes at most 4 KB, so that the buffer stays at 8 KB, and a segment has 4 KB.
A connection is charged 32 KB.
- While any connection that was closed still held its memory, no other one was read.
Under a storm of connections there was always one, so nobody was read.
The bytes of closing connections now count until they are freed.
- The bounds did not know of a leader's table.
They now follow the resident memory of the process, read only while clients hold more than a small part: beyond four fifths of the host's memory clients give way, down to 128 connections and 2 MB.
- Whole requests without end kept all connections busy, and every other caller got 503.
Half of the connections may have a request at the control thread, a complete request that waits is not closed, a connection has 100 ms to bring one, and answered connections end while three quarters of them are open.
- The kernel's buffers for answers and those of the peer listener had no bound, and connections that were never served displaced those that were.

--- a/daemon/src/cell/http_server.rs
+++ b/daemon/src/cell/http_server.rs
@@ -1,22 +1,17 @@
 //! The HTTP server for clients, readiness checks of the balancer and metrics.
 
 use crate::{
-    cell::{
-        channel::ControlInput,
-        connection_gate::{ConnectionGate, Entry},
-        metered_stream::MeteredStream,
-        request_limits::SharedRequestLimits,
-    },
-    segments::Segments,
+    cell::{channel::ControlInput, request_limits::SharedRequestLimits},
+    connection_gate::{ConnectionGate, Entry},
+    http_body::{read_body, BodyError},
+    metered_stream::MeteredStream,
 };
 use bytes::Bytes;
+use compact_str::CompactString;
 use crossbeam::channel::Sender;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
-    body::{Body, Incoming},
-    header,
-    server::conn::http1,
-    service::service_fn,
+    body::Incoming, header, http::request::Parts, server::conn::http1, service::service_fn, Method,
     Request, Response, StatusCode,
 };
 use hyper_util::rt::TokioIo;
@@ -42,8 +37,6 @@
     task::spawn_local,
 };
 
-/// The room that a connection's read buffer has beyond the largest head.
-const READ_BUFFER_BYTES: usize = 8 * 1_024;
 /// The answer to a connection that is refused because all others have a request that was passed on.
 const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\
@@ -60,30 +53,29 @@
     metrics: PrometheusHandle,
 }
 
-/// Why a body was not read to its end.
-enum BodyError {
-    TooLarge,
-    Failed(String),
+/// The parts of a head that a client's call needs. The head itself keeps its read buffer in memory.
+struct CallHead {
+    method: Method,
+    path: CompactString,
+    host: CompactString,
+    authorization: Option<CompactString>,
+    deadline: Option<CompactString>,
 }
 
-/// Reads a body of at most `max_bytes`. Chunks are copied together, so that small ones take no more
-/// memory than their bytes.
-async fn read_body(body: Incoming, max_bytes: u64) -> Result<Vec<u8>, BodyError> {
-    if body.size_hint().lower() > max_bytes {
-        return Err(BodyError::TooLarge);
-    }
-    let mut body = Limited::new(body, max_bytes as usize);
-    let mut segments = Segments::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
-            true => BodyError::TooLarge,
-            false => BodyError::Failed(error.to_string()),
-        })?;
-        // A frame without data holds trailers, which are not used.
-        let data = frame.into_data().unwrap_or_default();
-        segments.push(&data);
+impl From<&Parts> for CallHead {
+    fn from(parts: &Parts) -> Self {
+        let text = |name: &str| {
+            let value = parts.headers.get(name)?;
+            value.to_str().ok().map(CompactString::from)
+        };
+        Self {
+            method: parts.method.clone(),
+            path: parts.uri.path().into(),
+            host: text(header::HOST.as_str()).unwrap_or_default(),
+            authorization: text(header::AUTHORIZATION.as_str()),
+            deadline: text("deadline-ms"),
+        }
     }
-    Ok(segments.into_vec())
 }
 
 /// Reports that a client disconnected if its call is dropped without an answer.
@@ -150,9 +142,11 @@
 
     /// Reads and parses a client's request, or returns the response to an invalid one.
     async fn read_call(&self, request: Request<Incoming>) -> Result<ClientCall, FrontendResponse> {
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
+        let head = CallHead::from(&parts);
+        drop(parts);
         let max_bytes = self.limits.get().body_bytes;
-        let body = match read_body(body, max_bytes).await {
+        let body = match read_body(&mut body, max_bytes).await {
             Ok(body) => body,
             Err(BodyError::TooLarge) => return Err(body_too_large_response(max_bytes)),
             Err(BodyError::Failed(error)) => {
@@ -162,18 +156,12 @@
                 )));
             }
         };
-        let header_text = |name: &str| {
-            parts
-                .headers
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-        };
         let request = FrontendRequest {
-            method: parts.method.as_str(),
-            path: parts.uri.path(),
-            host: header_text(header::HOST.as_str()).unwrap_or(""),
-            authorization: header_text(header::AUTHORIZATION.as_str()),
-            deadline: header_text("deadline-ms"),
+            method: head.method.as_str(),
+            path: &head.path,
+            host: &head.host,
+            authorization: head.authorization.as_deref(),
+            deadline: head.deadline.as_deref(),
             body: &body,
             max_steps: self.limits.max_steps(),
         };
@@ -189,7 +177,7 @@
             Ok(call) => call,
             Err(response) => return response,
         };
-        if !entry.pass_on() {
+        if !entry.pass_on().await {
             // The connection is being closed, so this answer is not sent either.
             return encode_client_answer(&refusal_after_stop());
         }
@@ -256,7 +244,7 @@
             Ok((stream, _)) => {
                 // An error is ignored: without TCP_NODELAY, answers are only delayed.
                 let _ = stream.set_nodelay(true);
-                let Some((entry, closed)) = gate.enter() else {
+                let Some((entry, closed)) = gate.enter().await else {
                     // A new connection takes an answer of this size; without it, it is just closed.
                     let _ = stream.try_write(REFUSAL);
                     continue;
@@ -294,7 +282,8 @@
                 },
             };
             entry.answer();
-            let close = endpoint == Endpoint::Clients && server.close_after_answer.get()
+            let close = endpoint == Endpoint::Clients
+                && (server.close_after_answer.get() || entry.ends_after_answer())
                 || reply.status == StatusCode::PAYLOAD_TOO_LARGE.as_u16();
             Ok::<_, Infallible>(response(reply, close))
         }
@@ -303,7 +292,7 @@
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_header_size(head_bytes)
-        .max_buf_size(head_bytes + READ_BUFFER_BYTES)
+        .max_buf_size(head_bytes + crate::consts::READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     // A client that disconnects is reported by the guard of its open call.
     let _ = connection.await;
--- a/daemon/src/cell/links.rs
+++ b/daemon/src/cell/links.rs
@@ -1,7 +1,7 @@
 //! Connections between daemons: WebSocket with CBOR messages, opened by the leader.
 
-use crate::cell::{
-    channel::ControlInput,
+use crate::{
+    cell::channel::ControlInput,
     connection_gate::{ConnectionGate, Entry},
     metered_stream::MeteredStream,
 };
@@ -118,7 +118,7 @@
             };
             // An error is ignored: without TCP_NODELAY, messages are only delayed.
             let _ = stream.set_nodelay(true);
-            let Some((entry, closed)) = gate.enter() else {
+            let Some((entry, closed)) = gate.enter().await else {
                 continue;
             };
             let links = self.clone();
@@ -157,7 +157,8 @@
         entry.answer();
         let (link, frames) = self.register();
         *opened = Some(link);
-        self.serve(link, socket, frames, Event::ToMember, || entry.answer())
+        let received = || entry.receive_message();
+        self.serve(link, socket, frames, Event::ToMember, received)
             .await;
     }
 
--- a/daemon/src/cell/mod.rs
+++ b/daemon/src/cell/mod.rs
@@ -4,14 +4,11 @@
 
 mod call_event;
 mod channel;
-mod connection_gate;
 mod connection_pool;
 mod control;
-mod host_limits;
 mod http_server;
 mod links;
 mod log_writer;
-mod metered_stream;
 mod network;
 mod request_limits;
 mod telemetry;
@@ -20,6 +17,5 @@
     call_event::call_event,
     connection_pool::ConnectionPool,
     control::run_cell,
-    host_limits::HostLimits,
     log_writer::{join_lines, LineAdmission, LogBudget},
 };
--- a/daemon/src/cell/network.rs
+++ b/daemon/src/cell/network.rs
@@ -1,20 +1,26 @@
 //! The network thread: performs effects on sockets and turns what arrives into events.
 
-use crate::cell::{
-    call_event::call_event,
-    channel::{ControlInput, EffectBatch},
+use crate::{
+    cell::{
+        call_event::call_event,
+        channel::{ControlInput, EffectBatch},
+        connection_pool::ConnectionPool,
+        http_server::{self, Endpoint, HttpServer},
+        links::Links,
+        request_limits::SharedRequestLimits,
+    },
     connection_gate::ConnectionGate,
-    connection_pool::ConnectionPool,
     host_limits::HostLimits,
-    http_server::{self, Endpoint, HttpServer},
-    links::Links,
-    request_limits::SharedRequestLimits,
+    listener::{listen, KernelBounds},
 };
 use crossbeam::channel::Sender;
 use metrics::counter;
 use metrics_exporter_prometheus::PrometheusHandle;
 use pomelotide_core::{
-    cell::{AdviceReply, Effect, Event, RpcId, StoreCall, StoreReply, WorkerAnswer, WorkerCall},
+    cell::{
+        AdviceReply, Effect, Event, LogEvent, RpcId, StoreCall, StoreReply, WorkerAnswer,
+        WorkerCall,
+    },
     Millis,
 };
 use pomelotide_platform::{
@@ -23,7 +29,7 @@
 };
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
 use tokio::{
-    net::{TcpListener, TcpSocket},
+    net::TcpListener,
     runtime,
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
     task::{spawn_local, LocalSet},
@@ -40,11 +46,6 @@
     pub(crate) advice: Option<SocketAddr>,
 }
 
-/// The receive buffer of a client's connection. The kernel's own choice grows to megabytes.
-const RECEIVE_BUFFER_BYTES: u32 = 16 * 1_024;
-/// The number of connections that wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
-
 /// The state of the network thread.
 struct Network {
     addresses: Addresses,
@@ -86,30 +87,19 @@
     peers: TcpListener,
 }
 
-/// Binds a listener whose connections hold at most a bounded amount of unread data in the kernel.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
-}
-
 async fn bind(addresses: Addresses) -> io::Result<Listeners> {
-    let mut http = vec![(listen(addresses.callers)?, Endpoint::Clients)];
+    let http_listener = |address| listen(address, KernelBounds::HTTP);
+    let mut http = vec![(http_listener(addresses.callers)?, Endpoint::Clients)];
     let optional = [
         (addresses.readiness, Endpoint::Readiness),
         (addresses.metrics, Endpoint::Metrics),
     ];
     for (address, endpoint) in optional {
         if let Some(address) = address {
-            http.push((listen(address)?, endpoint));
+            http.push((http_listener(address)?, endpoint));
         }
     }
-    let peers = TcpListener::bind(addresses.peers).await?;
+    let peers = listen(addresses.peers, KernelBounds::PEERS)?;
     Ok(Listeners { http, peers })
 }
 
@@ -125,8 +115,11 @@
             Endpoint::Clients => host.clients(),
             Endpoint::Readiness | Endpoint::Metrics => HostLimits::small_listener(),
         };
-        let gate = ConnectionGate::new(endpoint.name(), bounds, network.inputs.clone());
-        let gate = Rc::new(gate);
+        let gate = ConnectionGate::new(endpoint.name(), bounds, network.log());
+        let gate = Rc::new(match endpoint {
+            Endpoint::Clients => gate.with_memory_bounds(host.client_memory()),
+            Endpoint::Readiness | Endpoint::Metrics => gate,
+        });
         let limits = limits.clone();
         spawn_local(gate.clone().close_overdue(move || {
             let limits = limits.get();
@@ -139,7 +132,7 @@
             gate,
         ));
     }
-    let gate = ConnectionGate::new("peers", HostLimits::peers(), network.inputs.clone());
+    let gate = ConnectionGate::new("peers", HostLimits::peers(), network.log());
     let gate = Rc::new(gate);
     spawn_local(gate.clone().close_overdue(|| None));
     spawn_local(network.links.clone().accept(listeners.peers, gate));
@@ -170,6 +163,15 @@
 }
 
 impl Network {
+    /// Returns how the listeners write log lines.
+    fn log(&self) -> impl Fn(LogEvent) + 'static {
+        let inputs = self.inputs.clone();
+        move |line| {
+            // Fails only while the process exits.
+            let _ = inputs.send(ControlInput::Log(line));
+        }
+    }
+
     fn perform(&self, effect: Effect) {
         match effect {
             Effect::Answer(call, answer) => self.http.answer(call, answer),
--- a/daemon/src/client_budget.rs
+++ b/daemon/src/client_budget.rs
@@ -3,8 +3,18 @@
 //! It holds plain data and does no I/O. A connection is closed only while no request of it has been passed
 //! on, so that closing it always means "not run".
 
+use crate::client_bounds::ClientBounds;
 use std::{collections::BTreeMap, fmt};
 
+/// The part of the bytes that is freed beyond what is needed.
+const ROOM_DIVISOR: u64 = 16;
+
+/// How long a connection has to bring a request before it may be closed for another one: more than a round trip
+/// between failure domains. A shorter time would close callers that have just connected for those behind them.
+const MIN_WAIT_MS: u64 = 100;
+/// The most connections that are being closed while others are admitted.
+const MAX_CLOSING: usize = 32;
+
 /// The number of a connection, in the order of their arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(pub u64);
@@ -35,10 +45,22 @@
     HeadTimeout,
     /// The connection brings nothing.
     Idle,
+    /// The process holds too much memory.
+    Memory,
     /// The body arrives too slowly.
     SlowBody,
 }
 
+impl BudgetLimits {
+    /// Returns the bounds on what connections hold.
+    pub const fn bounds(&self) -> ClientBounds {
+        ClientBounds {
+            connections: self.connections,
+            unfinished_bytes: self.unfinished_bytes,
+        }
+    }
+}
+
 impl ShedReason {
     /// Returns the name in the log and the metrics.
     pub const fn name(self) -> &'static str {
@@ -47,6 +69,7 @@
             Self::Connections => "connections",
             Self::HeadTimeout => "head_timeout",
             Self::Idle => "idle",
+            Self::Memory => "memory",
             Self::SlowBody => "slow_body",
         }
     }
@@ -70,7 +93,7 @@
 }
 
 /// What a connection is doing.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Phase {
     /// No part of a request has arrived.
     Idle,
@@ -78,6 +101,8 @@
     Head,
     /// The head is complete.
     Body,
+    /// The request is complete and waits until it may be passed on.
+    Complete,
     /// The request was passed on and is not answered.
     PassedOn,
 }
@@ -88,14 +113,23 @@
     since_ms: u64,
     last_byte_ms: u64,
     bytes: u64,
+    /// Whether a request of it was passed on and answered.
+    served: bool,
 }
 
 /// The connections of one listener and the bytes of their unfinished requests.
 #[derive(Debug)]
 pub struct ClientBudget {
     limits: BudgetLimits,
+    /// The bounds at present; those of the limits unless memory is short.
+    bounds: ClientBounds,
     connections: BTreeMap<ConnectionId, Connection>,
+    served: usize,
+    passed_on: usize,
     bytes: u64,
+    /// The bytes of connections that are being closed and still hold their memory.
+    closing: BTreeMap<ConnectionId, u64>,
+    closing_bytes: u64,
     last_id: u64,
 }
 
@@ -104,8 +138,13 @@
     pub fn new(limits: BudgetLimits) -> Self {
         Self {
             limits,
+            bounds: limits.bounds(),
             connections: BTreeMap::new(),
+            served: 0,
+            passed_on: 0,
             bytes: 0,
+            closing: BTreeMap::new(),
+            closing_bytes: 0,
             last_id: 0,
         }
     }
@@ -126,19 +165,94 @@
         self.bytes
     }
 
-    /// Admits a connection. At the limit, the one that has waited longest is closed, idle or unfinished.
+    /// Returns what the connections hold.
+    pub fn held(&self) -> ClientBounds {
+        ClientBounds {
+            connections: self.connections.len(),
+            unfinished_bytes: self.bytes,
+        }
+    }
+
+    /// Returns whether one more connection exceeds the bounds.
+    pub fn is_full(&self) -> bool {
+        self.connections.len() >= self.bounds.connections
+    }
+
+    /// Returns whether three quarters of the connections that may be open are. Those that are answered should end
+    /// then, so that others get in.
+    pub fn is_crowded(&self) -> bool {
+        self.connections.len() * 4 >= self.bounds.connections * 3
+    }
+
+    /// Returns whether half of the connections that may be open have a request that was passed on. One more has
+    /// to wait, so that new connections find one that can be closed for them.
+    pub fn passes_on_many(&self) -> bool {
+        self.passed_on >= (self.bounds.connections / 2).max(1)
+    }
+
+    /// Returns whether these bytes exceed the bounds.
+    pub fn exceeds(&self, bytes: u64) -> bool {
+        self.bytes + bytes > self.bounds.unfinished_bytes
+    }
+
+    /// Sets the bounds, and removes and returns the connections that exceed them.
+    pub fn set_bounds(&mut self, bounds: ClientBounds, now_ms: u64) -> Vec<ConnectionId> {
+        self.bounds = bounds;
+        let mut closed = Vec::new();
+        while self.connections.len() > bounds.connections {
+            let Some(id) = self.oldest(Phase::Complete, 0, now_ms) else {
+                break;
+            };
+            self.shed(id);
+            closed.push(id);
+        }
+        closed.extend(self.shed_beyond(bounds.unfinished_bytes, now_ms));
+        closed
+    }
+
+    /// Removes and returns connections until the unfinished requests have room for several reads. Each of them
+    /// holds its memory until it runs again, and the others wait for that.
+    pub fn make_room(&mut self, now_ms: u64) -> Vec<ConnectionId> {
+        let most_bytes = self.bounds.unfinished_bytes;
+        self.shed_beyond(most_bytes - most_bytes / ROOM_DIVISOR, now_ms)
+    }
+
+    fn shed_beyond(&mut self, most_bytes: u64, now_ms: u64) -> Vec<ConnectionId> {
+        let mut closed = Vec::new();
+        while self.bytes > most_bytes {
+            let Some(id) = self.largest(now_ms) else {
+                break;
+            };
+            self.shed(id);
+            closed.push(id);
+        }
+        closed
+    }
+
+    /// Returns whether so many connections are being closed that no other one should be admitted before they
+    /// have run.
+    pub fn is_closing_many(&self) -> bool {
+        self.closing.len() >= MAX_CLOSING
+    }
+
+    /// Returns whether these bytes may be received now: not beyond the bounds while connections that are being
+    /// closed still hold their memory.
+    pub fn may_receive(&self, bytes: u64) -> bool {
+        self.closing.is_empty()
+            || self.bytes + self.closing_bytes + bytes <= self.bounds.unfinished_bytes
+    }
+
+    /// Admits a connection. At the limit, the one that has waited longest is closed, idle or unfinished; not one
+    /// whose request is complete, since it may be that of an ordinary caller.
     pub fn admit(&mut self, now_ms: u64) -> Admission {
-        let closed = if self.connections.len() < self.limits.connections {
-            None
-        } else {
-            let open = self.connections.iter();
-            let open = open.filter(|(_, connection)| connection.phase != Phase::PassedOn);
-            let oldest = open.min_by_key(|(id, connection)| (connection.since_ms, **id));
-            let Some((&id, _)) = oldest else {
+        let closed = if self.is_full() {
+            let Some(id) = self.oldest(Phase::Body, MIN_WAIT_MS, now_ms) else {
                 return Admission::Refuse;
             };
-            self.close(id);
+            self.shed(id);
             Some(id)
+        } else {
+            None
         };
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
@@ -147,6 +261,7 @@
             since_ms: now_ms,
             last_byte_ms: now_ms,
             bytes: 0,
+            served: false,
         };
         self.connections.insert(id, connection);
         closed.map_or(Admission::Admit(id), |closed| {
@@ -165,9 +280,34 @@
         connection.last_byte_ms = now_ms;
         connection.bytes += bytes;
         self.bytes += bytes;
-        if self.bytes <= self.limits.unfinished_bytes {
+        if !self.exceeds(0) {
             return None;
         }
+        let shed = self.largest(now_ms)?;
+        self.shed(shed);
+        Some(shed)
+    }
+
+    /// Returns the connection that has waited longest, up to this phase and at least for this time. Those that were
+    /// never served come first, unless the others take more than half of the connections.
+    fn oldest(&self, last_phase: Phase, min_wait_ms: u64, now_ms: u64) -> Option<ConnectionId> {
+        let spares_served = self.served * 2 <= self.bounds.connections;
+        let open = self.connections.iter();
+        let open = open.filter(|(_, connection)| {
+            connection.phase <= last_phase && now_ms >= connection.since_ms + min_wait_ms
+        });
+        let oldest = open.min_by_key(|(id, connection)| {
+            (
+                spares_served && connection.served,
+                connection.since_ms,
+                **id,
+            )
+        });
+        oldest.map(|(id, _)| *id)
+    }
+
+    /// Returns the connection whose unfinished bytes times their age are largest.
+    fn largest(&self, now_ms: u64) -> Option<ConnectionId> {
         let unfinished = self.connections.iter();
         let unfinished = unfinished
             .filter(|(_, connection)| connection.phase != Phase::PassedOn && connection.bytes > 0);
@@ -176,9 +316,7 @@
             connection.bytes.saturating_mul(age_ms)
         };
         let largest = unfinished.max_by_key(|(_, connection)| weight(connection));
-        let shed = largest.map(|(id, _)| *id)?;
-        self.close(shed);
-        Some(shed)
+        largest.map(|(id, _)| *id)
     }
 
     /// Records that the head of a request is complete.
@@ -186,6 +324,11 @@
         self.set_phase(id, Phase::Body, now_ms);
     }
 
+    /// Records that a request is complete and waits until it may be passed on.
+    pub fn complete(&mut self, id: ConnectionId, now_ms: u64) {
+        self.set_phase(id, Phase::Complete, now_ms);
+    }
+
     /// Records that a request is passed on. Returns whether it may be: not if its connection was closed.
     pub fn pass_on(&mut self, id: ConnectionId, now_ms: u64) -> bool {
         self.set_phase(id, Phase::PassedOn, now_ms);
@@ -194,16 +337,32 @@
 
     /// Records that a request is answered, so that its bytes are freed.
     pub fn answer(&mut self, id: ConnectionId, now_ms: u64) {
-        self.set_phase(id, Phase::Idle, now_ms);
         if let Some(connection) = self.connections.get_mut(&id) {
             self.bytes -= std::mem::take(&mut connection.bytes);
+            if connection.phase == Phase::PassedOn && !connection.served {
+                connection.served = true;
+                self.served += 1;
+            }
         }
+        self.set_phase(id, Phase::Idle, now_ms);
     }
 
-    /// Removes a connection.
+    /// Removes a connection that holds no memory any more.
     pub fn close(&mut self, id: ConnectionId) {
+        self.shed(id);
+        if let Some(bytes) = self.closing.remove(&id) {
+            self.closing_bytes -= bytes;
+        }
+    }
+
+    /// Removes a connection that is to be closed.
+    fn shed(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.remove(&id) {
             self.bytes -= connection.bytes;
+            self.served -= usize::from(connection.served);
+            self.passed_on -= usize::from(connection.phase == Phase::PassedOn);
+            self.closing.insert(id, connection.bytes);
+            self.closing_bytes += connection.bytes;
         }
     }
 
@@ -214,12 +373,14 @@
         let overdue: Vec<_> = connections
             .filter_map(|(id, connection)| Some((*id, connection.overdue(&limits, now_ms)?)))
             .collect();
-        overdue.iter().for_each(|(id, _)| self.close(*id));
+        overdue.iter().for_each(|(id, _)| self.shed(*id));
         overdue
     }
 
     fn set_phase(&mut self, id: ConnectionId, phase: Phase, now_ms: u64) {
         if let Some(connection) = self.connections.get_mut(&id) {
+            self.passed_on -= usize::from(connection.phase == Phase::PassedOn);
+            self.passed_on += usize::from(phase == Phase::PassedOn);
             connection.phase = phase;
             connection.since_ms = now_ms;
             connection.last_byte_ms = now_ms;
@@ -239,7 +400,7 @@
                 let due = limits.min_body_bytes_per_s.saturating_mul(age_ms) / 1_000;
                 (self.bytes < due).then_some(ShedReason::SlowBody)
             }
-            Phase::Body | Phase::PassedOn => None,
+            Phase::Body | Phase::Complete | Phase::PassedOn => None,
         }
     }
 }
--- a/daemon/src/consts.rs
+++ b/daemon/src/consts.rs
@@ -17,6 +17,8 @@
 pub(crate) const MAX_UNFINISHED_BODY_BYTES: u64 = 16 * 1_024 * 1_024;
 /// The minimum rate of a body that takes longer than [`CALLER_TIMEOUT`].
 pub(crate) const MIN_BODY_BYTES_PER_S: u64 = 1_000;
+/// The room that a connection's read buffer has beyond the largest head, in bytes.
+pub(crate) const READ_BUFFER_BYTES: usize = 8 * 1_024;
 /// The delay before a peer is dialed again.
 pub(crate) const REDIAL_DELAY: Duration = Duration::from_millis(200);
 /// The timeout for opening a connection to a peer or worker.
--- a/daemon/src/cell/host_limits.rs
+++ b/daemon/src/host_limits.rs
@@ -1,18 +1,25 @@
 //! The bounds of a daemon's listeners, derived from its host's memory and descriptors.
 
-use crate::client_budget::BudgetLimits;
+use crate::{
+    byte_size::ByteSize, client_bounds::ClientBounds, client_budget::BudgetLimits,
+    memory_bounds::MemoryBounds,
+};
 use pomelotide_core::cell::RequestLimits;
 
 /// The descriptors reserved for files.
 const FILE_DESCRIPTORS: u64 = 200;
-/// The memory of a connection: 10 KB in the process, measured with 2,500 idle ones, and what the kernel
-/// holds unread.
-const CONNECTION_BYTES: u64 = 24 * 1_024;
+/// The memory of a connection without its unfinished request: 10 KB and the read buffer of 8 KB in the
+/// process, and the receive buffer in the kernel.
+const CONNECTION: ByteSize = ByteSize(32 * 1_024);
 /// The part of the memory that connections may take.
 const CONNECTIONS_MEMORY_DIVISOR: u64 = 5;
-/// The part of the memory that unfinished requests may take: 24 of 120 MB. With 32 MB, the process of
-/// 9 MB grew to 67 MB, and the kernel held up to 12 MB more.
-const REQUESTS_MEMORY_DIVISOR: u64 = 5;
+/// The part of the memory that unfinished requests may take: 20 of 120 MB.
+const REQUESTS_MEMORY_DIVISOR: u64 = 6;
+/// What clients may hold however much memory the rest of the process takes.
+const LEAST_CLIENT_BOUNDS: ClientBounds = ClientBounds {
+    connections: 128,
+    unfinished_bytes: 2 << 20,
+};
 /// The minimum rate of a body that takes longer than the idle timeout.
 const MIN_BODY_BYTES_PER_S: u64 = 1_000;
 /// The connections of a listener for readiness checks, metrics or peers; a cell has about 30 daemons.
@@ -51,7 +58,7 @@
     pub fn clients(self) -> BudgetLimits {
         let memory_bytes = self.memory_mb << 20;
         let by_descriptors = self.max_fds.saturating_sub(FILE_DESCRIPTORS) / 2;
-        let by_memory = memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
+        let by_memory = memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION.0;
         BudgetLimits {
             connections: by_descriptors.min(by_memory) as usize,
             unfinished_bytes: memory_bytes / REQUESTS_MEMORY_DIVISOR,
@@ -59,6 +66,17 @@
         }
     }
 
+    /// Returns how the bounds of the listener for clients follow the memory of the process.
+    pub(crate) fn client_memory(self) -> MemoryBounds {
+        let host = ByteSize::from_mib(self.memory_mb);
+        MemoryBounds::new(
+            host,
+            CONNECTION,
+            LEAST_CLIENT_BOUNDS,
+            self.clients().bounds(),
+        )
+    }
+
     /// Returns the bounds of the listeners for readiness checks and metrics.
     pub(crate) fn small_listener() -> BudgetLimits {
         BudgetLimits {
--- a/daemon/src/cell/metered_stream.rs
+++ b/daemon/src/metered_stream.rs
@@ -1,6 +1,6 @@
 //! A connection that counts what it receives.
 
-use crate::cell::connection_gate::Entry;
+use crate::connection_gate::Entry;
 use std::{
     io::{Error, ErrorKind, Result},
     pin::Pin,
@@ -12,6 +12,10 @@
     net::TcpStream,
 };
 
+/// The most bytes of one read. Less than the read buffer that the HTTP library begins with, which grows when
+/// a read fills it and is then kept for as long as the connection.
+const MAX_READ_BYTES: usize = 4 * 1_024;
+
 /// A TCP connection whose received bytes count in a budget.
 pub(crate) struct MeteredStream {
     stream: TcpStream,
@@ -30,14 +34,16 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        if !self.entry.may_read() {
+        let most = buffer.remaining().min(MAX_READ_BYTES);
+        if !self.entry.may_receive(most as u64) {
             // The connections that are being closed run before this one is polled again.
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let received = buffer.filled().len() - before;
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let received = part.filled().len();
+        buffer.advance(received);
         if received > 0 && !self.entry.receive(received as u64) {
             return Poll::Ready(Err(Error::from(ErrorKind::ConnectionAborted)));
         }
--- a/daemon/src/segments.rs
+++ b/daemon/src/segments.rs
@@ -2,7 +2,7 @@
 
 /// The size of a segment. Growing one buffer for each body left the heap so fragmented that 32 MB of
 /// unfinished bodies took 64 MB.
-const SEGMENT_BYTES: usize = 16 * 1_024;
+const SEGMENT_BYTES: usize = 4 * 1_024;
 
 /// Bytes in segments of one size, which takes at most a segment more than the bytes.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
