Serve callers without [cell] by the listeners of a cell

Callers of a daemon without [cell] got no answer while 512 others trickled heads, a byte a second: the server gave each connection a thread and could neither time a head nor close an older connection for a new one, and a body that arrived was refused instead of an older one. Replacing that server is the fix that docs/design/client-limits.md named.

hyper now serves callers on one thread through the connection gate, which counts bytes, times heads and bodies and closes connections as in a cell, with the limits of the smallest host; calls wait for their answers without a thread. The bounds of callers/body_budget.rs are gone with it. Heads may have 16 KB instead of 8, a rejected body is read up to 2 MB instead of 16 before the connection is closed. The event bodies_refused and its metric are replaced by connections_shed, and the test of the pages now looks at the gate as well.

The tests of daemon/tests/callers.rs pass unchanged.

--- a/daemon/src/callers/reply.rs
+++ b/daemon/src/callers/reply.rs
@@ -1,8 +1,10 @@
 //! Converts answers to HTTP responses.
 
-use oxhttp::model::{
-    header::{ALLOW, RETRY_AFTER},
-    Body, HeaderName, HeaderValue, Response, StatusCode,
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    header::{HeaderName, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER},
+    Response, StatusCode,
 };
 use pomelotide_core::{consts::DEFAULT_RETRY_AFTER_MS, Answer, Refusal, RequestId};
 use pomelotide_wire::{http_status, ApiAnswer, ApiFieldError};
@@ -12,7 +14,7 @@
 /// The response header with the request's id.
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 
-pub(super) type Reply = Response<Body>;
+pub(super) type Reply = Response<Full<Bytes>>;
 
 /// Why a call was rejected before it reached the reducer.
 #[derive(Debug)]
@@ -26,10 +28,6 @@
     NoSuchPath,
     /// The path does not support the method; contains the supported ones.
     WrongMethod(&'static str),
-    /// The bodies of all callers exceed their budget.
-    Overloaded,
-    /// The body arrives too slowly.
-    TooSlow,
     /// The control thread has exited, or did not read the state in time.
     Stopped,
 }
@@ -80,10 +78,6 @@
                 json(401, &answer)
             }
             Rejection::NoSuchPath => json(404, &malformed("path", "no such path")),
-            Rejection::Overloaded => {
-                answer_reply(Answer::refused(Refusal::Overloaded, DEFAULT_RETRY_AFTER_MS))
-            }
-            Rejection::TooSlow => json(408, &malformed("body", "arrives too slowly")),
             Rejection::Stopped => {
                 let answer = Answer::refused(Refusal::Draining, DEFAULT_RETRY_AFTER_MS);
                 json(http_status(&answer), &ApiAnswer::from(&answer))
@@ -101,8 +95,6 @@
             Rejection::NotOperator => f.write_str("not the operators' secret"),
             Rejection::NoSuchPath => f.write_str("no such path"),
             Rejection::WrongMethod(allowed) => write!(f, "method not allowed; use {allowed}"),
-            Rejection::Overloaded => f.write_str("too many unfinished bodies"),
-            Rejection::TooSlow => f.write_str("body: arrives too slowly"),
             Rejection::Stopped => f.write_str("the daemon is stopping"),
         }
     }
@@ -123,7 +115,7 @@
 }
 
 fn reply(status: u16, content_type: &'static str, bytes: Vec<u8>) -> Reply {
-    let mut response = Response::new(Body::from(bytes));
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
     *response.status_mut() =
         StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     response
@@ -132,6 +124,13 @@
     response
 }
 
+/// Closes the connection after the answer.
+pub(super) fn with_close(mut response: Reply) -> Reply {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Adds the request's id to its answer, so that a caller that gave no id can query the request.
 pub(super) fn with_request_id(mut response: Reply, id: &RequestId) -> Reply {
     if let Ok(value) = HeaderValue::from_str(id.as_str()) {
--- a/daemon/src/consts.rs
+++ b/daemon/src/consts.rs
@@ -8,15 +8,8 @@
 pub(crate) const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 /// The number of threads that call the platform.
 pub(crate) const PLATFORM_THREADS: usize = 4;
-/// The read and write timeout of a caller's connection.
-pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
-/// The maximum number of callers' connections that are served at a time. Each takes a thread and about
-/// 64 KB of the 120 MB of the smallest host.
-pub(crate) const MAX_CALLER_CONNECTIONS: usize = 512;
-/// The maximum number of bytes of all bodies that are read or wait for their answer.
-pub(crate) const MAX_UNFINISHED_BODY_BYTES: u64 = 16 * 1_024 * 1_024;
-/// The minimum rate of a body that takes longer than [`CALLER_TIMEOUT`].
-pub(crate) const MIN_BODY_BYTES_PER_S: u64 = 1_000;
+/// The maximum size of the head of a caller's request, in bytes.
+pub(crate) const MAX_HEAD_BYTES: usize = 16 * 1_024;
 /// The room that a connection's read buffer has beyond the largest head, in bytes.
 pub(crate) const READ_BUFFER_BYTES: usize = 8 * 1_024;
 /// The delay before a peer is dialed again.
@@ -32,7 +25,7 @@
 /// The maximum size of a request body, in bytes.
 pub(crate) const MAX_BODY_BYTES: u64 = 1_048_576;
 /// The maximum number of bytes of a rejected call's body that are read and discarded.
-pub(crate) const MAX_DISCARDED_BYTES: u64 = 16 * 1_024 * 1_024;
+pub(crate) const MAX_DISCARDED_BYTES: u64 = 2 * 1_024 * 1_024;
 /// The delay before the process exits, in which the last answers and messages are written.
 pub(crate) const FINAL_WRITES_DELAY: Duration = Duration::from_millis(300);
 /// The maximum number of decisions in the journal.
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -15,6 +15,7 @@
     thread,
     time::Instant,
 };
+use tokio::sync::oneshot;
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -43,7 +44,7 @@
     /// Creates the event from the call's id.
     pub(crate) event: Box<dyn FnOnce(CallId) -> Event + Send>,
     /// The channel for the answer.
-    pub(crate) answer: Sender<Answer>,
+    pub(crate) answer: oneshot::Sender<Answer>,
 }
 
 impl std::fmt::Debug for PendingCall {
@@ -65,7 +66,7 @@
     started_at: Instant,
     links: Links,
     platform: Platform,
-    open_calls: HashMap<CallId, Sender<Answer>>,
+    open_calls: HashMap<CallId, oneshot::Sender<Answer>>,
     last_call: CallId,
     trace: Option<BufWriter<File>>,
 }
@@ -87,7 +88,7 @@
         trace: trace.map(BufWriter::new),
     };
     watch_signals(sender.clone())?;
-    let _server = callers::serve(&settings, &sender, metrics)?;
+    callers::serve(&settings, &sender, metrics)?;
     info!(
         "event=started incarnation={} domain={} callers={} peers={}",
         core_settings.daemon, settings.domain, settings.callers, settings.peers
--- a/daemon/tests/pages.rs
+++ b/daemon/tests/pages.rs
@@ -23,6 +23,9 @@
     for event in events {
         assert!(page.contains(&format!("`{event}`")), "{event}");
     }
+    for event in quoted(&read("src/connection_gate.rs"), "LogEvent::warn(\"") {
+        assert!(page.contains(&format!("`{event}`")), "{event}");
+    }
     for file in ["src/control.rs", "src/callers.rs", "src/platform.rs"] {
         for line in quoted(&read(file), "event=") {
             let event = line.split(' ').next().unwrap_or(line);
@@ -35,8 +38,10 @@
 fn the_page_explains_every_metric() {
     let page = read("../docs/OPERATING.md");
     let names = read("src/telemetry.rs");
-    let names = quoted(&names, "\"pomelotide_");
+    let mut names = quoted(&names, "\"pomelotide_");
     assert!(names.len() > 15, "{names:?}");
+    let gate = read("src/connection_gate.rs");
+    names.extend(quoted(&gate, "\"pomelotide_"));
     for name in names {
         assert!(page.contains(&format!("`pomelotide_{name}`")), "{name}");
     }
@@ -57,6 +62,7 @@
             }
         }
     }
+    all.push(read("src/connection_gate.rs"));
     all
 }
 
