--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -16,6 +16,7 @@
     fs::File,
     io::Write,
     net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{exit, Child, Command, Stdio},
     sync::{
@@ -28,6 +29,13 @@
 use store::Store;
 use worker::{Durations, History, Worker};
 
+extern "C" {
+    fn prctl(option: i32, argument: usize) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
 const KEY: &str = "6x73d3zji9n73hh2b9wu";
 const HOST: &str = "nony24.example";
 const PREFIX: &str = "/lohu930/";
@@ -271,15 +279,18 @@
         let program = self.program.clone();
         let daemon = &mut self.daemons[at];
         let log = File::options().create(true).append(true).open(&daemon.log).expect("a log");
-        let child = Command::new(program)
-            .arg("--config")
-            .arg(&daemon.settings)
-            .env_clear()
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("a log"))
-            .stderr(log)
-            .spawn();
-        match child {
+        let mut command = Command::new(program);
+        command.arg("--config").arg(&daemon.settings).env_clear().stdin(Stdio::null());
+        command.stdout(log.try_clone().expect("a log")).stderr(log);
+        // A daemon ends with the stand-in, however that ends.
+        // SAFETY: the call takes two numbers and is safe between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        match command.spawn() {
             Ok(child) => daemon.child = Some(child),
             Err(error) => self.give_up(&format!("a daemon can't be started: {error}")),
         }
