--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -23,7 +23,10 @@
     }
 
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(own, _)| own.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(own, _)| own.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 }
@@ -62,7 +65,9 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> Option<(String, Vec<(String, String)>, Vec<u8>)> {
+fn read_head(
+    reader: &mut BufReader<TcpStream>,
+) -> Option<(String, Vec<(String, String)>, Vec<u8>)> {
     let mut first = String::new();
     if reader.read_line(&mut first).ok()? == 0 {
         return None;
@@ -81,8 +86,12 @@
             headers.push((name.trim().to_string(), value.trim().to_string()));
         }
     }
-    let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-    let length: usize = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let length = headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length: usize = length
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some((first.trim_end().to_string(), headers, body))
@@ -90,7 +99,9 @@
 
 fn serve(stream: TcpStream, handler: Arc<Handler>) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut writer) = stream.try_clone() else { return };
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some((first, headers, body)) = read_head(&mut reader) {
         let mut words = first.split(' ');
@@ -99,7 +110,9 @@
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let request = Request {
             path: path.into(),
-            query: pairs.map(|(name, value)| (decode(name), decode(value))).collect(),
+            query: pairs
+                .map(|(name, value)| (decode(name), decode(value)))
+                .collect(),
             headers,
             body,
         };
--- a/review/standin-3/json.rs
+++ b/review/standin-3/json.rs
@@ -98,7 +98,12 @@
 
 /// Makes an object.
 pub fn object<const N: usize>(fields: [(&str, Json); N]) -> Json {
-    Json::Object(fields.into_iter().map(|(name, value)| (name.to_string(), value)).collect())
+    Json::Object(
+        fields
+            .into_iter()
+            .map(|(name, value)| (name.to_string(), value))
+            .collect(),
+    )
 }
 
 pub fn text(value: impl Into<String>) -> Json {
@@ -122,7 +127,11 @@
 
 impl Reader<'_> {
     fn skip(&mut self) {
-        while self.bytes.get(self.at).is_some_and(|c| c.is_ascii_whitespace()) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|c| c.is_ascii_whitespace())
+        {
             self.at += 1;
         }
     }
@@ -213,7 +222,8 @@
                         b'u' => {
                             let digits = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
                             let c = char::from_u32(code).unwrap_or('?');
                             out.extend(c.to_string().as_bytes());
                         }
--- a/review/standin-3/link.rs
+++ b/review/standin-3/link.rs
@@ -21,9 +21,13 @@
             let Ok(daemon) = stream else { continue };
             let free_at = free_at.clone();
             thread::spawn(move || {
-                let Ok(store) = TcpStream::connect(target) else { return };
+                let Ok(store) = TcpStream::connect(target) else {
+                    return;
+                };
                 let _ = (daemon.set_nodelay(true), store.set_nodelay(true));
-                let (Ok(from), Ok(to)) = (daemon.try_clone(), store.try_clone()) else { return };
+                let (Ok(from), Ok(to)) = (daemon.try_clone(), store.try_clone()) else {
+                    return;
+                };
                 thread::spawn(move || copy(from, to, |_| {}));
                 copy(store, daemon, |bytes| {
                     let span = Duration::from_micros(bytes as u64 * 8 / megabits_per_s);
@@ -51,5 +55,8 @@
             break;
         }
     }
-    let _ = (from.shutdown(std::net::Shutdown::Both), to.shutdown(std::net::Shutdown::Both));
+    let _ = (
+        from.shutdown(std::net::Shutdown::Both),
+        to.shutdown(std::net::Shutdown::Both),
+    );
 }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -102,9 +102,16 @@
         ("cold-remaining-ms", number(0)),
         (
             "free-capacity",
-            object([("cpu", number(WORKER_CPU)), ("mem-mb", number(WORKER_MB)), ("gpu", number(0))]),
+            object([
+                ("cpu", number(WORKER_CPU)),
+                ("mem-mb", number(WORKER_MB)),
+                ("gpu", number(0)),
+            ]),
+        ),
+        (
+            "labels",
+            Json::List(vec![text("a"), text(format!("r1-{rack}"))]),
         ),
-        ("labels", Json::List(vec![text("a"), text(format!("r1-{rack}"))])),
         ("born", number(worker.born)),
         ("sequence", number(sequence)),
     ])
@@ -155,7 +162,14 @@
                 ("api-keys", Json::List(vec![text(KEY)])),
                 ("priority", number(1)),
                 ("weight", number(32)),
-                ("cap", object([("cpu", number(0)), ("mem-mb", number(0)), ("gpu", number(0))])),
+                (
+                    "cap",
+                    object([
+                        ("cpu", number(0)),
+                        ("mem-mb", number(0)),
+                        ("gpu", number(0)),
+                    ]),
+                ),
             ])]),
         ),
     ])
@@ -164,11 +178,17 @@
 impl World {
     fn new(program: &str, folder: &str, zones: &[&str], machines: &Machines) -> World {
         let (daemons, workers) = (machines.daemons, machines.workers);
-        let record = File::create(format!("{folder}/record.txt")).expect("the record can be written");
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+        let record =
+            File::create(format!("{folder}/record.txt")).expect("the record can be written");
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |time| time.as_millis() as u64);
         let store = Arc::new(Store::new());
         let own = store.clone();
-        let platform = Server::start("127.0.0.1", Arc::new(move |request: Request| own.handle(&request)));
+        let platform = Server::start(
+            "127.0.0.1",
+            Arc::new(move |request: Request| own.handle(&request)),
+        );
         let (history, durations) = (History::default(), Durations::default());
         let mut list = Vec::new();
         let beating = Arc::new(Mutex::new(BTreeMap::new()));
@@ -177,9 +197,16 @@
             let id = format!("i-7f3a91{at:02x}");
             let worker = Arc::new(Worker::new(&id, unix, &history, &durations));
             let own = worker.clone();
-            let server = Server::start("127.0.0.1", Arc::new(move |request: Request| own.handle(&request)));
+            let server = Server::start(
+                "127.0.0.1",
+                Arc::new(move |request: Request| own.handle(&request)),
+            );
             beating.lock().unwrap().insert(id, true);
-            let (beat, address, zone) = (worker.clone(), server.address, zones[at % zones.len()].to_string());
+            let (beat, address, zone) = (
+                worker.clone(),
+                server.address,
+                zones[at % zones.len()].to_string(),
+            );
             let (store, alive, ended) = (store.clone(), beating.clone(), over.clone());
             thread::spawn(move || {
                 let (mut sequence, mut missed) = (0, 0);
@@ -210,11 +237,17 @@
         store.put("op", "config", Some(&desired_state(7)));
         let folder = std::env::temp_dir().join(format!("pomelotide-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let template = std::fs::read_to_string("deploy/daemon.ini").expect("the settings' template");
+        let template =
+            std::fs::read_to_string("deploy/daemon.ini").expect("the settings' template");
         let mut started = Vec::new();
         for at in 0..daemons {
             // Each daemon has an address of its own, since the port of its metrics is fixed.
-            let ip = format!("127.{}.{}.{}", 16 + std::process::id() % 200, at / 3 + 1, 10 + at % 3);
+            let ip = format!(
+                "127.{}.{}.{}",
+                16 + std::process::id() % 200,
+                at / 3 + 1,
+                10 + at % 3
+            );
             let zone = zones[at % zones.len()];
             let name = format!("edge-{zone}-{}", at / zones.len() + 1);
             let address = |port: u16| format!("{ip}:{port}");
@@ -241,7 +274,8 @@
                 ("platform.row-bytes", "65536".into()),
             ];
             let settings = folder.join(format!("{name}.ini"));
-            std::fs::write(&settings, render(&template, &values)).expect("the settings can be written");
+            std::fs::write(&settings, render(&template, &values))
+                .expect("the settings can be written");
             started.push(Daemon {
                 frontend: frontend.parse().expect("an address"),
                 readiness: readiness.parse().expect("an address"),
@@ -278,9 +312,17 @@
     fn start(&mut self, at: usize) {
         let program = self.program.clone();
         let daemon = &mut self.daemons[at];
-        let log = File::options().create(true).append(true).open(&daemon.log).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&daemon.log)
+            .expect("a log");
         let mut command = Command::new(program);
-        command.arg("--config").arg(&daemon.settings).env_clear().stdin(Stdio::null());
+        command
+            .arg("--config")
+            .arg(&daemon.settings)
+            .env_clear()
+            .stdin(Stdio::null());
         command.stdout(log.try_clone().expect("a log")).stderr(log);
         // A daemon ends with the stand-in, however that ends.
         // SAFETY: the call takes two numbers and is safe between fork and exec.
@@ -327,7 +369,14 @@
         for _ in 0..200 {
             let is_ready = |daemon: &Daemon| {
                 let timeout = Duration::from_millis(500);
-                let answer = http::call(daemon.readiness, "GET", "/pomelotide/readyz", &[], "", timeout);
+                let answer = http::call(
+                    daemon.readiness,
+                    "GET",
+                    "/pomelotide/readyz",
+                    &[],
+                    "",
+                    timeout,
+                );
                 answer.is_some_and(|(status, _)| status == 200)
             };
             if self.daemons.iter().all(is_ready) {
@@ -351,9 +400,20 @@
 
     fn client(&self, daemon: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let key = format!("Bearer {KEY}");
-        let headers = [("Host", HOST), ("Authorization", &*key), ("Deadline-Ms", "3000")];
+        let headers = [
+            ("Host", HOST),
+            ("Authorization", &*key),
+            ("Deadline-Ms", "3000"),
+        ];
         let timeout = Duration::from_millis(3_000);
-        http::call(self.daemons[daemon].frontend, method, &format!("{PREFIX}{id}"), &headers, body, timeout)
+        http::call(
+            self.daemons[daemon].frontend,
+            method,
+            &format!("{PREFIX}{id}"),
+            &headers,
+            body,
+            timeout,
+        )
     }
 
     /// Hands a submission of one step in, with retries at other daemons.
@@ -366,23 +426,36 @@
             ("mem-mb", number(1_024)),
             ("estimated-ms", number(work.as_millis() as u64)),
         ]);
-        let body = object([("spec", text(format!("text {at}"))), ("steps", Json::List(vec![step]))]).encoded();
+        let body = object([
+            ("spec", text(format!("text {at}"))),
+            ("steps", Json::List(vec![step])),
+        ])
+        .encoded();
         let mut status = None;
         for attempt in 0..4 {
             let daemon = (at + attempt) % self.daemons.len();
-            status = self.client(daemon, "POST", &id, &body).map(|(status, _)| status);
+            status = self
+                .client(daemon, "POST", &id, &body)
+                .map(|(status, _)| status);
             let name = self.daemons[daemon].name.clone();
             self.note(&format!("POST {id} ({tasks} tasks) at {name}: {status:?}"));
             if status == Some(200) {
                 break;
             }
         }
-        Job { id, tasks, cpu, status }
+        Job {
+            id,
+            tasks,
+            cpu,
+            status,
+        }
     }
 
     fn state(&self, daemon: usize, id: &str) -> String {
         match self.client(daemon, "GET", id, "") {
-            Some((200, body)) => parse(body.as_bytes()).map_or("?".into(), |body| body.get("state").text().into()),
+            Some((200, body)) => {
+                parse(body.as_bytes()).map_or("?".into(), |body| body.get("state").text().into())
+            }
             Some((status, _)) => status.to_string(),
             None => "no answer".into(),
         }
@@ -416,7 +489,10 @@
             };
             let line = format!(
                 "run {} {} on {}: {:.3} s to {end}",
-                seen.task, seen.run, seen.worker, at(seen.begin)
+                seen.task,
+                seen.run,
+                seen.worker,
+                at(seen.begin)
             );
             lines.push((seen.begin, line));
         }
@@ -469,18 +545,33 @@
     world.note("the traffic ends");
     sleep(Duration::from_millis(400));
     if has_trouble {
-        let counts: Vec<usize> = world.workers.iter().map(|(worker, _)| worker.run_count()).collect();
+        let counts: Vec<usize> = world
+            .workers
+            .iter()
+            .map(|(worker, _)| worker.run_count())
+            .collect();
         let at = (0..counts.len()).max_by_key(|at| counts[*at]).unwrap_or(0);
         let (worker, server) = (&world.workers[at].0.clone(), &world.workers[at].1);
         worker.crash();
         server.crash();
-        world.beating.lock().unwrap().insert(worker.id.clone(), false);
-        world.note(&format!("worker {} is lost for good, with {} runs", worker.id, counts[at]));
+        world
+            .beating
+            .lock()
+            .unwrap()
+            .insert(worker.id.clone(), false);
+        world.note(&format!(
+            "worker {} is lost for good, with {} runs",
+            worker.id, counts[at]
+        ));
         sleep(Duration::from_millis(4_400));
-        let Some(leader) = world.leader() else { world.give_up("no daemon leads") };
+        let Some(leader) = world.leader() else {
+            world.give_up("no daemon leads")
+        };
         world.kill(leader);
         let name = world.daemons[leader].name.clone();
-        world.note(&format!("daemon {name}, which wrote to the store under a condition last, is killed"));
+        world.note(&format!(
+            "daemon {name}, which wrote to the store under a condition last, is killed"
+        ));
         sleep(Duration::from_millis(1_000));
         world.start(leader);
         world.note(&format!("daemon {name} is started again"));
@@ -505,8 +596,12 @@
             }
         }
         let used: u64 = jobs.iter().map(|job| world.progress(job).1 * job.cpu).sum();
-        let room: u64 =
-            world.workers.iter().filter(|(worker, _)| worker.is_up()).map(|_| WORKER_CPU).sum();
+        let room: u64 = world
+            .workers
+            .iter()
+            .filter(|(worker, _)| worker.is_up())
+            .map(|_| WORKER_CPU)
+            .sum();
         let mut all_done = true;
         for job in &jobs {
             let (done, running) = world.progress(job);
@@ -572,7 +667,11 @@
         ("mem-mb", number(1_024)),
         ("estimated-ms", number(work.as_millis() as u64)),
     ]);
-    let body = object([("spec", text("x".repeat(150))), ("steps", Json::List(vec![step]))]).encoded();
+    let body = object([
+        ("spec", text("x".repeat(150))),
+        ("steps", Json::List(vec![step])),
+    ])
+    .encoded();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (sent, frontends, body) = (sent.clone(), frontends.clone(), body.clone());
@@ -585,20 +684,29 @@
                     let id = format!("{number:016x}");
                     durations.lock().unwrap().insert(id.clone(), work);
                     let key = format!("Bearer {KEY}");
-                    let headers = [("Host", HOST), ("Authorization", &*key), ("Deadline-Ms", "3000")];
+                    let headers = [
+                        ("Host", HOST),
+                        ("Authorization", &*key),
+                        ("Deadline-Ms", "3000"),
+                    ];
                     let mut status = None;
                     for attempt in 0..4 {
                         let daemon = (client + call + attempt) as usize % frontends.len();
                         let path = format!("{PREFIX}{id}");
                         let timeout = Duration::from_millis(3_000);
-                        let answer = http::call(frontends[daemon], "POST", &path, &headers, &body, timeout);
+                        let answer =
+                            http::call(frontends[daemon], "POST", &path, &headers, &body, timeout);
                         status = answer.map(|(status, _)| status);
                         if status == Some(200) {
                             break;
                         }
                         sleep(Duration::from_millis(100));
                     }
-                    sent.lock().unwrap().push(Sent { id, status, at: Instant::now() });
+                    sent.lock().unwrap().push(Sent {
+                        id,
+                        status,
+                        at: Instant::now(),
+                    });
                     call += 1;
                     let due = begin + Duration::from_micros(1_000_000 * CLIENTS / RATE * call);
                     sleep(due.saturating_duration_since(Instant::now()));
@@ -607,13 +715,20 @@
         })
         .collect();
     sleep(kill_at.saturating_duration_since(Instant::now()));
-    let line = format!("{} submissions were handed in so far", sent.lock().unwrap().len());
+    let line = format!(
+        "{} submissions were handed in so far",
+        sent.lock().unwrap().len()
+    );
     world.note(&line);
     if has_trouble {
-        let Some(leader) = world.leader() else { world.give_up("no daemon leads") };
+        let Some(leader) = world.leader() else {
+            world.give_up("no daemon leads")
+        };
         world.kill(leader);
         let name = world.daemons[leader].name.clone();
-        world.note(&format!("daemon {name}, which wrote to the store under a condition last, is killed"));
+        world.note(&format!(
+            "daemon {name}, which wrote to the store under a condition last, is killed"
+        ));
         sleep(Duration::from_secs(1));
         world.start(leader);
         world.note(&format!("daemon {name} is started again"));
@@ -623,15 +738,27 @@
     }
     let traffic_end = Instant::now();
     let sent = std::mem::take(&mut *sent.lock().unwrap());
-    let accepted: Vec<&Sent> = sent.iter().filter(|sent| sent.status == Some(200)).collect();
-    let line = format!("the traffic ends: {} submissions handed in, {} accepted", sent.len(), accepted.len());
+    let accepted: Vec<&Sent> = sent
+        .iter()
+        .filter(|sent| sent.status == Some(200))
+        .collect();
+    let line = format!(
+        "the traffic ends: {} submissions handed in, {} accepted",
+        sent.len(),
+        accepted.len()
+    );
     world.note(&line);
     if accepted.len() < 2_500 {
         world.give_up("too few submissions were accepted");
     }
     let finish = traffic_end + Duration::from_secs(14);
     sleep(finish.saturating_duration_since(Instant::now()));
-    let room: u64 = world.workers.iter().filter(|(worker, _)| worker.is_up()).map(|_| WORKER_CPU).sum();
+    let room: u64 = world
+        .workers
+        .iter()
+        .filter(|(worker, _)| worker.is_up())
+        .map(|_| WORKER_CPU)
+        .sum();
     let mut idle_since: BTreeMap<String, Instant> = BTreeMap::new();
     let mut broken = false;
     while Instant::now() < finish + Duration::from_secs(10) {
@@ -678,25 +805,51 @@
     }
     let began = world.started;
     let at = |time: Instant| time.duration_since(began).as_secs_f64();
-    let last_start = world.history.lock().unwrap().iter().map(|seen| seen.begin).max();
+    let last_start = world
+        .history
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|seen| seen.begin)
+        .max();
     let line = format!("the last task began at {:.3} s", last_start.map_or(0.0, at));
     world.note(&line);
     let mut runs: BTreeMap<String, String> = BTreeMap::new();
     for seen in world.history.lock().unwrap().iter() {
         let id = seen.task.split('.').next().unwrap_or("").to_string();
-        let end = seen.end.map_or("runs".into(), |(time, how)| format!("{:.2} {how}", at(time)));
-        *runs.entry(id).or_default() +=
-            &format!("; {} {} on {}: {:.2} to {end}", &seen.task[16..], seen.run, seen.worker, at(seen.begin));
+        let end = seen.end.map_or("runs".into(), |(time, how)| {
+            format!("{:.2} {how}", at(time))
+        });
+        *runs.entry(id).or_default() += &format!(
+            "; {} {} on {}: {:.2} to {end}",
+            &seen.task[16..],
+            seen.run,
+            seen.worker,
+            at(seen.begin)
+        );
     }
     for sent in &sent {
         let runs = runs.get(&sent.id).map_or("; not run", |runs| runs);
-        let _ = writeln!(world.record, "POST {}: {:?} at {:.2}{runs}", sent.id, sent.status, at(sent.at));
+        let _ = writeln!(
+            world.record,
+            "POST {}: {:?} at {:.2}{runs}",
+            sent.id,
+            sent.status,
+            at(sent.at)
+        );
     }
-    let last: Vec<(String, Instant)> = accepted.iter().rev().take(12).map(|job| (job.id.clone(), job.at)).collect();
+    let last: Vec<(String, Instant)> = accepted
+        .iter()
+        .rev()
+        .take(12)
+        .map(|job| (job.id.clone(), job.at))
+        .collect();
     for (at, (id, accepted_at)) in last.iter().enumerate() {
         let state = world.state(at % world.daemons.len(), id);
         let accepted_at = accepted_at.duration_since(world.started).as_secs_f64();
-        world.note(&format!("GET {id}, accepted at {accepted_at:.3} s: {state}"));
+        world.note(&format!(
+            "GET {id}, accepted at {accepted_at:.3} s: {state}"
+        ));
     }
     broken
 }
@@ -722,7 +875,11 @@
             let mut world = World::new(program, folder, &zones, &machines);
             let broken = handover(&mut world, has_trouble);
             world.write_runs();
-            world.note(if broken { "the rule is broken" } else { "the rule holds" });
+            world.note(if broken {
+                "the rule is broken"
+            } else {
+                "the rule holds"
+            });
             world.end();
             broken
         }
@@ -735,9 +892,18 @@
                 max_fds: 10_250,
                 link_mbps: Some(10),
             };
-            let mut world = World::new(program, folder, &["poznan-a", "poznan-b", "gniezno"], &machines);
+            let mut world = World::new(
+                program,
+                folder,
+                &["poznan-a", "poznan-b", "gniezno"],
+                &machines,
+            );
             let broken = load(&mut world, has_trouble);
-            world.note(if broken { "the rule is broken" } else { "the rule holds" });
+            world.note(if broken {
+                "the rule is broken"
+            } else {
+                "the rule holds"
+            });
             world.end();
             broken
         }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -66,7 +66,11 @@
 impl Store {
     pub fn new() -> Self {
         Self {
-            rows: Mutex::new(Rows { rows: BTreeMap::new(), changes: Vec::new(), version: 0 }),
+            rows: Mutex::new(Rows {
+                rows: BTreeMap::new(),
+                changes: Vec::new(),
+                version: 0,
+            }),
             changed: Condvar::new(),
             started: Instant::now(),
         }
@@ -111,11 +115,20 @@
 
     fn transact(&self, request: &Request) -> Reply {
         thread::sleep(TXN);
-        let Some(body) = parse(&request.body) else { return Reply::Answer(400, "{}".into()) };
+        let Some(body) = parse(&request.body) else {
+            return Reply::Answer(400, "{}".into());
+        };
         let mut rows = self.rows.lock().unwrap();
         let expected = body.get("expected-rev").list();
-        let current = |row: &Json| rows.rows.get(&key_of(row)).map_or(0, |(version, _)| *version);
-        if !expected.iter().all(|row| current(row) == row.get("row-version").number()) {
+        let current = |row: &Json| {
+            rows.rows
+                .get(&key_of(row))
+                .map_or(0, |(version, _)| *version)
+        };
+        if !expected
+            .iter()
+            .all(|row| current(row) == row.get("row-version").number())
+        {
             let found = expected.iter().filter_map(|expected| {
                 let key = key_of(expected);
                 let (version, value) = rows.rows.get(&key)?;
@@ -137,8 +150,16 @@
 
     fn read(&self, request: &Request) -> Reply {
         let rows = self.rows.lock().unwrap();
-        let (table, part, from) = (request.param("table"), request.param("part"), request.param("from"));
-        let limit = request.param("limit").parse().unwrap_or(MAX_ROWS).min(MAX_ROWS);
+        let (table, part, from) = (
+            request.param("table"),
+            request.param("part"),
+            request.param("from"),
+        );
+        let limit = request
+            .param("limit")
+            .parse()
+            .unwrap_or(MAX_ROWS)
+            .min(MAX_ROWS);
         let fits = |key: &Key| key.0 == table && key.1 == part && key.2.as_str() >= from;
         let mut list: Vec<Json> = Vec::new();
         let mut more = false;
@@ -159,9 +180,13 @@
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut rows = self.rows.lock().unwrap();
         loop {
-            let changes = rows.changes.iter().filter(|(version, key, _)| *version > after && key.0 == table);
-            let list: Vec<Json> =
-                changes.map(|(version, key, value)| row(key, *version, value.as_ref())).collect();
+            let changes = rows
+                .changes
+                .iter()
+                .filter(|(version, key, _)| *version > after && key.0 == table);
+            let list: Vec<Json> = changes
+                .map(|(version, key, value)| row(key, *version, value.as_ref()))
+                .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !list.is_empty() || left.is_zero() {
                 return Reply::Answer(200, self.answer(&rows, list, false));
@@ -176,7 +201,11 @@
 fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let b = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let b = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let sum = u32::from(b[0]) << 16 | u32::from(b[1]) << 8 | u32::from(b[2]);
         for at in 0..4 {
             match at <= chunk.len() {
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -106,12 +106,19 @@
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(run) = state.runs.remove(task) else { return };
+        let Some(run) = state.runs.remove(task) else {
+            return;
+        };
         state.last_end += 1;
         let highest = state.highest.entry(task.to_string()).or_default();
         *highest = run.number.max(*highest);
         self.history.lock().unwrap()[run.seen].end = Some((Instant::now(), how));
-        let end = End { number: state.last_end, task: task.to_string(), run: run.number, how };
+        let end = End {
+            number: state.last_end,
+            task: task.to_string(),
+            run: run.number,
+            how,
+        };
         state.ends.push(end);
         self.changed.notify_all();
     }
@@ -144,7 +151,10 @@
 
     fn answer(&self, status: u16, reason: &str) -> Reply {
         let body = match reason {
-            "" => object([("clock-ms", number(self.clock_ms())), ("born", number(self.born))]),
+            "" => object([
+                ("clock-ms", number(self.clock_ms())),
+                ("born", number(self.born)),
+            ]),
             reason => object([
                 ("clock-ms", number(self.clock_ms())),
                 ("born", number(self.born)),
@@ -155,7 +165,9 @@
     }
 
     pub fn handle(&self, request: &Request) -> Reply {
-        let Some(body) = parse(&request.body) else { return Reply::Answer(400, "{}".into()) };
+        let Some(body) = parse(&request.body) else {
+            return Reply::Answer(400, "{}".into());
+        };
         if request.header("Expected-Instance") != self.id {
             return Reply::Answer(421, "{}".into());
         }
@@ -202,12 +214,18 @@
     }
 
     fn start(&self, state: &mut State, body: &Json) -> Reply {
-        let (task, run) = (body.get("task").text().to_string(), body.get("run").number());
+        let (task, run) = (
+            body.get("task").text().to_string(),
+            body.get("run").number(),
+        );
         if state.runs.get(&task).is_some_and(|own| own.number == run) {
             self.renew(state, body);
             return self.answer(200, "");
         }
-        let is_old = state.highest.get(&task).is_some_and(|highest| run <= *highest);
+        let is_old = state
+            .highest
+            .get(&task)
+            .is_some_and(|highest| run <= *highest);
         if is_old || state.runs.contains_key(&task) {
             self.renew(state, body);
             return self.answer(409, "old");
@@ -216,7 +234,13 @@
             return self.answer(409, "late");
         }
         let id = task.split('.').next().unwrap_or("").to_string();
-        let work = self.durations.lock().unwrap().get(&id).copied().unwrap_or(Duration::from_secs(1));
+        let work = self
+            .durations
+            .lock()
+            .unwrap()
+            .get(&id)
+            .copied()
+            .unwrap_or(Duration::from_secs(1));
         let mut history = self.history.lock().unwrap();
         history.push(Seen {
             task: task.clone(),
@@ -227,16 +251,27 @@
         });
         let seen = history.len() - 1;
         drop(history);
-        state.runs.insert(task, Run { number: run, done_at: Instant::now() + work, seen });
+        state.runs.insert(
+            task,
+            Run {
+                number: run,
+                done_at: Instant::now() + work,
+                seen,
+            },
+        );
         self.renew(state, body);
         self.answer(200, "")
     }
 
     fn lists(&self, state: &State) -> Reply {
-        let active = state
-            .runs
-            .iter()
-            .map(|(task, run)| Json::List(vec![text(task.clone()), number(run.number), text(""), number(50)]));
+        let active = state.runs.iter().map(|(task, run)| {
+            Json::List(vec![
+                text(task.clone()),
+                number(run.number),
+                text(""),
+                number(50),
+            ])
+        });
         let ends = state.ends.iter().take(MAX_LISTED_ENDS).map(|end| {
             Json::List(vec![
                 number(end.number),
