Fit the pages of a new leader's reads to its link

Cause: a new leader read seven tables and partitions at once, each in pages of up to 500 rows or 1 MB, each with a time-out of 1.5 s. The pages shared the link, so all took longer than that, counted as lost, and were requested again unchanged. The renewals of its lease still succeeded, so nobody else led.

Change: PageSize begins with 64 rows, grows while pages take less than half of 300 ms, and shrinks where they take longer or are lost. Three pages are in flight at a time, and pages that were read are kept. read_failed and leader_loaded log the size.

Why this works: the smallest page is one row, 87 KB at most, which 10 Mbit/s carry in 70 ms, so each read makes progress.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -35,6 +35,15 @@
 pub const STORE_TIMEOUT_MS: Millis = Millis(1_500);
 /// The delay before a failed call to the store is retried; well below the store's rate limits.
 pub const STORE_RETRY_DELAY_MS: Millis = Millis(120);
+/// How many rows the first page of a full read has; the store gives up to 1 MB.
+pub const FIRST_PAGE_ROWS: u32 = 64;
+/// The most rows of a page: the store's own limit.
+pub const MAX_PAGE_ROWS: u32 = 500;
+/// How long a page of a full read should take at most; the renewals of the leader's lease share the
+/// link with it.
+pub const PAGE_TARGET_MS: Millis = Millis(300);
+/// How many pages a new leader reads at a time.
+pub const MAX_OPEN_SCANS: usize = 3;
 /// Subtracted from the time for which a withdrawn key may be accepted: 2% of clock drift and one
 /// call.
 pub const KEY_REVOCATION_MARGIN_MS: Millis = Millis(500);
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -5,7 +5,7 @@
     cell::{
         consts,
         ctx::{reply_name, Ctx, RpcOwner},
-        leader::Leader,
+        leader::{page_size::PageSize, Leader},
         store_clock::StoreClock,
         submissions::partition_name,
         LogEvent, Row, RowValue, RowVersion, RpcId, StoreCall, StoreReply, Table,
@@ -13,7 +13,7 @@
     JobId, Millis,
 };
 use compact_str::{format_compact, CompactString};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// How often in a row a page is read again that has no readable key and is not the last one.
 const MAX_UNREADABLE_PAGES: u32 = 24;
@@ -36,7 +36,12 @@
 
 #[derive(Debug)]
 enum OpenRead {
-    Scan(Scan),
+    Scan {
+        scan: Scan,
+        sent_at: Millis,
+        /// The most rows that the page may have.
+        rows: u32,
+    },
     Follow(Table),
 }
 
@@ -44,7 +49,7 @@
     /// Returns the table of a full read.
     fn scanned(&self) -> Option<Table> {
         match self {
-            OpenRead::Scan(scan) => Some(scan.table),
+            OpenRead::Scan { scan, .. } => Some(scan.table),
             OpenRead::Follow(_) => None,
         }
     }
@@ -53,11 +58,14 @@
 /// The leader's reads of the store.
 #[derive(Debug)]
 pub(crate) struct Loader {
-    /// Full reads that are not sent yet; all must have ended before work is placed.
-    pending_scans: Vec<Scan>,
+    /// Full reads that are not sent yet, in the order of sending; all must have ended before work is
+    /// placed.
+    pending_scans: VecDeque<Scan>,
+    page_size: PageSize,
+    /// When the next page may be requested.
+    next_scan_at: Millis,
     open: BTreeMap<RpcId, OpenRead>,
     feeds: BTreeMap<Table, Feed>,
-    retry_at: Millis,
     /// How many reads of each table have failed in a row.
     failures: BTreeMap<Table, u32>,
     /// A reading of the store's clock, and the leader's time when it arrived.
@@ -72,17 +80,18 @@
             part: part.into(),
             from: CompactString::default(),
         };
-        let mut pending_scans: Vec<Scan> = (0..consts::JOB_PARTITIONS)
-            .map(|part| scan(Table::Jobs, &partition_name(part)))
-            .collect();
-        pending_scans.push(scan(Table::Progress, consts::CELL_PARTITION));
-        pending_scans.push(scan(Table::Workers, ""));
-        pending_scans.push(scan(Table::Members, consts::MEMBERS_PARTITION));
+        let small_tables = [
+            scan(Table::Members, consts::MEMBERS_PARTITION),
+            scan(Table::Workers, ""),
+            scan(Table::Progress, consts::CELL_PARTITION),
+        ];
+        let jobs = (0..consts::JOB_PARTITIONS).map(|part| scan(Table::Jobs, &partition_name(part)));
         Self {
-            pending_scans,
+            pending_scans: small_tables.into_iter().chain(jobs).collect(),
+            page_size: PageSize::default(),
+            next_scan_at: Millis(0),
             open: BTreeMap::new(),
             feeds: BTreeMap::new(),
-            retry_at: Millis(0),
             failures: BTreeMap::new(),
             clock: None,
             is_done: false,
@@ -108,16 +117,38 @@
         *failures = failures.saturating_add(1);
         if failures.is_power_of_two() {
             let event = LogEvent::warn("read_failed").with("table", format_args!("{table:?}"));
-            let event = event.with("reply", reply);
-            ctx.log(event.with("failures", failures));
+            let event = event.with("reply", reply).with("failures", failures);
+            ctx.log(event.with("page_rows", self.page_size.rows()));
         }
     }
 
     /// Sends a failed full read again after a pause.
     fn retry_scan(&mut self, ctx: &mut Ctx, scan: Scan, reply: &str) {
         self.on_failed_read(ctx, scan.table, reply);
-        self.retry_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
-        self.pending_scans.push(scan);
+        self.next_scan_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+        self.pending_scans.push_front(scan);
+    }
+
+    /// Returns how many pages may be requested now.
+    fn free_scans(&self, now: Millis) -> usize {
+        let max_open = match self.is_done {
+            true => 1,
+            false => consts::MAX_OPEN_SCANS,
+        };
+        let open = self.open.values().filter_map(OpenRead::scanned).count();
+        match now >= self.next_scan_at {
+            true => max_open.saturating_sub(open),
+            false => 0,
+        }
+    }
+
+    /// Notes that a page of at most `requested` rows took `took_ms`. Pages that are read while this
+    /// daemon places work leave the host's link to its other calls for as long as they took.
+    fn on_page(&mut self, now: Millis, requested: u32, took_ms: Millis, is_last: bool) {
+        self.page_size.on_page(requested, took_ms, is_last);
+        if self.is_done {
+            self.next_scan_at = now + took_ms;
+        }
     }
 
     /// Makes the next read of accepted jobs due at once.
@@ -141,17 +172,25 @@
     /// Sends the full reads and the reads of changes that are due.
     pub(crate) fn send_reads(&mut self, ctx: &mut Ctx) {
         let loader = &mut self.loader;
-        if ctx.now >= loader.retry_at {
-            for scan in std::mem::take(&mut loader.pending_scans) {
-                let call = StoreCall::Read {
-                    table: scan.table,
-                    partition: scan.part.clone(),
-                    from: scan.from.clone(),
-                    limit: 0,
-                };
-                let rpc = ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
-                loader.open.insert(rpc, OpenRead::Scan(scan));
-            }
+        for _ in 0..loader.free_scans(ctx.now) {
+            let Some(scan) = loader.pending_scans.pop_front() else {
+                break;
+            };
+            let rows = loader.page_size.rows();
+            let call = StoreCall::Read {
+                table: scan.table,
+                partition: scan.part.clone(),
+                from: scan.from.clone(),
+                limit: rows,
+            };
+            let rpc = ctx.call_store(RpcOwner::Leader, call, consts::STORE_TIMEOUT_MS);
+            let sent_at = ctx.now;
+            let read = OpenRead::Scan {
+                scan,
+                sent_at,
+                rows,
+            };
+            loader.open.insert(rpc, read);
         }
         let scanned: Vec<Table> = loader.open.values().filter_map(OpenRead::scanned).collect();
         for (&table, feed) in &mut loader.feeds {
@@ -176,7 +215,21 @@
 
     pub(crate) fn on_read_reply(&mut self, ctx: &mut Ctx, rpc: RpcId, reply: StoreReply) {
         match self.loader.open.remove(&rpc) {
-            Some(OpenRead::Scan(scan)) => self.on_scan(ctx, scan, reply),
+            Some(OpenRead::Scan {
+                scan,
+                sent_at,
+                rows,
+            }) => {
+                let took_ms = ctx.now.since(sent_at);
+                match &reply {
+                    StoreReply::Rows { more, .. } => {
+                        self.loader.on_page(ctx.now, rows, took_ms, !*more)
+                    }
+                    StoreReply::Lost => self.loader.page_size.on_lost(rows),
+                    _ => {}
+                }
+                self.on_scan(ctx, scan, reply)
+            }
             Some(OpenRead::Follow(table)) => self.on_follow(ctx, table, reply),
             None => {}
         }
@@ -225,12 +278,12 @@
         }
         if let (true, Some(last)) = (more, last_key) {
             scan.from = format_compact!("{last}\u{1}");
-            self.loader.pending_scans.push(scan);
+            self.loader.pending_scans.push_front(scan);
         }
         for row in rows {
             self.apply_row(ctx, row);
         }
-        let is_scan = |open: &OpenRead| matches!(open, OpenRead::Scan(_));
+        let is_scan = |open: &OpenRead| open.scanned().is_some();
         let has_scans_left =
             !self.loader.pending_scans.is_empty() || self.loader.open.values().any(is_scan);
         if !has_scans_left && !self.loader.is_done {
@@ -253,6 +306,7 @@
             .count();
         let event = event.with("workers_missing", missing);
         let event = event.with("config", self.policy.is_some());
+        let event = event.with("page_rows", self.loader.page_size.rows());
         ctx.log(event.with("took_ms", ctx.now.since(self.started_at).0));
         self.set_refills();
         self.attach_progress(ctx);
@@ -306,11 +360,8 @@
         ctx.log(LogEvent::warn("history_lost").with("table", format_args!("{table:?}")));
         self.loader.feeds.remove(&table);
         let all_scans = Loader::default().pending_scans;
-        let mut scans: Vec<Scan> = all_scans
-            .into_iter()
-            .filter(|scan| scan.table == table)
-            .collect();
-        self.loader.pending_scans.append(&mut scans);
+        let scans = all_scans.into_iter().filter(|scan| scan.table == table);
+        self.loader.pending_scans.extend(scans);
         if table == Table::Workers {
             self.fleet.mark_all_unlisted();
         }
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -16,6 +16,7 @@
 mod limit_reservations;
 mod loader;
 mod members;
+mod page_size;
 mod pending;
 mod placements;
 mod policy;
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 mod domains;
+mod link;
 pub mod seeds;
 mod store;
 mod workers;
@@ -14,6 +15,7 @@
 
 use calls::{CallFault, RandomCallFaults};
 use domains::Domains;
+use link::StoreLink;
 use pomelotide_core::{
     cell::{
         AdviceCost, AdviceReply, CellSettingsBuilder, ClientAnswer, ClientCall, ClientVerb,
@@ -35,6 +37,8 @@
 pub const KEY: &str = "secret";
 /// The Unix time at which the clocks begin.
 const UNIX_BASE_MS: u64 = 1_700_000_000_000;
+/// The interval of the daemons' timers.
+const TICK_MS: u64 = 25;
 /// How long a call to the store takes.
 const STORE_MS: u64 = 10;
 /// After which time a call to the store without an answer counts as lost.
@@ -170,6 +174,10 @@
     called_workers: BTreeMap<(usize, RpcId), WorkerId>,
     /// The incarnations in the last lists that each process has received.
     seen_incarnations: BTreeMap<(usize, WorkerId), Incarnation>,
+    /// The links of daemons to the store, where their rate is bounded.
+    store_links: BTreeMap<usize, StoreLink>,
+    /// When the callers of the store stop waiting, over such links.
+    store_deadlines: BTreeMap<(usize, RpcId), u64>,
 }
 
 /// Returns a queue of the given priority without advice.
@@ -320,6 +328,8 @@
             works_as_estimated: false,
             called_workers: BTreeMap::new(),
             seen_incarnations: BTreeMap::new(),
+            store_links: BTreeMap::new(),
+            store_deadlines: BTreeMap::new(),
         };
         for at in 0..workers {
             let worker = FakeWorker::new(at);
@@ -464,6 +474,32 @@
         self.daemons[at].cut = cut;
     }
 
+    /// Bounds the rate of a daemon's link to the store.
+    pub fn slow_link(&mut self, at: usize, megabits_per_s: u64) {
+        self.store_links.insert(at, StoreLink::new(megabits_per_s));
+    }
+
+    /// Receives the answers of the store over the bounded links.
+    fn run_store_links(&mut self, span_ms: u64) {
+        let now = self.now;
+        let links = self.store_links.values_mut();
+        let ended = links.flat_map(|link| link.advance(now, span_ms));
+        for (caller, rpc, reply) in ended.collect::<Vec<_>>() {
+            self.deliver_event(caller, Event::Store(rpc, reply));
+        }
+    }
+
+    /// Lets a daemon receive an answer of the store.
+    fn answer_store_call(&mut self, delay_ms: u64, caller: usize, rpc: RpcId, reply: StoreReply) {
+        let deadline = self.store_deadlines.remove(&(caller, rpc));
+        match (self.store_links.get_mut(&(caller % MAX_DAEMONS)), deadline) {
+            (Some(link), Some(deadline)) if delay_ms == self.store_ms => {
+                link.receive(caller, rpc, deadline, reply);
+            }
+            _ => self.later(delay_ms, Due::Event(caller, Event::Store(rpc, reply))),
+        }
+    }
+
     /// Returns the daemon that leads.
     pub fn leader(&self) -> Option<usize> {
         self.leaders().first().copied()
@@ -552,7 +588,7 @@
     pub fn run(&mut self, span_ms: u64) {
         let end = self.now + span_ms;
         while self.now < end {
-            let next_tick = (self.now / 25 + 1) * 25;
+            let next_tick = (self.now / TICK_MS + 1) * TICK_MS;
             let next = self
                 .queue
                 .keys()
@@ -567,6 +603,7 @@
                 self.deliver(due);
             }
             if self.now == next_tick {
+                self.run_store_links(TICK_MS);
                 self.run_workers();
                 for at in 0..self.daemons.len() {
                     self.deliver_event(at, Event::Tick);
@@ -666,10 +703,7 @@
                 let late_ms = self.scan_ms(&call, true);
                 let replies = self.store.call(refuses, at, rpc, call, self.now);
                 for (at, rpc, wait_ms, reply) in replies {
-                    self.later(
-                        self.store_ms + wait_ms + late_ms,
-                        Due::Event(at, Event::Store(rpc, reply)),
-                    );
+                    self.answer_store_call(self.store_ms + wait_ms + late_ms, at, rpc, reply);
                 }
             }
             Due::WorkerCall(at, rpc, call) => {
@@ -698,7 +732,15 @@
             Effect::Answer(call, answer) => {
                 self.answers.insert(call.0, answer);
             }
-            Effect::Store { rpc, call, .. } => {
+            Effect::Store {
+                rpc,
+                call,
+                timeout_ms,
+            } => {
+                if self.store_links.contains_key(&at) {
+                    let deadline = self.now + timeout_ms.0;
+                    self.store_deadlines.insert((caller, rpc), deadline);
+                }
                 let late_ms = self.scan_ms(&call, false);
                 self.later(self.store_ms + late_ms, Due::StoreCall(caller, rpc, call));
             }
