Let reads of changes take longer after a lost answer

Cause: the answer to a read of changes holds all changes since the last one that arrived. Once it takes more than 1.5 s it counts as lost, and the next one is larger. When the store's history is over, the table is read again, which took what there is of the link.

Change: the time-out of such a read doubles with each lost answer, up to 6 s; the pause until the next is at least as long as the last one took.

Why this works: the answer arrives as long as the link carries more than the table grows by, and before the store's history of 20 s is over.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -42,6 +42,9 @@
 /// How long a page of a full read should take at most; the renewals of the leader's lease share the
 /// link with it.
 pub const PAGE_TARGET_MS: Millis = Millis(300);
+/// How often the time-out of a read of changes doubles at most while its answers are lost; the sum of all
+/// time-outs stays well below the time for which the store keeps its history.
+pub const MAX_FOLLOW_TIMEOUT_DOUBLINGS: u32 = 2;
 /// How many pages a new leader reads at a time.
 pub const MAX_OPEN_SCANS: usize = 3;
 /// Subtracted from the time for which a withdrawn key may be accepted: 2% of clock drift and one
--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -31,7 +31,19 @@
 struct Feed {
     read_up_to: RowVersion,
     in_flight: bool,
+    sent_at: Millis,
     next_at: Millis,
+    /// How many answers in a row did not come in time.
+    lost: u32,
+}
+
+impl Feed {
+    /// Returns how long the answer to the next read may take, beside its wait at the store. An answer holds
+    /// all changes since the last one, so after a lost one the next is larger.
+    fn timeout_ms(&self) -> Millis {
+        let factor = 1 << self.lost.min(consts::MAX_FOLLOW_TIMEOUT_DOUBLINGS);
+        Millis(consts::STORE_TIMEOUT_MS.0 * factor)
+    }
 }
 
 #[derive(Debug)]
@@ -151,6 +163,31 @@
         }
     }
 
+    /// Returns whether a table is being read in full.
+    pub(crate) fn is_scanning(&self, table: Table) -> bool {
+        let mut open = self.open.values().filter_map(OpenRead::scanned);
+        let mut pending = self.pending_scans.iter();
+        open.any(|own| own == table) || pending.any(|scan| scan.table == table)
+    }
+
+    /// Reads the changes of a table, if that is due.
+    fn follow(&mut self, ctx: &mut Ctx, table: Table) {
+        let feed = self.feeds.get_mut(&table);
+        let Some(feed) = feed.filter(|feed| !feed.in_flight && ctx.now >= feed.next_at) else {
+            return;
+        };
+        let (wait_ms, _) = follow_timing(table);
+        feed.in_flight = true;
+        feed.sent_at = ctx.now;
+        let call = StoreCall::Follow {
+            table,
+            after: feed.read_up_to,
+            wait_ms,
+        };
+        let rpc = ctx.call_store(RpcOwner::Leader, call, wait_ms + feed.timeout_ms());
+        self.open.insert(rpc, OpenRead::Follow(table));
+    }
+
     /// Makes the next read of accepted jobs due at once.
     pub(crate) fn read_jobs_now(&mut self) {
         if let Some(feed) = self.feeds.get_mut(&Table::Jobs) {
@@ -192,24 +229,11 @@
             };
             loader.open.insert(rpc, read);
         }
-        let scanned: Vec<Table> = loader.open.values().filter_map(OpenRead::scanned).collect();
-        for (&table, feed) in &mut loader.feeds {
-            // The version to follow from is known only once all full reads of the table have ended.
-            let is_being_scanned = scanned.contains(&table)
-                || loader.pending_scans.iter().any(|scan| scan.table == table);
-            if feed.in_flight || ctx.now < feed.next_at || is_being_scanned {
-                continue;
-            }
-            let (wait_ms, _) = follow_timing(table);
-            let after = feed.read_up_to;
-            feed.in_flight = true;
-            let call = StoreCall::Follow {
-                table,
-                after,
-                wait_ms,
-            };
-            let rpc = ctx.call_store(RpcOwner::Leader, call, wait_ms + consts::STORE_TIMEOUT_MS);
-            loader.open.insert(rpc, OpenRead::Follow(table));
+        // The version to follow from is known only once all full reads of the table have ended.
+        let feeds = loader.feeds.keys().copied();
+        let feeds: Vec<Table> = feeds.filter(|table| !loader.is_scanning(*table)).collect();
+        for table in feeds {
+            loader.follow(ctx, table);
         }
     }
 
@@ -271,7 +295,9 @@
             let feed = Feed {
                 read_up_to: version,
                 in_flight: false,
+                sent_at: ctx.now,
                 next_at: ctx.now,
+                lost: 0,
             };
             let existing = self.loader.feeds.entry(scan.table).or_insert(feed);
             existing.read_up_to = existing.read_up_to.min(version);
@@ -329,7 +355,8 @@
                 ..
             } => {
                 self.loader.failures.remove(&table);
-                let (_, pause_ms) = follow_timing(table);
+                feed.lost = 0;
+                let (wait_ms, pause_ms) = follow_timing(table);
                 // A page that is not the last one covers only the changes up to its last row.
                 let last = rows.iter().map(|row| row.version).max();
                 let last = last.filter(|last| *last > feed.read_up_to);
@@ -338,7 +365,8 @@
                 feed.read_up_to = feed
                     .read_up_to
                     .max(last.filter(|_| more).unwrap_or(version));
-                feed.next_at = ctx.now + pause_ms;
+                let took_ms = ctx.now.since(feed.sent_at).since(wait_ms);
+                feed.next_at = ctx.now + pause_ms.max(took_ms);
                 for row in rows {
                     self.apply_row(ctx, row);
                 }
@@ -349,6 +377,7 @@
             StoreReply::HistoryLost => self.rescan(ctx, table),
             reply => {
                 feed.next_at = ctx.now + consts::STORE_RETRY_DELAY_MS;
+                feed.lost += u32::from(reply == StoreReply::Lost);
                 self.loader.on_failed_read(ctx, table, reply_name(&reply));
             }
         }
--- a/core/tests/cell_slow_links.rs
+++ b/core/tests/cell_slow_links.rs
@@ -50,3 +50,45 @@
     assert_eq!(starts_of(&world, 9_000), 1);
     world.assert_once();
 }
+
+/// Jobs that no daemon could report to the leader were never read: the answer with the changes took longer
+/// than the time-out on a slow link, and each further one was larger (review/12, LOST).
+#[test]
+fn changes_that_exceed_the_time_out_on_a_slow_link_are_read() {
+    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
+    world.set_work_ms(100);
+    world.run(4_000);
+    let leader = world.leader().unwrap();
+    let other = (leader + 1) % DAEMONS;
+    world.slow_link(leader, LINK_MBPS);
+    // Its reports to the leader are lost.
+    world.cut(other, true);
+    world.payload = "x".repeat(4_000);
+    submit_jobs(&mut world, &[other], 0..600, 1);
+    world.run(RECOVERY_MS);
+    assert_eq!(world.leader(), Some(leader));
+    let started = (0..600).filter(|job| starts_of(&world, *job) == 1).count();
+    assert_eq!(started, 600);
+}
+
+/// A leader that reads the jobs' table again, because the store has lost its history, kept its link busy
+/// and was late for all else.
+#[test]
+fn a_repeated_read_of_the_table_leaves_half_of_the_link_to_other_calls() {
+    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
+    world.payload = "x".repeat(2_000);
+    world.set_work_ms(100);
+    world.run(4_000);
+    submit_jobs(&mut world, &[0, 1, 2], 0..2_500, 2);
+    let leader = world.leader().unwrap();
+    world.slow_link(leader, LINK_MBPS);
+    world.run(1_000);
+    world.store.history_gone = world.store.version();
+    // A pause between the pages that is as long as they take, and the links' ticks.
+    let busy = world.store_link_use(leader, 4_000);
+    assert!(world.count("history_lost") > 0);
+    assert!(busy <= 0.6, "{busy}");
+    world.run(RECOVERY_MS);
+    assert_eq!(world.leader(), Some(leader));
+    assert_eq!(world.count("lead_taken"), 1);
+}
--- a/core/tests/cell_world/link.rs
+++ b/core/tests/cell_world/link.rs
@@ -55,6 +55,11 @@
         });
     }
 
+    /// Returns whether an answer is being received.
+    pub fn is_busy(&self) -> bool {
+        !self.transfers.is_empty()
+    }
+
     /// Receives for a span that ends now; returns the answers that have ended, as lost where their caller
     /// no longer waits.
     pub fn advance(&mut self, now: u64, span_ms: u64) -> Vec<(usize, RpcId, StoreReply)> {
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -479,6 +479,16 @@
         self.store_links.insert(at, StoreLink::new(megabits_per_s));
     }
 
+    /// Runs for a span and returns which part of it the bounded link of a daemon was in use.
+    pub fn store_link_use(&mut self, at: usize, span_ms: u64) -> f64 {
+        let mut busy_ticks = 0;
+        for _ in 0..span_ms / TICK_MS {
+            self.run(TICK_MS);
+            busy_ticks += u64::from(self.store_links[&at].is_busy());
+        }
+        busy_ticks as f64 * TICK_MS as f64 / span_ms as f64
+    }
+
     /// Receives the answers of the store over the bounded links.
     fn run_store_links(&mut self, span_ms: u64) {
         let now = self.now;
