Remove no jobs while their table is read in full

What callers would see: a job that ended two minutes ago runs again (TWICE).

Cause: a page of the table that the store answered before a removal may arrive after the answer to the removal. The job is unknown by then, and is added as a new one without progress. Slow links make such pages take hundreds of milliseconds.

Change: ended jobs are not removed while their table is read in full, and no full read of it begins while a removal is unanswered.

Why this works: no page then overlaps a removal that makes the leader forget a job. A removal without an answer keeps the job known.

Evidence: a_job_that_is_removed_while_the_table_is_read_again_does_not_run_again failed before: job 0x170 had started again at 139.3 s, 125 s after its end.

--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -170,6 +170,14 @@
         open.any(|own| own == table) || pending.any(|scan| scan.table == table)
     }
 
+    /// Removes and returns the next full read to send. While jobs are being removed, their table is not
+    /// read: a page from before would bring a removed job back.
+    fn take_scan(&mut self, are_jobs_removed: bool) -> Option<Scan> {
+        let is_due = |scan: &Scan| !(are_jobs_removed && scan.table == Table::Jobs);
+        let at = self.pending_scans.iter().position(is_due)?;
+        self.pending_scans.remove(at)
+    }
+
     /// Reads the changes of a table, if that is due.
     fn follow(&mut self, ctx: &mut Ctx, table: Table) {
         let feed = self.feeds.get_mut(&table);
@@ -208,9 +216,10 @@
 impl Leader {
     /// Sends the full reads and the reads of changes that are due.
     pub(crate) fn send_reads(&mut self, ctx: &mut Ctx) {
+        let are_jobs_removed = self.progress_writes.has_removals();
         let loader = &mut self.loader;
         for _ in 0..loader.free_scans(ctx.now) {
-            let Some(scan) = loader.pending_scans.pop_front() else {
+            let Some(scan) = loader.take_scan(are_jobs_removed) else {
                 break;
             };
             let rows = loader.page_size.rows();
--- a/core/src/cell/leader/mod.rs
+++ b/core/src/cell/leader/mod.rs
@@ -65,7 +65,7 @@
         queue_key::QueueKey,
         term::Term,
         ConfigFeed, DesiredState, FencingToken, LinkId, LogEvent, RowVersion, RpcId, StoreReply,
-        ToLeader,
+        Table, ToLeader,
     },
     JobId, Millis, Resources, TeamName,
 };
@@ -351,9 +351,10 @@
         }
     }
 
-    /// Removes jobs that ended, and withdrawals that were read, longer ago than the retention time.
+    /// Removes jobs that ended, and withdrawals that were read, longer ago than the retention time; not while
+    /// their table is read in full, because a page from before a removal would bring a removed job back.
     fn sweep(&mut self, ctx: &mut Ctx) {
-        if ctx.now < self.sweep_at {
+        if ctx.now < self.sweep_at || self.loader.is_scanning(Table::Jobs) {
             return;
         }
         self.sweep_at = ctx.now + consts::SWEEP_INTERVAL_MS;
--- a/core/src/cell/leader/progress_writes.rs
+++ b/core/src/cell/leader/progress_writes.rs
@@ -125,6 +125,11 @@
         std::mem::take(&mut self.loaded)
     }
 
+    /// Returns whether a removal of jobs is unanswered.
+    pub(crate) fn has_removals(&self) -> bool {
+        !self.removals.is_empty()
+    }
+
     /// Removes the rows of ended jobs and of withdrawals, unless a row was written anew. The progress
     /// rows of jobs are removed only after that, because a job without progress would run again.
     pub(crate) fn remove_jobs(&mut self, ctx: &mut Ctx, ended: &[(JobId, RowVersion)]) {
--- a/core/tests/cell_slow_links.rs
+++ b/core/tests/cell_slow_links.rs
@@ -92,3 +92,25 @@
     assert_eq!(world.leader(), Some(leader));
     assert_eq!(world.count("lead_taken"), 1);
 }
+
+/// A job whose row was removed while a page with it was under way became known again without its progress,
+/// and its tasks ran again (TWICE).
+#[test]
+fn a_job_that_is_removed_while_the_table_is_read_again_does_not_run_again() {
+    const RETENTION_MS: u64 = 120_000;
+    let mut world = World::new(DAEMONS, WORKERS, desired(1, queue()));
+    world.payload = "x".repeat(4_000);
+    world.set_work_ms(100);
+    world.run(4_000);
+    submit_jobs(&mut world, &[0, 1, 2], 0..800, 25);
+    let leader = world.leader().unwrap();
+    world.slow_link(leader, LINK_MBPS);
+    world.run(RETENTION_MS - 20_000);
+    for _ in 0..1_600 {
+        world.store.history_gone = world.store.version();
+        world.run(25);
+    }
+    assert!(world.count("jobs_swept") > 0);
+    world.run(5_000);
+    world.assert_once();
+}
