Apply the delay of weak hosts to the first election

Cause: before the first leader the version of the term row and the token of the last leader that resigned are both 0. They compared as equal, so the delay of a weak host counted from time 0 of its clock and was over at once: the daemon that read the store first led.

Change: a resignation counts only for a leader that there was.

Why this works: the delay now counts from the first read of the rows, as after a leader that is known.

Evidence: the_strongest_host_leads_from_the_start failed before.

--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -241,7 +241,7 @@
         let weak_host_delay_ms = Millis(delay_ms);
         let expired = if self.is_own_earlier_incarnation() {
             true
-        } else if self.resigned_token.0 == self.term.0 {
+        } else if self.has_holder_resigned() {
             now.since(self.resigned_at) >= weak_host_delay_ms
         } else if self.term_row.holder.is_none() {
             waited >= weak_host_delay_ms
@@ -252,6 +252,12 @@
         self.rows_known && expired
     }
 
+    /// Returns whether the leader that the term row names has announced its resignation. Before the first
+    /// leader there is neither.
+    fn has_holder_resigned(&self) -> bool {
+        self.term > RowVersion(0) && self.resigned_token.0 == self.term.0
+    }
+
     /// Returns when the leases of all earlier leaders have certainly expired, if this daemon's attempt to
     /// lead succeeds: the store then takes no renewal after the version of the lease row that is known
     /// now. The end that the row states is no bound, because the store may carry out an earlier renewal
--- a/core/tests/cell_liveness.rs
+++ b/core/tests/cell_liveness.rs
@@ -395,3 +395,19 @@
     let left = left.filter(|key| key.table == Table::Jobs).count();
     assert_eq!(left, 0, "rows of ended jobs are left");
 }
+
+/// The first leader of a cell was the daemon that read the store first, whatever its processor share: the
+/// delay of weak hosts was not applied before there had been a leader.
+#[test]
+fn the_strongest_host_leads_from_the_start() {
+    let shares = [300, 300, 500, 300];
+    let mut world = World::with_cpu(&shares, 2, desired(1, queue()));
+    (0..shares.len()).for_each(|at| world.kill(at));
+    for at in 0..shares.len() {
+        world.start(at);
+        world.run(40);
+    }
+    world.run(3_000);
+    assert_eq!(world.leader(), Some(2));
+    assert_eq!(world.count("lead_taken"), 1);
+}
