Prefer hosts with fast links as leader

Cause: the link had no part in who leads. A leader handed over only to a host with twice its processor share, so 0.3 cores and 10 Mbit/s stayed in the lead beside 0.5 cores and 200 Mbit/s.

Change: the setting link_mbps, the members' rows and the heartbeats state the rate, as far as a leader uses it. A host that lacks most of it waits 300 ms longer before it tries to lead; a leader hands over to a host with twice as much of processor or link and no less of the other, which never hands back. Rows and heartbeats of earlier versions are read as before.

Evidence: a_leader_on_a_slow_link_hands_over_to_a_host_with_a_fast_one and hosts_with_slow_links_wait_longer_before_they_lead; both fail if the hosts do not state their rates.

--- a/core/src/cell/consts.rs
+++ b/core/src/cell/consts.rs
@@ -28,6 +28,12 @@
 /// The processor share assumed for the strongest daemon until a leader has reported it.
 pub const DEFAULT_STRONGEST_CPU_MILLI: u64 = 1_000;
 
+/// How much longer a host waits before it tries to lead whose link has next to nothing of the rate of the
+/// fastest one: one `ELECTION_READ_INTERVAL_MS`.
+pub const SLOW_LINK_DELAY_MS: Millis = Millis(300);
+/// The rate of a link beyond which a leader has no use for more.
+pub const USEFUL_LINK_KBPS: u64 = 100_000;
+
 /// How long a following read waits at the store for a change; bounds the age of the desired state.
 pub const FOLLOW_WAIT_MS: Millis = Millis(1_000);
 /// How long a call to the store may take, on top of the time that it waits there for a change:
@@ -194,9 +200,9 @@
 /// for the leader to hand over. Longer than the interval of renewals, so that a store outage for
 /// all daemons causes no handover.
 pub const HANDOVER_THRESHOLD_MS: Millis = Millis(700);
-/// A leader hands over to a daemon with at least this many times its processor share; a smaller
-/// difference is not worth the pause that a takeover takes.
-pub const YIELD_CPU_FACTOR: u64 = 2;
+/// A leader hands over to a daemon with at least this many times its processor share or its link's rate;
+/// a smaller difference is not worth the pause that a takeover takes.
+pub const YIELD_FACTOR: u64 = 2;
 /// How long the leader must have led, and the stronger daemon been connected, before that handover;
 /// longer than a takeover.
 pub const YIELD_STABLE_MS: Millis = Millis(4_000);
--- a/core/src/cell/election.rs
+++ b/core/src/cell/election.rs
@@ -1,13 +1,14 @@
 //! Elects the leader with a conditional write to the term row in the store.
 //!
 //! The leader renews the lease row. The other daemons read both rows and try to lead once the lease
-//! has expired or the leader has resigned; hosts with a smaller processor share wait longer.
+//! has expired or the leader has resigned; hosts with a smaller processor share or a slower link wait longer.
 //! The version of the term row is the leader's fencing token.
 
 use crate::{
     cell::{
         consts,
         ctx::{Ctx, RpcOwner},
+        host_strength::HostStrength,
         term::Term,
         CellSettings, FencingToken, LinkId, LogEvent, MemberRow, Row, RowKey, RowValue, RowVersion,
         RpcId, StoreCall, StoreReply, Table, TermRow, Write,
@@ -58,9 +59,9 @@
     lease_expires_at: Option<Millis>,
     /// Whether the term and lease rows were read since they last may have changed.
     rows_known: bool,
-    cpu_milli: u64,
-    /// The largest processor share of all daemons, as reported by the last leader.
-    pub(crate) strongest_cpu_milli: u64,
+    strength: HostStrength,
+    /// The most that any daemon's host has of each, as reported by the last leader.
+    pub(crate) strongest: HostStrength,
     next_acquire_at: Millis,
     /// When the leases of all earlier leaders have certainly expired, if the latest attempt to lead
     /// succeeds.
@@ -112,7 +113,10 @@
         let row = MemberRow {
             address: settings.address.clone(),
             cpu_milli: settings.cpu_milli,
+            link_kbps: settings.link_kbps,
         };
+        let strength = settings.strength();
+        let usual = HostStrength::new(consts::DEFAULT_STRONGEST_CPU_MILLI, None);
         Self {
             host: settings.host.clone(),
             member: row,
@@ -123,8 +127,8 @@
             lease_seen_at: Millis(0),
             lease_expires_at: None,
             rows_known: false,
-            cpu_milli: settings.cpu_milli,
-            strongest_cpu_milli: settings.cpu_milli.max(consts::DEFAULT_STRONGEST_CPU_MILLI),
+            strength,
+            strongest: strength.max(usual),
             next_acquire_at: Millis(0),
             earlier_leads_end_at: Millis(0),
             own_token: None,
@@ -232,13 +236,11 @@
     }
 
     /// Returns whether this daemon may try to lead: the rows are known, and the lease expired or
-    /// the leader resigned at least the delay for this host's processor share ago. An earlier
+    /// the leader resigned at least the delay for this host's strength ago. An earlier
     /// process on this host is replaced at once.
     fn can_acquire(&self, now: Millis) -> bool {
         let waited = now.since(self.lease_seen_at);
-        let missing = self.strongest_cpu_milli.saturating_sub(self.cpu_milli);
-        let delay_ms = missing.saturating_mul(consts::WEAK_HOST_DELAY_US) / 1_000;
-        let weak_host_delay_ms = Millis(delay_ms);
+        let weak_host_delay_ms = self.strength.election_delay_ms(self.strongest);
         let expired = if self.is_own_earlier_incarnation() {
             true
         } else if self.has_holder_resigned() {
--- a/core/src/cell/leader/members.rs
+++ b/core/src/cell/leader/members.rs
@@ -5,6 +5,7 @@
         consts,
         ctx::{Ctx, LOCAL_LINK},
         election::Election,
+        host_strength::HostStrength,
         leader::Leader,
         ConfigFeed, Effect, LinkId, LogEvent, MemberRow, RowVersion, ToMember,
     },
@@ -25,7 +26,8 @@
     dialing: bool,
     next_dial_at: Millis,
     failures: u32,
-    cpu_milli: u64,
+    /// `None` until its row has been read.
+    strength: Option<HostStrength>,
     /// When the connection to it was made.
     joined_at: Millis,
     last_ping_at: Millis,
@@ -66,9 +68,11 @@
     }
 
     /// Returns whether a much stronger daemon has been connected for a while and reaches the store.
-    fn has_stronger_member(&self, now: Millis, own_cpu_milli: u64) -> bool {
-        let is_strong =
-            |member: &Member| member.cpu_milli >= own_cpu_milli * consts::YIELD_CPU_FACTOR;
+    fn has_stronger_member(&self, now: Millis, own: HostStrength) -> bool {
+        let is_strong = |member: &Member| {
+            let strength = member.strength;
+            strength.is_some_and(|strength| strength.is_much_stronger_than(own))
+        };
         let is_steady = |member: &Member| now.since(member.joined_at) >= consts::YIELD_STABLE_MS;
         let reaches_store =
             |member: &Member| now.since(member.store_ok_at) < consts::STORE_DOWN_TIMEOUT_MS;
@@ -120,10 +124,10 @@
         is_steady
             && self
                 .members
-                .has_stronger_member(ctx.now, ctx.settings.cpu_milli)
+                .has_stronger_member(ctx.now, ctx.settings.strength())
     }
 
-    /// Adds a member or updates its address and processor share.
+    /// Adds a member or updates its address and strength.
     pub(crate) fn on_member_row(&mut self, ctx: &mut Ctx, host: &str, row: MemberRow) {
         if row.address == ctx.settings.address {
             return;
@@ -140,7 +144,7 @@
             }
         }
         member.address = row.address;
-        member.cpu_milli = row.cpu_milli;
+        member.strength = Some(HostStrength::new(row.cpu_milli, row.link_kbps));
         member.next_dial_at = ctx.now;
         member.failures = 0;
     }
@@ -228,8 +232,9 @@
         let closed = self.closed_queues(ctx);
         let worker_id_bytes = self.fleet.longest_id_bytes();
         let admission = self.admission_table(ctx);
-        let shares = self.members.by_host.values().map(|member| member.cpu_milli);
-        let strongest_cpu_milli = shares.fold(ctx.settings.cpu_milli, u64::max);
+        let members = self.members.by_host.values();
+        let strengths = members.filter_map(|member| member.strength);
+        let strongest = strengths.fold(ctx.settings.strength(), HostStrength::max);
         let heartbeat = |confirmed_ms| ToMember::Heartbeat {
             token: self.token,
             lease: election.lease(),
@@ -240,7 +245,8 @@
             worker_id_bytes: self.loader.is_done().then_some(worker_id_bytes),
             ready: self.loader.is_done(),
             store_slow,
-            strongest_cpu_milli,
+            strongest_cpu_milli: strongest.cpu_milli(),
+            strongest_link_kbps: Some(strongest.link_kbps()),
             closed: closed.clone(),
             admission: admission.clone(),
         };
--- a/core/src/cell/message.rs
+++ b/core/src/cell/message.rs
@@ -127,6 +127,10 @@
         /// The largest processor share of all daemons, in thousandths of a core.
         #[serde(rename = "strongest_milli")]
         strongest_cpu_milli: u64,
+        /// The rate of the fastest link of all daemons, as far as a leader uses it; `None` from leaders of
+        /// earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        strongest_link_kbps: Option<u64>,
         /// The queues that refuse jobs because they can't finish in time, with the delay after
         /// which a client may retry.
         closed: Vec<(QueueName, Millis)>,
--- a/core/src/cell/mod.rs
+++ b/core/src/cell/mod.rs
@@ -19,6 +19,7 @@
 mod event;
 mod found_row;
 mod frontend;
+mod host_strength;
 mod ids;
 mod job;
 mod job_access;
--- a/core/src/cell/node.rs
+++ b/core/src/cell/node.rs
@@ -6,6 +6,7 @@
         ctx::{Ctx, RpcOwner, LOCAL_LINK},
         election::{Election, LeadershipChange},
         frontend::Frontend,
+        host_strength::HostStrength,
         leader::{Leader, LeaseUpdate},
         submissions::Submissions,
         term::Term,
@@ -167,7 +168,8 @@
         let event = LogEvent::warn("lead_handed_over").with("token", token);
         let event = event
             .with("reason", reason)
-            .with("cpu_milli", ctx.settings.cpu_milli);
+            .with("cpu_milli", ctx.settings.cpu_milli)
+            .with("link_kbps", ctx.settings.strength().link_kbps());
         ctx.log(event.with("store_age_ms", ctx.store_age_ms().0));
         for link in leader.member_links() {
             ctx.push(Effect::ToMember(link, ToMember::Resigned { token }));
@@ -256,6 +258,7 @@
             token,
             lease,
             strongest_cpu_milli,
+            strongest_link_kbps,
             store_slow,
             ..
         } = &message
@@ -264,7 +267,8 @@
                 ctx.push(Effect::Close(link));
                 return;
             }
-            self.election.strongest_cpu_milli = *strongest_cpu_milli;
+            let strongest = HostStrength::new(*strongest_cpu_milli, *strongest_link_kbps);
+            self.election.strongest = strongest;
             if *store_slow {
                 self.election.read(ctx);
             }
--- a/core/src/cell/settings.rs
+++ b/core/src/cell/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a cell's daemon.
 
 use crate::{
-    cell::{consts, row_size},
+    cell::{consts, host_strength::HostStrength, row_size},
     Millis,
 };
 use compact_str::CompactString;
@@ -17,6 +17,8 @@
     pub address: CompactString,
     /// The host's processor share, in thousandths of a core; larger ones are preferred as leader.
     pub cpu_milli: u64,
+    /// The rate of the host's link, if it is known; faster ones are preferred as leader.
+    pub link_kbps: Option<u64>,
     /// The longest lease that workers accept.
     pub max_lease_ms: Millis,
     /// The longest time that an API key may be accepted after its withdrawal.
@@ -35,6 +37,11 @@
 }
 
 impl CellSettings {
+    /// Returns what the host has for the work of a leader.
+    pub(crate) fn strength(&self) -> HostStrength {
+        HostStrength::new(self.cpu_milli, self.link_kbps)
+    }
+
     /// Returns the age of the last read of the requests to drain domains up to which tasks may start.
     /// A start that is sent before is carried out within the bound after a request that is not known yet.
     pub(crate) fn max_drains_age_ms(&self) -> Option<Millis> {
@@ -73,6 +80,7 @@
             domain: domain.into(),
             address: address.into(),
             cpu_milli: 1_000,
+            link_kbps: None,
             max_lease_ms: Millis(10_000),
             key_revocation_ms: Millis(5_000),
             stop_grace_ms: Millis(6_000),
@@ -89,6 +97,12 @@
         self
     }
 
+    /// Sets the rate of the host's link.
+    pub fn link_kbps(mut self, rate: Option<u64>) -> Self {
+        self.0.link_kbps = rate;
+        self
+    }
+
     /// Sets the longest lease that workers accept.
     pub fn max_lease_ms(mut self, span_ms: Millis) -> Self {
         self.0.max_lease_ms = span_ms;
--- a/core/src/cell/store.rs
+++ b/core/src/cell/store.rs
@@ -68,6 +68,9 @@
     pub address: CompactString,
     /// Its processor share, in thousandths of a core.
     pub cpu_milli: u64,
+    /// The rate of its host's link; `None` if it is unknown and in rows of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link_kbps: Option<u64>,
 }
 
 /// The value of a row.
--- a/core/tests/cell_renamed_queues.rs
+++ b/core/tests/cell_renamed_queues.rs
@@ -158,6 +158,7 @@
         ready: true,
         store_slow: false,
         strongest_cpu_milli: 1,
+        strongest_link_kbps: None,
         closed: Vec::new(),
         admission: None,
     };
--- a/core/tests/cell_slow_links.rs
+++ b/core/tests/cell_slow_links.rs
@@ -51,6 +51,51 @@
     world.assert_once();
 }
 
+/// Starts two daemons anew, one after the other; returns the one that leads 15 s later.
+fn leader_among(shares: [u64; 2], links_mbps: [u64; 2], first: usize) -> Option<usize> {
+    let mut world = World::with_cpu(&shares, WORKERS, desired(1, queue()));
+    for (at, rate) in links_mbps.into_iter().enumerate() {
+        world.kill(at);
+        world.slow_link(at, rate);
+    }
+    world.start(first);
+    world.run(4_000);
+    assert_eq!(world.leader(), Some(first));
+    world.start(1 - first);
+    world.run(RECOVERY_MS);
+    world.leader()
+}
+
+/// A host with a slow link led beside one with a fast link and more of the processor, because that had less
+/// than twice its share, and its reads were late (wisniewski-katalog-grown, LOST).
+#[test]
+fn a_leader_on_a_slow_link_hands_over_to_a_host_with_a_fast_one() {
+    assert_eq!(leader_among([300, 500], [10, 200], 0), Some(1));
+    assert_eq!(leader_among([300, 300], [10, 200], 0), Some(1));
+    // A host with less of the processor doesn't take over, nor one whose faster link is of no use.
+    assert_eq!(leader_among([500, 300], [10, 200], 0), Some(0));
+    assert_eq!(leader_among([300, 300], [100, 1_000], 0), Some(0));
+    assert_eq!(leader_among([300, 500], [10, 200], 1), Some(1));
+}
+
+/// Daemons that start together elect one with a fast link, also where one with a slow link reads the store
+/// first.
+#[test]
+fn hosts_with_slow_links_wait_longer_before_they_lead() {
+    let shares = [300, 300, 500, 300];
+    let mut world = World::with_cpu(&shares, WORKERS, desired(1, queue()));
+    for at in 0..shares.len() {
+        world.kill(at);
+        world.slow_link(at, if at == 2 { 200 } else { LINK_MBPS });
+    }
+    for at in 0..shares.len() {
+        world.start(at);
+        world.run(100);
+    }
+    world.run(3_000);
+    assert_eq!(world.leader(), Some(2));
+}
+
 /// Jobs that no daemon could report to the leader were never read: the answer with the changes took longer
 /// than the time-out on a slow link, and each further one was larger (review/12, LOST).
 #[test]
--- a/core/tests/cell_world/mod.rs
+++ b/core/tests/cell_world/mod.rs
@@ -98,6 +98,8 @@
     /// Whether messages to and from other daemons are lost.
     cut: bool,
     cpu_milli: u64,
+    /// The rate of its host's link by its settings.
+    link_kbps: Option<u64>,
     /// How many times its process was started; answers to calls of earlier processes are dropped.
     process: usize,
     /// How far its Unix clock is ahead.
@@ -347,6 +349,7 @@
                 store_silent: false,
                 cut: false,
                 cpu_milli,
+                link_kbps: None,
                 process: 0,
                 unix_lead_ms: 0,
                 paused: None,
@@ -364,6 +367,7 @@
             CellSettingsBuilder::new(&format!("host-{at}"), "saiss", &self.daemons[at].address);
         let unix = self.unix_ms(at);
         let settings = settings.cpu_milli(self.daemons[at].cpu_milli);
+        let settings = settings.link_kbps(self.daemons[at].link_kbps);
         let settings = settings.drain_bound_ms(self.drain_bound_ms.map(Millis));
         let settings = settings.admission(self.admission);
         let node = Node::new(settings.build(), Millis(self.now), unix);
@@ -474,8 +478,9 @@
         self.daemons[at].cut = cut;
     }
 
-    /// Bounds the rate of a daemon's link to the store.
+    /// Bounds the rate of a daemon's link to the store; its process knows it from its next start on.
     pub fn slow_link(&mut self, at: usize, megabits_per_s: u64) {
+        self.daemons[at].link_kbps = Some(megabits_per_s * 1_000);
         self.store_links.insert(at, StoreLink::new(megabits_per_s));
     }
 
--- a/daemon/src/cell/control.rs
+++ b/daemon/src/cell/control.rs
@@ -100,6 +100,7 @@
         &settings.peers.to_string(),
     )
     .cpu_milli(cell.cpu_milli)
+    .link_kbps(cell.link_kbps)
     .max_lease_ms(cell.max_lease_ms)
     .key_revocation_ms(cell.key_revocation_ms)
     .stop_grace_ms(settings.drain_grace_ms)
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -42,6 +42,8 @@
     pub advice: Option<SocketAddr>,
     /// The host's processor share, in thousandths of a core.
     pub cpu_milli: u64,
+    /// The rate of the host's link, if it is set.
+    pub link_kbps: Option<u64>,
     /// The longest lease that workers grant, in milliseconds.
     pub max_lease_ms: Millis,
     /// The maximum time for which a withdrawn key is still accepted, in milliseconds.
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -17,7 +17,7 @@
 }
 
 /// All fields of the settings file.
-const FIELDS: [FieldSpec; 20] = [
+const FIELDS: [FieldSpec; 21] = [
     FieldSpec {
         section: "daemon",
         name: "name",
@@ -102,6 +102,13 @@
         default: Some("1.0"),
         meaning: "the host's processor share in cores; strong hosts lead",
     },
+    FieldSpec {
+        section: "cell",
+        name: "link_mbps",
+        form: "a number above 0",
+        default: Some("unknown, taken as fast"),
+        meaning: "the rate of the host's link in Mbit/s; hosts with fast ones lead",
+    },
     FieldSpec {
         section: "cell",
         name: "max_lease",
@@ -352,6 +359,7 @@
             metrics: self.address("cell", "metrics"),
             advice: self.address("cell", "advice"),
             cpu_milli: self.cpu_milli(),
+            link_kbps: self.link_kbps(),
             max_lease_ms: duration_ms(self, "max_lease", 10_000),
             key_revocation_ms: duration_ms(self, "revoke", 5_000),
             retention_ms: duration_ms(self, "retention", 120_000),
@@ -413,16 +421,23 @@
 
     fn cpu_milli(&mut self) -> u64 {
         const WHOLE_CORE_MILLI: u64 = 1_000;
-        match self.get::<f64>("cell", "cpu_share") {
-            Some(share) if share > 0.0 && share.is_finite() => (share * 1_000.0) as u64,
-            Some(share) => {
-                let line = self.find("cell", "cpu_share").map_or(1, |field| field.line);
-                let text = format!("cpu_share = {share}: expected a number above 0");
-                self.problems.push(Problem::new(line, text));
-                WHOLE_CORE_MILLI
-            }
-            None => WHOLE_CORE_MILLI,
+        self.thousandths("cpu_share").unwrap_or(WHOLE_CORE_MILLI)
+    }
+
+    fn link_kbps(&mut self) -> Option<u64> {
+        self.thousandths("link_mbps")
+    }
+
+    /// Reads a number of `[cell]` above 0 and returns its thousandths.
+    fn thousandths(&mut self, name: &str) -> Option<u64> {
+        let number = self.get::<f64>("cell", name)?;
+        if number > 0.0 && number.is_finite() {
+            return Some((number * 1_000.0) as u64);
         }
+        let line = self.find("cell", name).map_or(1, |field| field.line);
+        let text = format!("{name} = {number}: expected a number above 0");
+        self.problems.push(Problem::new(line, text));
+        None
     }
 
     fn address(&mut self, section: &str, name: &str) -> Option<SocketAddr> {
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -90,7 +90,11 @@
     let given = host("memory_mb = 512.0\nmax_fds = 8192\n");
     assert_eq!(given, HostLimits { memory_mb, max_fds });
     assert_eq!(host("cpu_share = 1.0\n"), HostLimits::default());
+    let link = |fields: &str| read(fields).unwrap().cell.unwrap().link_kbps;
+    assert_eq!(link("link_mbps = 10.0\n"), Some(10_000));
+    assert_eq!(link("cpu_share = 1.0\n"), None);
     for wrong in [
+        "link_mbps = 0",
         "memory_mb = 63",
         "memory_mb = x",
         "max_fds = 511",
