--- a/core/src/cell/leader/loader.rs
+++ b/core/src/cell/leader/loader.rs
@@ -154,12 +154,18 @@
         }
     }
 
-    /// Notes that a page of at most `requested` rows took `took_ms`. Pages that are read while this
-    /// daemon places work leave the host's link to its other calls for as long as they took.
-    fn on_page(&mut self, now: Millis, requested: u32, took_ms: Millis, is_last: bool) {
-        self.page_size.on_page(requested, took_ms, is_last);
-        if self.is_done {
-            self.next_scan_at = now + took_ms;
+    /// Adapts the size of the next pages to the answer to a request for `rows` rows. Pages that are read
+    /// while this daemon places work leave the host's link to its other calls for as long as they took.
+    fn adapt_pages(&mut self, now: Millis, rows: u32, took_ms: Millis, reply: &StoreReply) {
+        match reply {
+            StoreReply::Rows { more, .. } => {
+                self.page_size.on_page(rows, took_ms, !*more);
+                if self.is_done {
+                    self.next_scan_at = now + took_ms;
+                }
+            }
+            StoreReply::Lost => self.page_size.on_lost(rows),
+            _ => {}
         }
     }
 
@@ -254,13 +260,7 @@
                 rows,
             }) => {
                 let took_ms = ctx.now.since(sent_at);
-                match &reply {
-                    StoreReply::Rows { more, .. } => {
-                        self.loader.on_page(ctx.now, rows, took_ms, !*more)
-                    }
-                    StoreReply::Lost => self.loader.page_size.on_lost(rows),
-                    _ => {}
-                }
+                self.loader.adapt_pages(ctx.now, rows, took_ms, &reply);
                 self.on_scan(ctx, scan, reply)
             }
             Some(OpenRead::Follow(table)) => self.on_follow(ctx, table, reply),
